--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and fault runs."""
--- /dev/null
+++ b/gypsumline/core/messages.py
@@ -0,0 +1,302 @@
+"""Messages between the system's processes.
+
+Each message is a data class that `message` registers under its name on the
+wire. Fields may be added with defaults; a peer ignores those that it does not
+know, so a newer and an older binary work side by side.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import ClassVar, TypeVar, cast, dataclass_transform
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.identity import Member
+from gypsumline.core.task import JobAnswer, JobBody, TaskResult, TaskSpec
+
+PROTOCOL_VERSION = 1
+LOWEST_PROTOCOL_VERSION = 1
+
+MESSAGE_TYPES: dict[str, type[Message]] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Message:
+    """Base of all messages.
+
+    Attributes:
+      wire_name: Name of the message type on the wire.
+    """
+
+    wire_name: ClassVar[str] = ""
+
+
+_MessageType = TypeVar("_MessageType", bound=type[Message])
+
+
+@dataclass_transform(frozen_default=True, kw_only_default=True)
+def message(name: str) -> Callable[[_MessageType], _MessageType]:
+    """Registers a message type under its name on the wire."""
+
+    def register(cls: _MessageType) -> _MessageType:
+        make = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+        data_class = cast(_MessageType, make(cls))
+        data_class.wire_name = name
+        MESSAGE_TYPES[name] = data_class
+        return data_class
+
+    return register
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamState:
+    """What an agent tells about its upstream.
+
+    Attributes:
+      upstream_id: Name that the executor announced; "" if there is none.
+      service: Service that it runs.
+      kinds: Kinds of task that it takes; empty for any.
+      slots: Tasks that it runs at once.
+      free: Slots that run nothing.
+      queued: Tasks that wait at the agent.
+      leaving: Whether it takes no new work.
+      healthy: Whether the executor answers.
+    """
+
+    upstream_id: str = ""
+    service: str = ""
+    kinds: tuple[str, ...] = ()
+    slots: int = 0
+    free: int = 0
+    queued: int = 0
+    leaving: bool = False
+    healthy: bool = False
+
+
+@message("hello")
+class Hello(Message):
+    """First message on each connection, from both sides."""
+
+    member: Member
+    lowest_version: int = LOWEST_PROTOCOL_VERSION
+    highest_version: int = PROTOCOL_VERSION
+
+
+@message("goodbye")
+class Goodbye(Message):
+    """Last message before a planned close."""
+
+    reason: str
+
+
+@message("heartbeat")
+class Heartbeat(Message):
+    """State of an agent; the reply renews its evidence."""
+
+    sequence: int
+    revision: int
+    upstream: UpstreamState
+
+
+@message("heartbeat_reply")
+class HeartbeatReply(Message):
+    """Evidence of the replying entry; age is -1 if it has none."""
+
+    sequence: int
+    revision: int
+    evidence_age: float
+
+
+@message("peer_heartbeat")
+class PeerHeartbeat(Message):
+    """State of an entry, sent to the other entries."""
+
+    sequence: int
+    revision: int
+    leaving: bool = False
+
+
+@message("peer_heartbeat_reply")
+class PeerHeartbeatReply(Message):
+    """Evidence of the replying entry; age is -1 if it has none."""
+
+    sequence: int
+    revision: int
+    evidence_age: float
+
+
+@message("control_request")
+class ControlRequest(Message):
+    """Asks for the peer's control record."""
+
+
+@message("control_push")
+class ControlPush(Message):
+    """The sender's control record."""
+
+    record: ControlRecord
+
+
+@message("control_ack")
+class ControlAck(Message):
+    """The receiver holds this revision."""
+
+    revision: int
+    incarnation: int
+
+
+@message("statement_request")
+class StatementRequest(Message):
+    """Asks a voter for the newest revision that it knows."""
+
+    round_id: int
+
+
+@message("statement")
+class Statement(Message):
+    """The voter knows nothing newer than this revision."""
+
+    round_id: int
+    revision: int
+    incarnation: int
+
+
+@message("submit")
+class Submit(Message):
+    """A job for the owner of its key."""
+
+    request_id: int
+    key: str
+    digest: bytes
+    body: JobBody
+
+
+@message("inquire")
+class Inquire(Message):
+    """Asks the owner for the answer of a key."""
+
+    request_id: int
+    key: str
+    wait: bool = True
+
+
+@message("cancel_job")
+class CancelJob(Message):
+    """Asks the owner to cancel a job."""
+
+    request_id: int
+    key: str
+
+
+@message("submit_reply")
+class SubmitReply(Message):
+    """Answer to a submit, inquire or cancel message."""
+
+    request_id: int
+    answer: JobAnswer
+    revision: int
+
+
+@message("start_tasks")
+class StartTasks(Message):
+    """Tasks of one job for an agent.
+
+    Sending the same attempt again is safe: the agent answers from its journal.
+    """
+
+    key: str
+    agent_incarnation: int
+    service: str
+    tasks: tuple[TaskSpec, ...]
+    attempts: tuple[int, ...]
+    deadline_left: float
+    priority: float = 0.0
+
+
+@message("task_results")
+class TaskResults(Message):
+    """Results and refusals of one job, with the state after them."""
+
+    key: str
+    results: tuple[TaskResult, ...]
+    free: int
+    queued: int
+
+
+@message("withdraw_tasks")
+class WithdrawTasks(Message):
+    """Takes back tasks that have not started; each gets a result."""
+
+    key: str
+    indexes: tuple[int, ...]
+    attempts: tuple[int, ...]
+    cancel: bool = False
+
+
+@message("tasks_withdrawn")
+class TasksWithdrawn(Message):
+    """Which tasks never start, and which had started already."""
+
+    key: str
+    withdrawn: tuple[int, ...]
+    started: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JournalEntry:
+    """What an agent knows of one task.
+
+    Attributes:
+      key: Submission key.
+      index: Position in the job.
+      state: "queued", "started", "finished" or "withdrawn".
+      attempt: Newest attempt that the agent has seen.
+      result: The result, if it has finished.
+    """
+
+    key: str
+    index: int
+    state: str
+    attempt: int
+    result: TaskResult | None = None
+
+
+@message("journal_query")
+class JournalQuery(Message):
+    """Asks an agent for the entries of the keys that the sender owns."""
+
+    revision: int
+
+
+@message("journal_report")
+class JournalReport(Message):
+    """One part of the answer; complete_since is the journal's age."""
+
+    revision: int
+    entries: tuple[JournalEntry, ...]
+    complete_since: float
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeptAnswer:
+    """An answer that an owner keeps until the horizon."""
+
+    key: str
+    digest: bytes
+    answer: JobAnswer
+
+
+@message("hand_over")
+class HandOver(Message):
+    """Kept answers of a leaving owner for the successor of their keys."""
+
+    answers: tuple[KeptAnswer, ...]
+
+
+@message("hand_over_ack")
+class HandOverAck(Message):
+    """The successor holds this many answers of the last hand-over."""
+
+    count: int
--- /dev/null
+++ b/gypsumline/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on upstreams."""
--- /dev/null
+++ b/gypsumline/tests/wire/test_codec.py
@@ -0,0 +1,65 @@
+"""Tests of the frame codec."""
+
+import msgpack
+import pytest
+
+from gypsumline.core.errors import (
+    FrameError,
+    FrameTooLargeError,
+    ProtocolVersionError,
+    UnknownMessageError,
+)
+from gypsumline.core.messages import Goodbye, StartTasks
+from gypsumline.core.task import TaskSpec
+from gypsumline.wire.codec import (
+    FRAME_LIMIT_BYTES,
+    LENGTH,
+    check_length,
+    decode_body,
+    encode_frame,
+)
+
+
+def test_round_trip_keeps_nested_values():
+    """Guards against a field or payload that changes on the wire."""
+    message = StartTasks(
+        key="k",
+        agent_incarnation=7,
+        service="ordering",
+        tasks=(TaskSpec(index=3, kind="card", payload=b"\xff\x00"),),
+        attempts=(2,),
+        deadline_left=1.5,
+    )
+    frame = encode_frame(message)
+    assert check_length(frame[:4]) == len(frame) - 4
+    assert decode_body(frame[4:]) == message
+
+
+def test_unknown_field_is_ignored():
+    """Guards against a newer peer's extra field ending the connection."""
+    body = msgpack.packb([1, "goodbye", {"reason": "stop", "later": 1}])
+    assert decode_body(body) == Goodbye(reason="stop")
+
+
+@pytest.mark.parametrize(
+    ("body", "error"),
+    [
+        (b"", FrameError),
+        (b"\xc1", FrameError),
+        (msgpack.packb([1, "goodbye"]), FrameError),
+        (msgpack.packb([1, "goodbye", {"reason": 3}]), FrameError),
+        (msgpack.packb([99, "goodbye", {}]), ProtocolVersionError),
+        (msgpack.packb([1, "no-such", {}]), UnknownMessageError),
+        (msgpack.packb([1, ["x"], {}]), UnknownMessageError),
+    ],
+)
+def test_hostile_body_has_a_typed_error(body, error):
+    """Guards against a hostile frame that ends the process."""
+    with pytest.raises(error):
+        decode_body(body)
+
+
+def test_length_over_the_limit_is_refused_before_the_body_is_read():
+    """Guards against a length that reserves unbounded memory."""
+    with pytest.raises(FrameTooLargeError):
+        check_length(LENGTH.pack(FRAME_LIMIT_BYTES + 1))
--- /dev/null
+++ b/gypsumline/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Frames and connections between the system's processes."""
--- /dev/null
+++ b/gypsumline/wire/codec.py
@@ -0,0 +1,85 @@
+"""Frame codec: a 4-byte big-endian length, then msgpack.
+
+The body is `[protocol_version, message_name, fields]`.
+"""
+
+from __future__ import annotations
+
+import struct
+
+import msgpack
+import msgspec
+
+from gypsumline.core.errors import (
+    FrameError,
+    FrameTooLargeError,
+    ProtocolVersionError,
+    UnknownMessageError,
+)
+from gypsumline.core.messages import (
+    LOWEST_PROTOCOL_VERSION,
+    MESSAGE_TYPES,
+    PROTOCOL_VERSION,
+    Message,
+)
+
+FRAME_LIMIT_BYTES = 4 * 1024 * 1024
+LENGTH = struct.Struct(">I")
+_BODY_ITEMS = 3
+
+
+def encode_frame(message: Message) -> bytes:
+    """Returns the frame of a message, with its length.
+
+    Raises:
+      FrameTooLargeError: The message is longer than the limit.
+    """
+    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    body: bytes = msgpack.packb([PROTOCOL_VERSION, message.wire_name, fields])
+    if len(body) > FRAME_LIMIT_BYTES:
+        raise FrameTooLargeError(len(body), FRAME_LIMIT_BYTES)
+    return LENGTH.pack(len(body)) + body
+
+
+def decode_body(body: bytes) -> Message:
+    """Returns the message in a frame body.
+
+    Raises:
+      FrameError: The body is not a message that this process knows.
+    """
+    version, name, fields = _unpack(body)
+    if type(version) is not int or not (
+        LOWEST_PROTOCOL_VERSION <= version <= PROTOCOL_VERSION
+    ):
+        raise ProtocolVersionError(
+            version, LOWEST_PROTOCOL_VERSION, PROTOCOL_VERSION
+        )
+    message_type = MESSAGE_TYPES.get(name) if isinstance(name, str) else None
+    if message_type is None:
+        raise UnknownMessageError(name)
+    try:
+        return msgspec.convert(fields, message_type, builtin_types=(bytes,))
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise FrameError(f"message {name!r} is invalid: {error}") from error
+
+
+def check_length(header: bytes) -> int:
+    """Returns the body length in a frame header.
+
+    Raises:
+      FrameTooLargeError: The length is over the limit.
+    """
+    size: int = LENGTH.unpack(header)[0]
+    if size > FRAME_LIMIT_BYTES:
+        raise FrameTooLargeError(size, FRAME_LIMIT_BYTES)
+    return size
+
+
+def _unpack(body: bytes) -> tuple[object, object, object]:
+    try:
+        items = msgpack.unpackb(body, strict_map_key=False, use_list=False)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"frame is not valid msgpack: {error}") from error
+    if not isinstance(items, tuple) or len(items) != _BODY_ITEMS:
+        raise FrameError("frame is not a list of version, name and fields")
+    return items
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests of the decisions."""
