--- /dev/null
+++ b/gypsumline/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the small process beside each upstream."""
--- /dev/null
+++ b/gypsumline/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: callers' and operators' HTTP, ownership and placement."""
--- /dev/null
+++ b/gypsumline/entry/http.py
@@ -0,0 +1,242 @@
+"""The entry's HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+from gypsumline.cli.settings import EntrySettings
+from gypsumline.core.errors import (
+    GypsumlineError,
+    InvalidInputError,
+    InvalidInputGroup,
+)
+from gypsumline.core.messages import CancelJob, Inquire, Submit
+from gypsumline.core.submission_key import key_time, parse_key
+from gypsumline.core.task import JobAnswer, Outcome, Reason
+from gypsumline.entry.configuration_http import ConfigurationHttp
+from gypsumline.entry.http_models import (
+    JOB_BYTES_MAX,
+    PROBLEM_MEDIA_TYPE,
+    BodyTooLargeError,
+    answer_body,
+    answer_headers,
+    answer_status,
+    digest_of,
+    make_problem,
+    parse_job,
+    problem_of,
+)
+from gypsumline.entry.node import EntryNode
+from gypsumline.entry.status import status_body
+from gypsumline.runtime import metrics
+from gypsumline.runtime.clock import wall_time
+from gypsumline.runtime.http_server import health_response, metrics_response
+
+# The owner answers at the deadline; its answer needs a moment to arrive.
+_WAIT_GRACE_S = 0.05
+
+
+class JobHttp:
+    """Callers' routes."""
+
+    def __init__(self, node: EntryNode, settings: EntrySettings) -> None:
+        self._node = node
+        self._settings = settings
+        self._asked: set[asyncio.Task[JobAnswer]] = set()
+
+    async def submit(self, request: Request) -> Response:
+        """Answers `POST /v1/jobs`."""
+        began = time.perf_counter()
+        wall = wall_time()
+        raw = await read_body(request, JOB_BYTES_MAX)
+        limits = self._node.record.configuration.limits
+        body = parse_job(raw, limits, self._settings.deadline_max, wall)
+        given = request.headers.get("Idempotency-Key")
+        key = parse_key(given) if given else self._node.new_key()
+        # Without `wait` the caller stays until the final answer, which the
+        # router gives shortly after the deadline at the latest.
+        wait = self._wait_of(request, self._settings.deadline_max)
+        refusal = self._check_age(key, wall)
+        if refusal is not None:
+            return _answer(key, refusal)
+        message = Submit(
+            request_id=self._node.new_request_id(),
+            key=key,
+            digest=digest_of(body),
+            body=body,
+        )
+        answer = await self._ask(message, body.timeout, wait)
+        metrics.JOBS.labels(answer.outcome.value).inc()
+        metrics.JOB_SECONDS.observe(time.perf_counter() - began)
+        return _answer(key, answer)
+
+    async def show(self, request: Request) -> Response:
+        """Answers `GET /v1/jobs/{key}`."""
+        key = parse_key(request.path_params["key"])
+        wait = self._wait_of(request, 0.0)
+        if wait > 0:
+            answer = await self._ask(self._inquiry(key, wait=True), wait, wait)
+            if answer.outcome != Outcome.RUNNING:
+                return _answer(key, answer)
+        limit = self._settings.suspect_after
+        inquiry = self._inquiry(key, wait=False)
+        return _answer(key, await self._node.request(inquiry, limit))
+
+    async def cancel(self, request: Request) -> Response:
+        """Answers `DELETE /v1/jobs/{key}`."""
+        key = parse_key(request.path_params["key"])
+        message = CancelJob(request_id=self._node.new_request_id(), key=key)
+        limit = self._settings.suspect_after
+        return _answer(key, await self._node.request(message, limit))
+
+    def _inquiry(self, key: str, *, wait: bool) -> Inquire:
+        request_id = self._node.new_request_id()
+        return Inquire(request_id=request_id, key=key, wait=wait)
+
+    async def _ask(
+        self, message: Submit | Inquire, limit: float, wait: float
+    ) -> JobAnswer:
+        """Waits for the answer; a job goes on when its caller stops waiting."""
+        task = asyncio.create_task(self._node.request(message, limit))
+        self._asked.add(task)
+        task.add_done_callback(self._asked.discard)
+        done, _ = await asyncio.wait({task}, timeout=wait + _WAIT_GRACE_S)
+        if done:
+            return task.result()
+        return JobAnswer(outcome=Outcome.RUNNING)
+
+    def _wait_of(self, request: Request, default: float) -> float:
+        text = request.query_params.get("wait")
+        if text is None:
+            return default
+        highest = self._settings.deadline_max
+        allowed = f"a number of seconds from 0 to {highest:g}"
+        try:
+            wait = float(text)
+        except ValueError:
+            raise InvalidInputError("wait", text, allowed) from None
+        if not 0 <= wait <= highest:
+            raise InvalidInputError("wait", text, allowed)
+        return wait
+
+    def _check_age(self, key: str, wall: float) -> JobAnswer | None:
+        """Refuses keys beyond the horizon: what they ran is forgotten."""
+        horizon = self._settings.resubmission_horizon
+        ahead = self._settings.client_clock_skew
+        age = wall - key_time(key)
+        if -ahead <= age <= horizon:
+            return None
+        return JobAnswer(
+            outcome=Outcome.UNKNOWN,
+            reason=Reason.KEY_EXPIRED,
+            detail=(
+                f"the key is {age:.1f} s old; allowed: up to {horizon:g} s "
+                f"old and {ahead:g} s ahead"
+            ),
+        )
+
+
+class _CloseWhenLeaving:
+    """Asks clients for a new connection once a planned stop has begun.
+
+    Without it a client may send a request on a kept connection just when the
+    server closes it.
+    """
+
+    def __init__(self, app: ASGIApp, node: EntryNode) -> None:
+        self._app = app
+        self._node = node
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        async def send_with_close(message: Message) -> None:
+            is_start = message["type"] == "http.response.start"
+            if is_start and self._node.leaving:
+                headers = list(message.get("headers", ()))
+                headers.append((b"connection", b"close"))
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await self._app(scope, receive, send_with_close)
+
+
+def entry_app(
+    node: EntryNode, settings: EntrySettings, configuration: ConfigurationHttp
+) -> Starlette:
+    """Returns the HTTP application of an entry."""
+    jobs = JobHttp(node, settings)
+
+    async def ready(request: Request) -> Response:
+        is_ready = node.is_fresh and not node.leaving
+        return Response("", status_code=200 if is_ready else 503)
+
+    async def status(request: Request) -> Response:
+        body = json.dumps(status_body(node))
+        return Response(body, media_type="application/json")
+
+    return Starlette(
+        routes=[
+            Route("/v1/jobs", jobs.submit, methods=["POST"]),
+            Route("/v1/jobs/{key}", jobs.show, methods=["GET"]),
+            Route("/v1/jobs/{key}", jobs.cancel, methods=["DELETE"]),
+            *configuration.routes(),
+            Route("/v1/status", status),
+            Route("/healthz", health_response),
+            Route("/readyz", ready),
+            Route("/metrics", metrics_response),
+        ],
+        middleware=[Middleware(_CloseWhenLeaving, node=node)],
+        exception_handlers={
+            GypsumlineError: _problem_response,
+            InvalidInputGroup: _problem_response,
+            ClientDisconnect: _gone_response,
+        },
+    )
+
+
+async def read_body(request: Request, limit: int) -> bytes:
+    """Returns the body of a request.
+
+    Raises:
+      BodyTooLargeError: The body is over the limit; the rest is not read.
+    """
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > limit:
+            raise BodyTooLargeError(len(body), limit)
+    return bytes(body)
+
+
+def _answer(key: str, answer: JobAnswer) -> Response:
+    return Response(
+        answer_body(key, answer),
+        status_code=answer_status(answer),
+        headers=answer_headers(answer),
+        media_type="application/json",
+    )
+
+
+def _problem_response(request: Request, error: Exception) -> Response:
+    problem = problem_of(error)  # type: ignore[arg-type]
+    return Response(
+        problem.body, status_code=problem.status, media_type=PROBLEM_MEDIA_TYPE
+    )
+
+
+def _gone_response(request: Request, error: Exception) -> Response:
+    problem = make_problem(400, "client-gone", "The client disconnected")
+    return Response(problem.body, status_code=problem.status)
+
+
+
--- /dev/null
+++ b/gypsumline/entry/node.py
@@ -0,0 +1,362 @@
+"""The entry's decisions wired to its sockets and timers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Sequence
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.effects import (
+    Answer,
+    ChangeOutcome,
+    ConfigurationChange,
+    Decision,
+    Effect,
+    ReadTable,
+    Send,
+    TableReadResult,
+    TableWriteResult,
+    WriteTable,
+)
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import (
+    CancelJob,
+    HandOver,
+    HandOverAck,
+    Heartbeat,
+    Inquire,
+    JournalReport,
+    Message,
+    PeerHeartbeat,
+    Submit,
+    SubmitReply,
+    TaskResults,
+    TasksWithdrawn,
+    UpstreamState,
+)
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.router import CallOwner, OwnerRequest, RequestRouter
+from gypsumline.core.task import JobAnswer
+from gypsumline.entry.table_task import TableTask
+from gypsumline.runtime import metrics
+from gypsumline.runtime.clock import boot_time, wall_time
+from gypsumline.runtime.logs import DecisionLog
+from gypsumline.wire.hub import Hub
+
+_OWNER_MESSAGES = (
+    TaskResults,
+    TasksWithdrawn,
+    JournalReport,
+    HandOver,
+    HandOverAck,
+)
+_CHANGE_TIMEOUT_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Machines:
+    """The state machines of one incarnation."""
+
+    control: ControlMachine
+    owner: SubmissionOwner
+
+
+MachineFactory = Callable[[Member], Machines]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AgentReport:
+    """What an agent told last, for the status page.
+
+    Attributes:
+      member: The agent.
+      revision: Newest revision that it knows.
+      upstream: State of its upstream.
+    """
+
+    member: Member
+    revision: int
+    upstream: UpstreamState
+
+
+class EntryNode:
+    """Feeds inputs to the decisions and carries their effects out."""
+
+    def __init__(
+        self, me: Member, factory: MachineFactory, decision_log: DecisionLog
+    ) -> None:
+        self._me = me
+        self._factory = factory
+        self._machines = factory(me)
+        self._router = RequestRouter(me)
+        self._log = decision_log
+        self._hub: Hub | None = None
+        self._table: TableTask | None = None
+        self._answers: dict[int, asyncio.Future[JobAnswer]] = {}
+        self._changes: dict[int, asyncio.Future[ChangeOutcome]] = {}
+        self._agents: dict[str, AgentReport] = {}
+        self._peers: dict[str, PeerHeartbeat] = {}
+        self._applied = (0, 0.0)
+        self._leaving = False
+
+    @property
+    def me(self) -> Member:
+        """This incarnation."""
+        return self._me
+
+    @property
+    def record(self) -> ControlRecord:
+        """Newest control record known."""
+        return self._machines.control.record
+
+    @property
+    def agents(self) -> dict[str, AgentReport]:
+        """Newest reports of the connected agents, by id."""
+        return self._agents
+
+    @property
+    def peers(self) -> dict[str, PeerHeartbeat]:
+        """Newest heartbeats of the connected entries, by id."""
+        return self._peers
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._leaving
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the evidence is fresh."""
+        return self._machines.control.is_fresh(boot_time())
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether no request and no job is left."""
+        no_requests = self._router.pending_count == 0
+        return no_requests and self._machines.owner.is_drained()
+
+    @property
+    def pending_requests(self) -> int:
+        """Callers' requests without an answer."""
+        return self._router.pending_count
+
+    def attach(self, hub: Hub, table: TableTask) -> None:
+        """Sets where messages and table operations go."""
+        self._hub = hub
+        self._table = table
+
+    def new_key(self) -> str:
+        """Returns a key that this entry owns, where it owns any."""
+        return self._router.new_key()
+
+    async def request(self, request: OwnerRequest, wait: float) -> JobAnswer:
+        """Returns the answer of a request, from whichever entry owns it."""
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[JobAnswer] = loop.create_future()
+        self._answers[request.request_id] = future
+        now = boot_time()
+        self._run(self._router.start(request, now + wait, now))
+        try:
+            return await future
+        finally:
+            self._answers.pop(request.request_id, None)
+            self._router.abandon(request.request_id)
+
+    def new_request_id(self) -> int:
+        """Returns a number for the next request."""
+        return self._router.new_request_id()
+
+    async def propose(self, change: ConfigurationChange) -> ChangeOutcome:
+        """Returns the outcome of a configuration change."""
+        request_id = self._router.new_request_id()
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[ChangeOutcome] = loop.create_future()
+        self._changes[request_id] = future
+        control = self._machines.control
+        self._run(control.propose(request_id, change, boot_time(), wall_time()))
+        try:
+            async with asyncio.timeout(_CHANGE_TIMEOUT_SECONDS):
+                return await future
+        except TimeoutError:
+            return ChangeOutcome(
+                request_id=request_id,
+                kind="unknown",
+                version=self.record.configuration_version,
+                detail="no answer from the table and the voters in time",
+            )
+        finally:
+            self._changes.pop(request_id, None)
+
+    def on_connected(self, member: Member) -> None:
+        """Takes a new connection."""
+        now, wall = boot_time(), wall_time()
+        control = self._machines.control
+        self._run(control.on_connected(member, now, wall))
+        if member.role == Role.AGENT:
+            owner = self._machines.owner
+            self._run(owner.on_agent_connected(member, now, wall))
+        else:
+            self._run(self._router.on_connected(member, now))
+
+    def on_disconnected(self, member: Member) -> None:
+        """Takes the loss of a connection."""
+        now, wall = boot_time(), wall_time()
+        control = self._machines.control
+        self._run(control.on_disconnected(member, now, wall))
+        if member.role == Role.AGENT:
+            self._agents.pop(member.member_id, None)
+            owner = self._machines.owner
+            self._run(owner.on_agent_disconnected(member, now, wall))
+        else:
+            self._peers.pop(member.member_id, None)
+            self._run(self._router.on_disconnected(member, now))
+
+    def on_message(self, member: Member, message: Message) -> None:
+        """Takes a message from a peer."""
+        now, wall = boot_time(), wall_time()
+        if isinstance(message, Submit | Inquire | CancelJob):
+            self._run_owner(self._call_owner(member.member_id, message))
+        elif isinstance(message, SubmitReply):
+            self._run(self._router.on_reply(message, now))
+        elif isinstance(message, _OWNER_MESSAGES):
+            owner = self._machines.owner
+            self._run_owner(owner.on_message(member, message, now, wall))
+        else:
+            self._take_control(member, message, now, wall)
+        self._apply_record()
+
+    def on_table(self, result: TableReadResult | TableWriteResult) -> None:
+        """Takes the result of a table operation."""
+        control = self._machines.control
+        self._run(control.on_table(result, boot_time(), wall_time()))
+        self._apply_record()
+
+    def tick_control(self) -> None:
+        """Lets the control machine act on the passing of time."""
+        control = self._machines.control
+        self._run(control.tick(boot_time(), wall_time()))
+        self._apply_record()
+        metrics.FRESH.set(int(self.is_fresh))
+
+    def tick_owner(self) -> None:
+        """Lets the owner and the router act on the passing of time."""
+        now = boot_time()
+        self._run_owner(self._machines.owner.tick(now, wall_time()))
+        self._run(self._router.tick(now))
+
+    def begin_leave(self) -> None:
+        """Begins a planned stop."""
+        self._leaving = True
+        now, wall = boot_time(), wall_time()
+        self._run(self._machines.control.leave(now, wall))
+        self._run_owner(self._machines.owner.leave(now, wall))
+
+    def _take_control(
+        self, member: Member, message: Message, now: float, wall: float
+    ) -> None:
+        control = self._machines.control
+        self._run(control.on_message(member, message, now, wall))
+        if isinstance(message, Heartbeat):
+            self._agents[member.member_id] = AgentReport(
+                member=member,
+                revision=message.revision,
+                upstream=message.upstream,
+            )
+            owner = self._machines.owner
+            self._run_owner(owner.on_agent(member, message.upstream, now, wall))
+        elif isinstance(message, PeerHeartbeat):
+            self._peers[member.member_id] = message
+
+    def _call_owner(self, origin: str, request: OwnerRequest) -> list[Effect]:
+        now, wall = boot_time(), wall_time()
+        owner = self._machines.owner
+        fresh = self._machines.control.is_fresh(now)
+        if isinstance(request, Submit):
+            return owner.submit(origin, request, fresh, now, wall)
+        if isinstance(request, Inquire):
+            return owner.inquire(origin, request, fresh, now, wall)
+        return owner.cancel(origin, request, fresh, now, wall)
+
+    def _apply_record(self) -> None:
+        now, wall = boot_time(), wall_time()
+        control = self._machines.control
+        applied = (control.record.revision, control.ready_at())
+        if applied == self._applied:
+            return
+        self._applied = applied
+        metrics.REVISION.set(control.record.revision)
+        metrics.CONFIGURATION_VERSION.set(control.record.configuration_version)
+        self._dial_entries()
+        owner = self._machines.owner
+        self._run_owner(
+            owner.set_record(control.record, control.ready_at(), now, wall)
+        )
+        self._run(self._router.set_record(control.record, now))
+
+    def _dial_entries(self) -> None:
+        if self._hub is None:
+            return
+        for entry in self.record.entries:
+            self._hub.dial(entry.address)
+
+    def _run_owner(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Answer):
+                self._pass_on(effect)
+            else:
+                self._run((effect,))
+
+    def _pass_on(self, answer: Answer) -> None:
+        reply = SubmitReply(
+            request_id=answer.request_id,
+            answer=answer.answer,
+            revision=self.record.revision,
+        )
+        if answer.origin == "":
+            self._run(self._router.on_reply(reply, boot_time()))
+        elif self._hub is not None:
+            self._hub.send(answer.origin, reply)
+
+    def _run(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._run_one(effect)
+
+    def _run_one(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                if self._hub is not None:
+                    self._hub.send(effect.to, effect.message)
+            case CallOwner():
+                self._run_owner(self._call_owner("", effect.request))
+            case Answer():
+                _resolve(self._answers.get(effect.request_id), effect.answer)
+            case ChangeOutcome():
+                _resolve(self._changes.get(effect.request_id), effect)
+            case ReadTable() if self._table is not None:
+                self._table.read(effect)
+            case WriteTable() if self._table is not None:
+                self._table.write(effect)
+            case Decision():
+                self._log.write(effect)
+                if effect.event == "removed":
+                    self._take_new_incarnation()
+
+    def _take_new_incarnation(self) -> None:
+        """Starts over as a new member: the earlier one has been replaced."""
+        if self._leaving:
+            return
+        incarnation = self._me.incarnation + random.randrange(1, 1000)
+        self._me = dataclasses.replace(self._me, incarnation=incarnation)
+        self._machines = self._factory(self._me)
+        self._applied = (0, 0.0)
+        self._run(self._router.set_identity(self._me, boot_time()))
+        if self._hub is not None:
+            self._hub.reconnect_as(self._me)
+
+
+def _resolve(future: asyncio.Future | None, value: object) -> None:
+    if future is not None and not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/gypsumline/entry/process.py
@@ -0,0 +1,122 @@
+"""Life of an entry process: start, serve, planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+from collections.abc import AsyncIterator
+
+import uvloop
+
+from gypsumline.cli.settings import EntrySettings
+from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.placement.scheduler import Scheduler
+from gypsumline.entry.configuration_http import ConfigurationHttp
+from gypsumline.entry.core_settings import (
+    control_settings,
+    owner_settings,
+    placement_settings,
+)
+from gypsumline.entry.http import entry_app
+from gypsumline.entry.node import EntryNode, MachineFactory, Machines
+from gypsumline.entry.table_task import TableTask
+from gypsumline.platform import open_table
+from gypsumline.runtime.clock import new_incarnation
+from gypsumline.runtime.http_server import running_http_server
+from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.stop import StopSignals
+from gypsumline.runtime.timers import TimerService, running_timers
+from gypsumline.wire.hub import Hub, running_hub
+
+CONTROL_TICK_SECONDS = 0.1
+OWNER_TICK_SECONDS = 0.02
+# The balancer needs this long to see that the entry is not ready.
+BALANCER_NOTICE_SECONDS = 1.0
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Runs an entry until it is stopped; returns the exit status."""
+    configure_logs(settings.member_id, settings.log_level)
+    return uvloop.run(_serve(settings))
+
+
+async def _serve(settings: EntrySettings) -> int:
+    signals = StopSignals()
+    async with _running_node(settings) as node:
+        await signals.wait()
+        _LOGGER.info("planned stop begins")
+        node.begin_leave()
+        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        drained = await signals.drain(
+            lambda: node.is_drained, settings.stop_limit
+        )
+        if not drained:
+            cut = {"requests": node.pending_requests, "jobs": node.open_jobs}
+            _LOGGER.warning("planned stop cuts work", extra=cut)
+    _LOGGER.info("planned stop ends")
+    return 0
+
+
+@contextlib.asynccontextmanager
+async def _running_node(settings: EntrySettings) -> AsyncIterator[EntryNode]:
+    rng = random.Random(settings.seed or None)
+    me = _member(settings)
+    node = EntryNode(
+        me,
+        _machine_factory(settings, rng),
+        DecisionLog(settings.decision_log_limit),
+    )
+    table = TableTask(open_table(settings.table_url), node.on_table)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(table.close)
+        hub = await stack.enter_async_context(running_hub(me, node, rng))
+        timers = await stack.enter_async_context(running_timers())
+        node.attach(hub, table)
+        await hub.listen(settings.host, settings.port)
+        _dial_peers(hub, settings)
+        _subscribe(timers, node)
+        app = entry_app(node, settings, ConfigurationHttp(node, table))
+        server = running_http_server(
+            app, settings.host, settings.http_port, settings.stop_limit
+        )
+        await stack.enter_async_context(server)
+        _LOGGER.info("entry serves", extra={"http_port": settings.http_port})
+        yield node
+
+
+def _member(settings: EntrySettings) -> Member:
+    return Member(
+        member_id=settings.member_id,
+        incarnation=new_incarnation(),
+        role=Role.ENTRY,
+        availability_zone=settings.availability_zone,
+        address=f"{settings.host}:{settings.port}",
+    )
+
+
+def _machine_factory(
+    settings: EntrySettings, rng: random.Random
+) -> MachineFactory:
+    def make(me: Member) -> Machines:
+        control = ControlMachine(me, control_settings(settings), rng)
+        scheduler = Scheduler(placement_settings(settings), rng)
+        owner = SubmissionOwner(me, owner_settings(settings), scheduler)
+        return Machines(control=control, owner=owner)
+
+    return make
+
+
+def _dial_peers(hub: Hub, settings: EntrySettings) -> None:
+    for address in settings.peers:
+        hub.dial(address)
+
+
+def _subscribe(timers: TimerService, node: EntryNode) -> None:
+    timers.subscribe(CONTROL_TICK_SECONDS, node.tick_control)
+    timers.subscribe(OWNER_TICK_SECONDS, node.tick_owner)
--- /dev/null
+++ b/gypsumline/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, timers, logs and metrics that the daemons share."""
--- /dev/null
+++ b/gypsumline/runtime/http_server.py
@@ -0,0 +1,66 @@
+"""HTTP server of a daemon, with graceful stop left to the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+import uvicorn
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+
+_START_POLL_SECONDS = 0.01
+_KEEP_ALIVE_SECONDS = 30
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+@contextlib.asynccontextmanager
+async def running_http_server(
+    app: Starlette, host: str, port: int, stop_limit: float
+) -> AsyncIterator[uvicorn.Server]:
+    """Yields a server that accepts connections.
+
+    On exit it closes idle connections, waits up to `stop_limit` seconds for
+    requests in progress and then ends.
+    """
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        timeout_keep_alive=_KEEP_ALIVE_SECONDS,
+        timeout_graceful_shutdown=max(1, int(stop_limit)),
+    )
+    server = _Server(config)
+    task = asyncio.create_task(server.serve(), name="http-server")
+    try:
+        while not server.started and not task.done():
+            await asyncio.sleep(_START_POLL_SECONDS)
+        if task.done():
+            await task
+        yield server
+    finally:
+        server.should_exit = True
+        await task
+
+
+async def metrics_response(request: Request) -> Response:
+    """Answers `GET /metrics`."""
+    return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
+
+
+async def health_response(request: Request) -> Response:
+    """Answers `GET /healthz`: the event loop runs."""
+    return Response("ok\n")
--- /dev/null
+++ b/gypsumline/runtime/metrics.py
@@ -0,0 +1,57 @@
+"""Prometheus metrics of the daemons."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_RESPONSE_BUCKETS_S = (
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0,
+)  # fmt: skip
+
+DECISION_LINES_DROPPED = Counter(
+    "gypsumline_decision_log_dropped_total",
+    "Decision log lines dropped by the limit.",
+)
+SENT_BYTES = Counter(
+    "gypsumline_wire_sent_bytes_total", "Bytes sent in frames."
+)
+RECEIVED_BYTES = Counter(
+    "gypsumline_wire_received_bytes_total", "Bytes received in frames."
+)
+MESSAGES = Counter(
+    "gypsumline_wire_messages_total",
+    "Messages by type and direction.",
+    ["type", "direction"],
+)
+CONNECTION_ERRORS = Counter(
+    "gypsumline_wire_connection_errors_total",
+    "Connections ended by an error.",
+    ["error"],
+)
+CONNECTIONS = Gauge("gypsumline_wire_connections", "Open connections.")
+REVISION = Gauge("gypsumline_control_revision", "Newest revision known.")
+CONFIGURATION_VERSION = Gauge(
+    "gypsumline_configuration_version", "Configuration version in force."
+)
+FRESH = Gauge(
+    "gypsumline_control_fresh", "1 while the evidence is fresh, else 0."
+)
+JOBS = Counter(
+    "gypsumline_jobs_total", "Jobs answered, by outcome.", ["outcome"]
+)
+JOB_SECONDS = Histogram(
+    "gypsumline_job_response_seconds",
+    "Response time of jobs at the entry.",
+    buckets=_RESPONSE_BUCKETS_S,
+)
+TASK_STARTS = Counter(
+    "gypsumline_task_starts_total", "Tasks handed to the executor."
+)
+TASK_RESULTS = Counter(
+    "gypsumline_task_results_total", "Task results, by status.", ["status"]
+)
+TABLE_OPERATIONS = Counter(
+    "gypsumline_table_operations_total",
+    "Operations on the platform's table, by kind and result.",
+    ["kind", "result"],
+)
--- /dev/null
+++ b/gypsumline/runtime/stop.py
@@ -0,0 +1,40 @@
+"""Planned stops: the first signal drains, the second one ends."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from gypsumline.runtime.clock import boot_time
+
+_POLL_SECONDS = 0.02
+
+
+class StopSignals:
+    """Counts SIGTERM and SIGINT."""
+
+    def __init__(self) -> None:
+        self._first = asyncio.Event()
+        self._second = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._count)
+
+    async def wait(self) -> None:
+        """Returns at the first signal."""
+        await self._first.wait()
+
+    async def drain(self, is_drained: Callable[[], bool], limit: float) -> bool:
+        """Waits until drained; returns False at a second signal or the limit."""
+        end = boot_time() + limit
+        while not is_drained():
+            if self._second.is_set() or boot_time() > end:
+                return False
+            await asyncio.sleep(_POLL_SECONDS)
+        return True
+
+    def _count(self) -> None:
+        if self._first.is_set():
+            self._second.set()
+        self._first.set()
--- /dev/null
+++ b/gypsumline/runtime/timers.py
@@ -0,0 +1,93 @@
+"""Timer service: parts subscribe a callback with an interval."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import heapq
+import itertools
+from collections.abc import AsyncIterator, Callable
+
+Callback = Callable[[], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Subscription:
+    """One subscribed callback.
+
+    Attributes:
+      interval: Seconds between calls.
+      callback: What is called.
+      cancelled: Whether it is called no more.
+    """
+
+    interval: float
+    callback: Callback
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Ends the subscription."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Calls its subscribers from one task, each at its own interval.
+
+    A call that comes late is not made up for: the next one is a full interval
+    after it, so a paused process does not run a burst of old timers.
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._order = itertools.count()
+        self._changed = asyncio.Event()
+
+    def subscribe(self, interval: float, callback: Callback) -> Subscription:
+        """Calls `callback` every `interval` seconds from now on."""
+        subscription = Subscription(interval, callback)
+        self._push(subscription)
+        self._changed.set()
+        return subscription
+
+    async def run(self) -> None:
+        """Serves the subscriptions until cancelled."""
+        while True:
+            await self._wait_for_next()
+            self._call_due()
+
+    def _push(self, subscription: Subscription) -> None:
+        due = asyncio.get_running_loop().time() + subscription.interval
+        heapq.heappush(self._heap, (due, next(self._order), subscription))
+
+    async def _wait_for_next(self) -> None:
+        self._changed.clear()
+        timeout = None
+        if self._heap:
+            now = asyncio.get_running_loop().time()
+            timeout = max(0.0, self._heap[0][0] - now)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._changed.wait()
+
+    def _call_due(self) -> None:
+        now = asyncio.get_running_loop().time()
+        while self._heap and self._heap[0][0] <= now:
+            subscription = heapq.heappop(self._heap)[2]
+            if subscription.cancelled:
+                continue
+            self._push(subscription)
+            subscription.callback()
+
+
+@contextlib.asynccontextmanager
+async def running_timers() -> AsyncIterator[TimerService]:
+    """Yields a timer service whose task runs inside the context."""
+    service = TimerService()
+    task = asyncio.create_task(service.run(), name="timers")
+    try:
+        yield service
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
