--- /dev/null
+++ b/gypsumline/core/change.py
@@ -0,0 +1,294 @@
+"""Configuration changes of operators, from proposal to outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections import deque
+
+from gypsumline.core.chart import ChartInstance, load_chart
+from gypsumline.core.control import ConfigurationNote, ControlRecord
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.effects import (
+    ChangeOutcome,
+    ConfigurationChange,
+    ConfigurationRow,
+    Decision,
+    Effect,
+)
+from gypsumline.core.record_writer import PendingWrite, RecordWriter
+
+# Notes kept in the record. At 11,000 changes a day they reach back about four
+# minutes, longer than any change is followed.
+_NOTES_KEPT = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ControlView:
+    """What a change needs to know of the control state.
+
+    Attributes:
+      record: The newest known record.
+      is_accepted: Whether that record is accepted.
+      read_at: Request time of the newest table read that was answered.
+    """
+
+    record: ControlRecord
+    is_accepted: bool
+    read_at: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Proposal:
+    request_id: int
+    change: ConfigurationChange
+    proposed_at: float
+    wall: float
+    chart: ChartInstance
+    attempt: ControlRecord | None = None
+    settle_from: float = math.inf
+
+
+class ChangeQueue:
+    """The proposed changes of one entry, handled one after the other.
+
+    Args:
+      settings: Settings of the control state.
+      writer: Writer of the control row, shared with membership changes.
+    """
+
+    def __init__(self, settings: ControlSettings, writer: RecordWriter) -> None:
+        self._settings = settings
+        self._writer = writer
+        self._waiting: deque[_Proposal] = deque()
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether a write of the first change may still take effect."""
+        return self._state == "settling"
+
+    @property
+    def _state(self) -> str:
+        return self._waiting[0].chart.state if self._waiting else ""
+
+    def propose(
+        self,
+        request_id: int,
+        change: ConfigurationChange,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Adds a change."""
+        proposal = _Proposal(
+            request_id=request_id,
+            change=change,
+            proposed_at=now,
+            wall=wall,
+            chart=ChartInstance(load_chart("change")),
+        )
+        self._waiting.append(proposal)
+
+    def on_written(
+        self, pending: PendingWrite, kind: str, now: float
+    ) -> list[Effect]:
+        """Takes the result of a write of the first change."""
+        if not self._waiting or self._state != "writing":
+            return []
+        proposal = self._waiting[0]
+        if proposal.attempt is not pending.record:
+            return []
+        if kind == "written":
+            return self._fire(proposal, "confirm")
+        proposal.settle_from = now
+        return self._fire(proposal, "doubt")
+
+    def advance(self, view: ControlView, now: float) -> list[Effect]:
+        """Moves changes on as far as the view allows."""
+        effects: list[Effect] = []
+        while self._waiting:
+            step = self._step(self._waiting[0], view, now)
+            effects += step
+            if self._waiting and self._waiting[0].chart.is_final:
+                self._waiting.popleft()
+            elif not step:
+                break
+        return effects + self._expire_waiting(view, now)
+
+    def _step(
+        self, proposal: _Proposal, view: ControlView, now: float
+    ) -> list[Effect]:
+        steps = {
+            "proposed": self._on_proposed,
+            "completing": self._on_completing,
+            "settling": self._on_settling,
+            "acknowledging": self._on_acknowledging,
+        }
+        step = steps.get(proposal.chart.state)
+        effects = step(proposal, view, now) if step is not None else []
+        if not effects and self._is_overdue(proposal, now):
+            return self._give_up(proposal, view)
+        return effects
+
+    def _on_proposed(
+        self, proposal: _Proposal, view: ControlView, now: float
+    ) -> list[Effect]:
+        if view.read_at < proposal.proposed_at:
+            return []
+        return self._fire(proposal, "read")
+
+    def _on_completing(
+        self, proposal: _Proposal, view: ControlView, now: float
+    ) -> list[Effect]:
+        if proposal.change.base_version != view.record.configuration_version:
+            detail = _describe_newer(view.record, proposal.change.base_version)
+            return self._refuse(proposal, view, detail)
+        if not view.is_accepted or not self._writer.is_idle:
+            return []
+        proposal.attempt = _changed_record(view.record, proposal)
+        return self._write(proposal, now)
+
+    def _on_settling(
+        self, proposal: _Proposal, view: ControlView, now: float
+    ) -> list[Effect]:
+        attempt = proposal.attempt
+        if attempt is None or view.read_at < proposal.settle_from:
+            return []
+        token = proposal.change.write_token
+        if any(note.write_token == token for note in view.record.changes):
+            return self._fire(proposal, "confirm")
+        notes = view.record.changes
+        if notes and notes[0].version > attempt.configuration_version:
+            # The note of this version, with its token, is no longer kept.
+            return self._give_up(proposal, view)
+        if view.record.revision >= attempt.revision:
+            # Another write took this revision, so the attempt never can.
+            return self._fire(proposal, "rebase")
+        if not self._writer.is_idle:
+            return []
+        # The first write may still arrive; the same content and revision make
+        # it harmless whichever of the two takes effect.
+        return self._write(proposal, now)
+
+    def _on_acknowledging(
+        self, proposal: _Proposal, view: ControlView, now: float
+    ) -> list[Effect]:
+        attempt = proposal.attempt
+        if attempt is None or view.record.revision < attempt.revision:
+            return []
+        # A later revision is written only after this one was accepted.
+        is_later = view.record.revision > attempt.revision
+        if not is_later and not view.is_accepted:
+            return []
+        effects = self._fire(proposal, "accept")
+        version = proposal.change.base_version + 1
+        detail = f"accepted as version {version}"
+        return effects + [_outcome(proposal, "accepted", version, detail)]
+
+    def _write(self, proposal: _Proposal, now: float) -> list[Effect]:
+        assert proposal.attempt is not None
+        change = proposal.change
+        row = ConfigurationRow(
+            version=proposal.attempt.configuration_version,
+            text=change.text,
+            author=change.author,
+            note=change.note,
+            written_at_wall=proposal.wall,
+            write_token=change.write_token,
+        )
+        effects = self._fire(proposal, "write")
+        write = self._writer.write(
+            proposal.attempt, now, token=change.write_token, row=row
+        )
+        return effects + [write]
+
+    def _is_overdue(self, proposal: _Proposal, now: float) -> bool:
+        age = now - proposal.proposed_at
+        return age > self._settings.change_timeout
+
+    def _give_up(self, proposal: _Proposal, view: ControlView) -> list[Effect]:
+        if proposal.chart.can_fire("refuse"):
+            detail = (
+                f"not written within {self._settings.change_timeout:g} s:"
+                " the table or a majority of the voters did not answer"
+            )
+            return self._refuse(proposal, view, detail)
+        if not proposal.chart.can_fire("give_up"):
+            return []
+        token = proposal.change.write_token
+        effects = self._fire(proposal, "give_up")
+        detail = f"ask again with write token {token}"
+        version = view.record.configuration_version
+        return effects + [_outcome(proposal, "unknown", version, detail)]
+
+    def _refuse(
+        self, proposal: _Proposal, view: ControlView, detail: str
+    ) -> list[Effect]:
+        effects = self._fire(proposal, "refuse")
+        version = view.record.configuration_version
+        return effects + [_outcome(proposal, "refused", version, detail)]
+
+    def _expire_waiting(self, view: ControlView, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for proposal in list(self._waiting)[1:]:
+            if self._is_overdue(proposal, now):
+                self._waiting.remove(proposal)
+                effects += self._give_up(proposal, view)
+        return effects
+
+    def _fire(self, proposal: _Proposal, trigger: str) -> list[Effect]:
+        proposal.chart.fire(trigger)
+        return [
+            Decision(
+                event="change",
+                fields={
+                    "request_id": proposal.request_id,
+                    "state": proposal.chart.state,
+                    "write_token": proposal.change.write_token,
+                },
+            )
+        ]
+
+
+def _changed_record(
+    record: ControlRecord, proposal: _Proposal
+) -> ControlRecord:
+    change = proposal.change
+    version = record.configuration_version + 1
+    note = ConfigurationNote(
+        version=version,
+        author=change.author,
+        note=change.note,
+        write_token=change.write_token,
+        written_at_wall=proposal.wall,
+    )
+    return dataclasses.replace(
+        record,
+        revision=record.revision + 1,
+        configuration_version=version,
+        configuration=change.configuration,
+        previous_voters=record.voters,
+        changes=(*record.changes, note)[-_NOTES_KEPT:],
+    )
+
+
+def _describe_newer(record: ControlRecord, base_version: int) -> str:
+    newest = record.configuration_version
+    if base_version > newest:
+        return f"base version {base_version} does not exist; newest: {newest}"
+    notes = [note for note in record.changes if note.version > base_version]
+    changes = "; ".join(
+        f"version {note.version} by {note.author}: {note.note}"
+        for note in notes
+    )
+    return f"not in force; changed since version {base_version}: {changes}"
+
+
+def _outcome(
+    proposal: _Proposal, kind: str, version: int, detail: str
+) -> ChangeOutcome:
+    return ChangeOutcome(
+        request_id=proposal.request_id,
+        kind=kind,
+        version=version,
+        detail=detail,
+    )
--- a/gypsumline/core/control.py
+++ b/gypsumline/core/control.py
@@ -37,6 +37,25 @@
     owners: tuple[Member, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationNote:
+    """Who wrote one configuration version, and with which write token.
+
+    Attributes:
+      version: Configuration version.
+      author: Who wrote it.
+      note: Why.
+      write_token: Unique token of the change.
+      written_at_wall: UTC seconds.
+    """
+
+    version: int
+    author: str
+    note: str
+    write_token: str
+    written_at_wall: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ControlRecord:
     """All that the processes must agree on.
@@ -50,6 +69,8 @@
       voters: Members that state and acknowledge revisions.
       previous_voters: Voters of the revision before.
       epochs: Owner sets by the time of a key, oldest first.
+      changes: Notes of the newest configuration versions, oldest first. They
+        settle a write whose answer was lost even after later revisions.
     """
 
     revision: int = 0
@@ -62,6 +83,7 @@
     voters: tuple[Member, ...] = ()
     previous_voters: tuple[Member, ...] = ()
     epochs: tuple[OwnerEpoch, ...] = ()
+    changes: tuple[ConfigurationNote, ...] = ()
 
     def owner_of(self, key: str) -> Member | None:
         """Returns the entry that owns a key, or None if no owner is left.
--- /dev/null
+++ b/gypsumline/core/control_machine.py
@@ -0,0 +1,498 @@
+"""The control state of one process: record, evidence, acceptance, members.
+
+Entries read and write the table; agents get records and evidence from entries.
+The shell feeds each input as it happens and calls `tick` every 50 ms or so.
+`on_connected` is for both directions of a connection, with the member from the
+peer's `Hello`. Heartbeats are sent by `tick`; the shell of an agent keeps
+`upstream` up to date.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from gypsumline.core.acceptance import Acceptance
+from gypsumline.core.change import ChangeQueue, ControlView
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.effects import (
+    ChangeOutcome,
+    ConfigurationChange,
+    Decision,
+    Effect,
+    Send,
+    TableReadResult,
+    TableWriteResult,
+)
+from gypsumline.core.freshness import Freshness, RequestTimes, StatementRounds
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.membership_writer import MembershipWriter
+from gypsumline.core.messages import (
+    ControlAck,
+    ControlPush,
+    ControlRequest,
+    Heartbeat,
+    HeartbeatReply,
+    Message,
+    PeerHeartbeat,
+    PeerHeartbeatReply,
+    Statement,
+    StatementRequest,
+    UpstreamState,
+)
+from gypsumline.core.peers import Peer, PeerTable
+from gypsumline.core.record_writer import PendingWrite, RecordWriter
+from gypsumline.core.table_poller import TablePoller
+from gypsumline.core.tenure import Tenure
+from gypsumline.core.voter import Voter, is_listed
+
+# First sequence and round numbers are random below this, so that a reply to an
+# earlier incarnation does not match a request of this one.
+_SEQUENCE_RANGE = 2**40
+
+
+class ControlMachine:
+    """Control state of one process.
+
+    Args:
+      me: This incarnation.
+      settings: Settings of the control state.
+      rng: Seeded random generator for delays.
+
+    Attributes:
+      upstream: State that an agent's heartbeats tell; set by the shell.
+    """
+
+    def __init__(
+        self, me: Member, settings: ControlSettings, rng: Random
+    ) -> None:
+        self._me = me
+        self._settings = settings
+        self._record = ControlRecord()
+        self._peers = PeerTable()
+        self._voter = Voter(me)
+        self._freshness = Freshness(settings.evidence_ttl)
+        self._requests = RequestTimes(rng.randrange(_SEQUENCE_RANGE))
+        self._rounds = StatementRounds(rng.randrange(_SEQUENCE_RANGE))
+        self._poller = TablePoller(settings)
+        self._writer = RecordWriter(me, settings)
+        self._changes = ChangeQueue(settings, self._writer)
+        self._acceptance = Acceptance(self._record)
+        self._tenure = Tenure(me, settings)
+        self._members = MembershipWriter(
+            me, settings, rng, self._peers, self._writer
+        )
+        self._asked_record_at: dict[str, float] = {}
+        self._next_beat_at = -math.inf
+        self._was_fresh = False
+        self._out: list[Effect] = []
+        self.upstream = UpstreamState()
+
+    @property
+    def record(self) -> ControlRecord:
+        """The newest known record; it never goes back."""
+        return self._record
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether this incarnation was removed and must be replaced."""
+        return self._members.is_removed
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the evidence for the record is valid."""
+        return self._freshness.is_fresh(now)
+
+    def evidence_age(self, now: float) -> float:
+        """Returns the age of the evidence in seconds, or -1 without any."""
+        return self._freshness.age(now)
+
+    def ready_at(self) -> float:
+        """Returns when this entry may act as the owner of all its keys.
+
+        It is infinite until the record that gave it keys is accepted, then the
+        acceptance + `evidence_ttl` + 1%. At the first revision it is the
+        acceptance, because no earlier owner exists.
+        """
+        return self._tenure.ready_at()
+
+    def key_ready_at(self, key: str) -> float:
+        """Returns when this entry may act as the owner of one key.
+
+        It is earlier than `ready_at` for a key that this entry owned already
+        before its newest gain.
+        """
+        return self._tenure.key_ready_at(key)
+
+    def is_accepted(self) -> bool:
+        """Returns whether the newest known record is known to be accepted."""
+        return self._acceptance.is_accepted
+
+    def is_voter(self) -> bool:
+        """Returns whether the newest known record lists this incarnation."""
+        return self._voter.is_voter
+
+    def tick(self, now: float, wall: float) -> list[Effect]:
+        """Does what is due: heartbeats, reads, rounds, pushes and writes."""
+        is_beat = now >= self._next_beat_at
+        if is_beat:
+            self._next_beat_at = now + self._settings.heartbeat_interval
+            self._send_heartbeats(now)
+        if self._me.role is Role.ENTRY:
+            self._tick_entry(is_beat, now, wall)
+        return self._finish(now)
+
+    def on_connected(
+        self, member: Member, now: float, wall: float
+    ) -> list[Effect]:
+        """Notes an open connection and greets the member with a heartbeat."""
+        self._peers.connect(member, now)
+        self._acceptance.note_incarnation(member)
+        if member.role is Role.ENTRY:
+            self._send_heartbeat(member.member_id, now)
+        return self._finish(now)
+
+    def on_disconnected(
+        self, member: Member, now: float, wall: float
+    ) -> list[Effect]:
+        """Notes a closed connection; it does not prove that a process ended."""
+        self._peers.disconnect(member)
+        return self._finish(now)
+
+    def on_message(
+        self, sender: Member, message: Message, now: float, wall: float
+    ) -> list[Effect]:
+        """Handles a message; types that do not concern it are ignored."""
+        peer = self._peers.hear(sender, now)
+        self._acceptance.note_incarnation(sender)
+        handler = _HANDLERS.get(type(message))
+        if peer is not None and handler is not None:
+            handler(self, peer, message, now)
+            self._advance(now)
+        return self._finish(now)
+
+    def on_table(
+        self,
+        result: TableReadResult | TableWriteResult,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Handles the answer of the table to a read or a write."""
+        if isinstance(result, TableReadResult):
+            self._on_read(result, now)
+        else:
+            pending = self._writer.take(result)
+            if pending is not None:
+                self._on_write(pending, result.kind, now)
+        self._advance(now)
+        return self._finish(now)
+
+    def propose(
+        self,
+        request_id: int,
+        change: ConfigurationChange,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Starts an operator's change; it ends in a `ChangeOutcome`."""
+        if self._members.is_removed or self._me.role is not Role.ENTRY:
+            detail = "this process is no member that may write"
+            version = self._record.configuration_version
+            self._out.append(
+                ChangeOutcome(
+                    request_id=request_id,
+                    kind="refused",
+                    version=version,
+                    detail=detail,
+                )
+            )
+            return self._finish(now)
+        self._changes.propose(request_id, change, now, wall)
+        self._poller.read_soon(now)
+        self._out += self._poller.tick(now)
+        self._advance(now)
+        return self._finish(now)
+
+    def leave(self, now: float, wall: float) -> list[Effect]:
+        """Announces a planned leave; a new epoch will exclude this entry."""
+        self._members.is_leaving = True
+        self._next_beat_at = now
+        return self._finish(now)
+
+    def depart(self, now: float, wall: float) -> list[Effect]:
+        """Asks to be dropped from the record, after the owner has drained.
+
+        Ends in the decision "departed".
+        """
+        self._members.is_leaving = True
+        self._members.is_departing = True
+        return self._finish(now)
+
+    def _tick_entry(self, is_beat: bool, now: float, wall: float) -> None:
+        overdue = self._writer.expire(now)
+        if overdue is not None:
+            self._on_write(overdue, "unknown", now)
+        self._out += self._poller.tick(now)
+        if is_beat:
+            self._push_to_missing()
+            self._start_round(now)
+        self._write_membership(now, wall)
+        self._advance(now)
+
+    def _send_heartbeats(self, now: float) -> None:
+        for peer in self._peers.connected(Role.ENTRY):
+            self._send_heartbeat(peer.member.member_id, now)
+
+    def _send_heartbeat(self, to: str, now: float) -> None:
+        sequence = self._requests.send(now)
+        message: Message
+        if self._me.role is Role.AGENT:
+            message = Heartbeat(
+                sequence=sequence,
+                revision=self._record.revision,
+                upstream=self.upstream,
+            )
+        else:
+            message = PeerHeartbeat(
+                sequence=sequence,
+                revision=self._record.revision,
+                leaving=self._members.is_leaving,
+                joining=self._members.is_joining,
+            )
+        self._send(to, message)
+
+    def _on_heartbeat(self, peer: Peer, message: Heartbeat, now: float) -> None:
+        peer.leaving = message.upstream.leaving
+        self._note_revision(peer, message.revision, now)
+        if self._me.role is Role.ENTRY:
+            reply = HeartbeatReply(
+                sequence=message.sequence,
+                revision=self._record.revision,
+                evidence_age=self.evidence_age(now),
+            )
+            self._send(peer.member.member_id, reply)
+
+    def _on_peer_heartbeat(
+        self, peer: Peer, message: PeerHeartbeat, now: float
+    ) -> None:
+        peer.leaving = message.leaving
+        peer.joining = message.joining
+        self._note_revision(peer, message.revision, now)
+        reply = PeerHeartbeatReply(
+            sequence=message.sequence,
+            revision=self._record.revision,
+            evidence_age=self.evidence_age(now),
+        )
+        self._send(peer.member.member_id, reply)
+
+    def _on_reply(
+        self,
+        peer: Peer,
+        message: HeartbeatReply | PeerHeartbeatReply,
+        now: float,
+    ) -> None:
+        asked_at = self._requests.sent_at(message.sequence)
+        if asked_at is not None and message.evidence_age >= 0:
+            date = asked_at - message.evidence_age
+            self._freshness.note(message.revision, date)
+        self._note_revision(peer, message.revision, now)
+
+    def _on_control_request(
+        self, peer: Peer, message: ControlRequest, now: float
+    ) -> None:
+        if self._record.revision > 0:
+            self._push(peer.member.member_id)
+
+    def _on_control_push(
+        self, peer: Peer, message: ControlPush, now: float
+    ) -> None:
+        self._adopt(message.record, now, source=peer.member.member_id)
+        self._note_revision(peer, message.record.revision, now)
+        acknowledgement = self._voter.acknowledge()
+        if acknowledgement is not None:
+            self._send(peer.member.member_id, acknowledgement)
+
+    def _on_control_ack(
+        self, peer: Peer, message: ControlAck, now: float
+    ) -> None:
+        if message.incarnation == peer.member.incarnation:
+            self._note_revision(peer, message.revision, now)
+
+    def _on_statement_request(
+        self, peer: Peer, message: StatementRequest, now: float
+    ) -> None:
+        statement = self._voter.state(message)
+        if statement is not None:
+            self._send(peer.member.member_id, statement)
+
+    def _on_statement(self, peer: Peer, message: Statement, now: float) -> None:
+        self._note_revision(peer, message.revision, now)
+        self._count_statement(peer.member, message)
+
+    def _note_revision(self, peer: Peer, revision: int, now: float) -> None:
+        peer.revision = max(peer.revision, revision)
+        self._acceptance.note_held(peer.member, revision)
+        if revision > self._record.revision:
+            self._request_record(peer.member.member_id, now)
+
+    def _request_record(self, member_id: str, now: float) -> None:
+        # One request per peer and poll interval; a lost one is repeated by the
+        # next heartbeat.
+        last = self._asked_record_at.get(member_id, -math.inf)
+        if now - last < self._settings.heartbeat_interval / 2:
+            return
+        self._asked_record_at[member_id] = now
+        self._send(member_id, ControlRequest())
+
+    def _on_read(self, result: TableReadResult, now: float) -> None:
+        if not self._poller.take(result):
+            return
+        record = result.record
+        if not isinstance(record, ControlRecord):
+            return
+        self._adopt(record, now, source="table")
+        self._freshness.note(record.revision, result.asked_at)
+
+    def _on_write(self, pending: PendingWrite, kind: str, now: float) -> None:
+        self._decide(
+            "table_write",
+            purpose=pending.purpose,
+            revision=pending.record.revision,
+            result=kind,
+        )
+        if kind == "written":
+            self._adopt(pending.record, now, source="own write")
+            self._freshness.note(pending.record.revision, pending.asked_at)
+        else:
+            self._poller.read_soon(now)
+        if pending.purpose == "change":
+            self._out += self._changes.on_written(pending, kind, now)
+        else:
+            self._members.postpone()
+        self._out += self._poller.tick(now)
+
+    def _adopt(self, record: ControlRecord, now: float, source: str) -> None:
+        if record.revision <= self._record.revision:
+            return
+        previous, self._record = self._record, record
+        self._decide(
+            "revision",
+            revision=record.revision,
+            previous=previous.revision,
+            configuration_version=record.configuration_version,
+            source=source,
+        )
+        self._voter.learn(record)
+        self._freshness.learn(record.revision)
+        if self._me.role is Role.ENTRY:
+            self._adopt_as_entry(previous, now, source)
+
+    def _adopt_as_entry(
+        self, previous: ControlRecord, now: float, source: str
+    ) -> None:
+        record = self._record
+        self._acceptance = Acceptance(record)
+        self._acceptance.note_held(self._me, record.revision)
+        for peer in self._peers.all():
+            self._acceptance.note_held(peer.member, peer.revision)
+        self._tenure.learn(record, now)
+        for entry in previous.entries:
+            if not is_listed(record.entries, entry):
+                self._decide("member_removed", member=entry.member_id)
+        if self._members.learn(record, now):
+            event = "departed" if self._members.is_departing else "removed"
+            self._decide(event, revision=record.revision)
+        if source in ("table", "own write"):
+            self._push_to_all()
+        else:
+            self._push_to_missing()
+
+    def _push_to_all(self) -> None:
+        for peer in self._peers.connected():
+            if peer.revision < self._record.revision:
+                self._push(peer.member.member_id)
+
+    def _push_to_missing(self) -> None:
+        if self._acceptance.is_accepted:
+            return
+        for member_id in self._acceptance.missing:
+            peer = self._peers.find(member_id)
+            if peer is not None and peer.connected:
+                self._push(member_id)
+
+    def _push(self, to: str) -> None:
+        self._send(to, ControlPush(record=self._record))
+
+    def _start_round(self, now: float) -> None:
+        # A table that answers at the normal rate makes rounds unnecessary.
+        table_age = now - self._poller.answered_at
+        if table_age <= 2 * self._settings.table_poll_interval:
+            return
+        request = self._rounds.start(self._record, now)
+        own = self._voter.state(request)
+        if own is not None:
+            self._count_statement(self._me, own)
+        for voter in self._record.voters:
+            if voter.member_id != self._me.member_id:
+                self._send(voter.member_id, request)
+
+    def _count_statement(self, sender: Member, statement: Statement) -> None:
+        asked = self._rounds.add(sender, statement)
+        if asked is not None:
+            self._freshness.note(asked.revision, asked.asked_at)
+
+    def _advance(self, now: float) -> None:
+        if self._me.role is not Role.ENTRY:
+            return
+        if self._acceptance.check(now):
+            self._tenure.accept(now)
+            self._decide("accepted", revision=self._record.revision)
+        view = ControlView(
+            record=self._record,
+            is_accepted=self._acceptance.is_accepted,
+            read_at=self._poller.answered_at,
+        )
+        self._out += self._changes.advance(view, now)
+
+    def _write_membership(self, now: float, wall: float) -> None:
+        age = now - self._poller.answered_at
+        if age > self._settings.evidence_ttl:
+            self._members.postpone()
+            return
+        is_known = self._record.revision > 0 or self._poller.is_empty
+        is_complete = self._acceptance.is_accepted
+        if is_known and is_complete and not self._changes.is_settling:
+            self._out += self._members.write(self._record, now, wall)
+
+    def _send(self, to: str, message: Message) -> None:
+        self._out.append(Send(to=to, message=message))
+
+    def _decide(self, event: str, **fields: object) -> None:
+        self._out.append(Decision(event=event, fields=fields))
+
+    def _finish(self, now: float) -> list[Effect]:
+        is_fresh = self.is_fresh(now)
+        if is_fresh != self._was_fresh:
+            self._was_fresh = is_fresh
+            event = "evidence_regained" if is_fresh else "evidence_lost"
+            self._decide(event, revision=self._record.revision)
+        out, self._out = self._out, []
+        return out
+
+
+_HANDLERS: dict[
+    type[Message], Callable[[ControlMachine, Peer, Any, float], None]
+]
+_HANDLERS = {
+    Heartbeat: ControlMachine._on_heartbeat,
+    HeartbeatReply: ControlMachine._on_reply,
+    PeerHeartbeat: ControlMachine._on_peer_heartbeat,
+    PeerHeartbeatReply: ControlMachine._on_reply,
+    ControlRequest: ControlMachine._on_control_request,
+    ControlPush: ControlMachine._on_control_push,
+    ControlAck: ControlMachine._on_control_ack,
+    StatementRequest: ControlMachine._on_statement_request,
+    Statement: ControlMachine._on_statement,
+}
--- a/gypsumline/core/effects.py
+++ b/gypsumline/core/effects.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from gypsumline.core.configuration import Configuration
 from gypsumline.core.messages import Message
 from gypsumline.core.task import JobAnswer, TaskSpec
 
@@ -148,7 +149,7 @@
 
     base_version: int
     text: str
-    configuration: object
+    configuration: Configuration
     author: str
     note: str
     write_token: str
--- /dev/null
+++ b/gypsumline/core/freshness.py
@@ -0,0 +1,131 @@
+"""Evidence that a process knows the newest accepted revision.
+
+One piece of evidence says: at a given time no revision newer than r was
+accepted. It serves a process that holds r or a newer revision, and it is valid
+for `evidence_ttl` from the time at which it was requested.
+"""
+
+from __future__ import annotations
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.identity import Member
+from gypsumline.core.messages import Statement, StatementRequest
+from gypsumline.core.voter import is_listed, majority
+
+_REQUESTS_KEPT = 64
+_ROUNDS_KEPT = 4
+
+
+class Freshness:
+    """The newest evidence of one process.
+
+    Args:
+      ttl: Seconds for which evidence is valid.
+    """
+
+    def __init__(self, ttl: float) -> None:
+        self._ttl = ttl
+        self._revision = 0
+        self._date: float | None = None
+        self._ahead: dict[int, float] = {}
+
+    def note(self, revision: int, date: float) -> None:
+        """Notes that nothing newer than a revision was accepted at a date."""
+        if revision > self._revision:
+            self._ahead[revision] = max(date, self._ahead.get(revision, date))
+        elif self._date is None or date > self._date:
+            self._date = date
+
+    def learn(self, revision: int) -> None:
+        """Moves to a newer revision; evidence noted for it counts now."""
+        self._revision = revision
+        due = [ahead for ahead in self._ahead if ahead <= revision]
+        for ahead in due:
+            self.note(ahead, self._ahead.pop(ahead))
+
+    def age(self, now: float) -> float:
+        """Returns the age of the newest evidence, or -1 without any."""
+        if self._date is None or self._revision == 0:
+            return -1.0
+        return max(0.0, now - self._date)
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the evidence is still valid."""
+        return 0.0 <= self.age(now) <= self._ttl
+
+
+class RequestTimes:
+    """When requests were sent, by their sequence number."""
+
+    def __init__(self, first: int) -> None:
+        self._next = first
+        self._sent: dict[int, float] = {}
+
+    def send(self, now: float) -> int:
+        """Returns the number of a new request."""
+        sequence = self._next
+        self._next += 1
+        self._sent[sequence] = now
+        self._sent.pop(sequence - _REQUESTS_KEPT, None)
+        return sequence
+
+    def sent_at(self, sequence: int) -> float | None:
+        """Returns when a request was sent, or None if it is not known."""
+        return self._sent.get(sequence)
+
+
+class StatementRound:
+    """One question to the voters of a revision, all asked after one time.
+
+    Args:
+      revision: Revision of the asking process.
+      voters: Voters of that revision.
+      asked_at: Time before the first request was sent.
+    """
+
+    def __init__(
+        self, revision: int, voters: tuple[Member, ...], asked_at: float
+    ) -> None:
+        self.revision = revision
+        self.asked_at = asked_at
+        self._voters = voters
+        self._stated: set[str] = set()
+
+    def add(self, sender: Member, statement: Statement) -> bool:
+        """Counts a statement; returns whether a majority has stated."""
+        if statement.incarnation != sender.incarnation:
+            return False
+        if statement.revision > self.revision:
+            return False
+        if is_listed(self._voters, sender):
+            self._stated.add(sender.member_id)
+        return len(self._stated) >= majority(len(self._voters))
+
+
+class StatementRounds:
+    """The newest rounds of one process.
+
+    Args:
+      first: Number of the first round.
+    """
+
+    def __init__(self, first: int) -> None:
+        self._round_id = first
+        self._rounds: dict[int, StatementRound] = {}
+
+    def start(self, record: ControlRecord, now: float) -> StatementRequest:
+        """Returns the request of a new round to the voters of a record."""
+        self._round_id += 1
+        asked = StatementRound(record.revision, record.voters, now)
+        self._rounds[self._round_id] = asked
+        self._rounds.pop(self._round_id - _ROUNDS_KEPT, None)
+        return StatementRequest(round_id=self._round_id)
+
+    def add(
+        self, sender: Member, statement: Statement
+    ) -> StatementRound | None:
+        """Counts a statement; returns its round if a majority has stated."""
+        asked = self._rounds.get(statement.round_id)
+        if asked is not None and asked.add(sender, statement):
+            return asked
+        return None
--- /dev/null
+++ b/gypsumline/core/membership.py
@@ -0,0 +1,337 @@
+"""The next control record on a join, leave or loss of members.
+
+All functions are pure. Several changes share one revision.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from gypsumline.core.control import (
+    ControlRecord,
+    OwnerEpoch,
+    RegisteredAgent,
+)
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.voter import is_listed
+
+
+class Presence(enum.Enum):
+    """How long a process has been silent.
+
+    Attributes:
+      ALIVE: Heard within `suspect_after`.
+      SILENT: Not heard for longer.
+      FORGOTTEN: Silent for so long that its journal no longer matters.
+    """
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    FORGOTTEN = "forgotten"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sighting:
+    """What a writer knows of one process.
+
+    Attributes:
+      member: Its newest known incarnation.
+      presence: How long it has been silent.
+      connected: Whether a connection to it is open.
+      joining: Whether it is an entry that asks to become a member.
+      leaving: Whether it said that it leaves.
+    """
+
+    member: Member
+    presence: Presence
+    connected: bool = False
+    joining: bool = False
+    leaving: bool = False
+
+    @property
+    def is_present(self) -> bool:
+        """Whether it is connected and heard."""
+        return self.connected and self.presence is Presence.ALIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipChange:
+    """Differences between a record and what is seen.
+
+    Attributes:
+      joined: Entries to add.
+      removed: Entries to remove.
+      registered: Agents to register or whose zone changed.
+      forgotten: Ids of agents to drop.
+      owners: Owner set of a new epoch, or empty for no new epoch.
+      voters: Voters of the next revision.
+      voters_changed: Whether they differ from the present ones.
+    """
+
+    joined: tuple[Member, ...] = ()
+    removed: tuple[Member, ...] = ()
+    registered: tuple[RegisteredAgent, ...] = ()
+    forgotten: tuple[str, ...] = ()
+    owners: tuple[Member, ...] = ()
+    voters: tuple[Member, ...] = ()
+    voters_changed: bool = False
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether there is any difference."""
+        return bool(
+            self.joined
+            or self.removed
+            or self.registered
+            or self.forgotten
+            or self.owners
+            or self.voters_changed
+        )
+
+
+def plan_change(
+    record: ControlRecord,
+    sightings: Iterable[Sighting],
+    settings: ControlSettings,
+) -> MembershipChange:
+    """Returns what a record must change to match the sightings.
+
+    Args:
+      record: The newest record.
+      sightings: One for each known process, the writer included. A listed
+        process without a sighting is taken to be present.
+      settings: Settings of the control state.
+    """
+    seen = {sighting.member.member_id: sighting for sighting in sightings}
+    removed = _removed_entries(record, seen)
+    joined = _joined_entries(record, seen)
+    entries = _merge_entries(record, joined, removed)
+    registered = _registered_agents(record, seen)
+    forgotten = _forgotten_agents(record, seen)
+    agent_ids = {agent.agent_id for agent in record.agents + registered}
+    candidates = _candidates(entries, agent_ids - set(forgotten), seen)
+    voters = choose_voters(record.voters, candidates, settings.voter_count)
+    return MembershipChange(
+        joined=joined,
+        removed=removed,
+        registered=registered,
+        forgotten=forgotten,
+        owners=_new_owners(record, entries, seen),
+        voters=voters,
+        voters_changed=_ids(voters) != _ids(record.voters),
+    )
+
+
+def next_record(
+    record: ControlRecord,
+    change: MembershipChange,
+    wall: float,
+    settings: ControlSettings,
+) -> ControlRecord:
+    """Returns the revision that applies a membership change."""
+    return dataclasses.replace(
+        record,
+        revision=record.revision + 1,
+        entries=_merge_entries(record, change.joined, change.removed),
+        agents=_merge_agents(record, change),
+        voters=change.voters,
+        previous_voters=record.voters,
+        epochs=_merge_epochs(record, change.owners, wall, settings),
+    )
+
+
+def depart(
+    record: ControlRecord, member: Member, settings: ControlSettings
+) -> ControlRecord:
+    """Returns the revision without an entry that has drained."""
+    entries = tuple(
+        entry for entry in record.entries if entry.member_id != member.member_id
+    )
+    voters = tuple(
+        voter for voter in record.voters if voter.member_id != member.member_id
+    )
+    return dataclasses.replace(
+        record,
+        revision=record.revision + 1,
+        entries=entries,
+        voters=voters or entries[: settings.voter_count] or record.voters,
+        previous_voters=record.voters,
+    )
+
+
+def choose_voters(
+    current: tuple[Member, ...], candidates: Iterable[Member], limit: int
+) -> tuple[Member, ...]:
+    """Returns up to `limit` voters spread over the availability zones.
+
+    Seats go in turn to the zone with the fewest, and among equal ones to the
+    zone with more present voters, so that little changes. Within a zone
+    present voters come first, then entries.
+    """
+    zones: dict[str, list[Member]] = {}
+    for candidate in candidates:
+        zones.setdefault(candidate.availability_zone, []).append(candidate)
+    present = {voter.member_id for voter in current}
+    for zone in zones.values():
+        zone.sort(key=lambda one: _preference(one, current, present))
+    chosen: dict[str, list[Member]] = {name: [] for name in zones}
+    for _ in range(limit):
+        open_names = [n for n in zones if len(chosen[n]) < len(zones[n])]
+        if not open_names:
+            break
+        name = min(
+            open_names,
+            key=lambda n: (
+                len(chosen[n]),
+                zones[n][len(chosen[n])].member_id not in present,
+                n,
+            ),
+        )
+        chosen[name].append(zones[name][len(chosen[name])])
+    return tuple(sorted(one for group in chosen.values() for one in group))
+
+
+def _preference(
+    member: Member, current: tuple[Member, ...], present: set[str]
+) -> tuple[bool, bool, bool, str]:
+    return (
+        not is_listed(current, member),
+        member.member_id not in present,
+        member.role is not Role.ENTRY,
+        member.member_id,
+    )
+
+
+def _ids(members: Iterable[Member]) -> set[tuple[str, int]]:
+    return {(member.member_id, member.incarnation) for member in members}
+
+
+def _removed_entries(
+    record: ControlRecord, seen: dict[str, Sighting]
+) -> tuple[Member, ...]:
+    removed = []
+    for entry in record.entries:
+        sighting = seen.get(entry.member_id)
+        if sighting is None:
+            continue
+        is_gone = sighting.member.incarnation > entry.incarnation
+        if is_gone or sighting.presence is not Presence.ALIVE:
+            removed.append(entry)
+    return tuple(removed)
+
+
+def _joined_entries(
+    record: ControlRecord, seen: dict[str, Sighting]
+) -> tuple[Member, ...]:
+    return tuple(
+        sighting.member
+        for sighting in seen.values()
+        if sighting.member.role is Role.ENTRY
+        and sighting.joining
+        and sighting.is_present
+        and not sighting.leaving
+        and not is_listed(record.entries, sighting.member)
+    )
+
+
+def _registered_agents(
+    record: ControlRecord, seen: dict[str, Sighting]
+) -> tuple[RegisteredAgent, ...]:
+    registered = []
+    for sighting in seen.values():
+        if sighting.member.role is not Role.AGENT or not sighting.is_present:
+            continue
+        agent = RegisteredAgent(
+            agent_id=sighting.member.member_id,
+            availability_zone=sighting.member.availability_zone,
+        )
+        if agent not in record.agents:
+            registered.append(agent)
+    return tuple(registered)
+
+
+def _forgotten_agents(
+    record: ControlRecord, seen: dict[str, Sighting]
+) -> tuple[str, ...]:
+    return tuple(
+        agent.agent_id
+        for agent in record.agents
+        if agent.agent_id in seen
+        and seen[agent.agent_id].presence is Presence.FORGOTTEN
+    )
+
+
+def _candidates(
+    entries: tuple[Member, ...],
+    agent_ids: set[str],
+    seen: dict[str, Sighting],
+) -> list[Member]:
+    agents = [
+        sighting.member
+        for sighting in seen.values()
+        if sighting.member.member_id in agent_ids
+        and sighting.member.role is Role.AGENT
+        and sighting.presence is Presence.ALIVE
+        and not sighting.leaving
+    ]
+    return list(entries) + agents
+
+
+def _new_owners(
+    record: ControlRecord,
+    entries: tuple[Member, ...],
+    seen: dict[str, Sighting],
+) -> tuple[Member, ...]:
+    leaving = {s.member.member_id for s in seen.values() if s.leaving}
+    owners = tuple(e for e in entries if e.member_id not in leaving)
+    if not record.epochs:
+        return owners
+    present = [o for o in record.epochs[-1].owners if o in entries]
+    return () if set(owners) == set(present) else owners
+
+
+def _merge_entries(
+    record: ControlRecord,
+    joined: tuple[Member, ...],
+    removed: tuple[Member, ...],
+) -> tuple[Member, ...]:
+    kept = [entry for entry in record.entries if entry not in removed]
+    return tuple(sorted([*kept, *joined]))
+
+
+def _merge_agents(
+    record: ControlRecord, change: MembershipChange
+) -> tuple[RegisteredAgent, ...]:
+    agents = {agent.agent_id: agent for agent in record.agents}
+    agents.update({agent.agent_id: agent for agent in change.registered})
+    for agent_id in change.forgotten:
+        agents.pop(agent_id, None)
+    return tuple(agent for _, agent in sorted(agents.items()))
+
+
+def _merge_epochs(
+    record: ControlRecord,
+    owners: tuple[Member, ...],
+    wall: float,
+    settings: ControlSettings,
+) -> tuple[OwnerEpoch, ...]:
+    epochs = list(record.epochs)
+    if owners:
+        # The first owners need no delay: no key has another owner.
+        begins = wall + settings.epoch_delay if epochs else wall
+        last = epochs[-1].begins_at_wall if epochs else begins
+        epochs.append(
+            OwnerEpoch(begins_at_wall=max(begins, last), owners=owners)
+        )
+    return _prune(epochs, wall - settings.resubmission_horizon)
+
+
+def _prune(
+    epochs: list[OwnerEpoch], oldest_key_wall: float
+) -> tuple[OwnerEpoch, ...]:
+    while len(epochs) > 1 and epochs[1].begins_at_wall < oldest_key_wall:
+        epochs.pop(0)
+    return tuple(epochs)
--- /dev/null
+++ b/gypsumline/core/membership_writer.py
@@ -0,0 +1,153 @@
+"""Membership changes that one entry writes."""
+
+from __future__ import annotations
+
+import random
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.effects import WriteTable
+from gypsumline.core.identity import Member
+from gypsumline.core.membership import (
+    MembershipChange,
+    Presence,
+    Sighting,
+    depart,
+    next_record,
+    plan_change,
+)
+from gypsumline.core.membership_timer import MembershipTimer
+from gypsumline.core.peers import Peer, PeerTable
+from gypsumline.core.record_writer import RecordWriter
+from gypsumline.core.voter import is_listed
+
+
+class MembershipWriter:
+    """Compares the record with what is seen and writes the difference.
+
+    Args:
+      me: The writing entry.
+      settings: Settings of the control state.
+      rng: Seeded random generator for delays.
+      peers: The other processes.
+      writer: Writer of the control row, shared with configuration changes.
+
+    Attributes:
+      was_listed: Whether a known record listed this incarnation.
+      is_removed: Whether a later record dropped it.
+      is_leaving: Whether it leaves as planned.
+      is_departing: Whether it has drained and asks to be dropped.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        settings: ControlSettings,
+        rng: random.Random,
+        peers: PeerTable,
+        writer: RecordWriter,
+    ) -> None:
+        self._me = me
+        self._settings = settings
+        self._peers = peers
+        self._writer = writer
+        self._timer = MembershipTimer(settings, rng)
+        self.was_listed = False
+        self.is_removed = False
+        self.is_leaving = False
+        self.is_departing = False
+
+    @property
+    def is_joining(self) -> bool:
+        """Whether this incarnation asks to become a member."""
+        return not (self.was_listed or self.is_removed or self.is_leaving)
+
+    def learn(self, record: ControlRecord, now: float) -> bool:
+        """Takes over a newer record; returns whether it drops this entry."""
+        for member in record.entries + record.voters:
+            if member.member_id != self._me.member_id:
+                self._peers.expect(member, now)
+        if is_listed(record.entries, self._me):
+            self.was_listed = True
+            return False
+        if self.is_removed or not self._is_superseded(record):
+            return False
+        self.is_removed = True
+        return True
+
+    def write(
+        self, record: ControlRecord, now: float, wall: float
+    ) -> list[WriteTable]:
+        """Returns the write of a change that is due now, if there is one.
+
+        The caller makes sure that the record is accepted and that a table read
+        no older than `evidence_ttl` showed it.
+        """
+        if self.is_removed or not self._writer.is_idle:
+            return []
+        change = self._plan(record, now)
+        if self.is_departing and is_listed(record.entries, self._me):
+            dropped = depart(record, self._me, self._settings)
+            return [self._writer.write(dropped, now)]
+        is_leader = self._is_leader(record, now)
+        if not self._timer.is_due(
+            record.revision, change.is_needed, is_leader, now
+        ):
+            return []
+        self._timer.restart()
+        changed = next_record(record, change, wall, self._settings)
+        return [self._writer.write(changed, now)]
+
+    def postpone(self) -> None:
+        """Draws new delays, after a conflict or while the table is silent."""
+        self._timer.restart()
+
+    def _is_superseded(self, record: ControlRecord) -> bool:
+        if self.was_listed:
+            return True
+        return any(
+            entry.member_id == self._me.member_id
+            and entry.incarnation > self._me.incarnation
+            for entry in record.entries
+        )
+
+    def _plan(self, record: ControlRecord, now: float) -> MembershipChange:
+        mine = Sighting(
+            member=self._me,
+            presence=Presence.ALIVE,
+            connected=True,
+            joining=self.is_joining,
+            leaving=self.is_leaving,
+        )
+        others = [self._sight(peer, now) for peer in self._peers.all()]
+        return plan_change(record, [mine, *others], self._settings)
+
+    def _sight(self, peer: Peer, now: float) -> Sighting:
+        return Sighting(
+            member=peer.member,
+            presence=self._presence(peer, now),
+            connected=peer.connected,
+            joining=peer.joining,
+            leaving=peer.leaving,
+        )
+
+    def _presence(self, peer: Peer, now: float) -> Presence:
+        silence = now - peer.heard_at
+        if silence <= self._settings.suspect_after:
+            return Presence.ALIVE
+        if silence <= self._settings.forget_agent_after:
+            return Presence.SILENT
+        return Presence.FORGOTTEN
+
+    def _is_leader(self, record: ControlRecord, now: float) -> bool:
+        for entry in record.entries:
+            if entry.member_id == self._me.member_id:
+                return True
+            peer = self._peers.find(entry.member_id)
+            if (
+                peer is not None
+                and peer.member.incarnation == entry.incarnation
+                and self._presence(peer, now) is Presence.ALIVE
+            ):
+                return False
+        return True
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -110,11 +110,16 @@
 
 @message("peer_heartbeat")
 class PeerHeartbeat(Message):
-    """State of an entry, sent to the other entries."""
+    """State of an entry, sent to the other entries.
+
+    `joining` is set by an incarnation that was never a member. A removed one
+    does not set it, so that it is not admitted again.
+    """
 
     sequence: int
     revision: int
     leaving: bool = False
+    joining: bool = False
 
 
 @message("peer_heartbeat_reply")
--- /dev/null
+++ b/properties/control_world.py
@@ -0,0 +1,350 @@
+"""In-memory table, network and processes around the control state machines.
+
+Time is virtual. Everything random comes from one seeded generator, so a run
+with the same seed repeats exactly.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Callable
+from random import Random
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.effects import (
+    ChangeOutcome,
+    Decision,
+    Effect,
+    ReadTable,
+    Send,
+    TableReadResult,
+    TableWriteResult,
+    WriteTable,
+)
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import Message
+
+TICK_SECONDS = 0.1
+WALL_START = 1_700_000_000.0
+# Two clocks of the system differ in rate by at most this share.
+DRIFT = 0.01
+_RESTART_SECONDS = 0.3
+_TABLE_TIMEOUT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class TableFaults:
+    """What is wrong with the table.
+
+    Attributes:
+      is_down: Nothing takes effect and nothing is answered.
+      is_slow: Operations take up to 3 s in all.
+      lost_answers: Share of writes that take effect without an answer.
+    """
+
+    is_down: bool = False
+    is_slow: bool = False
+    lost_answers: float = 0.0
+
+
+class Process:
+    """One incarnation of an entry or agent with its clock."""
+
+    def __init__(
+        self, member: Member, settings: ControlSettings, rng: Random
+    ) -> None:
+        self.member = member
+        self.machine = ControlMachine(member, settings, rng)
+        self.rate = rng.uniform(1.0, 1.0 + DRIFT)
+        self.offset = rng.uniform(0, 1000)
+        self.skew = rng.uniform(-0.2, 0.2)
+        self.is_paused = False
+        self.held: list[Callable[[], None]] = []
+        self.highest_revision = 0
+
+    def clock(self, time: float) -> float:
+        """Returns this process's monotonic clock at a world time."""
+        return self.offset + time * self.rate
+
+    def wall(self, time: float) -> float:
+        """Returns this process's UTC at a world time."""
+        return WALL_START + time + self.skew
+
+
+class World:
+    """All processes, the network between them and the table.
+
+    Args:
+      seed: Seed of everything random.
+      settings: Settings of the control state.
+
+    Attributes:
+      history: Records that were ever in the table, by revision.
+      tokens: Write token of each of those records.
+      outcomes: Outcome of each proposed change, by request id.
+      accepted: World time at which each revision was first called accepted.
+      observers: Called with each process after each of its inputs.
+    """
+
+    def __init__(
+        self, seed: int, settings: ControlSettings | None = None
+    ) -> None:
+        self.rng = Random(seed)
+        self.settings = settings or ControlSettings()
+        self.time = 0.0
+        self.processes: dict[str, Process] = {}
+        self.history: dict[int, ControlRecord] = {}
+        self.tokens: dict[int, str] = {}
+        self.faults = TableFaults()
+        self.cuts: set[tuple[str, str]] = set()
+        self.is_noisy = False
+        self.outcomes: dict[int, ChangeOutcome] = {}
+        self.accepted: dict[int, float] = {}
+        self.decisions: list[tuple[float, str, Decision]] = []
+        self.observers: list[Callable[[Process], None]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._incarnation = itertools.count(1)
+
+    @property
+    def row(self) -> ControlRecord | None:
+        """The record that is in the table."""
+        return self.history[max(self.history)] if self.history else None
+
+    def start(self, member_id: str, zone: str, role: Role) -> Process:
+        """Starts a process, or replaces it by a new incarnation."""
+        old = self.processes.get(member_id)
+        if old is not None:
+            self.stop(member_id)
+        member = Member(
+            member_id=member_id,
+            incarnation=next(self._incarnation),
+            role=role,
+            availability_zone=zone,
+            address=f"{member_id}:1",
+        )
+        process = Process(member, self.settings, self.rng)
+        self.processes[member_id] = process
+        self.after(self.rng.uniform(0, TICK_SECONDS), self._ticker(process))
+        for other in list(self.processes.values()):
+            if other is not process and self._talk(process, other):
+                self._connect(process, other)
+        return process
+
+    def restart(self, member_id: str) -> Process:
+        """Replaces a process by a new incarnation that knows nothing."""
+        old = self.processes[member_id].member
+        return self.start(member_id, old.availability_zone, old.role)
+
+    def stop(self, member_id: str) -> None:
+        """Ends a process; its peers see the connections close."""
+        old = self.processes.pop(member_id)
+        for other in list(self.processes.values()):
+            if self._talk(old, other):
+                self._on_closed(other, old.member)
+
+    def pause(self, member_id: str) -> None:
+        """Stops a process from handling inputs."""
+        self.processes[member_id].is_paused = True
+
+    def resume(self, member_id: str) -> None:
+        """Lets a process handle the inputs that waited."""
+        process = self.processes[member_id]
+        process.is_paused = False
+        held, process.held = process.held, []
+        for action in held:
+            self._on(process, action)
+
+    def call(
+        self,
+        process: Process,
+        make: Callable[[float, float], list[Effect]],
+    ) -> None:
+        """Gives a process an input now and carries out its effects."""
+
+        def action() -> None:
+            now = process.clock(self.time)
+            effects = make(now, process.wall(self.time))
+            self._carry_out(process, effects)
+            for observer in self.observers:
+                observer(process)
+
+        self._on(process, action)
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Plans an action."""
+        event = (self.time + delay, next(self._order), action)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.time + seconds
+        while self._events and self._events[0][0] <= end:
+            self.time, _, action = heapq.heappop(self._events)
+            action()
+        self.time = end
+
+    def is_alive(self, process: Process) -> bool:
+        """Returns whether this incarnation still runs."""
+        return self.processes.get(process.member.member_id) is process
+
+    def _on(self, process: Process, action: Callable[[], None]) -> None:
+        if not self.is_alive(process):
+            return
+        if process.is_paused:
+            process.held.append(action)
+        else:
+            action()
+
+    def _ticker(self, process: Process) -> Callable[[], None]:
+        def tick() -> None:
+            if not self.is_alive(process):
+                return
+            self.after(TICK_SECONDS, tick)
+            if not process.is_paused:
+                self.call(process, process.machine.tick)
+
+        return tick
+
+    def _talk(self, one: Process, other: Process) -> bool:
+        return Role.ENTRY in (one.member.role, other.member.role)
+
+    def _connect(self, one: Process, other: Process) -> None:
+        def open_connection() -> None:
+            if not (self.is_alive(one) and self.is_alive(other)):
+                return
+            for at, peer in ((one, other), (other, one)):
+                machine, member = at.machine, peer.member
+                self.call(at, _connected(machine, member))
+
+        self.after(self.rng.uniform(0.01, 0.2), open_connection)
+
+    def _on_closed(self, process: Process, member: Member) -> None:
+        machine = process.machine
+        self.call(process, lambda n, w: machine.on_disconnected(member, n, w))
+
+    def _carry_out(self, process: Process, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(process, effect.to, effect.message)
+            elif isinstance(effect, ReadTable):
+                self._read(process, effect)
+            elif isinstance(effect, WriteTable):
+                self._write(process, effect)
+            elif isinstance(effect, ChangeOutcome):
+                assert effect.request_id not in self.outcomes
+                self.outcomes[effect.request_id] = effect
+            elif isinstance(effect, Decision):
+                self._log(process, effect)
+
+    def _log(self, process: Process, decision: Decision) -> None:
+        member_id = process.member.member_id
+        self.decisions.append((self.time, member_id, decision))
+        revision = decision.fields.get("revision")
+        if decision.event == "accepted" and isinstance(revision, int):
+            self.accepted.setdefault(revision, self.time)
+        if decision.event == "removed":
+            self.after(_RESTART_SECONDS, lambda: self._replace(process))
+
+    def _replace(self, process: Process) -> None:
+        if self.is_alive(process):
+            self.restart(process.member.member_id)
+
+    def _send(self, sender: Process, to: str, message: Message) -> None:
+        target = self.processes.get(to)
+        if target is None or (sender.member.member_id, to) in self.cuts:
+            return
+        copies = 2 if self.is_noisy and self.rng.random() < 0.1 else 1
+        for _ in range(copies):
+            self.after(
+                self._delay(), lambda: self._deliver(sender, target, message)
+            )
+
+    def _delay(self) -> float:
+        if self.is_noisy and self.rng.random() < 0.2:
+            return self.rng.uniform(0.01, 0.9)
+        return self.rng.uniform(0.0005, 0.003)
+
+    def _deliver(
+        self, sender: Process, target: Process, message: Message
+    ) -> None:
+        pair = (sender.member.member_id, target.member.member_id)
+        if pair in self.cuts:
+            return
+        machine, member = target.machine, sender.member
+        self.call(
+            target, lambda n, w: machine.on_message(member, message, n, w)
+        )
+
+    def _table_delays(self) -> tuple[float, float]:
+        longest = 1.5 if self.faults.is_slow else 0.01
+        return self.rng.uniform(0.001, longest), self.rng.uniform(
+            0.001, longest
+        )
+
+    def _read(self, process: Process, effect: ReadTable) -> None:
+        asked_at = process.clock(self.time)
+        to_table, back = self._table_delays()
+
+        def answer(ok: bool, record: ControlRecord | None, token: str) -> None:
+            result = TableReadResult(
+                read_id=effect.read_id,
+                ok=ok,
+                asked_at=asked_at,
+                record=record,
+                write_token=token,
+            )
+            machine = process.machine
+            self.call(process, lambda n, w: machine.on_table(result, n, w))
+
+        def arrive() -> None:
+            if self.faults.is_down:
+                timeout = _TABLE_TIMEOUT_SECONDS
+                self.after(timeout, lambda: answer(False, None, ""))
+                return
+            row = self.row
+            token = self.tokens[row.revision] if row is not None else ""
+            self.after(back, lambda: answer(True, row, token))
+
+        self.after(to_table, arrive)
+
+    def _write(self, process: Process, effect: WriteTable) -> None:
+        to_table, back = self._table_delays()
+
+        def answer(kind: str) -> None:
+            result = TableWriteResult(write_id=effect.write_id, kind=kind)
+            machine = process.machine
+            self.call(process, lambda n, w: machine.on_table(result, n, w))
+
+        def arrive() -> None:
+            timeout = _TABLE_TIMEOUT_SECONDS
+            if self.faults.is_down:
+                self.after(timeout, lambda: answer("unknown"))
+                return
+            kind = self._compare_and_set(effect)
+            if self.rng.random() < self.faults.lost_answers:
+                self.after(timeout, lambda: answer("unknown"))
+            else:
+                self.after(back, lambda: answer(kind))
+
+        self.after(to_table, arrive)
+
+    def _compare_and_set(self, effect: WriteTable) -> str:
+        record = effect.record
+        assert isinstance(record, ControlRecord)
+        newest = max(self.history, default=0)
+        if record.revision != newest + 1:
+            return "conflict"
+        self.history[record.revision] = record
+        self.tokens[record.revision] = effect.write_token
+        return "written"
+
+
+def _connected(
+    machine: ControlMachine, member: Member
+) -> Callable[[float, float], list[Effect]]:
+    return lambda now, wall: machine.on_connected(member, now, wall)
