--- /dev/null
+++ b/gypsumline/core/adoption.py
@@ -0,0 +1,83 @@
+"""Takes over a job of an earlier owner from the agents' journals."""
+
+from __future__ import annotations
+
+import enum
+
+from gypsumline.core.job import Job
+from gypsumline.core.journal import TaskState
+from gypsumline.core.messages import JournalEntry
+from gypsumline.core.recovery import RecoveredTask
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
+
+
+class Adoption(enum.Enum):
+    """What the journals make of a job."""
+
+    RUNNING = enum.auto()
+    COMPLETE = enum.auto()
+    FAILED = enum.auto()
+    NOT_STARTED = enum.auto()
+    CONFLICT = enum.auto()
+    INCOMPLETE = enum.auto()
+
+
+def adopt(
+    job: Job, tasks: dict[int, RecoveredTask], complete: bool
+) -> tuple[Adoption, TaskResult | None]:
+    """Puts journaled tasks into a new job.
+
+    A job of which no agent holds a queued, started or finished task may have
+    been refused as "not run" by its earlier owner, so it must never start.
+
+    Args:
+      job: A job without any placement yet.
+      tasks: The journaled tasks by index.
+      complete: Whether the journals miss nothing of this key.
+
+    Returns:
+      The verdict, and the result that failed the job if it did.
+    """
+    if any(_digest_differs(job, task.entry) for task in tasks.values()):
+        return Adoption.CONFLICT, None
+    for index, task in tasks.items():
+        failure = _adopt_task(job, index, task)
+        if failure is not None:
+            return Adoption.FAILED, failure
+    if job.is_complete:
+        return Adoption.COMPLETE, None
+    known = job.placed + job.done
+    if not complete and known < len(job.attempts):
+        return Adoption.INCOMPLETE, None
+    if known == 0:
+        return Adoption.NOT_STARTED, None
+    return Adoption.RUNNING, None
+
+
+def _digest_differs(job: Job, entry: JournalEntry) -> bool:
+    return bool(entry.digest) and entry.digest != job.digest
+
+
+def _adopt_task(job: Job, index: int, task: RecoveredTask) -> TaskResult | None:
+    entry = task.entry
+    job.attempts[index] = task.newest_attempt
+    if entry.state == TaskState.FINISHED.value:
+        job.may_have_run = True
+        result = entry.result
+        if result is None or result.status is not TaskStatus.SUCCEEDED:
+            return result or _lost_result(entry)
+        job.finish(index, result)
+    elif entry.state != TaskState.WITHDRAWN.value:
+        started = entry.state == TaskState.STARTED.value
+        job.may_have_run = job.may_have_run or started
+        job.adopt(index, task.agent, entry.attempt)
+    return None
+
+
+def _lost_result(entry: JournalEntry) -> TaskResult:
+    return TaskResult(
+        index=entry.index,
+        status=TaskStatus.UNKNOWN,
+        reason=Reason.UPSTREAM_LOST,
+        attempt=entry.attempt,
+    )
--- /dev/null
+++ b/gypsumline/core/hand_over.py
@@ -0,0 +1,86 @@
+"""Hand-over of kept answers by an entry that leaves."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.effects import Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.kept_answers import KeptAnswers
+from gypsumline.core.messages import HandOver, HandOverAck, KeptAnswer
+from gypsumline.core.owner_settings import OwnerSettings
+
+_RESEND_INTERVAL = 1.0  # seconds without an acknowledgement
+_ANSWERS_PER_MESSAGE = 4096
+
+
+class HandOverSender:
+    """Sends each kept answer to the entry that owns its key next."""
+
+    def __init__(self, me: Member, settings: OwnerSettings) -> None:
+        self._me = me
+        self._settings = settings
+        self._held: set[str] = set()
+        self._unsent: dict[str, list[KeptAnswer]] = {}
+        self._in_flight: dict[str, tuple[float, list[KeptAnswer]]] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the successors hold every answer given to them."""
+        return not self._unsent and not self._in_flight
+
+    def send(
+        self, kept: KeptAnswers, record: ControlRecord, now: float
+    ) -> list[Effect]:
+        """Returns the next message to each successor, or one again."""
+        self._collect(kept, record)
+        effects: list[Effect] = []
+        for to, (sent_at, answers) in list(self._in_flight.items()):
+            if all(entry.member_id != to for entry in record.entries):
+                del self._in_flight[to]
+                self._held.difference_update(item.key for item in answers)
+            elif now - sent_at >= _RESEND_INTERVAL:
+                self._in_flight[to] = (now, answers)
+                effects.append(_message(to, answers))
+        for to in [to for to in self._unsent if to not in self._in_flight]:
+            answers = self._take_part(to)
+            self._in_flight[to] = (now, answers)
+            effects.append(_message(to, answers))
+        return effects
+
+    def on_ack(self, sender: Member, message: HandOverAck) -> None:
+        """Takes in how many answers of the last message are held."""
+        sent = self._in_flight.get(sender.member_id)
+        if sent is not None and message.count == len(sent[1]):
+            del self._in_flight[sender.member_id]
+
+    def _collect(self, kept: KeptAnswers, record: ControlRecord) -> None:
+        rest = tuple(e for e in record.entries if e != self._me)
+        after = dataclasses.replace(record, entries=rest)
+        for key, digest, answer in kept.items():
+            if key in self._held:
+                continue
+            successor = after.owner_of(key)
+            if successor is None:
+                continue
+            self._held.add(key)
+            item = KeptAnswer(key=key, digest=digest, answer=answer)
+            self._unsent.setdefault(successor.member_id, []).append(item)
+
+    def _take_part(self, to: str) -> list[KeptAnswer]:
+        waiting = self._unsent.pop(to)
+        size = 0
+        count = 0
+        for item in waiting[:_ANSWERS_PER_MESSAGE]:
+            size += sum(len(result.value) for result in item.answer.results)
+            if count and size > self._settings.hand_over_bytes:
+                break
+            count += 1
+        if waiting[count:]:
+            self._unsent[to] = waiting[count:]
+        return waiting[:count]
+
+
+def _message(to: str, answers: list[KeptAnswer]) -> Send:
+    return Send(to=to, message=HandOver(answers=tuple(answers)))
--- /dev/null
+++ b/gypsumline/core/job.py
@@ -0,0 +1,165 @@
+"""One job at its owner."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+from gypsumline.core.identity import Member
+from gypsumline.core.task import (
+    JobAnswer,
+    JobBody,
+    Outcome,
+    TaskResult,
+    TaskSpec,
+)
+
+
+class Phase(enum.IntEnum):
+    """What the owner knows of one task."""
+
+    WAITING = 0  # not placed; every earlier attempt provably never starts
+    PLACED = 1  # at an agent; may have started
+    DONE = 2  # succeeded
+
+
+class Job:
+    """State of one job's tasks, from its admission to its answer.
+
+    A task is either waiting, placed at one agent under its newest attempt, or
+    done. Any other end of a task ends the job, so an answer is never partial.
+
+    Attributes:
+      key: Submission key.
+      digest: Digest of the body.
+      body: The submission.
+      deadline: `CLOCK_BOOTTIME` seconds.
+      waiters: (origin, request id) of the callers that wait for the answer.
+      attempts: Newest attempt of each task, 0 before the first.
+      may_have_run: Whether some task is known to have started.
+      cancelling: Whether a caller has cancelled the job.
+    """
+
+    __slots__ = (
+        "_done",
+        "_phases",
+        "_placed",
+        "_places",
+        "_results",
+        "attempts",
+        "body",
+        "cancelling",
+        "deadline",
+        "digest",
+        "key",
+        "may_have_run",
+        "waiters",
+    )
+
+    def __init__(
+        self, key: str, digest: bytes, body: JobBody, deadline: float
+    ) -> None:
+        count = len(body.tasks)
+        self.key = key
+        self.digest = digest
+        self.body = body
+        self.deadline = deadline
+        self.waiters: list[tuple[str, int]] = []
+        self.attempts = [0] * count
+        self.may_have_run = False
+        self.cancelling = False
+        self._phases = [Phase.WAITING] * count
+        self._places: list[Member | None] = [None] * count
+        self._results: list[TaskResult | None] = [None] * count
+        self._placed = 0
+        self._done = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every task has succeeded."""
+        return self._done == len(self._phases)
+
+    @property
+    def is_unstarted(self) -> bool:
+        """Whether no task has started and none can start."""
+        return not (self._placed or self._done or self.may_have_run)
+
+    @property
+    def placed(self) -> int:
+        """Number of tasks that are at an agent."""
+        return self._placed
+
+    @property
+    def done(self) -> int:
+        """Number of tasks that have succeeded."""
+        return self._done
+
+    @property
+    def size(self) -> int:
+        """Bytes of the payloads."""
+        return sum(len(task.payload) for task in self.body.tasks)
+
+    def task(self, index: int) -> TaskSpec:
+        """Returns the task at a position."""
+        return self.body.tasks[index]
+
+    def is_waiting(self, index: int) -> bool:
+        """Whether a task may be placed."""
+        return self._phases[index] is Phase.WAITING
+
+    def place(self, index: int, agent: Member) -> int:
+        """Places a waiting task and returns the number of the attempt."""
+        attempt = self.attempts[index] + 1
+        self.adopt(index, agent, attempt)
+        return attempt
+
+    def adopt(self, index: int, agent: Member, attempt: int) -> None:
+        """Takes over a task that is at an agent under an earlier owner."""
+        self.attempts[index] = attempt
+        self._phases[index] = Phase.PLACED
+        self._places[index] = agent
+        self._placed += 1
+
+    def is_at(self, index: int, agent: Member, attempt: int) -> bool:
+        """Whether a task is at this incarnation under this attempt."""
+        if not 0 <= index < len(self._phases):
+            return False
+        place = self._places[index]
+        return (
+            place is not None
+            and self.attempts[index] == attempt
+            and place.incarnation == agent.incarnation
+            and place.member_id == agent.member_id
+        )
+
+    def place_of(self, index: int) -> Member | None:
+        """Returns the agent that a task is at."""
+        return self._places[index]
+
+    def give_back(self, index: int) -> None:
+        """Takes back a placed task whose attempt never starts."""
+        self._phases[index] = Phase.WAITING
+        self._places[index] = None
+        self._placed -= 1
+
+    def finish(self, index: int, result: TaskResult) -> None:
+        """Keeps the successful result of a task."""
+        if self._places[index] is not None:
+            self._places[index] = None
+            self._placed -= 1
+        self._phases[index] = Phase.DONE
+        self._results[index] = result
+        self._done += 1
+
+    def placed_tasks(self) -> Iterator[tuple[int, Member]]:
+        """Yields the index and the agent of each placed task."""
+        if not self._placed:
+            return
+        for index, place in enumerate(self._places):
+            if place is not None:
+                yield index, place
+
+    def complete_answer(self) -> JobAnswer:
+        """Returns the answer with all results in index order."""
+        results = tuple(r for r in self._results if r is not None)
+        return JobAnswer(outcome=Outcome.COMPLETE, results=results)
--- /dev/null
+++ b/gypsumline/core/job_effects.py
@@ -0,0 +1,115 @@
+"""Messages, answers and log lines about one job at its owner."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gypsumline.core.effects import Decision, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.job import Job
+from gypsumline.core.messages import StartTasks, WithdrawTasks
+from gypsumline.core.task import (
+    JobAnswer,
+    Outcome,
+    Reason,
+    TaskResult,
+    TaskStatus,
+)
+from gypsumline.core.task_scheduler import Assignment
+
+
+def start_tasks(
+    job: Job, agent: Member, indexes: list[int], now: float
+) -> Send:
+    """Sends the newest attempt of placed tasks to their agent."""
+    message = StartTasks(
+        key=job.key,
+        agent_incarnation=agent.incarnation,
+        service=job.body.service,
+        tasks=tuple([job.body.tasks[index] for index in indexes]),
+        attempts=tuple([job.attempts[index] for index in indexes]),
+        deadline_left=job.deadline - now,
+        digest=job.digest,
+        repeatable=job.body.repeatable,
+    )
+    return Send(to=agent.member_id, message=message)
+
+
+def withdraw_tasks(
+    job: Job, agent: Member, indexes: list[int], cancel: bool
+) -> Send:
+    """Takes back the newest attempt of placed tasks."""
+    message = WithdrawTasks(
+        key=job.key,
+        indexes=tuple(indexes),
+        attempts=tuple([job.attempts[index] for index in indexes]),
+        cancel=cancel,
+    )
+    return Send(to=agent.member_id, message=message)
+
+
+def group_by_agent(
+    tasks: Iterable[tuple[int, Member]],
+) -> dict[Member, list[int]]:
+    """Returns the indexes of tasks by their agent."""
+    found: dict[Member, list[int]] = {}
+    for index, agent in tasks:
+        found.setdefault(agent, []).append(index)
+    return found
+
+
+def failed(
+    outcome: Outcome, reason: Reason, detail: str, retry_after: float = 0.0
+) -> JobAnswer:
+    """Returns an answer without results."""
+    return JobAnswer(
+        outcome=outcome, reason=reason, detail=detail, retry_after=retry_after
+    )
+
+
+def lost_task(index: int, attempt: int) -> TaskResult:
+    """Returns the result of a task whose agent is gone."""
+    return TaskResult(
+        index=index,
+        status=TaskStatus.UNKNOWN,
+        reason=Reason.UPSTREAM_LOST,
+        attempt=attempt,
+    )
+
+
+def withdrawn_task(index: int, attempt: int) -> TaskResult:
+    """Returns the refusal that a withdrawal amounts to."""
+    return TaskResult(
+        index=index,
+        status=TaskStatus.REFUSED,
+        reason=Reason.WITHDRAWN,
+        attempt=attempt,
+    )
+
+
+def placement_line(job: Job, assignment: Assignment, agent: Member) -> Decision:
+    """Returns the log line of a placement."""
+    return Decision(
+        event="placed",
+        fields={
+            "job": job.key,
+            "tasks": assignment.indexes,
+            "agent": agent.member_id,
+            "availability_zone": agent.availability_zone,
+            "reason": assignment.reason,
+            "candidates": assignment.candidates,
+        },
+    )
+
+
+def answer_line(key: str, answer: JobAnswer) -> Decision:
+    """Returns the log line of an answer."""
+    return Decision(
+        event="answered",
+        fields={
+            "job": key,
+            "outcome": answer.outcome.value,
+            "reason": answer.reason.value,
+            "detail": answer.detail,
+        },
+    )
--- /dev/null
+++ b/gypsumline/core/job_runner.py
@@ -0,0 +1,456 @@
+"""Running jobs at their owner: placement, results and the end of each job."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Iterable
+
+from gypsumline.core.effects import Answer, Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.job import Job
+from gypsumline.core.job_effects import (
+    answer_line,
+    failed,
+    group_by_agent,
+    lost_task,
+    placement_line,
+    start_tasks,
+    withdraw_tasks,
+    withdrawn_task,
+)
+from gypsumline.core.kept_answers import KeptAnswers
+from gypsumline.core.leftovers import Leftover, Leftovers
+from gypsumline.core.messages import (
+    TaskResults,
+    TasksWithdrawn,
+    WithdrawTasks,
+)
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.repeat_budget import RepeatBudget
+from gypsumline.core.task import (
+    JobAnswer,
+    Outcome,
+    Reason,
+    TaskResult,
+    TaskStatus,
+)
+from gypsumline.core.task_scheduler import Assignment, TaskScheduler
+
+_PRUNE_INTERVAL = 5.0  # seconds between scans for forgotten tasks
+
+
+class JobRunner:
+    """Runs admitted jobs; every ended job leaves exactly one kept answer."""
+
+    def __init__(
+        self,
+        settings: OwnerSettings,
+        scheduler: TaskScheduler,
+        kept: KeptAnswers,
+    ) -> None:
+        self._settings = settings
+        self._scheduler = scheduler
+        self._kept = kept
+        self._budget = RepeatBudget(settings)
+        self._jobs: dict[str, Job] = {}
+        self._bytes = 0
+        self._deadlines: list[tuple[float, str]] = []
+        self._connected: dict[str, Member] = {}
+        self._newest: dict[str, Member] = {}
+        self._silent: dict[str, float] = {}
+        self._leftovers = Leftovers()
+        self._pruned_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    @property
+    def size(self) -> int:
+        """Bytes of the payloads of running jobs."""
+        return self._bytes
+
+    @property
+    def connected(self) -> Iterable[str]:
+        """Ids of the connected agents."""
+        return self._connected.keys()
+
+    def find(self, key: str) -> Job | None:
+        """Returns a running job."""
+        return self._jobs.get(key)
+
+    def running_keys(self) -> list[str]:
+        """Returns the keys of the running jobs."""
+        return list(self._jobs)
+
+    def add(self, job: Job, now: float) -> None:
+        """Adds an admitted job; its waiting tasks go to the scheduler."""
+        self._jobs[job.key] = job
+        self._bytes += job.size
+        self._budget.add_request()
+        heapq.heappush(self._deadlines, (job.deadline, job.key))
+        waiting = [i for i in range(len(job.attempts)) if job.is_waiting(i)]
+        self._scheduler.add_job(job.key, job.body, waiting, now)
+
+    def resume(self, job: Job, now: float, wall: float) -> list[Effect]:
+        """Takes up an adopted job at the agents that hold its tasks."""
+        effects: list[Effect] = []
+        for index, agent in list(job.placed_tasks()):
+            newest = self._newest.get(agent.member_id)
+            if newest is not None and newest.incarnation > agent.incarnation:
+                result = lost_task(index, job.attempts[index])
+                effects += self._on_unknown(job, agent, result, now, wall)
+        by_agent = group_by_agent(job.placed_tasks())
+        for agent in by_agent:
+            if self._connected.get(agent.member_id) == agent:
+                effects.append(start_tasks(job, agent, by_agent[agent], now))
+        return effects
+
+    def place(self, now: float) -> list[Effect]:
+        """Places what the scheduler assigns and takes back what it wants."""
+        effects: list[Effect] = []
+        for assignment in self._scheduler.assign(now):
+            effects += self._assign(assignment, now)
+        for withdrawal in self._scheduler.withdrawals(now):
+            agent = self._connected.get(withdrawal.agent_id)
+            job = self._jobs.get(withdrawal.key)
+            if job is None or agent is None:
+                continue
+            here = [i for i in withdrawal.indexes if job.place_of(i) == agent]
+            if here:
+                effects.append(withdraw_tasks(job, agent, here, cancel=False))
+        return effects
+
+    def on_results(
+        self, agent: Member, message: TaskResults, now: float, wall: float
+    ) -> list[Effect]:
+        """Takes in results and refusals of one key."""
+        effects: list[Effect] = []
+        for result in message.results:
+            job = self._jobs.get(message.key)
+            if job is None:
+                self._on_leftover(agent, message.key, result, now)
+            elif job.is_at(result.index, agent, result.attempt):
+                effects += self._on_result(job, agent, result, now, wall)
+            elif _is_late_success(job, result):
+                effects += self._on_late_success(job, result, now, wall)
+        return effects
+
+    def on_withdrawn(
+        self, agent: Member, message: TasksWithdrawn, now: float
+    ) -> None:
+        """Takes in which tasks never start and which have started."""
+        job = self._jobs.get(message.key)
+        for index, attempt in zip(
+            message.withdrawn, message.attempts, strict=False
+        ):
+            if job is None:
+                result = withdrawn_task(index, attempt)
+                self._on_leftover(agent, message.key, result, now)
+            elif job.is_at(index, agent, attempt):
+                job.give_back(index)
+                self._scheduler.return_task(
+                    agent.member_id, job.key, index, Reason.WITHDRAWN, now
+                )
+        if job is not None and any(
+            job.place_of(index) == agent for index in message.started
+        ):
+            job.may_have_run = True
+
+    def on_agent_connected(
+        self, agent: Member, now: float, wall: float
+    ) -> list[Effect]:
+        """Sends open starts again, or gives up those of a gone incarnation."""
+        newest = self._newest.get(agent.member_id)
+        if newest is not None and newest.incarnation > agent.incarnation:
+            return []
+        self._newest[agent.member_id] = agent
+        self._connected[agent.member_id] = agent
+        self._silent.pop(agent.member_id, None)
+        effects: list[Effect] = []
+        if newest is not None and newest.incarnation < agent.incarnation:
+            self._scheduler.lose_agent(agent.member_id, now)
+            self._leftovers.drop_older(agent)
+            effects += self._lose(agent.member_id, agent, now, wall)
+        for job in list(self._jobs.values()):
+            here = [i for i, place in job.placed_tasks() if place == agent]
+            if here:
+                effects.append(start_tasks(job, agent, here, now))
+                if job.cancelling:
+                    effects.append(
+                        withdraw_tasks(job, agent, here, cancel=True)
+                    )
+        return effects + self._withdraw_leftovers(agent)
+
+    def on_agent_disconnected(self, agent: Member, now: float) -> None:
+        """Places nothing more there; open tasks wait for a reconnect."""
+        if self._connected.get(agent.member_id) != agent:
+            return
+        del self._connected[agent.member_id]
+        self._silent[agent.member_id] = now
+        self._scheduler.lose_agent(agent.member_id, now)
+
+    def is_connected(self, agent: Member) -> bool:
+        """Whether this incarnation of the agent is connected."""
+        return self._connected.get(agent.member_id) == agent
+
+    def cancel(self, job: Job, now: float) -> list[Effect]:
+        """Places nothing more and takes back what has not started."""
+        if job.cancelling:
+            return []
+        job.cancelling = True
+        self._scheduler.remove_job(job.key, now)
+        return self._withdraw_placed(job)
+
+    def settle(
+        self, job: Job, fresh: bool, now: float, wall: float
+    ) -> list[Effect]:
+        """Ends a cancelled job as soon as its outcome is proven."""
+        if not job.cancelling or self._jobs.get(job.key) is not job:
+            return []
+        if job.is_unstarted and fresh:
+            detail = "the job was cancelled before any of its tasks started"
+            answer = failed(Outcome.FAILED_NOT_RUN, Reason.CANCELLED, detail)
+        elif job.may_have_run or job.done:
+            detail = "the job was cancelled after some of its tasks started"
+            answer = failed(Outcome.FAILED_RAN, Reason.CANCELLED, detail)
+        else:
+            return []
+        return self.end(job, answer, now, wall)
+
+    def tick(self, fresh: bool, now: float, wall: float) -> list[Effect]:
+        """Ends jobs whose deadline has come, and settles cancelled ones."""
+        effects: list[Effect] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, key = heapq.heappop(self._deadlines)
+            job = self._jobs.get(key)
+            if job is not None and job.deadline == deadline:
+                answer = self._late_answer(job, fresh)
+                effects += self.end(job, answer, now, wall)
+        for job in [job for job in self._jobs.values() if job.cancelling]:
+            effects += self.settle(job, fresh, now, wall)
+        effects += self._repeat_silent(now, wall)
+        if now - self._pruned_at >= _PRUNE_INTERVAL:
+            self._pruned_at = now
+            self._leftovers.prune(now)
+        return effects
+
+    def end(
+        self, job: Job, answer: JobAnswer, now: float, wall: float
+    ) -> list[Effect]:
+        """Answers every waiter, keeps the answer, withdraws what is left."""
+        effects = self.drop(job, answer, now)
+        self._kept.keep(job.key, job.digest, answer, now, wall)
+        if answer.outcome is not Outcome.COMPLETE:
+            effects += self._withdraw_placed(job)
+        return effects
+
+    def drop(self, job: Job, answer: JobAnswer, now: float) -> list[Effect]:
+        """Answers every waiter and forgets the job."""
+        del self._jobs[job.key]
+        self._bytes -= job.size
+        self._scheduler.remove_job(job.key, now)
+        until = now + self._settings.deadline_max
+        for index, agent in job.placed_tasks():
+            attempt = job.attempts[index]
+            self._leftovers.add(job.key, index, Leftover(agent, attempt, until))
+        effects: list[Effect] = [
+            Answer(origin=origin, request_id=request_id, answer=answer)
+            for origin, request_id in job.waiters
+        ]
+        effects.append(answer_line(job.key, answer))
+        return effects
+
+    def _assign(self, assignment: Assignment, now: float) -> list[Effect]:
+        job = self._jobs.get(assignment.key)
+        agent = self._connected.get(assignment.agent_id)
+        indexes = [
+            index
+            for index in assignment.indexes
+            if job is not None and job.is_waiting(index)
+        ]
+        if job is None or agent is None or not indexes:
+            for index in assignment.indexes:
+                self._scheduler.return_task(
+                    assignment.agent_id,
+                    assignment.key,
+                    index,
+                    Reason.UPSTREAM_LOST,
+                    now,
+                )
+            return []
+        for index in indexes:
+            job.place(index, agent)
+        return [
+            start_tasks(job, agent, indexes, now),
+            placement_line(job, assignment, agent),
+        ]
+
+    def _on_result(
+        self,
+        job: Job,
+        agent: Member,
+        result: TaskResult,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        if result.status is TaskStatus.REFUSED:
+            job.give_back(result.index)
+            self._scheduler.return_task(
+                agent.member_id, job.key, result.index, result.reason, now
+            )
+            return []
+        if result.status is TaskStatus.UNKNOWN:
+            return self._on_unknown(job, agent, result, now, wall)
+        job.may_have_run = True
+        self._scheduler.finish_task(agent.member_id, job.key, result, now)
+        if result.status is TaskStatus.SUCCEEDED:
+            job.finish(result.index, result)
+            if job.is_complete:
+                return self.end(job, job.complete_answer(), now, wall)
+            return []
+        job.give_back(result.index)
+        detail = f"task {result.index} failed at {agent.member_id}"
+        reason = result.reason or Reason.TASK_FAILED
+        answer = failed(Outcome.FAILED_RAN, reason, detail)
+        return self.end(job, answer, now, wall)
+
+    def _on_unknown(
+        self,
+        job: Job,
+        agent: Member,
+        result: TaskResult,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Places a repeatable request again; any other job ends."""
+        job.may_have_run = True
+        self._scheduler.finish_task(agent.member_id, job.key, result, now)
+        job.give_back(result.index)
+        if job.body.repeatable and not job.cancelling and self._budget.take():
+            self._scheduler.add_job(job.key, job.body, [result.index], now)
+            return []
+        detail = (
+            f"task {result.index} was at {agent.member_id}, which was lost; "
+            "it may have run"
+        )
+        reason = result.reason or Reason.UPSTREAM_LOST
+        answer = failed(
+            Outcome.FAILED_RAN, reason, detail, self._settings.retry_after
+        )
+        return self.end(job, answer, now, wall)
+
+    def _on_late_success(
+        self, job: Job, result: TaskResult, now: float, wall: float
+    ) -> list[Effect]:
+        """Uses the result of an earlier attempt of a repeatable request."""
+        index = result.index
+        place = job.place_of(index)
+        if place is not None:
+            until = now + self._settings.deadline_max
+            left = Leftover(place, job.attempts[index], until)
+            self._leftovers.add(job.key, index, left)
+        job.finish(index, result)
+        effects = self.end(job, job.complete_answer(), now, wall)
+        if place is not None and self.is_connected(place):
+            effects.append(withdraw_tasks(job, place, [index], cancel=True))
+        return effects
+
+    def _on_leftover(
+        self, agent: Member, key: str, result: TaskResult, now: float
+    ) -> None:
+        if not self._leftovers.take(key, result.index, agent, result.attempt):
+            return
+        if result.status is TaskStatus.REFUSED:
+            self._scheduler.return_task(
+                agent.member_id, key, result.index, result.reason, now
+            )
+            return
+        self._scheduler.finish_task(agent.member_id, key, result, now)
+
+    def _lose(
+        self, agent_id: str, alive: Member | None, now: float, wall: float
+    ) -> list[Effect]:
+        """Gives up the tasks at an agent, but not those of `alive`."""
+
+        def is_lost(place: Member) -> bool:
+            return place.member_id == agent_id and place != alive
+
+        return self._give_up(is_lost, now, wall)
+
+    def _give_up(
+        self, is_lost: Callable[[Member], bool], now: float, wall: float
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for job in list(self._jobs.values()):
+            for index, place in list(job.placed_tasks()):
+                if is_lost(place) and self._jobs.get(job.key) is job:
+                    result = lost_task(index, job.attempts[index])
+                    effects += self._on_unknown(job, place, result, now, wall)
+        return effects
+
+    def _repeat_silent(self, now: float, wall: float) -> list[Effect]:
+        """Gives up repeatable requests at agents that stay silent."""
+        if not self._silent:
+            return []
+        limit = now - self._settings.repeat_after_silence
+        lost = [a for a, since in self._silent.items() if since <= limit]
+        effects: list[Effect] = []
+        for agent_id in lost:
+            self._silent[agent_id] = math.inf
+            for job in list(self._jobs.values()):
+                place = job.place_of(0) if job.body.repeatable else None
+                if place is not None and place.member_id == agent_id:
+                    result = lost_task(0, job.attempts[0])
+                    effects += self._on_unknown(job, place, result, now, wall)
+        return effects
+
+    def _late_answer(self, job: Job, fresh: bool) -> JobAnswer:
+        retry_after = self._settings.retry_after
+        if not job.is_unstarted:
+            detail = (
+                f"{job.done} of {len(job.attempts)} tasks were done at the "
+                f"deadline and {job.placed} were at agents"
+            )
+            return failed(Outcome.FAILED_RAN, Reason.DEADLINE, detail)
+        if not fresh:
+            detail = "this owner has no fresh evidence that it still owns it"
+            return failed(
+                Outcome.UNKNOWN, Reason.NO_EVIDENCE, detail, retry_after
+            )
+        detail = "the deadline came before any task started"
+        return failed(
+            Outcome.FAILED_NOT_RUN, Reason.DEADLINE, detail, retry_after
+        )
+
+    def _withdraw_placed(self, job: Job) -> list[Effect]:
+        return [
+            withdraw_tasks(job, agent, indexes, cancel=True)
+            for agent, indexes in group_by_agent(job.placed_tasks()).items()
+            if self.is_connected(agent)
+        ]
+
+    def _withdraw_leftovers(self, agent: Member) -> list[Effect]:
+        return [
+            Send(
+                to=agent.member_id,
+                message=WithdrawTasks(
+                    key=key,
+                    indexes=tuple(attempts),
+                    attempts=tuple(attempts.values()),
+                    cancel=True,
+                ),
+            )
+            for key, attempts in self._leftovers.at(agent).items()
+        ]
+
+
+def _is_late_success(job: Job, result: TaskResult) -> bool:
+    """Whether an earlier attempt of a repeatable request has succeeded."""
+    return (
+        job.body.repeatable
+        and result.index == 0
+        and result.status is TaskStatus.SUCCEEDED
+        and result.attempt <= job.attempts[0]
+        and not job.is_complete
+    )
--- /dev/null
+++ b/gypsumline/core/journal_report.py
@@ -0,0 +1,42 @@
+"""Answers to a journal query, in parts below the frame limit."""
+
+from __future__ import annotations
+
+from gypsumline.core.effects import Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.journal import Journal
+from gypsumline.core.messages import JournalEntry, JournalReport
+from gypsumline.core.slot_gate import SlotGate
+from gypsumline.core.slot_settings import SlotSettings
+
+
+def build_reports(
+    receiver: Member, journal: Journal, gate: SlotGate, settings: SlotSettings
+) -> list[Effect]:
+    """Returns the entries of the keys that the receiver owns, in parts."""
+    parts: list[list[JournalEntry]] = [[]]
+    size = 0
+    for record, entries in journal.entries():
+        if not gate.is_owner(receiver, record.key):
+            continue
+        for entry in entries:
+            length = 0 if entry.result is None else len(entry.result.value)
+            full = len(parts[-1]) >= settings.report_entries
+            if parts[-1] and (full or size + length > settings.report_bytes):
+                parts.append([])
+                size = 0
+            parts[-1].append(entry)
+            size += length
+    return [
+        Send(
+            to=receiver.member_id,
+            message=JournalReport(
+                revision=gate.revision,
+                entries=tuple(part),
+                complete_since=journal.complete_since,
+                last=number == len(parts) - 1,
+                part=number,
+            ),
+        )
+        for number, part in enumerate(parts)
+    ]
--- /dev/null
+++ b/gypsumline/core/kept_answers.py
@@ -0,0 +1,82 @@
+"""Answers that an owner keeps until their keys expire."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections.abc import Iterator
+
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.submission_key import key_time
+from gypsumline.core.task import JobAnswer
+
+_CLOCK_DRIFT = 1.01
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    digest: bytes
+    answer: JobAnswer
+    size: int
+
+
+class KeptAnswers:
+    """Answers by key, bounded in count and bytes.
+
+    An answer is kept until its key is too old to be submitted again. Nothing
+    is forgotten earlier: the owner refuses new jobs when this is full.
+    """
+
+    def __init__(self, settings: OwnerSettings) -> None:
+        self._settings = settings
+        self._answers: dict[str, _Kept] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._answers)
+
+    @property
+    def size(self) -> int:
+        """Bytes of the kept results."""
+        return self._bytes
+
+    @property
+    def has_refusal_room(self) -> bool:
+        """Whether one more answer without results may be kept."""
+        settings = self._settings
+        return len(self._answers) < settings.jobs + settings.refusals
+
+    def find(self, key: str) -> tuple[bytes, JobAnswer] | None:
+        """Returns the digest and the answer of a key."""
+        kept = self._answers.get(key)
+        return None if kept is None else (kept.digest, kept.answer)
+
+    def keep(
+        self,
+        key: str,
+        digest: bytes,
+        answer: JobAnswer,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Keeps an answer; the first one for a key is final."""
+        if key in self._answers:
+            return
+        size = sum(len(result.value) for result in answer.results)
+        left = key_time(key) + self._settings.resubmission_horizon - wall
+        left = max(left, 0.0) + self._settings.clock_skew
+        self._answers[key] = _Kept(digest, answer, size)
+        self._bytes += size
+        heapq.heappush(self._expiries, (now + left * _CLOCK_DRIFT, key))
+
+    def prune(self, now: float) -> None:
+        """Forgets the answers of keys that are too old."""
+        while self._expiries and self._expiries[0][0] <= now:
+            _, key = heapq.heappop(self._expiries)
+            self._bytes -= self._answers.pop(key).size
+
+    def items(self) -> Iterator[tuple[str, bytes, JobAnswer]]:
+        """Yields (key, digest, answer)."""
+        for key, kept in self._answers.items():
+            yield key, kept.digest, kept.answer
--- /dev/null
+++ b/gypsumline/core/leftovers.py
@@ -0,0 +1,81 @@
+"""Tasks that are still at agents after their job was answered."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from gypsumline.core.identity import Member
+
+
+@dataclasses.dataclass(slots=True)
+class Leftover:
+    """A task whose result no caller waits for.
+
+    Attributes:
+      agent: The agent that it was placed at.
+      attempt: Number of the placement.
+      until: `CLOCK_BOOTTIME` seconds after which it is forgotten.
+    """
+
+    agent: Member
+    attempt: int
+    until: float
+
+
+class Leftovers:
+    """Keeps the scheduler's count of used slots right after a job has ended."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, dict[int, Leftover]] = {}
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._tasks
+
+    def add(self, key: str, index: int, leftover: Leftover) -> None:
+        """Adds a task that was placed when its job ended."""
+        self._tasks.setdefault(key, {})[index] = leftover
+
+    def take(self, key: str, index: int, agent: Member, attempt: int) -> bool:
+        """Forgets a task that the agent has reported."""
+        tasks = self._tasks.get(key, {})
+        found = tasks.get(index)
+        if found is None or found.attempt != attempt:
+            return False
+        if found.agent.member_id != agent.member_id:
+            return False
+        if found.agent.incarnation != agent.incarnation:
+            return False
+        del tasks[index]
+        if not tasks:
+            del self._tasks[key]
+        return True
+
+    def at(self, agent: Member) -> dict[str, dict[int, int]]:
+        """Returns the attempts of an agent's tasks by key and index."""
+        found: dict[str, dict[int, int]] = {}
+        for key, tasks in self._tasks.items():
+            for index, leftover in tasks.items():
+                if leftover.agent == agent:
+                    found.setdefault(key, {})[index] = leftover.attempt
+        return found
+
+    def drop_older(self, agent: Member) -> None:
+        """Forgets the tasks of earlier incarnations of an agent."""
+        self._drop(
+            lambda left: (
+                left.agent.member_id == agent.member_id
+                and left.agent.incarnation < agent.incarnation
+            )
+        )
+
+    def prune(self, now: float) -> None:
+        """Forgets tasks that no agent has reported in time."""
+        self._drop(lambda left: left.until <= now)
+
+    def _drop(self, matches: Callable[[Leftover], bool]) -> None:
+        for key, tasks in list(self._tasks.items()):
+            for index in [i for i, left in tasks.items() if matches(left)]:
+                del tasks[index]
+            if not tasks:
+                del self._tasks[key]
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -203,6 +203,18 @@
     """Tasks of one job for an agent.
 
     Sending the same attempt again is safe: the agent answers from its journal.
+
+    Attributes:
+      key: Submission key.
+      agent_incarnation: Incarnation of the agent that is to start them.
+      service: Service of the job.
+      tasks: The tasks.
+      attempts: Number of this placement, for each task.
+      deadline_left: Seconds until the job's deadline.
+      priority: Tasks with a higher one start first.
+      digest: Digest of the job's body; the journal keeps it, so that a later
+        owner can tell another body under the same key.
+      repeatable: Whether a higher attempt may start after an unknown outcome.
     """
 
     key: str
@@ -212,6 +224,8 @@
     attempts: tuple[int, ...]
     deadline_left: float
     priority: float = 0.0
+    digest: bytes = b""
+    repeatable: bool = False
 
 
 @message("task_results")
@@ -236,11 +250,19 @@
 
 @message("tasks_withdrawn")
 class TasksWithdrawn(Message):
-    """Which tasks never start, and which had started already."""
+    """Which tasks never start, and which had started already.
+
+    Attributes:
+      key: Submission key.
+      withdrawn: Indexes of the tasks that never start.
+      started: Indexes of the tasks that had started.
+      attempts: Newest attempt that is withdrawn, for each withdrawn index.
+    """
 
     key: str
     withdrawn: tuple[int, ...]
     started: tuple[int, ...]
+    attempts: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -253,6 +275,8 @@
       state: "queued", "started", "finished" or "withdrawn".
       attempt: Newest attempt that the agent has seen.
       result: The result, if it has finished.
+      digest: Digest of the job's body; empty for a withdrawal of a task that
+        the agent has never been sent.
     """
 
     key: str
@@ -260,6 +284,7 @@
     state: str
     attempt: int
     result: TaskResult | None = None
+    digest: bytes = b""
 
 
 @message("journal_query")
@@ -271,12 +296,21 @@
 
 @message("journal_report")
 class JournalReport(Message):
-    """One part of the answer; complete_since is the journal's age."""
+    """One part of the answer.
+
+    Attributes:
+      revision: Revision that the agent holds.
+      entries: Tasks of the keys that the receiver owns.
+      complete_since: UTC seconds since which the journal misses nothing.
+      last: Whether this is the last part.
+      part: Number of the part, from 0; a gap makes the answer incomplete.
+    """
 
     revision: int
     entries: tuple[JournalEntry, ...]
     complete_since: float
     last: bool
+    part: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/gypsumline/core/outbox.py
@@ -0,0 +1,62 @@
+"""Results of an agent's tasks, gathered per key."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.task import TaskResult
+
+
+@dataclasses.dataclass(slots=True)
+class Parcel:
+    """Results of one key for one receiver.
+
+    Attributes:
+      since: `CLOCK_BOOTTIME` seconds of the oldest result.
+      urgent: Whether it may not wait for further results.
+      results: The results.
+    """
+
+    since: float
+    urgent: bool = False
+    results: list[TaskResult] = dataclasses.field(default_factory=list)
+
+
+class Outbox:
+    """Holds results until they are worth a message.
+
+    A job needs all of its results, so results of one key are sent together
+    while the agent has other work queued; a short delay bounds the wait.
+    """
+
+    def __init__(self, delay: float) -> None:
+        self._delay = delay
+        self._parcels: dict[tuple[str, str], Parcel] = {}
+
+    def __len__(self) -> int:
+        return len(self._parcels)
+
+    def add(
+        self, to: str, key: str, result: TaskResult, urgent: bool, now: float
+    ) -> None:
+        """Adds a result for a receiver."""
+        parcel = self._parcels.get((to, key))
+        if parcel is None:
+            parcel = self._parcels[to, key] = Parcel(now)
+        parcel.results.append(result)
+        parcel.urgent = parcel.urgent or urgent
+
+    def take_due(
+        self, send_all: bool, now: float
+    ) -> list[tuple[str, str, Parcel]]:
+        """Returns (receiver, key, results) to send now, and forgets them."""
+        if not self._parcels:
+            return []
+        due = [
+            (to, key, parcel)
+            for (to, key), parcel in self._parcels.items()
+            if send_all or parcel.urgent or now - parcel.since >= self._delay
+        ]
+        for to, key, _ in due:
+            del self._parcels[to, key]
+        return due
--- /dev/null
+++ b/gypsumline/core/owner.py
@@ -0,0 +1,466 @@
+"""An entry's decisions on the submissions that it owns."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.adoption import Adoption, adopt
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.effects import Answer, Decision, Effect, Send
+from gypsumline.core.hand_over import HandOverSender
+from gypsumline.core.identity import Member
+from gypsumline.core.job import Job
+from gypsumline.core.job_effects import answer_line, failed
+from gypsumline.core.job_runner import JobRunner
+from gypsumline.core.kept_answers import KeptAnswers
+from gypsumline.core.messages import (
+    CancelJob,
+    HandOver,
+    HandOverAck,
+    Inquire,
+    JournalReport,
+    Message,
+    Submit,
+    TaskResults,
+    TasksWithdrawn,
+    UpstreamState,
+)
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.ownership import Ownership
+from gypsumline.core.recovery import Completeness, JournalRecovery
+from gypsumline.core.submission_key import key_time
+from gypsumline.core.task import JobAnswer, Outcome, Reason
+from gypsumline.core.task_scheduler import TaskScheduler
+
+
+@dataclasses.dataclass(slots=True)
+class _Parked:
+    """A submission that waits for the clock or for the journals."""
+
+    origin: str
+    message: Submit
+    give_up_at: float
+
+
+class SubmissionOwner:
+    """Runs the submissions of the keys that this entry owns.
+
+    Every input that may say "not run" takes `fresh`: whether this entry has
+    fresh evidence that it knows the newest accepted revision.
+    """
+
+    def __init__(
+        self, me: Member, settings: OwnerSettings, scheduler: TaskScheduler
+    ) -> None:
+        self._me = me
+        self._settings = settings
+        self._scheduler = scheduler
+        self._ownership = Ownership(me)
+        self._kept = KeptAnswers(settings)
+        self._runner = JobRunner(settings, scheduler, self._kept)
+        self._recovery = JournalRecovery(settings)
+        self._hand_over = HandOverSender(me, settings)
+        self._parked: list[_Parked] = []
+        self._leaving = False
+
+    def set_record(
+        self, record: ControlRecord, ready_at: float, now: float, wall: float
+    ) -> list[Effect]:
+        """Takes over a newer record, or the final `ready_at` of this one.
+
+        `ready_at` must be raised by each revision that takes an owner away,
+        to its acceptance + `evidence_ttl`, and be inf until then.
+        """
+        self._ownership.set_record(record, ready_at, now, wall)
+        self._scheduler.set_record(record, now)
+        effects = self._drop_moved_jobs(now)
+        return effects + self._ask_journals(now) + self._runner.place(now)
+
+    def submit(
+        self,
+        origin: str,
+        message: Submit,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Runs a job, or attaches to the job or answer of its key."""
+        give_up_at = now + message.body.timeout
+        effects = self._submit(origin, message, give_up_at, fresh, now, wall)
+        return effects + self._runner.place(now)
+
+    def inquire(
+        self,
+        origin: str,
+        message: Inquire,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Answers for a key, at once or when its job ends."""
+        reply = _Reply(origin, message.request_id)
+        unable = self._unable(message.key, fresh)
+        if unable is not None:
+            return [reply.with_answer(unable)]
+        job = self._runner.find(message.key)
+        if job is None:
+            return [reply.with_answer(self._find_answer(message.key))]
+        if message.wait:
+            job.waiters.append((origin, message.request_id))
+            return []
+        return [reply.with_answer(JobAnswer(outcome=Outcome.RUNNING))]
+
+    def cancel(
+        self,
+        origin: str,
+        message: CancelJob,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Cancels a job; answered when its outcome is proven."""
+        reply = _Reply(origin, message.request_id)
+        unable = self._unable(message.key, fresh)
+        if unable is not None:
+            return [reply.with_answer(unable)]
+        job = self._runner.find(message.key)
+        if job is None:
+            return [reply.with_answer(self._find_answer(message.key))]
+        job.waiters.append((origin, message.request_id))
+        effects = self._runner.cancel(job, now)
+        return effects + self._runner.settle(job, fresh, now, wall)
+
+    def on_agent(
+        self, agent: Member, state: UpstreamState, now: float, wall: float
+    ) -> list[Effect]:
+        """Takes in the state that a connected agent reports."""
+        if not self._runner.is_connected(agent):
+            return []
+        self._scheduler.observe_agent(agent, state, now)
+        return self._runner.place(now)
+
+    def on_agent_connected(
+        self, agent: Member, now: float, wall: float
+    ) -> list[Effect]:
+        """Sends open starts and an open journal query again."""
+        effects = self._runner.on_agent_connected(agent, now, wall)
+        if self._runner.is_connected(agent):
+            self._recovery.on_agent_connected(agent)
+        return effects + self._ask_journals(now)
+
+    def on_agent_disconnected(
+        self, agent: Member, now: float, wall: float
+    ) -> list[Effect]:
+        """Places nothing more at the agent until it is back."""
+        self._runner.on_agent_disconnected(agent, now)
+        return self._runner.place(now)
+
+    def on_message(
+        self,
+        sender: Member,
+        message: Message,
+        now: float,
+        wall: float,
+        fresh: bool = False,
+    ) -> list[Effect]:
+        """Takes in a message of an agent or of a leaving entry."""
+        if isinstance(message, TaskResults):
+            return self._on_results(sender, message, fresh, now, wall)
+        if isinstance(message, TasksWithdrawn):
+            self._runner.on_withdrawn(sender, message, now)
+            effects = self._settle(message.key, fresh, now, wall)
+            return effects + self._runner.place(now)
+        if isinstance(message, JournalReport):
+            if not self._recovery.on_report(sender, message):
+                return []
+            effects = self._retry_parked(fresh, now, wall)
+            return effects + self._runner.place(now)
+        if isinstance(message, HandOver):
+            return self._on_hand_over(sender, message, now, wall)
+        if isinstance(message, HandOverAck):
+            self._hand_over.on_ack(sender, message)
+        return []
+
+    def tick(
+        self, now: float, wall: float, fresh: bool = False
+    ) -> list[Effect]:
+        """Ends late jobs, retries what waits, places tasks, forgets.
+
+        Without fresh evidence a late job that never started is answered
+        "outcome unknown" instead of "not run".
+        """
+        effects = self._runner.tick(fresh, now, wall)
+        effects += self._ask_journals(now)
+        effects += self._retry_parked(fresh, now, wall)
+        self._kept.prune(now)
+        self._recovery.prune(now, wall)
+        record = self._ownership.record
+        if self._leaving and record is not None and not self._is_busy():
+            effects += self._hand_over.send(self._kept, record, now)
+        return effects + self._runner.place(now)
+
+    def leave(self, now: float, wall: float) -> list[Effect]:
+        """Finishes the running jobs, then hands the kept answers over.
+
+        Keys of the epochs that name this entry still run here, until it is
+        removed from the record; new keys belong to the next epoch.
+        """
+        self._leaving = True
+        return self.tick(now, wall)
+
+    def is_drained(self) -> bool:
+        """Whether this entry may be removed from the record."""
+        return self._leaving and not self._is_busy() and self._hand_over.is_done
+
+    def _is_busy(self) -> bool:
+        return len(self._runner) > 0 or bool(self._parked)
+
+    def _submit(
+        self,
+        origin: str,
+        message: Submit,
+        give_up_at: float,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        key = message.key
+        reply = _Reply(origin, message.request_id)
+        unable = self._unable(key, fresh) or self._expired(key, wall)
+        if unable is not None:
+            return [reply.with_answer(unable)]
+        job = self._runner.find(key)
+        if job is not None:
+            if job.digest != message.digest:
+                return [reply.with_answer(_conflict())]
+            job.waiters.append((origin, message.request_id))
+            return []
+        kept = self._kept.find(key)
+        if kept is not None:
+            same = not kept[0] or kept[0] == message.digest
+            return [reply.with_answer(kept[1] if same else _conflict())]
+        parked = _Parked(origin, message, give_up_at)
+        if key_time(key) > wall + self._settings.clock_skew:
+            return self._park(parked)
+        job = Job(key, message.digest, message.body, give_up_at)
+        job.waiters.append((origin, message.request_id))
+        if self._ownership.is_new(key, self._settings.key_margin):
+            return self._run(job, now, wall)
+        return self._recover(job, parked, now, wall)
+
+    def _unable(self, key: str, fresh: bool) -> JobAnswer | None:
+        if not self._ownership.owns(key):
+            detail = "another entry owns this key"
+            return failed(Outcome.UNKNOWN, Reason.NOT_OWNER, detail)
+        if not fresh:
+            detail = (
+                "the key's owner has no fresh evidence that it is the owner"
+            )
+            return failed(
+                Outcome.UNKNOWN,
+                Reason.NO_EVIDENCE,
+                detail,
+                self._settings.retry_after,
+            )
+        return None
+
+    def _expired(self, key: str, wall: float) -> JobAnswer | None:
+        age = wall - key_time(key)
+        settings = self._settings
+        if -settings.client_clock_skew <= age <= settings.resubmission_horizon:
+            return None
+        detail = (
+            f"the key's time is {age:.1f} s ago; allowed: "
+            f"{-settings.client_clock_skew} to {settings.resubmission_horizon}"
+        )
+        return failed(Outcome.UNKNOWN, Reason.KEY_EXPIRED, detail)
+
+    def _run(self, job: Job, now: float, wall: float) -> list[Effect]:
+        """Admits a new job, or refuses it for good."""
+        if self._is_full(job):
+            detail = "this owner keeps as many jobs and answers as it may"
+            reason, retry_after = Reason.OVERLOAD, self._settings.retry_after
+        else:
+            admission = self._scheduler.admit(job.body, now)
+            if admission.accepted:
+                self._runner.add(job, now)
+                return []
+            reason, detail = admission.reason, admission.detail
+            retry_after = admission.retry_after
+        answer = failed(Outcome.FAILED_NOT_RUN, reason, detail, retry_after)
+        return self._refuse(job, answer, now, wall)
+
+    def _refuse(
+        self, job: Job, answer: JobAnswer, now: float, wall: float
+    ) -> list[Effect]:
+        """Answers a job that has not run; "not run" must be kept to be true."""
+        if not self._kept.has_refusal_room:
+            detail = "this owner can't keep one more refusal"
+            answer = failed(
+                Outcome.UNKNOWN,
+                Reason.OVERLOAD,
+                detail,
+                self._settings.retry_after,
+            )
+        else:
+            self._kept.keep(job.key, job.digest, answer, now, wall)
+        effects: list[Effect] = [
+            Answer(origin=origin, request_id=request_id, answer=answer)
+            for origin, request_id in job.waiters
+        ]
+        return [*effects, answer_line(job.key, answer)]
+
+    def _is_full(self, job: Job) -> bool:
+        count = len(self._runner) + len(self._kept) + len(self._parked)
+        size = self._runner.size + self._kept.size + job.size
+        settings = self._settings
+        return count >= settings.jobs or size > settings.kept_bytes
+
+    def _recover(
+        self, job: Job, parked: _Parked, now: float, wall: float
+    ) -> list[Effect]:
+        """Decides by the journals on a key that may have had another owner."""
+        term = self._ownership.term_of(job.key)
+        state = self._recovery.completeness(term, job.key)
+        if state is Completeness.PENDING:
+            limit = term.ready_at + self._settings.recovery_limit
+            if now < min(limit, parked.give_up_at):
+                return self._park(parked)
+        tasks = self._recovery.tasks_of(job.key)
+        complete = state is Completeness.COMPLETE
+        verdict, failure = adopt(job, tasks, complete)
+        if verdict is Adoption.INCOMPLETE:
+            answer = self._incomplete(job)
+            return [
+                Answer(origin=origin, request_id=request_id, answer=answer)
+                for origin, request_id in job.waiters
+            ]
+        if verdict is Adoption.CONFLICT:
+            reply = _Reply(parked.origin, parked.message.request_id)
+            return [reply.with_answer(_conflict())]
+        self._recovery.forget(job.key)
+        if verdict is Adoption.NOT_STARTED:
+            detail = "the key's earlier owner was lost before any task started"
+            answer = failed(
+                Outcome.FAILED_NOT_RUN,
+                Reason.NO_OWNER,
+                detail,
+                self._settings.retry_after,
+            )
+            return self._refuse(job, answer, now, wall)
+        self._runner.add(job, now)
+        if verdict is Adoption.COMPLETE:
+            return self._runner.end(job, job.complete_answer(), now, wall)
+        if failure is not None:
+            detail = f"task {failure.index} failed under an earlier owner"
+            reason = failure.reason or Reason.TASK_FAILED
+            answer = failed(Outcome.FAILED_RAN, reason, detail)
+            return self._runner.end(job, answer, now, wall)
+        return self._runner.resume(job, now, wall)
+
+    def _incomplete(self, job: Job) -> JobAnswer:
+        term = self._ownership.term_of(job.key)
+        silent = self._recovery.silent_agents(term)
+        detail = (
+            "an earlier owner may have run it, and the journals that would "
+            f"tell are missing (agents without an answer: {silent})"
+        )
+        return failed(
+            Outcome.UNKNOWN,
+            Reason.UPSTREAM_LOST,
+            detail,
+            self._settings.retry_after,
+        )
+
+    def _park(self, parked: _Parked) -> list[Effect]:
+        self._parked.append(parked)
+        return []
+
+    def _retry_parked(
+        self, fresh: bool, now: float, wall: float
+    ) -> list[Effect]:
+        if not self._parked:
+            return []
+        parked, self._parked = self._parked, []
+        effects: list[Effect] = []
+        for item in parked:
+            effects += self._submit(
+                item.origin, item.message, item.give_up_at, fresh, now, wall
+            )
+        return effects
+
+    def _ask_journals(self, now: float) -> list[Effect]:
+        term = self._ownership.newest
+        if term is None:
+            return []
+        return self._recovery.ask(term, self._runner.connected, now)
+
+    def _drop_moved_jobs(self, now: float) -> list[Effect]:
+        """Sends the callers of keys that have moved on to the new owner."""
+        effects: list[Effect] = []
+        for key in self._runner.running_keys():
+            if self._ownership.owns(key):
+                continue
+            job = self._runner.find(key)
+            if job is not None:
+                detail = "the key has moved to another entry"
+                answer = failed(Outcome.UNKNOWN, Reason.NOT_OWNER, detail)
+                effects += self._runner.drop(job, answer, now)
+        return effects
+
+    def _on_results(
+        self,
+        sender: Member,
+        message: TaskResults,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        self._recovery.on_results(sender, message)
+        effects = self._runner.on_results(sender, message, now, wall)
+        effects += self._settle(message.key, fresh, now, wall)
+        return effects + self._runner.place(now)
+
+    def _settle(
+        self, key: str, fresh: bool, now: float, wall: float
+    ) -> list[Effect]:
+        job = self._runner.find(key)
+        if job is None or not job.cancelling:
+            return []
+        return self._runner.settle(job, fresh, now, wall)
+
+    def _on_hand_over(
+        self, sender: Member, message: HandOver, now: float, wall: float
+    ) -> list[Effect]:
+        for item in message.answers:
+            self._kept.keep(item.key, item.digest, item.answer, now, wall)
+        count = len(message.answers)
+        line = Decision(
+            event="answers_taken_over",
+            fields={"from": sender.member_id, "count": count},
+        )
+        ack = HandOverAck(count=count)
+        return [Send(to=sender.member_id, message=ack), line]
+
+    def _find_answer(self, key: str) -> JobAnswer:
+        kept = self._kept.find(key)
+        if kept is not None:
+            return kept[1]
+        detail = "this owner knows no submission with this key"
+        return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    origin: str
+    request_id: int
+
+    def with_answer(self, answer: JobAnswer) -> Answer:
+        return Answer(
+            origin=self.origin, request_id=self.request_id, answer=answer
+        )
+
+
+def _conflict() -> JobAnswer:
+    detail = "the key was used for another body; that body decides"
+    return failed(Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT, detail)
--- a/gypsumline/core/owner_settings.py
+++ b/gypsumline/core/owner_settings.py
@@ -15,12 +15,15 @@
       clock_skew: Most seconds between the clocks of two of our hosts.
       deadline_max: Longest time from the receipt of a job to its deadline.
       jobs: Most running jobs and kept answers.
+      refusals: Refusals kept beside that bound.
       kept_bytes: Most bytes of running bodies and kept results.
       recovery_limit: Seconds after which an incomplete recovery is answered
         with an unknown outcome.
       retry_after: Seconds after which to come back from a temporary refusal.
       retry_share: Repeatable requests placed again, as a share of requests.
       retry_burst: Such placements that may be made at once.
+      repeat_after_silence: Seconds without a connection to an agent after which
+        its repeatable requests are placed again.
       hand_over_bytes: Most bytes of results in one hand-over message.
     """
 
@@ -29,11 +32,13 @@
     clock_skew: float = 0.5
     deadline_max: float = 60.0
     jobs: int = 200_000
+    refusals: int = 200_000
     kept_bytes: int = 96 * 1024 * 1024
     recovery_limit: float = 2.0
     retry_after: float = 1.0
     retry_share: float = 0.1
     retry_burst: float = 10.0
+    repeat_after_silence: float = 1.0
     hand_over_bytes: int = 1024 * 1024
 
     @property
--- /dev/null
+++ b/gypsumline/core/ownership.py
@@ -0,0 +1,118 @@
+"""Since when this entry owns a key."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from gypsumline.core.control import ControlRecord, OwnerEpoch
+from gypsumline.core.identity import Member
+from gypsumline.core.submission_key import key_time
+
+_TERMS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Term:
+    """A run of records with the same owners that this entry has held.
+
+    Attributes:
+      record: The newest of them.
+      ready_at: `CLOCK_BOOTTIME` seconds from which no earlier owner of a key
+        that the first of them moved here can start anything.
+      ready_wall: The same moment in UTC seconds.
+      first_revision: Revision of the first of them.
+      agents: Ids of the agents that an earlier owner may have used.
+    """
+
+    record: ControlRecord
+    first_revision: int
+    ready_at: float
+    ready_wall: float
+    agents: frozenset[str]
+
+
+class Ownership:
+    """The records that this entry has held, and the keys it owns by them."""
+
+    def __init__(self, me: Member) -> None:
+        self._me = me
+        self._terms: list[Term] = []
+
+    @property
+    def record(self) -> ControlRecord | None:
+        """The newest record."""
+        return self._terms[-1].record if self._terms else None
+
+    @property
+    def newest(self) -> Term | None:
+        """The term of the newest record."""
+        return self._terms[-1] if self._terms else None
+
+    def set_record(
+        self, record: ControlRecord, ready_at: float, now: float, wall: float
+    ) -> None:
+        """Takes over a record, or a later `ready_at` of the same record."""
+        ready_wall = wall + (ready_at - now)
+        newest = self.newest
+        agents = frozenset(agent.agent_id for agent in record.agents)
+        if newest is not None:
+            if record.revision < newest.record.revision:
+                return
+            if _has_same_owners(record, newest.record):
+                newest.record = record
+                if math.isinf(newest.ready_at):
+                    newest.ready_at = ready_at
+                    newest.ready_wall = ready_wall
+                return
+            agents |= newest.agents
+        self._terms.append(
+            Term(record, record.revision, ready_at, ready_wall, agents)
+        )
+        del self._terms[:-_TERMS]
+
+    def owns(self, key: str) -> bool:
+        """Whether the newest record makes this entry the owner."""
+        return bool(self._terms) and self._owns(self._terms[-1], key)
+
+    def term_of(self, key: str) -> Term:
+        """Returns the term from which on this entry has owned the key.
+
+        Terms count as one tenure only while the epoch of the key stays the
+        same: another epoch could have given the key to another owner in a
+        revision that this entry has not seen.
+        """
+        found = self._terms[-1]
+        epoch = _epoch_of(found.record, key)
+        for term in reversed(self._terms[:-1]):
+            same = _epoch_of(term.record, key) == epoch
+            if not same or not self._owns(term, key):
+                break
+            found = term
+        return found
+
+    def is_new(self, key: str, margin: float) -> bool:
+        """Whether a key is too young for an earlier owner to have seen it."""
+        ready_wall = self.term_of(key).ready_wall
+        return math.isfinite(ready_wall) and key_time(key) > ready_wall + margin
+
+    def _owns(self, term: Term, key: str) -> bool:
+        owner = term.record.owner_of(key)
+        return (
+            owner is not None
+            and owner.member_id == self._me.member_id
+            and owner.incarnation == self._me.incarnation
+        )
+
+
+def _has_same_owners(one: ControlRecord, other: ControlRecord) -> bool:
+    return one.entries == other.entries and one.epochs == other.epochs
+
+
+def _epoch_of(record: ControlRecord, key: str) -> OwnerEpoch | None:
+    wall = key_time(key)
+    found = record.epochs[0] if record.epochs else None
+    for epoch in record.epochs:
+        if epoch.begins_at_wall <= wall:
+            found = epoch
+    return found
--- /dev/null
+++ b/gypsumline/core/recovery.py
@@ -0,0 +1,215 @@
+"""What the agents' journals say about keys of an earlier owner."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from gypsumline.core.effects import Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.journal import TaskState
+from gypsumline.core.messages import (
+    JournalEntry,
+    JournalQuery,
+    JournalReport,
+    TaskResults,
+)
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.ownership import Term
+from gypsumline.core.submission_key import key_time
+from gypsumline.core.task import TaskResult, TaskStatus
+
+_PRUNE_INTERVAL = 5.0  # seconds between scans for expired keys
+
+_RANK = {
+    TaskState.WITHDRAWN.value: 0,
+    TaskState.QUEUED.value: 1,
+    TaskState.STARTED.value: 2,
+    TaskState.FINISHED.value: 3,
+}
+
+
+class Completeness(enum.Enum):
+    """Whether the journals tell everything about a key."""
+
+    PENDING = enum.auto()
+    COMPLETE = enum.auto()
+    INCOMPLETE = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class RecoveredTask:
+    """One task of an earlier owner.
+
+    Attributes:
+      agent: The agent with the most advanced state.
+      entry: That agent's entry.
+      newest_attempt: Highest attempt that any agent has seen.
+    """
+
+    agent: Member
+    entry: JournalEntry
+    newest_attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class _AgentJournal:
+    member: Member
+    revision: int = 0  # of the last complete report
+    complete_since: float = 0.0
+    asked: int = 0
+    parts: int = 0
+
+
+class JournalRecovery:
+    """Asks each registered agent once per change of owners.
+
+    Agents answer only at the same or a newer revision; from then on they start
+    nothing for the earlier owner, so a report stays true.
+    """
+
+    def __init__(self, settings: OwnerSettings) -> None:
+        self._settings = settings
+        self._journals: dict[str, _AgentJournal] = {}
+        self._keys: dict[str, dict[int, RecoveredTask]] = {}
+        self._bytes = 0
+        self._pruned_at = 0.0
+
+    @property
+    def size(self) -> int:
+        """Bytes of the recovered results."""
+        return self._bytes
+
+    def on_agent_connected(self, agent: Member) -> None:
+        """Parts on an earlier connection may be lost, so asks again."""
+        journal = self._journals.get(agent.member_id)
+        if journal is None:
+            self._journals[agent.member_id] = _AgentJournal(agent)
+            return
+        journal.member = agent
+        journal.asked = 0
+
+    def ask(
+        self, term: Term, connected: Iterable[str], now: float
+    ) -> list[Effect]:
+        """Returns the queries that are due under a term."""
+        if now < term.ready_at:
+            return []
+        effects: list[Effect] = []
+        revision = term.record.revision
+        for agent_id in connected:
+            journal = self._journals.get(agent_id)
+            if journal is None or agent_id not in term.agents:
+                continue
+            done = journal.revision >= term.first_revision
+            if done or journal.asked >= term.first_revision:
+                continue
+            journal.asked = revision
+            journal.parts = 0
+            query = JournalQuery(revision=revision)
+            effects.append(Send(to=agent_id, message=query))
+        return effects
+
+    def on_report(self, agent: Member, report: JournalReport) -> bool:
+        """Takes in one part; returns whether the report is complete now."""
+        journal = self._journals.get(agent.member_id)
+        if journal is None or journal.member.incarnation != agent.incarnation:
+            return False
+        for entry in report.entries:
+            self._add(agent, entry)
+        if report.part != journal.parts:
+            return False
+        journal.parts += 1
+        if not report.last:
+            return False
+        journal.parts = 0
+        journal.revision = max(journal.revision, report.revision)
+        journal.complete_since = report.complete_since
+        return True
+
+    def on_results(self, agent: Member, message: TaskResults) -> None:
+        """Takes in results of tasks that an earlier owner started."""
+        tasks = self._keys.get(message.key)
+        if tasks is None:
+            return
+        for result in message.results:
+            known = tasks.get(result.index)
+            if known is None or result.status is TaskStatus.REFUSED:
+                continue
+            if known.agent.member_id == agent.member_id:
+                self._add(agent, _finished(known.entry, result))
+
+    def completeness(self, term: Term, key: str) -> Completeness:
+        """Returns whether all journals were read and reach back far enough."""
+        since = key_time(key) - self._settings.key_margin
+        complete = True
+        for agent_id in term.agents:
+            journal = self._journals.get(agent_id)
+            if journal is None or journal.revision < term.first_revision:
+                return Completeness.PENDING
+            complete = complete and journal.complete_since < since
+        return Completeness.COMPLETE if complete else Completeness.INCOMPLETE
+
+    def silent_agents(self, term: Term) -> list[str]:
+        """Returns the agents whose journals have not been read."""
+        return [
+            agent_id
+            for agent_id in sorted(term.agents)
+            if agent_id not in self._journals
+            or self._journals[agent_id].revision < term.first_revision
+        ]
+
+    def tasks_of(self, key: str) -> dict[int, RecoveredTask]:
+        """Returns the journaled tasks of a key by index."""
+        return self._keys.get(key, {})
+
+    def forget(self, key: str) -> None:
+        """Drops a key whose job has been taken over."""
+        for task in self._keys.pop(key, {}).values():
+            self._bytes -= _size(task.entry)
+
+    def prune(self, now: float, wall: float) -> None:
+        """Drops keys that are too old to be submitted again."""
+        if now - self._pruned_at < _PRUNE_INTERVAL:
+            return
+        self._pruned_at = now
+        oldest = wall - self._settings.resubmission_horizon
+        oldest -= self._settings.clock_skew
+        for key in [key for key in self._keys if key_time(key) < oldest]:
+            self.forget(key)
+
+    def _add(self, agent: Member, entry: JournalEntry) -> None:
+        if self._bytes + _size(entry) > self._settings.kept_bytes:
+            entry = dataclasses.replace(entry, result=None)
+        tasks = self._keys.setdefault(entry.key, {})
+        known = tasks.get(entry.index)
+        if known is None:
+            tasks[entry.index] = RecoveredTask(agent, entry, entry.attempt)
+            self._bytes += _size(entry)
+            return
+        known.newest_attempt = max(known.newest_attempt, entry.attempt)
+        if _rank(entry) > _rank(known.entry):
+            self._bytes += _size(entry) - _size(known.entry)
+            known.agent = agent
+            known.entry = entry
+
+
+def _rank(entry: JournalEntry) -> tuple[int, bool, int]:
+    succeeded = (
+        entry.result is not None and entry.result.status is TaskStatus.SUCCEEDED
+    )
+    return _RANK.get(entry.state, 0), succeeded, entry.attempt
+
+
+def _size(entry: JournalEntry) -> int:
+    return 0 if entry.result is None else len(entry.result.value)
+
+
+def _finished(entry: JournalEntry, result: TaskResult) -> JournalEntry:
+    return dataclasses.replace(
+        entry,
+        state=TaskState.FINISHED.value,
+        attempt=result.attempt,
+        result=result,
+    )
--- /dev/null
+++ b/gypsumline/core/slot_table.py
@@ -0,0 +1,500 @@
+"""An agent's slots, queue and journal: where a task start is decided."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from gypsumline.core.control import ControlRecord
+from gypsumline.core.effects import Decision, Effect, Send, StartTask
+from gypsumline.core.identity import Member
+from gypsumline.core.journal import Journal, TaskRecord, TaskState
+from gypsumline.core.journal_report import build_reports
+from gypsumline.core.messages import (
+    JournalQuery,
+    Message,
+    StartTasks,
+    TaskResults,
+    TasksWithdrawn,
+    UpstreamState,
+    WithdrawTasks,
+)
+from gypsumline.core.outbox import Outbox
+from gypsumline.core.slot_gate import SlotGate
+from gypsumline.core.slot_settings import Announcement, SlotSettings
+from gypsumline.core.task import Reason, TaskResult, TaskSpec, TaskStatus
+
+_MAY_WAIT = (Reason.NO_EVIDENCE, Reason.NOT_OWNER)
+
+
+class _Place(enum.Enum):
+    QUEUE = enum.auto()
+    HELD = enum.auto()
+    RESERVED = enum.auto()
+    RUNNING = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class _LiveTask:
+    key: str
+    spec: TaskSpec
+    service: str
+    attempt: int
+    deadline: float
+    priority: float
+    owner: Member
+    place: _Place = _Place.QUEUE
+
+
+class SlotTable:
+    """Decides on each start at one agent.
+
+    A start passes two checks: a `StartTask` effect reserves a slot, and the
+    shell calls `may_start` directly before it writes the request body. Only
+    then the journal says "started". After a refusal by `may_start` the shell
+    calls `tick`, which sends the refusal to the owner.
+    """
+
+    def __init__(self, me: Member, settings: SlotSettings) -> None:
+        self._me = me
+        self._settings = settings
+        self._gate = SlotGate(me)
+        self._journal = Journal(me.incarnation, settings)
+        self._outbox = Outbox(settings.results_delay)
+        self._live: dict[tuple[str, int], _LiveTask] = {}
+        self._queue: list[_LiveTask] = []
+        self._occupied = 0
+        self._fresh = False
+        self._foreign: dict[tuple[str, int, str, int], int] = {}
+        self._queries: dict[str, tuple[Member, int]] = {}
+
+    @property
+    def journal(self) -> Journal:
+        """The journal of starts."""
+        return self._journal
+
+    def announce(self, announcement: Announcement, now: float) -> list[Effect]:
+        """Takes in what the executor says about itself."""
+        self._gate.upstream = announcement
+        return self._settle(now)
+
+    def lose_upstream(self, now: float) -> list[Effect]:
+        """The executor is gone; its running tasks are reported apart."""
+        self._gate.upstream = None
+        return self._settle(now)
+
+    def set_record(self, record: ControlRecord, now: float) -> list[Effect]:
+        """Takes over a newer control record; an older one is ignored."""
+        if not self._gate.set_record(record):
+            return []
+        for task in self._live.values():
+            self._hold_or_release(task)
+        return self._settle(now) + self._answer_queries()
+
+    def on_message(
+        self,
+        sender: Member,
+        message: Message,
+        fresh: bool,
+        now: float,
+        wall: float,
+    ) -> list[Effect]:
+        """Takes in a message of an entry."""
+        self._fresh = fresh
+        effects: list[Effect] = []
+        if isinstance(message, StartTasks):
+            effects += self._start_tasks(sender, message, now)
+        elif isinstance(message, WithdrawTasks):
+            effects += self._withdraw_tasks(sender, message, now)
+        elif isinstance(message, JournalQuery):
+            self._queries[sender.member_id] = (sender, message.revision)
+            return self._answer_queries()
+        return effects + self._advance(now)
+
+    def may_start(
+        self, key: str, index: int, fresh: bool, now: float
+    ) -> Reason:
+        """Decides on a start; NONE allows it and journals it as started.
+
+        The shell writes the request body in the same event-loop step.
+        """
+        self._fresh = fresh
+        task = self._live.get((key, index))
+        if task is None or task.place is not _Place.RESERVED:
+            return self._no_reservation(key, index)
+        reason = self._start_reason(task, now)
+        if reason is Reason.NONE:
+            task.place = _Place.RUNNING
+            self._journal.start(key, index, now)
+        elif reason in _MAY_WAIT:
+            self._unreserve(task, reason)
+        else:
+            self._return(task, reason, now)
+        return reason
+
+    def on_finished(
+        self, key: str, result: TaskResult, now: float
+    ) -> list[Effect]:
+        """Takes in the executor's result of a started task.
+
+        The status REFUSED means that the executor provably never started it.
+        """
+        task = self._live.get((key, result.index))
+        if task is None or task.place is not _Place.RUNNING:
+            return [_ignored(key, result.index)]
+        if result.status is TaskStatus.REFUSED:
+            self._return(task, result.reason, now)
+            return self._advance(now)
+        self._remove(task)
+        result = self._journal.finish(key, result, now)
+        record = self._journal.find_key(key)
+        key_done = record is None or record.unfinished == 0
+        urgent = key_done or result.status is not TaskStatus.SUCCEEDED
+        self._report(task.owner, key, result, urgent, now)
+        return self._advance(now)
+
+    def tick(self, fresh: bool, now: float) -> list[Effect]:
+        """Starts what may start, returns what may not, sends results."""
+        self._fresh = fresh
+        self._journal.prune(now)
+        return self._settle(now)
+
+    def upstream_state(self) -> UpstreamState:
+        """Returns what heartbeats tell the entries."""
+        upstream = self._gate.upstream
+        if upstream is None:
+            return UpstreamState(leaving=self._gate.leaving)
+        return UpstreamState(
+            upstream_id=upstream.upstream_id,
+            service=upstream.service,
+            kinds=upstream.kinds,
+            slots=upstream.slots,
+            free=self._free(),
+            queued=len(self._queue),
+            leaving=self._gate.leaving or upstream.leaving,
+            healthy=True,
+        )
+
+    def leave(self, now: float) -> list[Effect]:
+        """Starts nothing more and returns the queued tasks."""
+        self._gate.leaving = True
+        return self._settle(now)
+
+    def is_drained(self) -> bool:
+        """Whether nothing runs, waits or is yet to be sent."""
+        return not self._live and not self._outbox
+
+    def _start_tasks(
+        self, sender: Member, message: StartTasks, now: float
+    ) -> list[Effect]:
+        if message.agent_incarnation != self._me.incarnation:
+            return [_wrong_incarnation(message)]
+        if not self._gate.is_owner(sender, message.key):
+            return self._refuse_foreign(sender, message)
+        blocked = self._gate.block_reason(message.service)
+        if blocked is Reason.NONE and not self._fresh:
+            blocked = Reason.NO_EVIDENCE
+        for spec, attempt in zip(message.tasks, message.attempts, strict=True):
+            task = _LiveTask(
+                key=message.key,
+                spec=spec,
+                service=message.service,
+                attempt=attempt,
+                deadline=now + message.deadline_left,
+                priority=message.priority,
+                owner=sender,
+            )
+            known = self._journal.find(message.key, spec.index)
+            if known is None or self._may_start_again(known, task, message):
+                self._admit(task, message.digest, blocked, now)
+            else:
+                self._repeat(known, task, now)
+        return []
+
+    def _may_start_again(
+        self, known: TaskRecord, task: _LiveTask, message: StartTasks
+    ) -> bool:
+        if task.attempt <= known.attempt:
+            return False
+        if known.state is TaskState.WITHDRAWN:
+            return True
+        return (
+            message.repeatable
+            and known.state is TaskState.FINISHED
+            and known.result is not None
+            and known.result.status is not TaskStatus.SUCCEEDED
+        )
+
+    def _admit(
+        self, task: _LiveTask, digest: bytes, blocked: Reason, now: float
+    ) -> None:
+        reason = blocked
+        if reason is Reason.NONE:
+            reason = self._room_reason(task, now)
+        if reason is not Reason.NONE:
+            self._refuse(task, reason, now)
+            return
+        index = task.spec.index
+        self._journal.queue(task.key, digest, index, task.attempt, now)
+        self._live[task.key, index] = task
+        self._enqueue(task)
+
+    def _room_reason(self, task: _LiveTask, now: float) -> Reason:
+        if task.deadline <= now:
+            return Reason.DEADLINE
+        if not self._gate.takes_kind(task.spec.kind):
+            return Reason.NO_UPSTREAM
+        if self._journal.is_full:
+            return Reason.JOURNAL_FULL
+        upstream = self._gate.upstream
+        slots = 0 if upstream is None else upstream.slots
+        room = self._free() + slots * self._settings.queue_per_slot
+        return Reason.QUEUE_FULL if len(self._queue) >= room else Reason.NONE
+
+    def _repeat(self, known: TaskRecord, task: _LiveTask, now: float) -> None:
+        """Answers a task that the journal knows."""
+        index = task.spec.index
+        if task.attempt < known.attempt:
+            self._send_refusal(task, Reason.SUPERSEDED, now)
+            return
+        if known.state is TaskState.WITHDRAWN:
+            self._send_refusal(task, Reason.WITHDRAWN, now)
+            return
+        known.attempt = task.attempt
+        if known.result is not None:
+            result = dataclasses.replace(known.result, attempt=task.attempt)
+            self._report(task.owner, task.key, result, True, now)
+            return
+        live = self._live[task.key, index]
+        live.owner = task.owner
+        live.attempt = task.attempt
+        live.deadline = task.deadline
+        self._hold_or_release(live)
+
+    def _withdraw_tasks(
+        self, sender: Member, message: WithdrawTasks, now: float
+    ) -> list[Effect]:
+        if not self._gate.is_owner(sender, message.key):
+            return []
+        withdrawn: list[tuple[int, int]] = []
+        started: list[int] = []
+        for index, attempt in zip(
+            message.indexes, message.attempts, strict=True
+        ):
+            known = self._journal.find(message.key, index)
+            if known is not None and known.state in (
+                TaskState.STARTED,
+                TaskState.FINISHED,
+            ):
+                started.append(index)
+                self._report_known(sender, message.key, known, now)
+                continue
+            if known is not None and known.attempt > attempt:
+                continue
+            if self._journal.withdraw(message.key, index, attempt, now):
+                live = self._live.get((message.key, index))
+                if live is not None:
+                    self._remove(live)
+                withdrawn.append((index, attempt))
+        reply = TasksWithdrawn(
+            key=message.key,
+            withdrawn=tuple(index for index, _ in withdrawn),
+            started=tuple(started),
+            attempts=tuple(attempt for _, attempt in withdrawn),
+        )
+        return [Send(to=sender.member_id, message=reply)]
+
+    def _report_known(
+        self, sender: Member, key: str, known: TaskRecord, now: float
+    ) -> None:
+        if known.result is not None:
+            self._report(sender, key, known.result, True, now)
+
+    def _refuse_foreign(
+        self, sender: Member, message: StartTasks
+    ) -> list[Effect]:
+        """Refuses a sender that doesn't own the key.
+
+        The refusal is remembered for this sender: its delayed duplicate must
+        not start the task once a newer record makes the sender the owner.
+        """
+        refused: list[TaskResult] = []
+        for spec, attempt in zip(message.tasks, message.attempts, strict=True):
+            if self._remember_foreign(sender, message.key, spec.index, attempt):
+                refused.append(_refusal(spec.index, attempt, Reason.NOT_OWNER))
+        if not refused:
+            return []
+        return [self._results_message(sender.member_id, message.key, refused)]
+
+    def _remember_foreign(
+        self, sender: Member, key: str, index: int, attempt: int
+    ) -> bool:
+        item = (sender.member_id, sender.incarnation, key, index)
+        if len(self._foreign) >= self._settings.tombstone_entries:
+            return False
+        self._foreign[item] = max(attempt, self._foreign.get(item, 0))
+        return True
+
+    def _refuse(self, task: _LiveTask, reason: Reason, now: float) -> None:
+        index = task.spec.index
+        if self._journal.withdraw(task.key, index, task.attempt, now):
+            self._send_refusal(task, reason, now)
+
+    def _send_refusal(
+        self, task: _LiveTask, reason: Reason, now: float
+    ) -> None:
+        result = _refusal(task.spec.index, task.attempt, reason)
+        self._outbox.add(task.owner.member_id, task.key, result, True, now)
+
+    def _return(self, task: _LiveTask, reason: Reason, now: float) -> None:
+        """Gives a task back that was queued or provably never started."""
+        self._remove(task)
+        self._journal.withdraw(task.key, task.spec.index, task.attempt, now)
+        result = _refusal(task.spec.index, task.attempt, reason)
+        self._report(task.owner, task.key, result, True, now)
+
+    def _report(
+        self,
+        sender: Member,
+        key: str,
+        result: TaskResult,
+        urgent: bool,
+        now: float,
+    ) -> None:
+        owner = self._gate.owner_of(key) or sender
+        self._outbox.add(owner.member_id, key, result, urgent, now)
+
+    def _settle(self, now: float) -> list[Effect]:
+        """Returns queued tasks that can no longer start here."""
+        for task in list(self._live.values()):
+            if task.place is _Place.RUNNING:
+                continue
+            reason = self._start_reason(task, now)
+            if reason is not Reason.NONE and reason not in _MAY_WAIT:
+                self._return(task, reason, now)
+        return self._advance(now)
+
+    def _advance(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        while self._fresh and self._queue and self._free() > 0:
+            task = self._queue.pop(0)
+            task.place = _Place.RESERVED
+            self._occupied += 1
+            effects.append(
+                StartTask(
+                    key=task.key,
+                    task=task.spec,
+                    attempt=task.attempt,
+                    deadline=task.deadline,
+                )
+            )
+        for to, key, parcel in self._outbox.take_due(not self._queue, now):
+            effects.append(self._results_message(to, key, parcel.results))
+        return effects
+
+    def _results_message(
+        self, to: str, key: str, results: Iterable[TaskResult]
+    ) -> Send:
+        message = TaskResults(
+            key=key,
+            results=tuple(results),
+            free=self._free(),
+            queued=len(self._queue),
+        )
+        return Send(to=to, message=message)
+
+    def _start_reason(self, task: _LiveTask, now: float) -> Reason:
+        if task.deadline <= now:
+            return Reason.DEADLINE
+        blocked = self._gate.block_reason(task.service)
+        if blocked is not Reason.NONE:
+            return blocked
+        if not self._fresh:
+            return Reason.NO_EVIDENCE
+        if not self._gate.is_owner(task.owner, task.key):
+            return Reason.NOT_OWNER
+        return Reason.NONE
+
+    def _no_reservation(self, key: str, index: int) -> Reason:
+        known = self._journal.find(key, index)
+        if known is None or known.state is TaskState.WITHDRAWN:
+            return Reason.WITHDRAWN
+        if known.state is TaskState.QUEUED:
+            return Reason.NOT_OWNER
+        return Reason.SUPERSEDED
+
+    def _unreserve(self, task: _LiveTask, reason: Reason) -> None:
+        self._occupied -= 1
+        task.place = _Place.HELD
+        if reason is not Reason.NOT_OWNER:
+            self._enqueue(task)
+
+    def _hold_or_release(self, task: _LiveTask) -> None:
+        """Keeps a task of a former owner from starting.
+
+        It stays queued in the journal, so that the key's new owner finds it
+        and sends the start again or withdraws it.
+        """
+        owned = self._gate.is_owner(task.owner, task.key)
+        if owned and task.place is _Place.HELD:
+            self._enqueue(task)
+        elif not owned and task.place is _Place.QUEUE:
+            self._queue.remove(task)
+            task.place = _Place.HELD
+        elif not owned and task.place is _Place.RESERVED:
+            self._unreserve(task, Reason.NOT_OWNER)
+
+    def _enqueue(self, task: _LiveTask) -> None:
+        task.place = _Place.QUEUE
+        position = len(self._queue)
+        while position and self._queue[position - 1].priority < task.priority:
+            position -= 1
+        self._queue.insert(position, task)
+
+    def _remove(self, task: _LiveTask) -> None:
+        if task.place is _Place.QUEUE:
+            self._queue.remove(task)
+        elif task.place is not _Place.HELD:
+            self._occupied -= 1
+        del self._live[task.key, task.spec.index]
+
+    def _free(self) -> int:
+        upstream = self._gate.upstream
+        slots = 0 if upstream is None else upstream.slots
+        return max(slots - self._occupied, 0)
+
+    def _answer_queries(self) -> list[Effect]:
+        effects: list[Effect] = []
+        for member_id, (sender, revision) in list(self._queries.items()):
+            if revision > self._gate.revision:
+                continue
+            del self._queries[member_id]
+            effects += build_reports(
+                sender, self._journal, self._gate, self._settings
+            )
+        return effects
+
+
+def _refusal(index: int, attempt: int, reason: Reason) -> TaskResult:
+    return TaskResult(
+        index=index, status=TaskStatus.REFUSED, reason=reason, attempt=attempt
+    )
+
+
+def _ignored(key: str, index: int) -> Decision:
+    return Decision(
+        event="result_ignored",
+        fields={"job": key, "task": index, "reason": "not running here"},
+    )
+
+
+def _wrong_incarnation(message: StartTasks) -> Decision:
+    return Decision(
+        event="start_ignored",
+        fields={
+            "job": message.key,
+            "reason": "meant for another incarnation",
+            "agent_incarnation": message.agent_incarnation,
+        },
+    )
--- /dev/null
+++ b/gypsumline/tests/core/test_owner.py
@@ -0,0 +1,227 @@
+"""Tests of the submission owner."""
+
+import pytest
+
+from gypsumline.core.effects import Answer, Send
+from gypsumline.core.messages import (
+    CancelJob,
+    Inquire,
+    StartTasks,
+    TaskResults,
+    TasksWithdrawn,
+    UpstreamState,
+    WithdrawTasks,
+)
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.task import Outcome, Reason, TaskResult, TaskStatus
+from gypsumline.core.task_scheduler import Admission
+from gypsumline.tests.core.builders import (
+    AGENT,
+    ENTRY,
+    OTHER,
+    WALL,
+    key_at,
+    make_record,
+    make_submit,
+)
+from gypsumline.tests.core.first_fit import FirstFit
+
+KEY = key_at(WALL + 100)
+NOW = 100.0
+UP = UpstreamState(upstream_id="x", service="s", slots=4, free=4, healthy=True)
+
+
+class Harness:
+    """An owner with one connected agent, ready since time 0."""
+
+    def __init__(self, **settings):
+        self.scheduler = FirstFit()
+        self.owner = SubmissionOwner(
+            ENTRY, OwnerSettings(**settings), self.scheduler
+        )
+        self.owner.set_record(make_record(), 0.0, 0.0, WALL)
+        self.owner.on_agent_connected(AGENT, 0.0, WALL)
+        self.owner.on_agent(AGENT, UP, 0.0, WALL)
+
+    def submit(self, message, now=NOW, fresh=True):
+        return self.owner.submit("", message, fresh, now, WALL + now)
+
+    def deliver(self, message, now=NOW + 1, sender=AGENT):
+        return self.owner.on_message(sender, message, now, WALL + now, True)
+
+    def report(self, *results, key=KEY, now=NOW + 1, sender=AGENT):
+        message = TaskResults(key=key, results=results, free=1, queued=0)
+        return self.deliver(message, now, sender)
+
+
+def sent(effects, kind):
+    return [
+        e.message
+        for e in effects
+        if isinstance(e, Send) and isinstance(e.message, kind)
+    ]
+
+
+def answers(effects):
+    return [
+        (e.request_id, e.answer.outcome, e.answer.reason)
+        for e in effects
+        if isinstance(e, Answer)
+    ]
+
+
+def succeed(index, attempt=1, value=b"1"):
+    return TaskResult(
+        index=index, status=TaskStatus.SUCCEEDED, value=value, attempt=attempt
+    )
+
+
+def end(index, status, reason=Reason.NONE, attempt=1):
+    return TaskResult(
+        index=index, status=status, reason=reason, attempt=attempt
+    )
+
+
+def test_runs_a_job_and_answers_every_caller_once():
+    """Callers that attach must get the same whole answer."""
+    harness = Harness()
+    (start,) = sent(harness.submit(make_submit(KEY)), StartTasks)
+    assert start.attempts == (1, 1)
+    assert harness.submit(make_submit(KEY, request_id=2)) == []
+    assert answers(harness.report(succeed(1, value=b"b"))) == []
+    effects = harness.report(succeed(0, value=b"a"))
+    assert answers(effects) == [
+        (1, Outcome.COMPLETE, Reason.NONE),
+        (2, Outcome.COMPLETE, Reason.NONE),
+    ]
+    values = [r.value for r in effects[0].answer.results]
+    assert values == [b"a", b"b"]
+    later = harness.submit(make_submit(KEY, request_id=3), NOW + 50)
+    assert later[0].answer == effects[0].answer
+
+
+def test_another_body_under_a_key_is_a_conflict():
+    """A caller must not get the answer to another request."""
+    harness = Harness()
+    harness.submit(make_submit(KEY))
+    effects = harness.submit(make_submit(KEY, digest=b"other", request_id=2))
+    assert answers(effects) == [
+        (2, Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT)
+    ]
+
+
+def test_another_owner_or_stale_evidence_says_unknown():
+    """Only the fresh owner knows whether a job has run."""
+    harness = Harness()
+    effects = harness.submit(make_submit(KEY), fresh=False)
+    assert answers(effects) == [(1, Outcome.UNKNOWN, Reason.NO_EVIDENCE)]
+    record = make_record(revision=2, entries=(OTHER,))
+    harness.owner.set_record(record, 0.0, 1.0, WALL)
+    effects = harness.submit(make_submit(KEY))
+    assert answers(effects) == [(1, Outcome.UNKNOWN, Reason.NOT_OWNER)]
+
+
+def test_refusal_is_kept_for_its_key():
+    """A refusal that says "not run" must stay true when load falls."""
+    harness = Harness()
+    harness.scheduler.refusal = Admission(
+        accepted=False, reason=Reason.OVERLOAD, retry_after=3.0
+    )
+    first = harness.submit(make_submit(KEY))
+    harness.scheduler.refusal = None
+    second = harness.submit(make_submit(KEY, request_id=2))
+    assert answers(first) == [(1, Outcome.FAILED_NOT_RUN, Reason.OVERLOAD)]
+    assert second[0].answer == first[0].answer
+    assert second[0].answer.retry_after == 3.0
+
+
+def test_refused_start_is_placed_again_with_a_higher_attempt():
+    """The agent tells the new start from a duplicate by the attempt."""
+    harness = Harness()
+    harness.submit(make_submit(KEY, count=1))
+    effects = harness.report(end(0, TaskStatus.REFUSED, Reason.QUEUE_FULL))
+    (start,) = sent(effects, StartTasks)
+    assert start.attempts == (2,)
+    assert answers(harness.report(succeed(0, attempt=1))) == []
+    assert answers(harness.report(succeed(0, attempt=2))) != []
+
+
+@pytest.mark.parametrize("status", [TaskStatus.FAILED, TaskStatus.UNKNOWN])
+def test_failed_or_unknown_task_fails_the_job(status):
+    """An answer is never partial, and the rest must not run for nothing."""
+    harness = Harness()
+    harness.submit(make_submit(KEY))
+    effects = harness.report(end(0, status, Reason.EXECUTOR_LOST))
+    assert answers(effects) == [(1, Outcome.FAILED_RAN, Reason.EXECUTOR_LOST)]
+    (withdraw,) = sent(effects, WithdrawTasks)
+    assert withdraw.indexes == (1,)
+
+
+def test_reconnect_sends_the_same_attempt_again():
+    """A start or a result may be lost with the connection."""
+    harness = Harness()
+    harness.submit(make_submit(KEY))
+    harness.owner.on_agent_disconnected(AGENT, NOW + 1, WALL)
+    effects = harness.owner.on_agent_connected(AGENT, NOW + 2, WALL)
+    (start,) = sent(effects, StartTasks)
+    assert start.attempts == (1, 1)
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_new_incarnation_makes_its_tasks_unknown(repeatable):
+    """Only a repeatable request may be placed again after that."""
+    harness = Harness()
+    harness.submit(make_submit(KEY, count=1, repeatable=repeatable))
+    newer = type(AGENT)(
+        member_id="g1",
+        incarnation=AGENT.incarnation + 1,
+        role=AGENT.role,
+        availability_zone="a",
+    )
+    effects = harness.owner.on_agent_connected(newer, NOW + 1, WALL)
+    effects += harness.owner.on_agent(newer, UP, NOW + 1, WALL)
+    if repeatable:
+        assert sent(effects, StartTasks)[0].attempts == (2,)
+    else:
+        assert answers(effects) == [
+            (1, Outcome.FAILED_RAN, Reason.UPSTREAM_LOST)
+        ]
+
+
+def test_deadline_answers_at_once():
+    """A job without an upstream is provably not run at its deadline."""
+    harness = Harness()
+    harness.owner.on_agent_disconnected(AGENT, NOW, WALL)
+    harness.submit(make_submit(KEY))
+    effects = harness.owner.tick(NOW + 10, WALL + NOW + 10, True)
+    assert answers(effects) == [(1, Outcome.FAILED_NOT_RUN, Reason.DEADLINE)]
+
+
+def test_cancel_waits_for_the_proof_that_nothing_ran():
+    """The answer "not run" needs a confirmation by every agent."""
+    harness = Harness()
+    harness.submit(make_submit(KEY))
+    cancel = CancelJob(request_id=9, key=KEY)
+    effects = harness.owner.cancel("", cancel, True, NOW + 1, WALL + NOW)
+    assert answers(effects) == []
+    (withdraw,) = sent(effects, WithdrawTasks)
+    reply = TasksWithdrawn(
+        key=KEY,
+        withdrawn=withdraw.indexes,
+        started=(),
+        attempts=withdraw.attempts,
+    )
+    assert answers(harness.deliver(reply)) == [
+        (1, Outcome.FAILED_NOT_RUN, Reason.CANCELLED),
+        (9, Outcome.FAILED_NOT_RUN, Reason.CANCELLED),
+    ]
+
+
+def test_inquire_without_wait_tells_that_the_job_runs():
+    """A status request must not be held until the deadline."""
+    harness = Harness()
+    harness.submit(make_submit(KEY))
+    inquire = Inquire(request_id=5, key=KEY, wait=False)
+    effects = harness.owner.inquire("", inquire, True, NOW, WALL + NOW)
+    assert answers(effects) == [(5, Outcome.RUNNING, Reason.NONE)]
--- /dev/null
+++ b/gypsumline/tests/core/test_slot_table.py
@@ -0,0 +1,180 @@
+"""Tests of the slot table."""
+
+import pytest
+
+from gypsumline.core.effects import Send, StartTask
+from gypsumline.core.messages import (
+    JournalQuery,
+    TaskResults,
+    TasksWithdrawn,
+    WithdrawTasks,
+)
+from gypsumline.core.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
+from gypsumline.tests.core.builders import (
+    AGENT,
+    ENTRY,
+    OTHER,
+    WALL,
+    key_at,
+    make_record,
+    make_start,
+)
+
+KEY = key_at(WALL)
+
+
+def make_table(slots=2, **settings):
+    table = SlotTable(AGENT, SlotSettings(**settings))
+    table.set_record(make_record(), 0.0)
+    table.announce(Announcement(upstream_id="x", service="s", slots=slots), 0.0)
+    return table
+
+
+def receive(table, message, now=1.0, sender=ENTRY, fresh=True):
+    return table.on_message(sender, message, fresh, now, WALL + now)
+
+
+def starts(effects):
+    return [e.task.index for e in effects if isinstance(e, StartTask)]
+
+
+def sent(effects, kind):
+    return [
+        e.message
+        for e in effects
+        if isinstance(e, Send) and isinstance(e.message, kind)
+    ]
+
+
+def refusals(effects):
+    return [
+        (result.index, result.reason, result.attempt)
+        for message in sent(effects, TaskResults)
+        for result in message.results
+        if result.status is TaskStatus.REFUSED
+    ]
+
+
+def succeed(index, value=b"1"):
+    return TaskResult(index=index, status=TaskStatus.SUCCEEDED, value=value)
+
+
+def test_runs_and_reports_tasks_of_one_key_together():
+    """One message per key and agent: more would count as wasted."""
+    table = make_table()
+    effects = receive(table, make_start(KEY, count=2))
+    assert starts(effects) == [0, 1]
+    assert table.may_start(KEY, 0, True, 1.0) is Reason.NONE
+    assert table.may_start(KEY, 1, True, 1.0) is Reason.NONE
+    receive(table, make_start(key_at(WALL, 2), count=2), 1.0)
+    assert table.on_finished(KEY, succeed(0), 1.001)
+    effects = table.on_finished(KEY, succeed(1), 1.002)
+    (results,) = sent(effects, TaskResults)
+    assert [r.index for r in results.results] == [0, 1]
+
+
+def test_repeated_start_is_answered_from_the_journal():
+    """A start sent again after a reconnect must not run a second time."""
+    table = make_table()
+    receive(table, make_start(KEY))
+    assert table.may_start(KEY, 0, True, 1.0) is Reason.NONE
+    assert receive(table, make_start(KEY)) == []
+    table.on_finished(KEY, succeed(0), 2.0)
+    effects = receive(table, make_start(KEY), 3.0)
+    assert starts(effects) == []
+    assert sent(effects, TaskResults)[0].results == (succeed(0),)
+    assert table.may_start(KEY, 0, True, 3.0) is Reason.SUPERSEDED
+
+
+def test_refuses_a_sender_that_is_not_the_owner():
+    """A fenced owner must not start tasks beside its successor."""
+    table = make_table()
+    effects = receive(table, make_start(KEY), sender=OTHER)
+    assert refusals(effects) == [(0, Reason.NOT_OWNER, 1)]
+    assert starts(effects) == []
+
+
+def test_refused_start_stays_refused_for_its_attempt():
+    """A late duplicate of a refused start would run beside the new one."""
+    table = make_table()
+    effects = receive(table, make_start(KEY), fresh=False)
+    assert refusals(effects) == [(0, Reason.NO_EVIDENCE, 1)]
+    effects = receive(table, make_start(KEY))
+    assert refusals(effects) == [(0, Reason.WITHDRAWN, 1)]
+    assert starts(receive(table, make_start(KEY, attempt=2))) == [0]
+
+
+def test_withdrawal_before_the_start_leaves_a_tombstone():
+    """A withdrawal may overtake the start on another connection."""
+    table = make_table()
+    withdraw = WithdrawTasks(key=KEY, indexes=(0,), attempts=(1,))
+    (reply,) = sent(receive(table, withdraw), TasksWithdrawn)
+    assert (reply.withdrawn, reply.attempts) == ((0,), (1,))
+    assert starts(receive(table, make_start(KEY))) == []
+
+
+def test_withdrawal_of_a_started_task_says_so():
+    """Calling a started task withdrawn would place it twice."""
+    table = make_table()
+    receive(table, make_start(KEY, count=2))
+    table.may_start(KEY, 0, True, 1.0)
+    withdraw = WithdrawTasks(key=KEY, indexes=(0, 1), attempts=(1, 1))
+    (reply,) = sent(receive(table, withdraw), TasksWithdrawn)
+    assert (reply.withdrawn, reply.started) == ((1,), (0,))
+    assert table.may_start(KEY, 1, True, 1.0) is Reason.WITHDRAWN
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"availability_zones_out": ("a",)}, Reason.OUT),
+        ({"upstreams_out": ("x",)}, Reason.OUT),
+        ({"services_out": ("s",)}, Reason.SERVICE_OUT),
+    ],
+)
+def test_queued_tasks_return_when_something_is_out(changes, reason):
+    """A queued task must not start after its zone was taken out."""
+    table = make_table(slots=1)
+    receive(table, make_start(KEY, count=2))
+    effects = table.set_record(make_record(revision=2, **changes), 2.0)
+    assert refusals(effects) == [(0, reason, 1), (1, reason, 1)]
+    assert table.may_start(KEY, 0, True, 2.0) is Reason.WITHDRAWN
+
+
+def test_stale_evidence_stops_a_reserved_start():
+    """A process that resumes after a pause must check once more."""
+    table = make_table()
+    assert starts(receive(table, make_start(KEY))) == [0]
+    assert table.may_start(KEY, 0, False, 1.0) is Reason.NO_EVIDENCE
+    assert starts(table.tick(True, 1.5)) == [0]
+
+
+def test_full_journal_refuses_starts_and_keeps_entries():
+    """Dropping an entry would allow a second start of its task."""
+    table = make_table(slots=8, journal_entries=1)
+    effects = receive(table, make_start(KEY, count=2))
+    assert starts(effects) == [0]
+    assert refusals(effects) == [(1, Reason.JOURNAL_FULL, 1)]
+
+
+def test_journal_query_waits_for_the_revision():
+    """An agent at an older revision could still start for the old owner."""
+    table = make_table()
+    receive(table, make_start(KEY))
+    assert receive(table, JournalQuery(revision=2)) == []
+    (part,) = table.set_record(make_record(revision=2), 2.0)
+    assert [entry.state for entry in part.message.entries] == ["queued"]
+    assert part.message.last
+
+
+def test_leave_returns_the_queue_and_finishes_what_runs():
+    """A planned stop must not cut a task that runs."""
+    table = make_table(slots=1)
+    receive(table, make_start(KEY, count=2))
+    table.may_start(KEY, 0, True, 1.0)
+    assert refusals(table.leave(2.0)) == [(1, Reason.LEAVING, 1)]
+    assert not table.is_drained()
+    assert table.on_finished(KEY, succeed(0), 3.0)
+    assert table.is_drained()
