Add the scheduler with late binding and admission

Change: Scheduler with the policies random, round_robin, least_loaded, power_of_two and earliest_finish, learned run times and speeds, and admission by deadline and client share. Ejection, withdrawals and the ramp of returning agents are still missing. Conclusion: usable for integration.

--- /dev/null
+++ b/gypsumline/core/placement/fleet.py
@@ -0,0 +1,304 @@
+"""The agents as one owner sees them, kept ready for fast placement.
+
+Several owners use the same agents without talking to each other. What the
+others have placed on an agent is known only from the agent's reports: its
+load at the report minus the owner's own tasks there.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import math
+from collections.abc import Container
+
+from gypsumline.core.messages import UpstreamState
+
+# Speed classes per factor of two; agents of one class count as equally fast.
+CLASSES_PER_OCTAVE = 3
+
+
+@dataclasses.dataclass(slots=True)
+class PlacedTask:
+    """A task at an agent.
+
+    Attributes:
+      placed_at: When it was assigned.
+      work: Expected run time at speed 1, in seconds.
+      kind: Kind of the task.
+      declared: Declared run time, in seconds.
+      withdrawing: Whether it has been asked back.
+    """
+
+    placed_at: float
+    work: float
+    kind: str
+    declared: float
+    withdrawing: bool = False
+
+
+class AgentView:
+    """What this owner knows of one agent."""
+
+    def __init__(self, agent_id: str, availability_zone: str) -> None:
+        self.agent_id = agent_id
+        self.availability_zone = availability_zone
+        self.incarnation = 0
+        self.state = UpstreamState()
+        self.placed: dict[tuple[str, int], PlacedTask] = {}
+        self.others = 0
+        self.seen_at = -math.inf
+        self.round_trip = 0.0
+        self.speed = 1.0
+        self.blocked_until = -math.inf
+        self.ramp_from = -math.inf
+        self.is_out = False
+        self.slot_limit: float = math.inf
+        self.free = 0
+        self.speed_class: SpeedClass | None = None
+        self.position = -1
+
+    @property
+    def load(self) -> int:
+        """Tasks that run or wait at the agent, as far as known."""
+        return self.others + len(self.placed)
+
+    def observe(
+        self, state: UpstreamState, now: float, jobs: Container[str]
+    ) -> None:
+        """Takes a report; tasks still on their way are not in it.
+
+        Args:
+          state: The report.
+          now: When it arrived.
+          jobs: Keys of the jobs that the owner still has; tasks of others may
+            have ended without a result.
+        """
+        self.state = state
+        self.seen_at = now
+        reported = state.slots - state.free + state.queued
+        horizon = now - self.round_trip
+        arrived = sum(
+            1 for task in self.placed.values() if task.placed_at <= horizon
+        )
+        self.others = max(0, reported - arrived)
+        if arrived > reported:
+            self._forget(arrived - reported, jobs)
+
+    def _forget(self, count: int, jobs: Container[str]) -> None:
+        ended = [name for name in self.placed if name[0] not in jobs]
+        for name in ended[:count]:
+            del self.placed[name]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class SpeedClass:
+    """Agents of about one speed in a pool.
+
+    Attributes:
+      index: Logarithm of the speed in steps of one class.
+      ready: Agents with a free place, in no order.
+      slots: Slots of all usable agents of the class.
+    """
+
+    index: int
+    ready: list[AgentView] = dataclasses.field(default_factory=list)
+    slots: int = 0
+
+    @property
+    def speed(self) -> float:
+        """Middle speed of the class."""
+        return math.exp2(self.index / CLASSES_PER_OCTAVE)
+
+    def add(self, agent: AgentView) -> None:
+        """Adds an agent that has a free place."""
+        agent.position = len(self.ready)
+        self.ready.append(agent)
+
+    def remove(self, agent: AgentView) -> None:
+        """Removes an agent that has no free place any more."""
+        last = self.ready.pop()
+        if last is not agent:
+            self.ready[agent.position] = last
+            last.position = agent.position
+        agent.position = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Share:
+    """What one agent adds to the sums of its pool."""
+
+    total: float
+    available: float
+    slots: int
+    speed_class: SpeedClass
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Pool:
+    """Agents that take the same service and kinds.
+
+    Attributes:
+      service: Service that they run.
+      kinds: Kinds that they take; empty for any.
+      classes: Speed classes by index.
+      order: Indexes of the classes, fastest first.
+      ready_count: Agents with a free place.
+      usable: Shares in the sums of the agents that may get work, by id.
+      members: The same agents.
+      capacity: Sum of slots x speed of the usable agents.
+      available: Part of the capacity that other owners do not use.
+      typical_work: Mean run time at speed 1 of the latest tasks, in seconds.
+    """
+
+    service: str
+    kinds: tuple[str, ...]
+    classes: dict[int, SpeedClass] = dataclasses.field(default_factory=dict)
+    order: list[int] = dataclasses.field(default_factory=list)
+    ready_count: int = 0
+    usable: dict[str, _Share] = dataclasses.field(default_factory=dict)
+    members: list[AgentView] = dataclasses.field(default_factory=list)
+    capacity: float = 0.0
+    available: float = 0.0
+    typical_work: float = 0.3
+
+    def takes(self, kind: str) -> bool:
+        """Returns whether the agents take a kind."""
+        return not self.kinds or kind in self.kinds
+
+    def class_for(self, index: int) -> SpeedClass:
+        """Returns the speed class of an index, made if it is new."""
+        found = self.classes.get(index)
+        if found is None:
+            found = self.classes[index] = SpeedClass(index)
+            self.order = sorted(self.classes, reverse=True)
+        return found
+
+
+_Wakes = list[tuple[float, int, AgentView]]
+
+
+class Fleet:
+    """All agents, in pools by service and kinds and in classes by speed."""
+
+    def __init__(self, silence_limit: float) -> None:
+        self.agents: dict[str, AgentView] = {}
+        self._silence_limit = silence_limit
+        self._pools: dict[tuple[str, tuple[str, ...]], Pool] = {}
+        self._by_service: dict[str, list[Pool]] = {}
+        self._pool_of: dict[str, Pool] = {}
+        self._numbers = itertools.count()
+        self._wake: _Wakes = []
+        self._silence: _Wakes = []
+
+    def pools(self, service: str) -> list[Pool]:
+        """Returns the pools of a service."""
+        return self._by_service.get(service, [])
+
+    def wake_at(self, agent: AgentView, when: float) -> None:
+        """Has an agent looked at again at a time."""
+        heapq.heappush(self._wake, (when, next(self._numbers), agent))
+
+    def watch_silence(self, agent: AgentView) -> None:
+        """Has an agent looked at again when it may have become silent."""
+        when = agent.seen_at + self._silence_limit
+        heapq.heappush(self._silence, (when, next(self._numbers), agent))
+
+    def drop(self, agent: AgentView) -> None:
+        """Takes an agent that is gone out of its class and pool."""
+        self._leave_class(agent)
+        pool = self._pool_of.get(agent.agent_id)
+        if pool is not None:
+            self._leave_pool(agent, pool)
+
+    def advance(self, now: float) -> None:
+        """Looks again at the agents whose time has come."""
+        for agent in self._due(self._wake, now):
+            self.refresh(agent, now)
+        for agent in self._due(self._silence, now):
+            if now - agent.seen_at < self._silence_limit:
+                self.watch_silence(agent)
+            else:
+                self.refresh(agent, now)
+
+    def _due(self, heap: _Wakes, now: float) -> list[AgentView]:
+        due = []
+        while heap and heap[0][0] <= now:
+            agent = heapq.heappop(heap)[2]
+            if self.agents.get(agent.agent_id) is agent:
+                due.append(agent)
+        return due
+
+    def is_usable(self, agent: AgentView, now: float) -> bool:
+        """Returns whether an agent may get new work."""
+        state = agent.state
+        if agent.is_out or state.leaving or not state.healthy:
+            return False
+        return now - agent.seen_at < self._silence_limit
+
+    def refresh(self, agent: AgentView, now: float) -> None:
+        """Puts an agent where its present state belongs."""
+        usable = self.is_usable(agent, now)
+        pool = self._pool(agent) if usable else None
+        self._leave_class(agent)
+        old = self._pool_of.get(agent.agent_id)
+        if old is not None and old is not pool:
+            self._leave_pool(agent, old)
+        agent.free = 0
+        if pool is None:
+            return
+        speed_class = self._account(agent, pool)
+        if now < agent.blocked_until:
+            return
+        limit = min(agent.state.slots, agent.slot_limit)
+        agent.free = max(0, int(limit) - agent.load)
+        if agent.free:
+            agent.speed_class = speed_class
+            speed_class.add(agent)
+            pool.ready_count += 1
+
+    def _pool(self, agent: AgentView) -> Pool:
+        name = (agent.state.service, agent.state.kinds)
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = Pool(*name)
+            self._by_service.setdefault(name[0], []).append(pool)
+        return pool
+
+    def _leave_class(self, agent: AgentView) -> None:
+        if agent.speed_class is not None:
+            agent.speed_class.remove(agent)
+            agent.speed_class = None
+            self._pool_of[agent.agent_id].ready_count -= 1
+
+    def _leave_pool(self, agent: AgentView, pool: Pool) -> None:
+        self._subtract(pool, pool.usable.pop(agent.agent_id))
+        pool.members.remove(agent)
+        del self._pool_of[agent.agent_id]
+
+    def _subtract(self, pool: Pool, share: _Share) -> None:
+        pool.capacity -= share.total
+        pool.available -= share.available
+        share.speed_class.slots -= share.slots
+
+    def _account(self, agent: AgentView, pool: Pool) -> SpeedClass:
+        old = pool.usable.get(agent.agent_id)
+        if old is not None:
+            self._subtract(pool, old)
+        else:
+            pool.members.append(agent)
+            self._pool_of[agent.agent_id] = pool
+        slots = agent.state.slots
+        index = round(math.log2(agent.speed) * CLASSES_PER_OCTAVE)
+        share = _Share(
+            slots * agent.speed,
+            max(0, slots - agent.others) * agent.speed,
+            slots,
+            pool.class_for(index),
+        )
+        pool.capacity += share.total
+        pool.available += share.available
+        share.speed_class.slots += slots
+        pool.usable[agent.agent_id] = share
+        return share.speed_class
--- /dev/null
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -0,0 +1,208 @@
+"""Tests of the scheduler."""
+
+import random
+
+import pytest
+
+from gypsumline.core.configuration import Configuration, Service
+from gypsumline.core.control import ControlRecord, RegisteredAgent
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import UpstreamState
+from gypsumline.core.placement.scheduler import Scheduler
+from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.task import (
+    JobBody,
+    Reason,
+    TaskResult,
+    TaskSpec,
+    TaskStatus,
+)
+
+
+def make_record(agents=("a", "b"), **configuration):
+    services = configuration.pop("services", (Service(name="s"),))
+    return ControlRecord(
+        revision=1,
+        configuration=Configuration(services=services, **configuration),
+        agents=tuple(
+            RegisteredAgent(agent_id=name, availability_zone=f"zone-{name}")
+            for name in agents
+        ),
+    )
+
+
+def make_scheduler(record=None, **settings):
+    scheduler = Scheduler(PlacementSettings(**settings), random.Random(1))
+    scheduler.set_record(record or make_record(), 0.0)
+    return scheduler
+
+
+def report(scheduler, name, now=0.0, slots=2, free=2, incarnation=1, **state):
+    member = Member(
+        member_id=name,
+        incarnation=incarnation,
+        role=Role.AGENT,
+        availability_zone=f"zone-{name}",
+    )
+    values = {
+        "upstream_id": f"up-{name}",
+        "service": "s",
+        "slots": slots,
+        "free": free,
+        "healthy": True,
+    }
+    state = UpstreamState(**(values | state))
+    scheduler.observe_agent(member, state, now)
+
+
+def make_body(run_times, service="s", client="c", timeout=60.0, kind="k"):
+    return JobBody(
+        service=service,
+        client=client,
+        tasks=tuple(
+            TaskSpec(index=index, kind=kind, declared_run_time=run_time)
+            for index, run_time in enumerate(run_times)
+        ),
+        timeout=timeout,
+    )
+
+
+def add(scheduler, key, run_times, now=0.0, **body):
+    body = make_body(run_times, **body)
+    scheduler.add_job(key, body, tuple(range(len(run_times))), now)
+
+
+def placed(assignments):
+    return sorted((a.agent_id, a.key, a.indexes) for a in assignments)
+
+
+def finish(scheduler, agent, key, index, now, run_time=0.1, ok=True):
+    status = TaskStatus.SUCCEEDED if ok else TaskStatus.FAILED
+    result = TaskResult(index=index, status=status, run_time=run_time)
+    scheduler.finish_task(agent, key, result, now)
+
+
+@pytest.mark.parametrize(
+    "policy",
+    [
+        "earliest_finish",
+        "random",
+        "round_robin",
+        "least_loaded",
+        "power_of_two",
+    ],
+)
+def test_each_task_is_assigned_once(policy):
+    """Guards against a task that is placed twice or forgotten."""
+    scheduler = make_scheduler(policy=policy)
+    report(scheduler, "a")
+    report(scheduler, "b")
+    add(scheduler, "j", [0.1, 0.2, 0.3])
+    indexes = [i for a in scheduler.assign(0.0) for i in a.indexes]
+    assert sorted(indexes) == [0, 1, 2]
+    assert scheduler.assign(0.0) == []
+
+
+def test_tasks_wait_at_the_owner_until_a_slot_is_free():
+    """Guards against long queues at agents, which bind tasks too early."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", slots=1, free=1)
+    add(scheduler, "j", [0.1, 0.3])
+    assert placed(scheduler.assign(0.0)) == [("a", "j", (1,))]
+    finish(scheduler, "a", "j", 1, 0.3)
+    report(scheduler, "a", 0.3, slots=1, free=1)
+    assert placed(scheduler.assign(0.3)) == [("a", "j", (0,))]
+
+
+def test_agent_that_is_not_registered_gets_no_work():
+    """Guards against starts that a later owner would not ask about."""
+    scheduler = make_scheduler(make_record(agents=("b",)))
+    report(scheduler, "a")
+    add(scheduler, "j", [0.1])
+    assert scheduler.assign(0.0) == []
+
+
+@pytest.mark.parametrize(
+    "out",
+    [
+        {"availability_zones_out": ("zone-a",)},
+        {"upstreams_out": ("up-a",)},
+        {"services_out": ("s",)},
+    ],
+)
+def test_nothing_is_placed_on_what_is_out(out):
+    """Guards against starts in a zone or upstream that was taken out."""
+    scheduler = make_scheduler()
+    report(scheduler, "a")
+    scheduler.set_record(make_record(**out), 0.0)
+    add(scheduler, "j", [0.1])
+    assert scheduler.assign(0.0) == []
+    scheduler.set_record(make_record(), 0.1)
+    assert scheduler.assign(5.0) == []
+    report(scheduler, "a", 5.0)
+    assert placed(scheduler.assign(5.0)) == [("a", "j", (0,))]
+
+
+@pytest.mark.parametrize("state", [{"leaving": True}, {"healthy": False}])
+def test_agent_that_leaves_or_is_unhealthy_gets_no_work(state):
+    """Guards against tasks for an agent that would refuse them."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", **state)
+    add(scheduler, "j", [0.1])
+    assert scheduler.assign(0.0) == []
+
+
+def test_silent_agent_gets_no_work_until_it_reports():
+    """Guards against tasks for an agent that is paused or cut off."""
+    scheduler = make_scheduler()
+    report(scheduler, "a")
+    report(scheduler, "a", 0.9)
+    add(scheduler, "j", [0.1])
+    add(scheduler, "k", [0.1])
+    assert len(scheduler.assign(1.8)) == 2
+    add(scheduler, "l", [0.1])
+    report(scheduler, "a", 1.85)
+    finish(scheduler, "a", "j", 0, 1.9)
+    assert scheduler.assign(2.9) == []
+    report(scheduler, "a", 3.0)
+    assert len(scheduler.assign(3.0)) == 1
+
+
+def test_full_queue_pauses_the_agent_and_the_task_goes_elsewhere():
+    """Guards against a refused task being sent to the same agent at once."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", slots=1, free=1)
+    add(scheduler, "j", [0.1])
+    scheduler.assign(0.0)
+    scheduler.return_task("a", "j", 0, Reason.QUEUE_FULL, 0.001)
+    assert scheduler.assign(0.002) == []
+    report(scheduler, "b", 0.003)
+    assert placed(scheduler.assign(0.003)) == [("b", "j", (0,))]
+
+
+def test_load_of_other_owners_is_kept_clear_of():
+    """Guards against counting another owner's busy slots as free."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", slots=4, free=1)
+    add(scheduler, "j", [0.1] * 4)
+    assert [len(a.indexes) for a in scheduler.assign(0.0)] == [1]
+
+
+def test_restarted_agent_starts_with_a_clean_state():
+    """Guards against slots counted as busy with tasks of a dead process."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", slots=1, free=1)
+    add(scheduler, "j", [0.1])
+    add(scheduler, "k", [0.1])
+    scheduler.assign(0.0)
+    report(scheduler, "a", 0.5, slots=1, free=1, incarnation=2)
+    assert len(scheduler.assign(0.5)) == 1
+
+
+def test_removed_job_is_not_placed():
+    """Guards against starts of a cancelled job."""
+    scheduler = make_scheduler()
+    add(scheduler, "j", [0.1])
+    scheduler.remove_job("j", 0.0)
+    report(scheduler, "a")
+    assert scheduler.assign(0.0) == []
