Add the bodies of the entry's HTTP interface

The server and the command line need one checked form of the requests, answers and problem details. Bodies are parsed with strict JSON and pydantic models into the core's data classes; all bad inputs are reported at once with the field, what was given and what is allowed. InvalidInputError now shortens the given value with reprlib, because the plain repr of a hostile value can itself fail (an integer of 30,000 digits).

--- /dev/null
+++ b/gypsumline/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: roles, settings and the HTTP clients."""
--- a/gypsumline/core/errors.py
+++ b/gypsumline/core/errors.py
@@ -2,6 +2,22 @@
 
 from __future__ import annotations
 
+import reprlib
+
+_SHORT = reprlib.Repr()
+_SHORT.maxstring = 80
+_SHORT.maxother = 80
+_SHORT.maxlevel = 3
+
+
+def _shorten(value: object) -> str:
+    # The plain repr of a hostile value may nest too deep, be too long, or hold
+    # an integer of more digits than Python converts.
+    try:
+        return _SHORT.repr(value)[:100]
+    except (ValueError, RecursionError):
+        return f"a value of type {type(value).__name__}"
+
 
 class GypsumlineError(Exception):
     """Base of every failure that this package reports."""
@@ -21,7 +37,7 @@
         self, field: str, given: object, allowed: str, line: int | None = None
     ) -> None:
         self.field = field
-        self.given = repr(given)[:100]
+        self.given = _shorten(given)
         self.allowed = allowed
         self.line = line
         place = f"line {line}: " if line is not None else ""
--- /dev/null
+++ b/gypsumline/core/validation.py
@@ -0,0 +1,108 @@
+"""Validation errors of the border's models as typed errors of this package."""
+
+from __future__ import annotations
+
+import typing
+from collections.abc import Callable, Iterable
+
+import pydantic
+from pydantic_core import ErrorDetails
+
+from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
+
+NAME_PATTERN = r"^[a-z0-9-]{1,63}$"
+NAME_ALLOWED = "1 to 63 characters of a-z, 0-9 and -"
+REPORTED_ERRORS_MAX = 100
+
+Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Location = tuple[int | str, ...]
+
+
+class BorderModel(pydantic.BaseModel):
+    """Base of the models at the border: strict types, no unknown fields."""
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
+
+
+def invalid_inputs(
+    model: type[pydantic.BaseModel],
+    error: pydantic.ValidationError,
+    line_of: Callable[[Location], int | None] | None = None,
+) -> list[InvalidInputError]:
+    """Returns the errors of one validation, at most `REPORTED_ERRORS_MAX`.
+
+    Args:
+      model: The model that was validated.
+      error: What the validation raised.
+      line_of: Returns the line of a location, if the text has lines.
+    """
+    found = []
+    for details in error.errors(include_url=False)[:REPORTED_ERRORS_MAX]:
+        location = details["loc"]
+        found.append(
+            InvalidInputError(
+                field_name(location),
+                None if details["type"] == "missing" else details["input"],
+                _allowed(model, details),
+                line_of(location) if line_of else None,
+            )
+        )
+    return found
+
+
+def raise_all(title: str, errors: Iterable[InvalidInputError]) -> None:
+    """Raises the errors as one group, if there are any.
+
+    Raises:
+      InvalidInputGroup: There are errors.
+    """
+    found = list(errors)
+    if found:
+        raise InvalidInputGroup(title, found[:REPORTED_ERRORS_MAX])
+
+
+def field_name(location: Location) -> str:
+    """Returns a location with dots between its levels."""
+    shown = [
+        str(item)[:80] for item in location if item not in ("[key]", "__root__")
+    ]
+    return ".".join(shown) or "text"
+
+
+def _allowed(model: type[pydantic.BaseModel], details: ErrorDetails) -> str:
+    match details["type"]:
+        case "missing":
+            return "a value; the field is required"
+        case "extra_forbidden":
+            names = _known_fields(model, details["loc"][:-1])
+            return f"only the fields {', '.join(names)}"
+        case "string_pattern_mismatch":
+            return NAME_ALLOWED
+        case "model_type" | "dict_type":
+            return "a mapping of names to values"
+        case "too_long" | "too_short":
+            context = details["ctx"]
+            limit = context.get("max_length", context.get("min_length"))
+            word = "most" if details["type"] == "too_long" else "least"
+            return f"at {word} {limit} items"
+    text = details["msg"].removeprefix("Value error, ")
+    return text.removeprefix("Input should be ").removeprefix("a valid ")
+
+
+def _known_fields(
+    model: type[pydantic.BaseModel], location: Location
+) -> list[str]:
+    current: typing.Any = model
+    for item in location:
+        current = _step(current, item)
+    fields = getattr(current, "model_fields", {})
+    return sorted(field.alias or name for name, field in fields.items())
+
+
+def _step(current: typing.Any, item: int | str) -> typing.Any:
+    if hasattr(current, "model_fields"):
+        return current.model_fields[str(item)].annotation
+    arguments = typing.get_args(current)
+    return arguments[-1] if arguments else None
--- /dev/null
+++ b/gypsumline/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: HTTP for callers and operators, owner of submissions."""
--- /dev/null
+++ b/gypsumline/entry/http_models.py
@@ -0,0 +1,416 @@
+"""Bodies of the entry's HTTP interface, checked at the border.
+
+Requests are parsed from bytes into pydantic models and then turned into the
+core's data classes. Every bad input ends as a typed error that
+`problem_of` turns into problem details (RFC 9457).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import hashlib
+import math
+import re
+import typing
+
+import msgspec
+import pydantic
+
+from gypsumline.core.configuration import Limits
+from gypsumline.core.errors import (
+    GypsumlineError,
+    InvalidInputError,
+    InvalidInputGroup,
+)
+from gypsumline.core.task import JobAnswer, JobBody, Outcome, Reason, TaskSpec
+from gypsumline.core.validation import (
+    BorderModel,
+    Name,
+    invalid_inputs,
+    raise_all,
+)
+
+# A job travels to its owner in one frame of at most 4 MiB; the rest is room
+# for the names of the fields around each task.
+JOB_BYTES_MAX = 3 * 1024 * 1024
+CONFIGURATION_BYTES_MAX = 2 * 1024 * 1024
+_TASK_OVERHEAD_BYTES = 128
+_DECLARED_SIZE_MAX = 2**53
+_PROBLEM_TYPE_PREFIX = "urn:gypsumline:problem:"
+_RFC_3339 = re.compile(
+    r"\d{4}-\d\d-\d\d[Tt]\d\d:\d\d:\d\d(\.\d{1,9})?([Zz]|[+-]\d\d:\d\d)"
+)
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+
+_ModelType = typing.TypeVar("_ModelType", bound=pydantic.BaseModel)
+_NoteText = typing.Annotated[str, pydantic.Field(max_length=2000)]
+_Seconds = typing.Annotated[float, pydantic.Field(gt=0)]
+
+
+class BodyTooLargeError(InvalidInputError):
+    """A request body is longer than the limit (HTTP status 413)."""
+
+    def __init__(self, size: int, limit: int) -> None:
+        super().__init__("body", size, f"up to {limit} bytes")
+
+
+class TaskRequest(BorderModel):
+    """One task of a job request.
+
+    Attributes:
+      kind: Name that run times are learned for.
+      payload: Any JSON value, handed to the executor.
+      size: Declared size in bytes.
+      run_time: Declared run time in seconds; 0 if none is declared.
+    """
+
+    kind: Name
+    payload: typing.Any = None
+    size: int = pydantic.Field(default=0, ge=0, le=_DECLARED_SIZE_MAX)
+    run_time: float = pydantic.Field(default=0.0, ge=0)
+
+
+class JobRequest(BorderModel):
+    """Body of `POST /v1/jobs`.
+
+    Attributes:
+      service: Name of the service.
+      client: Name of the client whose share is used.
+      tasks: At least one task.
+      timeout: Seconds until the deadline; excludes `deadline`.
+      deadline: RFC 3339 time; excludes `timeout`.
+      repeatable: Whether a job of exactly one task may run again.
+    """
+
+    service: Name
+    client: Name
+    tasks: list[TaskRequest] = pydantic.Field(min_length=1)
+    timeout: _Seconds | None = None
+    deadline: str | None = None
+    repeatable: bool = False
+
+
+class ConfigurationCheck(BorderModel):
+    """Body of `POST /v1/configuration/check`."""
+
+    text: str
+
+
+class ConfigurationPut(BorderModel):
+    """Body of `PUT /v1/configuration`.
+
+    Attributes:
+      base_version: Version that the operator edited from; 0 for none.
+      text: The new text.
+      author: Who asks.
+      note: Why.
+      write_token: Unique token to ask by when the outcome is unknown.
+    """
+
+    base_version: int = pydantic.Field(ge=0, le=2**53)
+    text: str
+    author: str = pydantic.Field(min_length=1, max_length=100)
+    note: _NoteText
+    write_token: str = pydantic.Field(min_length=1, max_length=100)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """An error response.
+
+    Attributes:
+      status: HTTP status.
+      body: JSON text of the problem details, `PROBLEM_MEDIA_TYPE`.
+    """
+
+    status: int
+    body: bytes
+
+
+def parse_job(
+    raw: bytes, limits: Limits, deadline_max: float, wall: float
+) -> JobBody:
+    """Returns the job in the body of a `POST /v1/jobs`.
+
+    Args:
+      raw: The request body.
+      limits: Limits of the configuration in force.
+      deadline_max: Longest timeout in seconds.
+      wall: Time of receipt in UTC seconds.
+
+    Raises:
+      BodyTooLargeError: The body or its payloads are too long.
+      InvalidInputGroup: All other bad inputs, reported together.
+    """
+    request = parse_body(JobRequest, raw, JOB_BYTES_MAX)
+    errors: list[InvalidInputError] = []
+    timeout = _timeout_of(request, deadline_max, wall, errors)
+    _check_tasks(request, limits, errors)
+    tasks = _encode_tasks(request, limits, errors)
+    raise_all("job request", errors)
+    size = sum(len(task.payload) + _TASK_OVERHEAD_BYTES for task in tasks)
+    if size > JOB_BYTES_MAX:
+        raise BodyTooLargeError(size, JOB_BYTES_MAX)
+    return JobBody(
+        service=request.service,
+        client=request.client,
+        tasks=tuple(tasks),
+        timeout=timeout,
+        repeatable=request.repeatable,
+    )
+
+
+def parse_body(
+    model: type[_ModelType], raw: bytes, bytes_max: int
+) -> _ModelType:
+    """Returns the model in a JSON body.
+
+    Raises:
+      BodyTooLargeError: The body is longer than `bytes_max`.
+      InvalidInputGroup: The body is not JSON or does not fit the model.
+    """
+    if len(raw) > bytes_max:
+        raise BodyTooLargeError(len(raw), bytes_max)
+    try:
+        return model.model_validate(parse_json(raw))
+    except pydantic.ValidationError as error:
+        errors = invalid_inputs(model, error)
+        raise InvalidInputGroup("request body", errors) from error
+
+
+def parse_json(raw: bytes) -> typing.Any:
+    """Returns the value of a JSON text.
+
+    NaN, infinities, numbers out of range, invalid UTF-8 and lone surrogates
+    are refused, and so is nesting beyond Python's recursion limit.
+
+    Raises:
+      InvalidInputGroup: The text is not valid JSON (RFC 8259).
+    """
+    try:
+        return msgspec.json.decode(raw)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        start = bytes(raw[:40]).decode("utf-8", "replace")
+        found = InvalidInputError("body", start, f"valid JSON ({error})")
+        raise InvalidInputGroup("request body", [found]) from error
+
+
+def digest_of(body: JobBody) -> bytes:
+    """Returns the SHA-256 by which a resubmission is recognised.
+
+    The timeout is left out: a client that resubmits with a deadline, or with
+    the time that it has left, gives another timeout for the same job.
+    """
+    fields = [
+        body.service,
+        body.client,
+        body.repeatable,
+        [
+            [task.kind, task.payload, task.declared_size, _run_time(task)]
+            for task in body.tasks
+        ],
+    ]
+    return hashlib.sha256(msgspec.msgpack.encode(fields)).digest()
+
+
+def answer_body(key: str, answer: JobAnswer) -> bytes:
+    """Returns the JSON text of an answer.
+
+    The values of the results are embedded as they are; the agent has checked
+    that they are JSON.
+    """
+    results = [
+        {
+            "index": result.index,
+            "value": msgspec.Raw(result.value),
+            "run_time": result.run_time,
+        }
+        for result in answer.results
+    ]
+    return msgspec.json.encode(
+        {
+            "key": key,
+            "outcome": answer.outcome,
+            "results": results,
+            "reason": answer.reason,
+            "detail": answer.detail,
+            "retry_after": answer.retry_after,
+        }
+    )
+
+
+def answer_headers(answer: JobAnswer) -> dict[str, str]:
+    """Returns the headers of an answer: `Retry-After` in whole seconds."""
+    if answer.retry_after <= 0:
+        return {}
+    return {"Retry-After": str(math.ceil(answer.retry_after))}
+
+
+_STATUS_BY_REASON = {
+    Reason.UNKNOWN_KEY: 404,
+    Reason.CANCELLED: 422,
+    Reason.KEY_CONFLICT: 422,
+    Reason.KEY_EXPIRED: 422,
+    Reason.NEVER_RUNNABLE: 422,
+    Reason.UNKNOWN_SERVICE: 422,
+    Reason.CLIENT_LIMIT: 429,
+    Reason.DEADLINE_INFEASIBLE: 429,
+    Reason.OVERLOAD: 429,
+    Reason.QUEUE_FULL: 429,
+}
+
+_STATUS_BY_OUTCOME = {
+    Outcome.COMPLETE: 200,
+    Outcome.RUNNING: 202,
+    Outcome.FAILED_NOT_RUN: 503,
+    Outcome.FAILED_RAN: 502,
+    Outcome.UNKNOWN: 504,
+}
+
+
+def answer_status(answer: JobAnswer) -> int:
+    """Returns the HTTP status of an answer."""
+    status = _STATUS_BY_OUTCOME[answer.outcome]
+    if answer.outcome in (Outcome.FAILED_NOT_RUN, Outcome.UNKNOWN):
+        specific = _STATUS_BY_REASON.get(answer.reason, status)
+        is_general = answer.outcome is Outcome.UNKNOWN and specific == 429
+        return status if is_general else specific
+    return status
+
+
+def problem_of(error: GypsumlineError | InvalidInputGroup) -> Problem:
+    """Returns the problem details (RFC 9457) of a bad input."""
+    match error:
+        case BodyTooLargeError():
+            return make_problem(
+                413, "body-too-large", "Request body too large", [error]
+            )
+        case InvalidInputError():
+            return make_problem(400, "invalid-input", "Invalid input", [error])
+        case InvalidInputGroup():
+            found = [e for e in error.exceptions if not _is_group(e)]
+            return make_problem(
+                400,
+                "invalid-input",
+                "Invalid input",
+                typing.cast(list[InvalidInputError], found),
+            )
+    return make_problem(500, "internal", "Internal error", [], str(error))
+
+
+def make_problem(
+    status: int,
+    name: str,
+    title: str,
+    errors: list[InvalidInputError] | None = None,
+    detail: str = "",
+) -> Problem:
+    """Returns problem details of the type `urn:gypsumline:problem:<name>`."""
+    found = errors or []
+    items = []
+    for error in found:
+        item: dict[str, object] = {
+            "field": error.field,
+            "given": error.given,
+            "allowed": error.allowed,
+        }
+        if error.line is not None:
+            item["line"] = error.line
+        items.append(item)
+    body = {
+        "type": _PROBLEM_TYPE_PREFIX + name,
+        "title": title,
+        "status": status,
+        "detail": detail or "; ".join(str(error) for error in found[:3]),
+        "errors": items,
+    }
+    return Problem(status=status, body=msgspec.json.encode(body))
+
+
+def _is_group(error: BaseException) -> bool:
+    return isinstance(error, BaseExceptionGroup)
+
+
+def _run_time(task: TaskSpec) -> float:
+    return float(task.declared_run_time)
+
+
+def _timeout_of(
+    request: JobRequest,
+    deadline_max: float,
+    wall: float,
+    errors: list[InvalidInputError],
+) -> float:
+    if (request.timeout is None) == (request.deadline is None):
+        given = "both" if request.timeout is not None else "neither"
+        allowed = "exactly one of timeout and deadline"
+        errors.append(InvalidInputError("timeout", given, allowed))
+        return 0.0
+    if request.timeout is not None:
+        allowed = f"more than 0 and at most {deadline_max:g} s"
+        if request.timeout > deadline_max:
+            errors.append(
+                InvalidInputError("timeout", request.timeout, allowed)
+            )
+        return request.timeout
+    return _timeout_until(str(request.deadline), deadline_max, wall, errors)
+
+
+def _timeout_until(
+    deadline: str,
+    deadline_max: float,
+    wall: float,
+    errors: list[InvalidInputError],
+) -> float:
+    allowed = f"an RFC 3339 time up to {deadline_max:g} s in the future"
+    try:
+        timeout = _parse_time(deadline) - wall
+    except ValueError:
+        errors.append(InvalidInputError("deadline", deadline, allowed))
+        return 0.0
+    if not 0 < timeout <= deadline_max:
+        errors.append(InvalidInputError("deadline", deadline, allowed))
+    return timeout
+
+
+def _parse_time(text: str) -> float:
+    # `fromisoformat` alone also takes forms that RFC 3339 does not have.
+    if not _RFC_3339.fullmatch(text) or not text.isascii():
+        raise ValueError(text[:40])
+    return datetime.datetime.fromisoformat(text.upper()).timestamp()
+
+
+def _check_tasks(
+    request: JobRequest, limits: Limits, errors: list[InvalidInputError]
+) -> None:
+    count = len(request.tasks)
+    if count > limits.tasks_per_job:
+        allowed = f"at most {limits.tasks_per_job} tasks"
+        errors.append(InvalidInputError("tasks", count, allowed))
+    if request.repeatable and count != 1:
+        allowed = "false; only a job of exactly one task may be repeatable"
+        errors.append(InvalidInputError("repeatable", True, allowed))
+
+
+def _encode_tasks(
+    request: JobRequest, limits: Limits, errors: list[InvalidInputError]
+) -> list[TaskSpec]:
+    tasks = []
+    for index, task in enumerate(request.tasks[: limits.tasks_per_job]):
+        payload = msgspec.json.encode(task.payload)
+        if len(payload) > limits.payload_bytes:
+            field = f"tasks.{index}.payload"
+            given = f"{len(payload)} bytes"
+            allowed = f"up to {limits.payload_bytes} bytes"
+            errors.append(InvalidInputError(field, given, allowed))
+        tasks.append(
+            TaskSpec(
+                index=index,
+                kind=task.kind,
+                payload=payload,
+                declared_size=task.size,
+                declared_run_time=task.run_time,
+            )
+        )
+    return tasks
--- /dev/null
+++ b/gypsumline/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
