--- a/gypsumline/core/validation.py
+++ b/gypsumline/core/validation.py
@@ -71,17 +71,29 @@
     return ".".join(shown) or "text"
 
 
+_ALLOWED_BY_TYPE = {
+    "bool_type": "true or false",
+    "dict_type": "a mapping of names to values",
+    "float_parsing": "a number",
+    "float_type": "a number",
+    "int_from_float": "a whole number",
+    "int_parsing": "a whole number",
+    "int_type": "a whole number",
+    "list_type": "a list",
+    "missing": "a value; the field is required",
+    "model_type": "a mapping of names to values",
+    "string_pattern_mismatch": NAME_ALLOWED,
+    "string_type": "a string",
+}
+
+
 def _allowed(model: type[pydantic.BaseModel], details: ErrorDetails) -> str:
+    if details["type"] in _ALLOWED_BY_TYPE:
+        return _ALLOWED_BY_TYPE[details["type"]]
     match details["type"]:
-        case "missing":
-            return "a value; the field is required"
         case "extra_forbidden":
             names = _known_fields(model, details["loc"][:-1])
             return f"only the fields {', '.join(names)}"
-        case "string_pattern_mismatch":
-            return NAME_ALLOWED
-        case "model_type" | "dict_type":
-            return "a mapping of names to values"
         case "too_long" | "too_short":
             context = details["ctx"]
             limit = context.get("max_length", context.get("min_length"))
--- /dev/null
+++ b/gypsumline/tests/cli/test_settings.py
@@ -0,0 +1,110 @@
+"""Tests of the settings."""
+
+import pydantic
+import pytest
+
+from gypsumline.cli.settings import (
+    AgentSettings,
+    EntrySettings,
+    Origin,
+    effective_settings,
+    load_settings,
+    setting_errors,
+)
+from gypsumline.core.errors import InvalidInputGroup
+
+ENTRY = {
+    "member_id": "entry-1",
+    "availability_zone": "piraeus",
+    "host": "127.0.0.1",
+    "table_url": "http://127.0.0.1:9000/",
+}
+AGENT = {
+    "member_id": "agent-1",
+    "availability_zone": "piraeus",
+    "host": "::1",
+    "peers": "10.0.0.1:7400, [::1]:7401",
+}
+
+
+def test_flag_wins_over_environment_and_default(monkeypatch):
+    """Guards against a flag that a forgotten variable overrides."""
+    monkeypatch.setenv("GYPSUMLINE_EVIDENCE_TTL", "1.5")
+    monkeypatch.setenv("GYPSUMLINE_SEED", "7")
+    monkeypatch.setenv("GYPSUMLINE_STOP_LIMIT", "")
+    flags = {**ENTRY, "seed": "8"}
+    settings = load_settings(EntrySettings, flags)
+    assert (settings.seed, settings.evidence_ttl) == (8, 1.5)
+    assert settings.table_url == "http://127.0.0.1:9000"
+    shown = {s.name: s for s in effective_settings(EntrySettings, flags)}
+    assert shown["seed"].origin is Origin.FLAG
+    assert shown["evidence_ttl"].origin is Origin.ENVIRONMENT
+    assert shown["stop_limit"].origin is Origin.DEFAULT
+    assert set(shown) == set(EntrySettings.model_fields)
+
+
+def test_peers_are_split_and_normalised():
+    """Guards against a list that only its JSON form can set."""
+    settings = load_settings(AgentSettings, AGENT)
+    assert settings.peers == ("10.0.0.1:7400", "[::1]:7401")
+
+
+@pytest.mark.parametrize(
+    ("changes", "fields"),
+    [
+        ({"evidence_ttl": "3"}, ["evidence_ttl"]),
+        ({"heartbeat_interval": "0.9"}, []),
+        (
+            {"heartbeat_interval": "1"},
+            ["evidence_ttl", "heartbeat_interval", "silence_limit"],
+        ),
+        ({"resubmission_horizon": "62"}, ["deadline_max"]),
+        ({"silence_limit": "0.5"}, ["silence_limit"]),
+        ({"suspect_after": "0.5"}, ["suspect_after"]),
+        ({"table_poll_interval": "2"}, ["table_poll_interval"]),
+        ({"deadline_max": "nan"}, ["deadline_max"]),
+        ({"host": "localhost"}, ["host"]),
+        ({"host": "0.0.0.0"}, ["host"]),
+        ({"port": "65536"}, ["port"]),
+        ({"table_url": "http://table:9000"}, ["table_url"]),
+        ({"table_url": "http://10.0.0.1:x"}, ["table_url"]),
+        ({"peers": "10.0.0.1"}, ["peers"]),
+        ({"peers": "10.0.0.1:7400/x"}, ["peers"]),
+        ({"placement_policy": "best"}, ["placement_policy"]),
+        ({"member_id": "A", "seed": "-1"}, ["member_id", "seed"]),
+        ({"seed": "x", "silence_limit": "0.1"}, ["seed", "silence_limit"]),
+    ],
+)
+def test_all_errors_are_reported_at_once(changes, fields):
+    """Guards against relations that are checked only after the fields."""
+    found = setting_errors(EntrySettings, {**ENTRY, **changes})
+    assert [error.field for error in found] == fields
+    if fields:
+        with pytest.raises(InvalidInputGroup):
+            load_settings(EntrySettings, {**ENTRY, **changes})
+
+
+def test_relations_hold_for_settings_made_in_code():
+    """Guards against settings that skip the relations in tests."""
+    with pytest.raises(pydantic.ValidationError, match="evidence_ttl"):
+        EntrySettings(**{**ENTRY, "evidence_ttl": 5.0})
+
+
+def test_unknown_variable_is_an_error(monkeypatch):
+    """Guards against a mistyped variable that leaves the default in force."""
+    monkeypatch.setenv("GYPSUMLINE_EVIDENCE_TLL", "1")
+    monkeypatch.setenv("GYPSUMLINE_ENTRY", "http://127.0.0.1:8080")
+    found = setting_errors(AgentSettings, AGENT)
+    assert [error.field for error in found] == ["GYPSUMLINE_EVIDENCE_TLL"]
+
+
+def test_error_tells_where_the_value_comes_from(monkeypatch):
+    """Guards against an operator who looks for the value in the wrong place."""
+    monkeypatch.setenv("GYPSUMLINE_SEED", "many")
+    flags = {"evidence_ttl": "4", "host": "::1"}
+    texts = [str(error) for error in setting_errors(AgentSettings, flags)]
+    assert "member_id is not set; allowed: a value; the field is required" in (
+        texts
+    )
+    assert "seed is 'many' (from environment); allowed: a whole number" in texts
+    assert any("evidence_ttl 4, heartbeat" in text for text in texts)
