--- a/gypsumline/entry/configuration_http.py
+++ b/gypsumline/entry/configuration_http.py
@@ -136,9 +136,7 @@
         return int(text)
 
 
-def _diff_since(
-    base_version: int, rows: tuple[ConfigurationRow, ...]
-) -> str:
+def _diff_since(base_version: int, rows: tuple[ConfigurationRow, ...]) -> str:
     texts = {row.version: row.text for row in rows}
     if not texts:
         return ""
--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -237,6 +237,3 @@
 def _gone_response(request: Request, error: Exception) -> Response:
     problem = make_problem(400, "client-gone", "The client disconnected")
     return Response(problem.body, status_code=problem.status)
-
-
-
--- a/gypsumline/entry/table_task.py
+++ b/gypsumline/entry/table_task.py
@@ -48,9 +48,7 @@
         """Starts a write of the control row and its configuration row."""
         self._start(self._write(effect))
 
-    async def find_configuration(
-        self, version: int
-    ) -> ConfigurationRow | None:
+    async def find_configuration(self, version: int) -> ConfigurationRow | None:
         """Returns a version of the operators' text.
 
         Raises:
