--- a/gypsumline/core/errors.py
+++ b/gypsumline/core/errors.py
@@ -71,6 +71,7 @@
     """The row's version is not the one that the write expected."""
 
     def __init__(self, key: str, expected: int, found: int) -> None:
+        self.key = key
         self.found = found
         super().__init__(
             f"row {key!r} has version {found}, the write expected {expected}"
--- /dev/null
+++ b/gypsumline/testing/platform_faults.py
@@ -0,0 +1,110 @@
+"""Faults and limits of the platform stand-in, changed at run time."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import time
+
+import pydantic
+
+
+class Outage(enum.StrEnum):
+    """How the platform behaves while it is out."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    HANG = "hang"
+
+
+class Faults(pydantic.BaseModel):
+    """Fault settings; times in seconds, shares from 0 to 1.
+
+    Attributes:
+      latency: Added to every request, half before and half after its effect.
+      write_latency: Added to writes besides.
+      writes_per_second: Rows that may be written in a second; 0: no limit.
+      reads_per_second: Reads in a second; 0: no limit.
+      outage: Refuse with 503 at once, or hang without an answer.
+      hang_limit: Longest time that a request hangs before its connection is
+        closed.
+      lose_answers: Share of writes that take effect without an answer.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    latency: float = pydantic.Field(default=0.0, ge=0, le=60)
+    write_latency: float = pydantic.Field(default=0.0, ge=0, le=60)
+    writes_per_second: int = pydantic.Field(default=400, ge=0)
+    reads_per_second: int = pydantic.Field(default=2000, ge=0)
+    outage: Outage = Outage.NONE
+    hang_limit: float = pydantic.Field(default=30.0, ge=0, le=60)
+    lose_answers: float = pydantic.Field(default=0.0, ge=0, le=1)
+
+
+class FaultsChange(Faults):
+    """A change of some settings, for a time or for good.
+
+    Attributes:
+      duration: Seconds after which the settings given at the start of the
+        process are restored; 0: they stay.
+    """
+
+    duration: float = pydantic.Field(default=0.0, ge=0, le=3600)
+
+
+class RateLimit:
+    """Counts units in windows of one second."""
+
+    def __init__(self) -> None:
+        self._window_start = 0.0
+        self._used = 0
+
+    def admits(self, units: int, limit: int) -> bool:
+        """Takes units from this second's limit, if enough are left."""
+        now = time.monotonic()
+        if now - self._window_start >= 1.0:
+            self._window_start = now
+            self._used = 0
+        if limit and self._used + units > limit:
+            return False
+        self._used += units
+        return True
+
+
+class FaultState:
+    """The settings in force and the end of the present outage."""
+
+    def __init__(self, initial: Faults) -> None:
+        self._initial = initial
+        self._restore: asyncio.TimerHandle | None = None
+        self._healed = asyncio.Event()
+        self.current = initial
+
+    def change(self, change: FaultsChange) -> None:
+        """Applies the given settings and leaves the others as they are."""
+        given = change.model_dump(exclude_unset=True, exclude={"duration"})
+        if self._restore is not None:
+            self._restore.cancel()
+            self._restore = None
+        self._set(self.current.model_copy(update=given))
+        if change.duration:
+            loop = asyncio.get_running_loop()
+            self._restore = loop.call_later(
+                change.duration, self._set, self._initial
+            )
+
+    async def hang(self) -> None:
+        """Waits for the end of the outage, at most the hang limit."""
+        try:
+            async with asyncio.timeout(self.current.hang_limit):
+                await self._healed.wait()
+        except TimeoutError:
+            return
+
+    def _set(self, faults: Faults) -> None:
+        self.current = faults
+        if faults.outage is Outage.HANG:
+            self._healed.clear()
+        else:
+            self._healed.set()
