--- /dev/null
+++ b/gypsumline/testing/job_client.py
@@ -0,0 +1,229 @@
+"""Submits one job until its final answer, and checks that answer.
+
+After a connection error, an unknown outcome or an answer without an outcome,
+the same key goes to another entry, until the deadline of the job.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+from collections.abc import Sequence
+
+import aiohttp
+
+from gypsumline.core.submission_key import generate_key
+
+RUNNING = "running"
+COMPLETE = "complete"
+NOT_RUN = "failed_not_run"
+UNKNOWN = "outcome_unknown"
+REJECTED = "rejected"
+DEADLINE = "no_answer"
+
+_FIRST_BACKOFF_SECONDS = 0.05
+_LONGEST_BACKOFF_SECONDS = 1.0
+# The answer at the deadline itself still has to travel.
+_DEADLINE_GRACE_SECONDS = 2.0
+_BAD_REQUEST_STATUSES = (400, 404, 413)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """One job to submit.
+
+    Attributes:
+      service: Name of the service.
+      client: Name of the client.
+      kind: Kind of all its tasks.
+      run_times: Run time of each task in seconds.
+      declared: Declared run time of each task in seconds.
+      timeout: Seconds until the deadline.
+      repeatable: Whether it may run again.
+      key: Submission key.
+    """
+
+    service: str
+    client: str
+    kind: str
+    run_times: tuple[float, ...]
+    declared: tuple[float, ...]
+    timeout: float
+    repeatable: bool = False
+    key: str = dataclasses.field(default_factory=generate_key)
+
+    def expected_values(self) -> list[object]:
+        """Returns the values that a whole answer of this job has."""
+        return [
+            {"key": self.key, "index": index}
+            for index in range(len(self.run_times))
+        ]
+
+    def body(self, time_left: float) -> dict[str, object]:
+        """Returns the body of the request."""
+        values = self.expected_values()
+        times = zip(self.run_times, self.declared, values, strict=True)
+        return {
+            "service": self.service,
+            "client": self.client,
+            "tasks": [
+                {
+                    "kind": self.kind,
+                    "payload": {"run_time": run_time, "value": value},
+                    "size": 100,
+                    "run_time": declared,
+                }
+                for run_time, declared, value in times
+            ],
+            "timeout": time_left,
+            "repeatable": self.repeatable,
+        }
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class JobRecord:
+    """How one job ended.
+
+    Attributes:
+      key: Submission key.
+      outcome: Outcome that the last answer named; `REJECTED` for an invalid
+        request; `DEADLINE` if no final answer came in time.
+      reason: Reason that the last answer named.
+      detail: Detail that the last answer named.
+      seconds: Time from the start of the job until the last answer.
+      tasks: Number of tasks.
+      requests: Requests that were sent.
+      entry: Base URL that gave the last answer.
+      is_wrong: The answer was complete and not exactly this job's.
+      is_partial: The answer had results without being complete.
+      retry_after: Seconds that the last answer named.
+    """
+
+    key: str
+    tasks: int
+    outcome: str = DEADLINE
+    reason: str = ""
+    detail: str = ""
+    seconds: float = 0.0
+    requests: int = 0
+    entry: str = ""
+    is_wrong: bool = False
+    is_partial: bool = False
+    retry_after: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: dict
+
+
+class JobClient:
+    """Sends jobs to a set of entries, choosing one at random each time.
+
+    Attributes:
+      entries: Base URLs to choose from; may change at any time.
+      errors: Requests without an answer, by the type of the error.
+      cut: Requests whose connection ended after it had been opened.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        entries: Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        self.entries = list(entries)
+        self.errors: collections.Counter[str] = collections.Counter()
+        self.cut = 0
+        self._session = session
+        self._rng = rng
+
+    async def submit(self, job: Job) -> JobRecord:
+        """Submits a job and returns how it ended."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        ends_at = began + job.timeout
+        record = JobRecord(key=job.key, tasks=len(job.run_times))
+        backoff = _FIRST_BACKOFF_SECONDS
+        while True:
+            time_left = ends_at - loop.time()
+            if time_left <= 0:
+                return record
+            record.entry = self._choose(record.entry)
+            record.requests += 1
+            answer = await self._request(job, record.entry, time_left)
+            record.seconds = loop.time() - began
+            if answer is not None and _take(record, job, answer):
+                return record
+            pause = max(backoff, record.retry_after)
+            await asyncio.sleep(min(pause, max(0.0, ends_at - loop.time())))
+            backoff = min(2 * backoff, _LONGEST_BACKOFF_SECONDS)
+
+    def _choose(self, last: str) -> str:
+        others = [entry for entry in self.entries if entry != last]
+        return self._rng.choice(others or [last])
+
+    async def _request(
+        self, job: Job, entry: str, time_left: float
+    ) -> _Answer | None:
+        limit = time_left + _DEADLINE_GRACE_SECONDS
+        try:
+            async with self._session.post(
+                f"{entry}/v1/jobs",
+                params={"wait": f"{time_left:.3f}"},
+                headers={"Idempotency-Key": job.key},
+                json=job.body(time_left),
+                timeout=aiohttp.ClientTimeout(total=limit),
+            ) as response:
+                body = await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            self._count_error(error)
+            return None
+        return _Answer(response.status, body if isinstance(body, dict) else {})
+
+    def _count_error(self, error: Exception) -> None:
+        self.errors[type(error).__name__] += 1
+        was_open = not isinstance(error, aiohttp.ClientConnectorError)
+        if was_open and isinstance(error, aiohttp.ClientError):
+            self.cut += 1
+
+
+def _take(record: JobRecord, job: Job, answer: _Answer) -> bool:
+    """Notes an answer; returns whether it is final."""
+    body = answer.body
+    outcome = body.get("outcome")
+    record.reason = str(body.get("reason", ""))
+    record.detail = str(body.get("detail", ""))
+    record.retry_after = _as_seconds(body.get("retry_after"))
+    if outcome is None:
+        if answer.status in _BAD_REQUEST_STATUSES:
+            record.outcome = REJECTED
+            return True
+        return False
+    results = body.get("results") or []
+    if outcome == COMPLETE:
+        record.is_wrong = record.is_wrong or not _is_whole(job, body)
+    elif results:
+        record.is_partial = True
+    if outcome == RUNNING:
+        return False
+    record.outcome = str(outcome)
+    return outcome != UNKNOWN
+
+
+def _is_whole(job: Job, body: dict) -> bool:
+    results = body.get("results") or []
+    indexes = [result.get("index") for result in results]
+    values = [result.get("value") for result in results]
+    return (
+        body.get("key") == job.key
+        and indexes == list(range(len(job.run_times)))
+        and values == job.expected_values()
+    )
+
+
+def _as_seconds(value: object) -> float:
+    return float(value) if isinstance(value, int | float) else 0.0
