Connect the state machines to the processes

Change: settings for each decision, the executor's address beside its announcement, loss of a silent executor, the departure of an entry.

--- a/gypsumline/agent/executor_client.py
+++ b/gypsumline/agent/executor_client.py
@@ -62,9 +62,8 @@
 class ExecutorClient:
     """Connections to the executor beside this agent."""
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(self, address: str) -> None:
         self._address = address.rstrip("/")
-        self._connections = connections
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -112,7 +111,8 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=self._connections)
+            # The slot table bounds the requests in progress.
+            connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/gypsumline/agent/http.py
+++ b/gypsumline/agent/http.py
@@ -13,7 +13,7 @@
 
 from gypsumline.agent.node import AgentNode
 from gypsumline.core.errors import GypsumlineError, InvalidInputGroup
-from gypsumline.core.slot_table import Announcement
+from gypsumline.core.slot_settings import Announcement
 from gypsumline.core.validation import BorderModel, Name
 from gypsumline.entry.http_models import (
     PROBLEM_MEDIA_TYPE,
@@ -52,16 +52,13 @@
     async def announce(request: Request) -> Response:
         raw = await request.body()
         body = parse_body(AnnouncementBody, raw, _BODY_BYTES_MAX)
-        node.announce(
-            Announcement(
-                executor_id=body.executor_id,
-                service=body.service,
-                address=body.address,
-                slots=body.slots,
-                connections=body.connections,
-                kinds=tuple(body.kinds),
-            )
+        announcement = Announcement(
+            upstream_id=body.executor_id,
+            service=body.service,
+            kinds=tuple(body.kinds),
+            slots=min(body.slots, body.connections),
         )
+        node.announce(announcement, body.address)
         return Response(status_code=204)
 
     async def leave(request: Request) -> Response:
--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Sequence
 
-from gypsumline.agent.executor_client import ExecutorClient
+from gypsumline.agent.executor_client import ExecutorClient, Gate
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.control_machine import ControlMachine
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
@@ -17,13 +18,16 @@
     StartTasks,
     WithdrawTasks,
 )
-from gypsumline.core.slot_table import Announcement, SlotTable
-from gypsumline.core.task import Reason, TaskResult
+from gypsumline.core.slot_settings import Announcement
+from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time, wall_time
 from gypsumline.runtime.logs import DecisionLog
 from gypsumline.wire.hub import Hub
 
+# An executor announces itself every second; three misses mean that it is gone.
+EXECUTOR_SILENCE_SECONDS = 3.0
 _SLOT_MESSAGES = (StartTasks, WithdrawTasks, JournalQuery)
 
 
@@ -48,6 +52,8 @@
         self._executor: ExecutorClient | None = None
         self._runs: set[asyncio.Task[None]] = set()
         self._applied_revision = 0
+        self._announcement: Announcement | None = None
+        self._announced_at = math.inf
         self._leaving = False
 
     @property
@@ -100,15 +106,21 @@
             ),
         }
 
-    def announce(self, announcement: Announcement) -> None:
-        """Takes an announcement of the executor."""
-        self._open_executor(announcement)
+    def announce(self, announcement: Announcement, address: str) -> None:
+        """Takes an announcement of the executor at a base URL."""
+        self._announced_at = boot_time()
+        self._announcement = announcement
+        self._open_executor(address)
         self._run(self._machines.slots.announce(announcement, boot_time()))
-        self._machines.control.upstream = self._machines.slots.upstream_state()
 
     def leave_executor(self) -> None:
-        """Takes the executor's leave."""
-        self._run(self._machines.slots.leave(boot_time()))
+        """Takes the executor's leave; a later announcement ends it."""
+        if self._announcement is None:
+            return
+        leaving = dataclasses.replace(self._announcement, leaving=True)
+        self._announced_at = boot_time()
+        self._run(self._machines.slots.announce(leaving, boot_time()))
+        self.tick_control()
 
     def begin_leave(self) -> None:
         """Begins a planned stop."""
@@ -148,7 +160,11 @@
     def tick_slots(self) -> None:
         """Lets the slot table act on the passing of time."""
         slots = self._machines.slots
-        self._run(slots.tick(self.is_fresh, boot_time()))
+        now = boot_time()
+        if now > self._announced_at + EXECUTOR_SILENCE_SECONDS:
+            self._announced_at = math.inf
+            self._run(slots.lose_upstream(now))
+        self._run(slots.tick(self.is_fresh, now))
 
     def _apply_record(self) -> None:
         record = self.record
@@ -163,14 +179,12 @@
         for entry in record.entries:
             self._hub.dial(entry.address)
 
-    def _open_executor(self, announcement: Announcement) -> None:
+    def _open_executor(self, address: str) -> None:
         earlier = self._executor
-        if earlier is not None and earlier.address == announcement.address:
+        if earlier is not None and earlier.address == address:
             return
         # Runs at the earlier address keep their own client until they end.
-        self._executor = ExecutorClient(
-            announcement.address, announcement.connections
-        )
+        self._executor = ExecutorClient(address)
 
     def _run(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
@@ -200,9 +214,21 @@
         if executor is None:
             return
         result = await executor.run(start, gate)
-        self._finish(start.key, result)
-
-    def _finish(self, key: str, result: TaskResult) -> None:
         metrics.TASK_RESULTS.labels(result.status.value).inc()
+        if result.status == TaskStatus.REFUSED:
+            self._refuse(start.key, result, gate)
+            return
+        self._run(slots.on_finished(start.key, result, boot_time()))
+
+    def _refuse(self, key: str, result: TaskResult, gate: Gate) -> None:
+        """Gives back a task that has provably not started."""
         slots = self._machines.slots
-        self._run(slots.on_finished(key, result, boot_time()))
+        if result.reason != Reason.EXECUTOR_LOST:
+            # The gate has refused already and given the task back.
+            self._run(slots.tick(self.is_fresh, boot_time()))
+            return
+        # The gate was not asked yet: ask it, so that the slot is released.
+        if gate() == Reason.NONE:
+            self._run(slots.on_finished(key, result, boot_time()))
+        else:
+            self._run(slots.tick(self.is_fresh, boot_time()))
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -208,6 +208,11 @@
         self._leaving = True
         return self.tick(now, wall)
 
+    @property
+    def open_jobs(self) -> int:
+        """Jobs without an answer."""
+        return len(self._runner)
+
     def is_drained(self) -> bool:
         """Whether this entry may be removed from the record."""
         return self._leaving and not self._is_busy() and self._hand_over.is_done
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 from gypsumline.core.admission import AdmissionControl, Backlog
 from gypsumline.core.control import ControlRecord
@@ -81,7 +82,7 @@
         return self._admission.admit(body, self._record)
 
     def add_job(
-        self, key: str, body: JobBody, indexes: tuple[int, ...], now: float
+        self, key: str, body: JobBody, indexes: Sequence[int], now: float
     ) -> None:
         """Adds the tasks of an admitted job that are to be placed."""
         job = QueuedJob(
--- a/gypsumline/core/router.py
+++ b/gypsumline/core/router.py
@@ -71,7 +71,7 @@
         self._record = ControlRecord()
         self._connected: dict[str, Member] = {}
         self._pending: dict[int, PendingRequest] = {}
-        # Replies to an earlier incarnation must not match a request of this one.
+        # Replies to an earlier incarnation must not match a request of ours.
         self._next_id = me.incarnation
 
     @property
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -101,6 +101,7 @@
         self._peers: dict[str, PeerHeartbeat] = {}
         self._applied = (0, 0.0)
         self._leaving = False
+        self._departed = False
 
     @property
     def me(self) -> Member:
@@ -134,15 +135,24 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether no request and no job is left."""
-        no_requests = self._router.pending_count == 0
-        return no_requests and self._machines.owner.is_drained()
+        """Whether no job is left and all kept answers were handed over."""
+        return self._machines.owner.is_drained()
+
+    @property
+    def has_departed(self) -> bool:
+        """Whether the record lists this entry no more."""
+        return self._departed
 
     @property
     def pending_requests(self) -> int:
         """Callers' requests without an answer."""
         return self._router.pending_count
 
+    @property
+    def open_jobs(self) -> int:
+        """Jobs of this owner without an answer."""
+        return self._machines.owner.open_jobs
+
     def attach(self, hub: Hub, table: TableTask) -> None:
         """Sets where messages and table operations go."""
         self._hub = hub
@@ -223,7 +233,8 @@
             self._run(self._router.on_reply(message, now))
         elif isinstance(message, _OWNER_MESSAGES):
             owner = self._machines.owner
-            self._run_owner(owner.on_message(member, message, now, wall))
+            fresh = self._machines.control.is_fresh(now)
+            self._run_owner(owner.on_message(member, message, now, wall, fresh))
         else:
             self._take_control(member, message, now, wall)
         self._apply_record()
@@ -244,7 +255,8 @@
     def tick_owner(self) -> None:
         """Lets the owner and the router act on the passing of time."""
         now = boot_time()
-        self._run_owner(self._machines.owner.tick(now, wall_time()))
+        fresh = self._machines.control.is_fresh(now)
+        self._run_owner(self._machines.owner.tick(now, wall_time(), fresh))
         self._run(self._router.tick(now))
 
     def begin_leave(self) -> None:
@@ -254,6 +266,11 @@
         self._run(self._machines.control.leave(now, wall))
         self._run_owner(self._machines.owner.leave(now, wall))
 
+    def depart(self) -> None:
+        """Asks to be dropped from the record, after it has drained."""
+        control = self._machines.control
+        self._run(control.depart(boot_time(), wall_time()))
+
     def _take_control(
         self, member: Member, message: Message, now: float, wall: float
     ) -> None:
@@ -341,8 +358,13 @@
                 self._table.write(effect)
             case Decision():
                 self._log.write(effect)
-                if effect.event == "removed":
-                    self._take_new_incarnation()
+                self._heed(effect)
+
+    def _heed(self, decision: Decision) -> None:
+        if decision.event == "removed":
+            self._take_new_incarnation()
+        elif decision.event == "departed":
+            self._departed = True
 
     def _take_new_incarnation(self) -> None:
         """Starts over as a new member: the earlier one has been replaced."""
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -25,7 +25,7 @@
 from gypsumline.entry.node import EntryNode, MachineFactory, Machines
 from gypsumline.entry.table_task import TableTask
 from gypsumline.platform import open_table
-from gypsumline.runtime.clock import new_incarnation
+from gypsumline.runtime.clock import boot_time, new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import DecisionLog, configure_logs
 from gypsumline.runtime.stop import StopSignals
@@ -53,16 +53,32 @@
         _LOGGER.info("planned stop begins")
         node.begin_leave()
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
-        drained = await signals.drain(
-            lambda: node.is_drained, settings.stop_limit
-        )
-        if not drained:
-            cut = {"requests": node.pending_requests, "jobs": node.open_jobs}
-            _LOGGER.warning("planned stop cuts work", extra=cut)
+        await _drain(node, signals, settings.stop_limit)
     _LOGGER.info("planned stop ends")
     return 0
 
 
+async def _drain(node: EntryNode, signals: StopSignals, limit: float) -> None:
+    end = boot_time() + limit
+    if not await signals.drain(lambda: node.is_drained, limit):
+        _log_cut(node)
+        return
+    node.depart()
+    left = max(0.0, end - boot_time())
+    departed = await signals.drain(lambda: node.has_departed, left)
+    if not departed:
+        _LOGGER.warning("stops while the record still lists this entry")
+    # Requests that this entry only forwards go on until they are answered.
+    left = max(0.0, end - boot_time())
+    if not await signals.drain(lambda: node.pending_requests == 0, left):
+        _log_cut(node)
+
+
+def _log_cut(node: EntryNode) -> None:
+    cut = {"requests": node.pending_requests, "jobs": node.open_jobs}
+    _LOGGER.warning("planned stop cuts work", extra=cut)
+
+
 @contextlib.asynccontextmanager
 async def _running_node(settings: EntrySettings) -> AsyncIterator[EntryNode]:
     rng = random.Random(settings.seed or None)
--- a/gypsumline/entry/table_task.py
+++ b/gypsumline/entry/table_task.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import cast
 
 import msgspec
@@ -74,8 +74,8 @@
             task.cancel()
         await self._table.close()
 
-    def _start(self, operation: object) -> None:
-        task = asyncio.create_task(operation)  # type: ignore[arg-type]
+    def _start(self, operation: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(operation)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/gypsumline/runtime/http_server.py
+++ b/gypsumline/runtime/http_server.py
@@ -46,7 +46,8 @@
     server = _Server(config)
     task = asyncio.create_task(server.serve(), name="http-server")
     try:
-        while not server.started and not task.done():
+        # The server offers no event for its start.
+        while not server.started and not task.done():  # noqa: ASYNC110
             await asyncio.sleep(_START_POLL_SECONDS)
         if task.done():
             await task
--- a/gypsumline/runtime/stop.py
+++ b/gypsumline/runtime/stop.py
@@ -26,8 +26,9 @@
         await self._first.wait()
 
     async def drain(self, is_drained: Callable[[], bool], limit: float) -> bool:
-        """Waits until drained; returns False at a second signal or the limit."""
+        """Waits until drained; False at a second signal or at the limit."""
         end = boot_time() + limit
+        # Decisions have no events to wait for; they are asked again.
         while not is_drained():
             if self._second.is_set() or boot_time() > end:
                 return False
