--- /dev/null
+++ b/benchmarks/fault_checks.py
@@ -0,0 +1,161 @@
+"""Checks of what executors counted against what callers were told."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+
+from gypsumline.testing.job_client import COMPLETE, NOT_RUN, Cut, JobRecord
+
+# Requirement 3: an availability zone that is out starts nothing after this.
+OUT_LIMIT_SECONDS = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskStart:
+    """One start that an executor counted; `at` in CLOCK_BOOTTIME seconds."""
+
+    key: str
+    index: int
+    attempt: int
+    at: float
+    executor: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ZoneOut:
+    """Time for which an availability zone was out, in CLOCK_BOOTTIME seconds.
+
+    Attributes:
+      zone: The availability zone.
+      accepted_at: When the operator had the acceptance of the out-change.
+      returns_at: When the operator sent the change that puts it back.
+    """
+
+    zone: str
+    accepted_at: float
+    returns_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedStop:
+    """A graceful stop of one process.
+
+    Attributes:
+      name: Name of the process.
+      url: Its base URL.
+      began_at: When SIGTERM was sent, in CLOCK_BOOTTIME seconds.
+      ended_at: When it had exited.
+      exit_code: Its exit code.
+      cut_at_executor: Requests to its executor that were cut meanwhile.
+    """
+
+    name: str
+    url: str
+    began_at: float
+    ended_at: float
+    exit_code: int
+    cut_at_executor: int = 0
+
+
+def read_task_starts(
+    executor: str, zone: str, by_task: Mapping[str, Sequence[Mapping]]
+) -> list[TaskStart]:
+    """Returns the starts in one executor's detailed report."""
+    found: list[TaskStart] = []
+    for name, starts in by_task.items():
+        key, _, index = name.rpartition("/")
+        found.extend(
+            TaskStart(
+                key=key,
+                index=int(index),
+                attempt=start["attempt"],
+                at=start["at"],
+                executor=executor,
+                zone=zone,
+            )
+            for start in starts
+        )
+    return found
+
+
+def find_second_starts(starts: Iterable[TaskStart]) -> list[list[TaskStart]]:
+    """Returns the starts of each task that started more than once.
+
+    Starts of one task at different executors count as well.
+    """
+    by_task: dict[tuple[str, int], list[TaskStart]]
+    by_task = collections.defaultdict(list)
+    for start in starts:
+        by_task[start.key, start.index].append(start)
+    return [found for found in by_task.values() if len(found) > 1]
+
+
+def find_false_not_run(
+    records: Iterable[JobRecord], starts: Iterable[TaskStart]
+) -> list[JobRecord]:
+    """Returns the jobs that were answered "not run" although one task ran."""
+    started = {start.key for start in starts}
+    return [r for r in records if r.outcome == NOT_RUN and r.key in started]
+
+
+def find_unfounded_complete(
+    records: Iterable[JobRecord], starts: Iterable[TaskStart]
+) -> list[JobRecord]:
+    """Returns the complete answers whose tasks did not all start."""
+    indexes: dict[str, set[int]] = collections.defaultdict(set)
+    for start in starts:
+        indexes[start.key].add(start.index)
+    return [
+        record
+        for record in records
+        if record.outcome == COMPLETE
+        and len(indexes[record.key]) != record.tasks
+    ]
+
+
+def find_late_starts(
+    outs: Iterable[ZoneOut], starts: Sequence[TaskStart]
+) -> list[TaskStart]:
+    """Returns the starts in a zone that was out for longer than allowed."""
+    return [
+        start
+        for out in outs
+        for start in starts
+        if start.zone == out.zone
+        and out.accepted_at + OUT_LIMIT_SECONDS < start.at < out.returns_at
+    ]
+
+
+def longest_after_out(
+    outs: Iterable[ZoneOut], starts: Sequence[TaskStart]
+) -> float:
+    """Returns the longest time from an acceptance to a start in that zone."""
+    delays = [
+        start.at - out.accepted_at
+        for out in outs
+        for start in starts
+        if start.zone == out.zone and out.accepted_at < start.at
+        if start.at < out.returns_at
+    ]
+    return max(delays, default=0.0)
+
+
+def count_cut_by_stops(
+    stops: Iterable[PlannedStop], cuts: Sequence[Cut]
+) -> int:
+    """Returns how many requests the planned stops cut.
+
+    These are requests of callers to an entry and requests of an agent to its
+    executor. A stop that had to be killed or failed counts as one more.
+    """
+    count = 0
+    for stop in stops:
+        count += stop.cut_at_executor + (1 if stop.exit_code else 0)
+        count += sum(
+            cut.entry == stop.url and stop.began_at <= cut.at <= stop.ended_at
+            for cut in cuts
+        )
+    return count
--- a/gypsumline/testing/caller.py
+++ b/gypsumline/testing/caller.py
@@ -118,6 +118,7 @@
         self._clients = settings.clients.split(",")
         self._all_entries = settings.entries.split(",")
         self._submitted = 0
+        self._is_stopped = False
         self.client = JobClient(session, self._all_entries, self._rng)
 
     async def run(self) -> None:
@@ -134,6 +135,10 @@
         finally:
             watching.cancel()
 
+    def stop(self) -> None:
+        """Submits no further jobs; those that are open go on."""
+        self._is_stopped = True
+
     def report(self) -> dict[str, object]:
         """Returns the counts and the response times."""
         complete = [r for r in self.records if r.outcome == COMPLETE]
@@ -151,7 +156,7 @@
             "partial": sum(r.is_partial for r in self.records),
             "requests": sum(r.requests for r in self.records),
             "errors": dict(self.client.errors),
-            "cut": self.client.cut,
+            "cut": len(self.client.cuts),
             "skipped": self.skipped,
             "response_ms": summarize(r.seconds for r in complete),
             "refusal_ms": summarize(r.seconds for r in refused),
@@ -197,7 +202,7 @@
 
     def _may_submit(self) -> bool:
         self._submitted += 1
-        return self._submitted <= self._settings.jobs
+        return not self._is_stopped and self._submitted <= self._settings.jobs
 
     def _make_job(self) -> Job:
         settings = self._settings
--- a/gypsumline/testing/job_client.py
+++ b/gypsumline/testing/job_client.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from gypsumline.core.submission_key import generate_key
+from gypsumline.testing.start_log import boot_time
 
 RUNNING = "running"
 COMPLETE = "complete"
@@ -114,6 +115,21 @@
     retry_after: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """A request that lost its connection.
+
+    Attributes:
+      entry: Base URL of the entry.
+      at: When, in seconds of CLOCK_BOOTTIME.
+      error: Type of the error.
+    """
+
+    entry: str
+    at: float
+    error: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
     status: int
@@ -126,7 +142,7 @@
     Attributes:
       entries: Base URLs to choose from; may change at any time.
       errors: Requests without an answer, by the type of the error.
-      cut: Requests whose connection ended after it had been opened.
+      cuts: Requests whose connection ended after it had been opened.
     """
 
     def __init__(
@@ -137,7 +153,7 @@
     ) -> None:
         self.entries = list(entries)
         self.errors: collections.Counter[str] = collections.Counter()
-        self.cut = 0
+        self.cuts: list[Cut] = []
         self._session = session
         self._rng = rng
 
@@ -180,15 +196,15 @@
             ) as response:
                 body = await response.json(content_type=None)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            self._count_error(error)
+            self._count_error(entry, error)
             return None
         return _Answer(response.status, body if isinstance(body, dict) else {})
 
-    def _count_error(self, error: Exception) -> None:
+    def _count_error(self, entry: str, error: Exception) -> None:
         self.errors[type(error).__name__] += 1
         was_open = not isinstance(error, aiohttp.ClientConnectorError)
         if was_open and isinstance(error, aiohttp.ClientError):
-            self.cut += 1
+            self.cuts.append(Cut(entry, boot_time(), type(error).__name__))
 
 
 def _take(record: JobRecord, job: Job, answer: _Answer) -> bool:
--- /dev/null
+++ b/gypsumline/tests/testing/test_fault_checks.py
@@ -0,0 +1,86 @@
+"""Tests that the checks of the fault runs detect what they are there for."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from benchmarks import fault_checks
+from benchmarks.fault_checks import PlannedStop, TaskStart, ZoneOut
+from benchmarks.fault_schedule import FaultKind, make_schedule
+from gypsumline.testing.job_client import Cut, JobRecord
+
+_START = TaskStart(
+    key="k", index=0, attempt=1, at=10.0, executor="exec-1", zone="marousi"
+)
+
+
+def _starts(**by_task: list[float]) -> list[TaskStart]:
+    return [
+        dataclasses.replace(_START, key=name[:-1], index=int(name[-1]), at=at)
+        for name, times in by_task.items()
+        for at in times
+    ]
+
+
+def test_second_start_at_another_executor_is_found():
+    """Guards against counting second starts within one executor only."""
+    other = dataclasses.replace(_START, executor="exec-2", attempt=2)
+    third = dataclasses.replace(_START, index=1)
+    found = fault_checks.find_second_starts([_START, third, other])
+    assert found == [[_START, other]]
+
+
+def test_reads_a_detailed_report():
+    """Guards against starts that are lost between report and checks."""
+    report = {"k/0": [{"attempt": 1, "at": 10.0}]}
+    found = fault_checks.read_task_starts("exec-1", "marousi", report)
+    assert found == [_START]
+
+
+def test_false_not_run_and_unfounded_complete_are_found():
+    """Guards against answers that contradict the executors' counts."""
+    starts = _starts(a0=[1.0], b0=[1.0], b1=[2.0])
+    records = [
+        JobRecord(key="a", tasks=2, outcome="failed_not_run"),
+        JobRecord(key="b", tasks=2, outcome="complete"),
+        JobRecord(key="c", tasks=1, outcome="failed_not_run"),
+        JobRecord(key="a", tasks=2, outcome="complete"),
+    ]
+    assert fault_checks.find_false_not_run(records, starts) == [records[0]]
+    unfounded = fault_checks.find_unfounded_complete(records, starts)
+    assert unfounded == [records[3]]
+
+
+@pytest.mark.parametrize(
+    ("at", "late"), [(9.0, 0), (13.9, 0), (14.1, 1), (19.9, 1), (20.1, 0)]
+)
+def test_late_start_in_a_zone_that_is_out(at: float, late: int):
+    """Guards against a bound on the wrong side of the acceptance."""
+    out = ZoneOut(zone="marousi", accepted_at=10.0, returns_at=20.0)
+    starts = _starts(a0=[at])
+    assert len(fault_checks.find_late_starts([out], starts)) == late
+    elsewhere = dataclasses.replace(out, zone="piraeus")
+    assert not fault_checks.find_late_starts([elsewhere], starts)
+
+
+def test_cuts_during_a_planned_stop_are_counted():
+    """Guards against cuts that are blamed on nobody or on everybody."""
+    stop = PlannedStop(
+        name="e", url="u", began_at=1.0, ended_at=2.0, exit_code=0
+    )
+    cuts = [Cut("u", 1.5, "x"), Cut("u", 2.5, "x"), Cut("v", 1.5, "x")]
+    assert fault_checks.count_cut_by_stops([stop], cuts) == 1
+    failed = dataclasses.replace(stop, exit_code=-9, cut_at_executor=2)
+    assert fault_checks.count_cut_by_stops([failed], []) == 3
+
+
+def test_schedule_repeats_by_seed_and_deals_every_kind():
+    """Guards against runs that cannot be repeated or leave a kind out."""
+    names = (["entry-1", "entry-2"], ["agent-1"], ["marousi"])
+    schedule = make_schedule(1, 120.0, *names)
+    assert schedule == make_schedule(1, 120.0, *names)
+    assert schedule != make_schedule(2, 120.0, *names)
+    assert {event.kind for event in schedule} == set(FaultKind)
+    assert all(event.at < 120.0 for event in schedule)
