Add measurements of the whole path and the report

Cause: the cost of the path, of the control traffic and the capacity of the roles are targets, so they must be measured in one run against a baseline.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,153 @@
+"""Tasks per second that one entry and one agent carry.
+
+`python -m benchmarks.capacity` raises the rate step by step until the p99 of
+the response time is twice that of the first step, or jobs are lost.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import sys
+import time
+
+import uvloop
+
+from benchmarks.path import apply_first, run_path
+from benchmarks.process_cost import own_cpu_seconds
+from gypsumline.testing.caller import CallerSettings, LoadMode, summarize
+from gypsumline.testing.local_system import (
+    LocalSystem,
+    LocalSystemSettings,
+    local_system,
+)
+
+_DIRECTORY = pathlib.Path("build/bench/capacity")
+_FIRST_RATE = 50.0
+_RATE_FACTOR = 1.4
+_MOST_STEPS = 14
+_STEP_SECONDS = 4.0
+_RUN_TIME_SECONDS = 0.02
+_WORST_P99_FACTOR = 2.0
+_MOST_LOST_SHARE = 0.001
+# Above this share of a core the generator, not the system, sets the p99.
+_GENERATOR_CPU_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Shape:
+    """One system and load to raise.
+
+    Attributes:
+      entries: Entry processes.
+      agents: Agent processes.
+      tasks_per_job: Tasks of each job.
+    """
+
+    entries: int
+    agents: int
+    tasks_per_job: int
+
+
+SHAPES = {
+    "entry_single_tasks": Shape(entries=1, agents=8, tasks_per_job=1),
+    "entry_jobs_of_20": Shape(entries=1, agents=8, tasks_per_job=20),
+    "agent_single_tasks": Shape(entries=3, agents=1, tasks_per_job=1),
+    "agent_jobs_of_20": Shape(entries=3, agents=1, tasks_per_job=20),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """One rate and what happened at it."""
+
+    tasks_per_second: float
+    p50_ms: float
+    p99_ms: float
+    lost_share: float
+    generator_cpu_share: float
+
+
+async def _run_step(
+    system: LocalSystem, shape: Shape, tasks_per_second: float
+) -> Step:
+    settings = CallerSettings(
+        entries=",".join(system.entry_urls),
+        mode=LoadMode.OPEN,
+        rate=tasks_per_second / shape.tasks_per_job,
+        seconds=_STEP_SECONDS,
+        lowest_tasks=shape.tasks_per_job,
+        highest_tasks=shape.tasks_per_job,
+        run_time=_RUN_TIME_SECONDS,
+        timeout=5.0,
+    )
+    began, cpu = time.monotonic(), own_cpu_seconds()
+    seconds, lost = await run_path(settings)
+    share = (own_cpu_seconds() - cpu) / (time.monotonic() - began)
+    summary = summarize(seconds)
+    return Step(
+        tasks_per_second=round(tasks_per_second, 1),
+        p50_ms=summary.get("p50", float("inf")),
+        p99_ms=summary.get("p99", float("inf")),
+        lost_share=round(lost / max(1, len(seconds) + lost), 4),
+        generator_cpu_share=round(share, 3),
+    )
+
+
+async def _raise_rate(name: str, shape: Shape) -> list[Step]:
+    settings = LocalSystemSettings(
+        entries=shape.entries,
+        agents=shape.agents,
+        slots=48,
+        fastest=1.0,
+        log_directory=_DIRECTORY / name,
+    )
+    steps: list[Step] = []
+    async with local_system(settings) as system:
+        await apply_first(system)
+        await _run_step(system, shape, _FIRST_RATE)
+        for number in range(_MOST_STEPS):
+            rate = _FIRST_RATE * _RATE_FACTOR**number
+            steps.append(await _run_step(system, shape, rate))
+            print(f"{name}: {steps[-1]}", file=sys.stderr, flush=True)
+            if not _holds(steps[0], steps[-1]):
+                break
+        await system.stop()
+    return steps
+
+
+def _holds(first: Step, step: Step) -> bool:
+    return (
+        step.p99_ms <= _WORST_P99_FACTOR * first.p99_ms
+        and step.lost_share <= _MOST_LOST_SHARE
+    )
+
+
+async def _measure() -> dict[str, object]:
+    figures: dict[str, object] = {}
+    for name, shape in SHAPES.items():
+        steps = await _raise_rate(name, shape)
+        held = [step for step in steps if _holds(steps[0], step)]
+        carried = max((s.tasks_per_second for s in held), default=0.0)
+        last = steps[-1]
+        figures[f"{name}_tasks_per_second"] = carried
+        figures[f"{name}_bounded_by_generator"] = (
+            last.generator_cpu_share > _GENERATOR_CPU_SHARE
+        )
+        figures[f"{name}_steps"] = [dataclasses.asdict(s) for s in steps]
+    return figures
+
+
+def measure() -> dict[str, object]:
+    """Runs the measurement; returns the figures."""
+    return uvloop.run(_measure())
+
+
+def main() -> None:
+    """Prints the figures."""
+    print(json.dumps(measure(), indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/direct.py
@@ -0,0 +1,83 @@
+"""Calls executors without the system in between, as a baseline.
+
+The caller knows exactly how many of its tasks run at each executor and takes
+the one with the fewest, so it waits for no slot while one is free.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import aiohttp
+
+from gypsumline.core.submission_key import generate_key
+
+
+class DirectCaller:
+    """Sends single tasks to executors.
+
+    Attributes:
+      seconds: Response times of the tasks that succeeded.
+      failed: Tasks that did not succeed.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        executors: Sequence[str],
+        seed: int,
+    ) -> None:
+        self.seconds: list[float] = []
+        self.failed = 0
+        self._session = session
+        self._running = dict.fromkeys(executors, 0)
+        self._rng = random.Random(seed)
+
+    async def run_open(
+        self, rate: float, seconds: float, run_time: float
+    ) -> None:
+        """Submits tasks at random times at a rate, and awaits them."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        ends_at = due + seconds
+        async with asyncio.TaskGroup() as group:
+            while True:
+                due += self._rng.expovariate(rate)
+                if due >= ends_at:
+                    break
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                group.create_task(self.call(run_time, due))
+
+    async def run_closed(self, count: int, run_time: float) -> None:
+        """Submits tasks one after the other."""
+        loop = asyncio.get_running_loop()
+        for _ in range(count):
+            await self.call(run_time, loop.time())
+
+    async def call(self, run_time: float, due: float) -> None:
+        """Runs one task; its response time counts from when it was due."""
+        executor = min(self._running, key=self._running.__getitem__)
+        self._running[executor] += 1
+        body = {
+            "key": generate_key(),
+            "index": 0,
+            "attempt": 1,
+            "kind": "card",
+            "payload": {"run_time": run_time, "value": None},
+        }
+        try:
+            async with self._session.post(
+                f"{executor}/run", json=body
+            ) as response:
+                await response.read()
+                if response.status != 200:
+                    self.failed += 1
+                    return
+        except aiohttp.ClientError:
+            self.failed += 1
+            return
+        finally:
+            self._running[executor] -= 1
+        self.seconds.append(asyncio.get_running_loop().time() - due)
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,144 @@
+"""Runs all measurements: `make bench`.
+
+Writes build/bench/report.json with the commit and the command of each part,
+plots and a page that shows them. Exits 1 if a part failed or a target was
+missed; parts that do not exist are named as not run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+import html
+import importlib
+import importlib.util
+import json
+import pathlib
+import platform
+import subprocess
+import sys
+import time
+from typing import Any
+
+from benchmarks import plots
+
+_DIRECTORY = pathlib.Path("build/bench")
+# Each module prints one JSON object of figures, and may have
+# `targets(figures) -> dict` from a figure's name to its value and the highest
+# value allowed.
+_PARTS = ("path", "capacity", "placement", "decisions", "zone_change")
+_PART_LIMIT_SECONDS = 1200.0
+_SHOWN_ERROR_CHARACTERS = 2000
+
+
+def run_part(name: str) -> dict[str, Any]:
+    """Runs one part; returns its figures, or why there are none."""
+    module_name = f"benchmarks.{name}"
+    if importlib.util.find_spec(module_name) is None:
+        return {"state": "not run", "why": f"there is no {module_name}"}
+    print(f"{name} ...", flush=True)
+    began = time.monotonic()
+    try:
+        figures = _run_module(module_name)
+    except (subprocess.SubprocessError, ValueError) as error:
+        return {"state": "failed", "why": _explain(error)}
+    part: dict[str, Any] = {
+        "state": "done",
+        "command": f"python -m {module_name}",
+        "seconds": round(time.monotonic() - began, 1),
+        "figures": figures,
+    }
+    module = importlib.import_module(module_name)
+    if hasattr(module, "targets"):
+        part["targets"] = {
+            figure: {"value": value, "at_most": limit, "met": value <= limit}
+            for figure, (value, limit) in module.targets(figures).items()
+        }
+    return part
+
+
+def _run_module(module_name: str) -> dict[str, Any]:
+    done = subprocess.run(
+        [sys.executable, "-m", module_name],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        check=True,
+        timeout=_PART_LIMIT_SECONDS,
+    )
+    figures = json.loads(done.stdout)
+    if not isinstance(figures, dict):
+        raise ValueError(f"{module_name} printed no JSON object")
+    return figures
+
+
+def _explain(error: Exception) -> str:
+    text = f"{error}\n{getattr(error, 'stderr', None) or ''}"
+    return text[-_SHOWN_ERROR_CHARACTERS:]
+
+
+def make_report(names: list[str]) -> dict[str, Any]:
+    """Runs the parts and returns the whole report."""
+    return {
+        "commit": _git("rev-parse", "HEAD"),
+        "has_local_changes": bool(_git("status", "--porcelain")),
+        "command": " ".join([pathlib.Path(sys.argv[0]).name, *sys.argv[1:]]),
+        "at": datetime.datetime.now(datetime.UTC).isoformat(),
+        "python": platform.python_version(),
+        "parts": {name: run_part(name) for name in names},
+    }
+
+
+def find_problems(report: dict) -> list[str]:
+    """Returns the failed parts and the missed targets, in words."""
+    problems = []
+    for name, part in report["parts"].items():
+        if part["state"] == "failed":
+            problems.append(f"{name} failed")
+        for figure, target in part.get("targets", {}).items():
+            if not target["met"]:
+                problems.append(
+                    f"{name}: {figure} is {target['value']}; "
+                    f"target: at most {target['at_most']}"
+                )
+    return problems
+
+
+def _git(*arguments: str) -> str:
+    done = subprocess.run(
+        ["git", *arguments], capture_output=True, text=True, check=False
+    )
+    return done.stdout.strip()
+
+
+def _write_page(report: dict, images: list[str]) -> None:
+    shown = html.escape(json.dumps(report, indent=2, default=str))
+    pictures = "\n".join(f'<p><img src="{name}" alt=""></p>' for name in images)
+    page = (
+        "<!doctype html><meta charset='utf-8'><title>gypsumline bench</title>"
+        f"<h1>Measurements at {report['commit'][:12]}</h1>"
+        f"{pictures}<pre>{shown}</pre>"
+    )
+    (_DIRECTORY / "index.html").write_text(page)
+
+
+def main() -> None:
+    """Runs the parts that are named, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", choices=[*_PARTS, []])
+    options = parser.parse_args()
+    _DIRECTORY.mkdir(parents=True, exist_ok=True)
+    report = make_report(options.parts or list(_PARTS))
+    path = _DIRECTORY / "report.json"
+    path.write_text(json.dumps(report, indent=2, default=str))
+    _write_page(report, plots.draw_all(report, _DIRECTORY))
+    for name, part in report["parts"].items():
+        print(f"{name}: {part['state']} {part.get('why', '')}")
+    problems = find_problems(report)
+    print("\n".join(problems))
+    print(f"report: {path}")
+    sys.exit(1 if problems else 0)
+
+
+if __name__ == "__main__":
+    main()
