Keep one connection to a member behind two addresses

Cause: an entry may be known by its own address and by a relayed one; two dialers would replace each other's connection without end. Change: a dialer waits while the member that it met at its address is connected.

--- a/gypsumline/wire/hub.py
+++ b/gypsumline/wire/hub.py
@@ -50,6 +50,7 @@
         self._rng = rng
         self._connections: dict[str, Connection] = {}
         self._dialers: dict[str, asyncio.Task[None]] = {}
+        self._member_at: dict[str, str] = {}
         self._handlers: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -121,6 +122,11 @@
     async def _keep_dialing(self, address: str) -> None:
         delay = BACKOFF_FIRST_SECONDS
         while True:
+            # A member may be known by two addresses; a second connection would
+            # replace the first one, again and again.
+            if self._member_at.get(address) in self._connections:
+                await asyncio.sleep(ANSWERING_SIDE_RETRY_SECONDS)
+                continue
             was_open = await self._dial_once(address)
             if was_open:
                 delay = BACKOFF_FIRST_SECONDS
@@ -135,7 +141,7 @@
         except (OSError, TimeoutError):
             return False
         connection = Connection(reader, writer)
-        return await self._serve(connection, dialed=True)
+        return await self._serve(connection, address)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -145,13 +151,20 @@
             self._handlers.add(task)
             task.add_done_callback(self._handlers.discard)
         with contextlib.suppress(asyncio.CancelledError):
-            await self._serve(Connection(reader, writer), dialed=False)
+            await self._serve(Connection(reader, writer), "")
+
+    async def _serve(self, connection: Connection, dialed: str) -> bool:
+        """Runs a connection until it ends; returns whether it was open.
 
-    async def _serve(self, connection: Connection, *, dialed: bool) -> bool:
-        """Runs a connection until it ends; returns whether it was open."""
+        Args:
+          connection: The connection.
+          dialed: Address that was dialed; "" for an accepted connection.
+        """
         try:
             peer = await connection.shake_hands(self._me)
-            if self._is_surplus(peer, dialed=dialed):
+            if dialed:
+                self._member_at[dialed] = peer.member_id
+            if self._is_surplus(peer, dialed=bool(dialed)):
                 connection.send(Goodbye(reason="the other side dials"))
                 await asyncio.sleep(ANSWERING_SIDE_RETRY_SECONDS)
                 return False
