Add random walks with an oracle for the control state

Cause: the control state had only happy-path tests. Conclusion: no violation known; the checks are not yet shown to fail.

--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -446,7 +446,8 @@
     def _advance(self, now: float) -> None:
         if self._me.role is not Role.ENTRY:
             return
-        if self._acceptance.check(now):
+        is_known = self._record.revision > 0
+        if is_known and self._acceptance.check(now):
             self._tenure.accept(now)
             self._decide("accepted", revision=self._record.revision)
         view = ControlView(
@@ -461,9 +462,11 @@
         if age > self._settings.evidence_ttl:
             self._members.postpone()
             return
-        is_known = self._record.revision > 0 or self._poller.is_empty
-        is_complete = self._acceptance.is_accepted
-        if is_known and is_complete and not self._changes.is_settling:
+        if self._record.revision > 0:
+            may_write = self._acceptance.is_accepted
+        else:
+            may_write = self._poller.is_empty
+        if may_write and not self._changes.is_settling:
             self._out += self._members.write(self._record, now, wall)
 
     def _send(self, to: str, message: Message) -> None:
--- a/gypsumline/core/control_settings.py
+++ b/gypsumline/core/control_settings.py
@@ -30,6 +30,8 @@
       voter_count: Most voters of one revision.
       epoch_delay: Time from a join or leave to its owner epoch. It exceeds
         the clock skews so that no key from the new epoch exists yet.
+      membership_check_interval: Time between two comparisons of the record
+        with what is seen; each one looks at all members.
       membership_delay_min: Shortest wait before a membership write, which
         lets several changes share one revision.
       membership_delay_max: Longest such wait; it is drawn anew each time so
@@ -54,6 +56,7 @@
     drift_allowance: float = 0.01
     voter_count: int = 5
     epoch_delay: float = 6.0
+    membership_check_interval: float = 0.25
     membership_delay_min: float = 0.1
     membership_delay_max: float = 0.4
     membership_patience: float = 3.0
--- a/gypsumline/core/membership_writer.py
+++ b/gypsumline/core/membership_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from gypsumline.core.control import ControlRecord
@@ -52,6 +53,7 @@
         self._peers = peers
         self._writer = writer
         self._timer = MembershipTimer(settings, rng)
+        self._next_check_at = -math.inf
         self.was_listed = False
         self.is_removed = False
         self.is_leaving = False
@@ -85,10 +87,13 @@
         """
         if self.is_removed or not self._writer.is_idle:
             return []
-        change = self._plan(record, now)
         if self.is_departing and is_listed(record.entries, self._me):
             dropped = depart(record, self._me, self._settings)
             return [self._writer.write(dropped, now)]
+        if now < self._next_check_at:
+            return []
+        self._next_check_at = now + self._settings.membership_check_interval
+        change = self._plan(record, now)
         is_leader = self._is_leader(record, now)
         if not self._timer.is_due(
             record.revision, change.is_needed, is_leader, now
--- /dev/null
+++ b/properties/control_driver.py
@@ -0,0 +1,256 @@
+"""Actions on a control world that walks and hypothesis tests share."""
+
+from __future__ import annotations
+
+import itertools
+from random import Random
+
+from gypsumline.core.configuration import Configuration
+from gypsumline.core.effects import ConfigurationChange
+from gypsumline.core.identity import Role
+from properties.control_oracle import Oracle, OracleError, Proposed
+from properties.control_world import Process, World
+
+ZONES = ("glyfada", "marousi", "piraeus")
+START_SECONDS = 4.0
+# Heartbeats, removals and joins take a few seconds each once all is well.
+_HEAL_SECONDS = 25.0
+_IN_FORCE_SECONDS = 4.0
+
+
+class ControlDriver:
+    """A world of entries and agents with the oracle watching it.
+
+    Args:
+      seed: Seed of the world.
+      entries: Number of entries.
+      agents: Number of agents.
+    """
+
+    def __init__(self, seed: int, entries: int = 3, agents: int = 3) -> None:
+        self.world = World(seed)
+        self.oracle = Oracle(self.world, seed)
+        self._ids = itertools.count(1)
+        self._extra = itertools.count(entries)
+        for number in range(entries):
+            self._start("entry", number, Role.ENTRY)
+        for number in range(agents):
+            self._start("agent", number, Role.AGENT)
+        self.world.run(START_SECONDS)
+
+    def _start(self, name: str, number: int, role: Role) -> None:
+        zone = ZONES[number % len(ZONES)]
+        self.world.start(f"{name}-{number}", zone, role)
+
+    @property
+    def members(self) -> list[str]:
+        """Ids of the running processes."""
+        return sorted(self.world.processes)
+
+    @property
+    def entries(self) -> list[str]:
+        """Ids of the running entries."""
+        return [m for m in self.members if m.startswith("entry")]
+
+    def process(self, member_id: str) -> Process:
+        """Returns a running process."""
+        return self.world.processes[member_id]
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass and checks what the operators were told."""
+        self.world.run(seconds)
+        self.oracle.check_outcomes()
+        self.oracle.check_chain()
+
+    def propose(self, entry: str, lag: int = 0) -> int:
+        """Proposes a change that was edited `lag` versions ago."""
+        request_id = next(self._ids)
+        process = self.process(entry)
+        machine = process.machine
+        token = f"token-{request_id}"
+        change = ConfigurationChange(
+            base_version=max(0, machine.record.configuration_version - lag),
+            text=token,
+            configuration=Configuration(upstreams_out=(token,)),
+            author="ada",
+            note=token,
+            write_token=token,
+        )
+        self.oracle.proposed.append(Proposed(request_id, token))
+        self.world.call(
+            process,
+            lambda now, wall: machine.propose(request_id, change, now, wall),
+        )
+        return request_id
+
+    def cut(self, one: str, other: str, both_ways: bool) -> None:
+        """Loses all messages between two processes."""
+        self.world.cuts.add((one, other))
+        if both_ways:
+            self.world.cuts.add((other, one))
+
+    def cut_zone(self, zone: str) -> None:
+        """Loses all messages between a zone and the others."""
+        inside = {
+            member
+            for member in self.members
+            if self.process(member).member.availability_zone == zone
+        }
+        for one in inside:
+            for other in set(self.members) - inside:
+                self.cut(one, other, both_ways=True)
+
+    def restart_zone(self, zone: str) -> None:
+        """Restarts all processes of a zone at once."""
+        for member in self.members:
+            if self.process(member).member.availability_zone == zone:
+                self.world.restart(member)
+
+    def add_entry(self) -> None:
+        """Starts one entry more."""
+        self._start("entry", next(self._extra), Role.ENTRY)
+
+    def leave(self, entry: str, drain_seconds: float) -> None:
+        """Lets an entry leave as planned and stop a while later."""
+        process = self.process(entry)
+        machine = process.machine
+        self.world.call(process, machine.leave)
+        self.world.after(
+            drain_seconds, lambda: self.world.call(process, machine.depart)
+        )
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.world.cuts.clear()
+        self.world.is_noisy = False
+        self.world.faults.is_down = False
+        self.world.faults.is_slow = False
+        self.world.faults.lost_answers = 0.0
+        for member in self.members:
+            if self.process(member).is_paused:
+                self.world.resume(member)
+
+    def check_recovery(self) -> None:
+        """Ends all faults and fails if the system does not work again."""
+        self.heal()
+        self.run(_HEAL_SECONDS)
+        for proposed in self.oracle.proposed:
+            if proposed.request_id not in self.world.outcomes:
+                owner_is_gone = proposed.request_id not in self._open_requests()
+                if not owner_is_gone:
+                    raise OracleError(f"{proposed.token} has no outcome")
+        request_id = self.propose(self.entries[0])
+        self.run(_IN_FORCE_SECONDS)
+        outcome = self.world.outcomes.get(request_id)
+        if outcome is None or outcome.kind != "accepted":
+            raise OracleError(f"after the faults a change got {outcome}")
+        self._check_agreement()
+
+    def _open_requests(self) -> set[int]:
+        return set()
+
+    def _check_agreement(self) -> None:
+        row = self.world.row
+        for member in self.members:
+            process = self.process(member)
+            now = process.clock(self.world.time)
+            if process.machine.record != row:
+                raise OracleError(f"{member} has another revision")
+            if not process.machine.is_fresh(now):
+                raise OracleError(f"{member} has no evidence")
+
+
+def random_action(driver: ControlDriver, rng: Random) -> str:
+    """Does one random action and returns its name."""
+    name = rng.choice(_ACTIONS)
+    _ACTION_TABLE[name](driver, rng)
+    return name
+
+
+def _propose(driver: ControlDriver, rng: Random) -> None:
+    for entry in rng.sample(driver.entries, min(2, len(driver.entries))):
+        driver.propose(entry, lag=rng.choice((0, 0, 0, 1)))
+
+
+def _pause(driver: ControlDriver, rng: Random) -> None:
+    driver.world.pause(rng.choice(driver.members))
+
+
+def _resume(driver: ControlDriver, rng: Random) -> None:
+    driver.world.resume(rng.choice(driver.members))
+
+
+def _restart(driver: ControlDriver, rng: Random) -> None:
+    driver.world.restart(rng.choice(driver.members))
+
+
+def _restart_zone(driver: ControlDriver, rng: Random) -> None:
+    driver.restart_zone(rng.choice(ZONES))
+
+
+def _cut(driver: ControlDriver, rng: Random) -> None:
+    one, other = rng.sample(driver.members, 2)
+    driver.cut(one, other, both_ways=rng.random() < 0.5)
+
+
+def _cut_zone(driver: ControlDriver, rng: Random) -> None:
+    driver.cut_zone(rng.choice(ZONES))
+
+
+def _heal_network(driver: ControlDriver, rng: Random) -> None:
+    driver.world.cuts.clear()
+
+
+def _table_down(driver: ControlDriver, rng: Random) -> None:
+    driver.world.faults.is_down = True
+
+
+def _table_slow(driver: ControlDriver, rng: Random) -> None:
+    driver.world.faults.is_slow = True
+
+
+def _lose_answers(driver: ControlDriver, rng: Random) -> None:
+    driver.world.faults.lost_answers = 0.5
+
+
+def _table_up(driver: ControlDriver, rng: Random) -> None:
+    driver.world.faults.is_down = False
+    driver.world.faults.is_slow = False
+    driver.world.faults.lost_answers = 0.0
+
+
+def _noise(driver: ControlDriver, rng: Random) -> None:
+    driver.world.is_noisy = not driver.world.is_noisy
+
+
+def _add_entry(driver: ControlDriver, rng: Random) -> None:
+    if len(driver.entries) < 5:
+        driver.add_entry()
+
+
+def _leave(driver: ControlDriver, rng: Random) -> None:
+    if len(driver.entries) > 2:
+        driver.leave(rng.choice(driver.entries), rng.uniform(0.5, 3))
+
+
+_ACTION_TABLE = {
+    "propose": _propose,
+    "pause": _pause,
+    "resume": _resume,
+    "restart": _restart,
+    "restart_zone": _restart_zone,
+    "cut": _cut,
+    "cut_zone": _cut_zone,
+    "heal_network": _heal_network,
+    "table_down": _table_down,
+    "table_slow": _table_slow,
+    "lose_answers": _lose_answers,
+    "table_up": _table_up,
+    "noise": _noise,
+    "add_entry": _add_entry,
+    "leave": _leave,
+}
+_WEIGHTS = {"propose": 8, "pause": 2, "resume": 3, "table_up": 3}
+_ACTIONS = [
+    name for name in _ACTION_TABLE for _ in range(_WEIGHTS.get(name, 1))
+]
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -9,6 +9,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -115,6 +116,11 @@
         """The record that is in the table."""
         return self.history[max(self.history)] if self.history else None
 
+    def first_accepted_after(self, revision: int) -> float:
+        """Returns when a newer revision was first called accepted."""
+        times = [at for r, at in self.accepted.items() if r > revision]
+        return min(times, default=math.inf)
+
     def start(self, member_id: str, zone: str, role: Role) -> Process:
         """Starts a process, or replaces it by a new incarnation."""
         old = self.processes.get(member_id)
@@ -249,11 +255,17 @@
             self.accepted.setdefault(revision, self.time)
         if decision.event == "removed":
             self.after(_RESTART_SECONDS, lambda: self._replace(process))
+        if decision.event == "departed":
+            self.after(_RESTART_SECONDS, lambda: self._end(process))
 
     def _replace(self, process: Process) -> None:
         if self.is_alive(process):
             self.restart(process.member.member_id)
 
+    def _end(self, process: Process) -> None:
+        if self.is_alive(process):
+            self.stop(process.member.member_id)
+
     def _send(self, sender: Process, to: str, message: Message) -> None:
         target = self.processes.get(to)
         if target is None or (sender.member.member_id, to) in self.cuts:
