Write a revision only when it can be accepted

Change: membership and configuration writes wait until enough voters are at hand; a leaving entry stays until a member has heard from it after the revision that drops it. Walks now also split the network and the access to the table.

--- a/gypsumline/core/change.py
+++ b/gypsumline/core/change.py
@@ -30,11 +30,13 @@
     Attributes:
       record: The newest known record.
       is_accepted: Whether that record is accepted.
+      is_complete: Whether the next revision may be written.
       read_at: Request time of the newest table read that was answered.
     """
 
     record: ControlRecord
     is_accepted: bool
+    is_complete: bool
     read_at: float
 
 
@@ -142,7 +144,7 @@
         if proposal.change.base_version != view.record.configuration_version:
             detail = _describe_newer(view.record, proposal.change.base_version)
             return self._refuse(proposal, view, detail)
-        if not view.is_accepted or not self._writer.is_idle:
+        if not view.is_complete or not self._writer.is_idle:
             return []
         proposal.attempt = _changed_record(view.record, proposal)
         return self._write(proposal, now)
--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -3,8 +3,8 @@
 Entries read and write the table; agents get records and evidence from entries.
 The shell feeds each input as it happens and calls `tick` every 50 ms or so.
 `on_connected` is for both directions of a connection, with the member from the
-peer's `Hello`. Heartbeats are sent by `tick`; the shell of an agent keeps
-`upstream` up to date.
+peer's `Hello`. `tick` sends the heartbeats; an agent's shell keeps `upstream`
+up to date.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
     TableReadResult,
     TableWriteResult,
 )
-from gypsumline.core.freshness import Freshness, RequestTimes, StatementRounds
+from gypsumline.core.evidence import Evidence
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.membership_writer import MembershipWriter
 from gypsumline.core.messages import (
@@ -47,11 +47,7 @@
 from gypsumline.core.record_writer import PendingWrite, RecordWriter
 from gypsumline.core.table_poller import TablePoller
 from gypsumline.core.tenure import Tenure
-from gypsumline.core.voter import Voter, is_listed
-
-# First sequence and round numbers are random below this, so that a reply to an
-# earlier incarnation does not match a request of this one.
-_SEQUENCE_RANGE = 2**40
+from gypsumline.core.voter import is_listed
 
 
 class ControlMachine:
@@ -73,10 +69,7 @@
         self._settings = settings
         self._record = ControlRecord()
         self._peers = PeerTable()
-        self._voter = Voter(me)
-        self._freshness = Freshness(settings.evidence_ttl)
-        self._requests = RequestTimes(rng.randrange(_SEQUENCE_RANGE))
-        self._rounds = StatementRounds(rng.randrange(_SEQUENCE_RANGE))
+        self._evidence = Evidence(me, settings, rng)
         self._poller = TablePoller(settings)
         self._writer = RecordWriter(me, settings)
         self._changes = ChangeQueue(settings, self._writer)
@@ -103,11 +96,11 @@
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether the evidence for the record is valid."""
-        return self._freshness.is_fresh(now)
+        return self._evidence.is_fresh(now)
 
     def evidence_age(self, now: float) -> float:
         """Returns the age of the evidence in seconds, or -1 without any."""
-        return self._freshness.age(now)
+        return self._evidence.age(now)
 
     def ready_at(self) -> float:
         """Returns when this entry may act as the owner of all its keys.
@@ -132,7 +125,7 @@
 
     def is_voter(self) -> bool:
         """Returns whether the newest known record lists this incarnation."""
-        return self._voter.is_voter
+        return self._evidence.voter.is_voter
 
     def tick(self, now: float, wall: float) -> list[Effect]:
         """Does what is due: heartbeats, reads, rounds, pushes and writes."""
@@ -224,10 +217,9 @@
     def depart(self, now: float, wall: float) -> list[Effect]:
         """Asks to be dropped from the record, after the owner has drained.
 
-        Ends in the decision "departed".
+        Ends in the decision "departed"; the process may exit then.
         """
-        self._members.is_leaving = True
-        self._members.is_departing = True
+        self._members.depart(self._record)
         return self._finish(now)
 
     def _tick_entry(self, is_beat: bool, now: float, wall: float) -> None:
@@ -246,7 +238,7 @@
             self._send_heartbeat(peer.member.member_id, now)
 
     def _send_heartbeat(self, to: str, now: float) -> None:
-        sequence = self._requests.send(now)
+        sequence = self._evidence.next_sequence(now)
         message: Message
         if self._me.role is Role.AGENT:
             message = Heartbeat(
@@ -293,11 +285,10 @@
         message: HeartbeatReply | PeerHeartbeatReply,
         now: float,
     ) -> None:
-        asked_at = self._requests.sent_at(message.sequence)
-        if asked_at is not None and message.evidence_age >= 0:
-            date = asked_at - message.evidence_age
-            self._freshness.note(message.revision, date)
+        asked_at = self._evidence.note_reply(message, now)
         self._note_revision(peer, message.revision, now)
+        if asked_at is not None:
+            self._members.on_reply(self._record, peer.member, asked_at)
 
     def _on_control_request(
         self, peer: Peer, message: ControlRequest, now: float
@@ -310,7 +301,7 @@
     ) -> None:
         self._adopt(message.record, now, source=peer.member.member_id)
         self._note_revision(peer, message.record.revision, now)
-        acknowledgement = self._voter.acknowledge()
+        acknowledgement = self._evidence.voter.acknowledge()
         if acknowledgement is not None:
             self._send(peer.member.member_id, acknowledgement)
 
@@ -323,13 +314,13 @@
     def _on_statement_request(
         self, peer: Peer, message: StatementRequest, now: float
     ) -> None:
-        statement = self._voter.state(message)
+        statement = self._evidence.voter.state(message)
         if statement is not None:
             self._send(peer.member.member_id, statement)
 
     def _on_statement(self, peer: Peer, message: Statement, now: float) -> None:
         self._note_revision(peer, message.revision, now)
-        self._count_statement(peer.member, message)
+        self._evidence.note_statement(peer.member, message, now)
 
     def _note_revision(self, peer: Peer, revision: int, now: float) -> None:
         peer.revision = max(peer.revision, revision)
@@ -353,7 +344,7 @@
         if not isinstance(record, ControlRecord):
             return
         self._adopt(record, now, source="table")
-        self._freshness.note(record.revision, result.asked_at)
+        self._evidence.note_table(record.revision, result.asked_at)
 
     def _on_write(self, pending: PendingWrite, kind: str, now: float) -> None:
         self._decide(
@@ -364,7 +355,7 @@
         )
         if kind == "written":
             self._adopt(pending.record, now, source="own write")
-            self._freshness.note(pending.record.revision, pending.asked_at)
+            self._evidence.note_table(pending.record.revision, pending.asked_at)
         else:
             self._poller.read_soon(now)
         if pending.purpose == "change":
@@ -384,8 +375,7 @@
             configuration_version=record.configuration_version,
             source=source,
         )
-        self._voter.learn(record)
-        self._freshness.learn(record.revision)
+        self._evidence.learn(record)
         if self._me.role is Role.ENTRY:
             self._adopt_as_entry(previous, now, source)
 
@@ -402,8 +392,7 @@
             if not is_listed(record.entries, entry):
                 self._decide("member_removed", member=entry.member_id)
         if self._members.learn(record, now):
-            event = "departed" if self._members.is_departing else "removed"
-            self._decide(event, revision=record.revision)
+            self._decide("removed", revision=record.revision)
         if source in ("table", "own write"):
             self._push_to_all()
         else:
@@ -430,18 +419,11 @@
         table_age = now - self._poller.answered_at
         if table_age <= 2 * self._settings.table_poll_interval:
             return
-        request = self._rounds.start(self._record, now)
-        own = self._voter.state(request)
-        if own is not None:
-            self._count_statement(self._me, own)
-        for voter in self._record.voters:
-            if voter.member_id != self._me.member_id:
-                self._send(voter.member_id, request)
-
-    def _count_statement(self, sender: Member, statement: Statement) -> None:
-        asked = self._rounds.add(sender, statement)
-        if asked is not None:
-            self._freshness.note(asked.revision, asked.asked_at)
+        if not self._record.voters:
+            return
+        request, voters = self._evidence.start_round(self._record, now)
+        for member_id in voters:
+            self._send(member_id, request)
 
     def _advance(self, now: float) -> None:
         if self._me.role is not Role.ENTRY:
@@ -453,6 +435,7 @@
         view = ControlView(
             record=self._record,
             is_accepted=self._acceptance.is_accepted,
+            is_complete=self._is_complete(now),
             read_at=self._poller.answered_at,
         )
         self._out += self._changes.advance(view, now)
@@ -463,12 +446,22 @@
             self._members.postpone()
             return
         if self._record.revision > 0:
-            may_write = self._acceptance.is_accepted
+            may_write = self._is_complete(now)
         else:
             may_write = self._poller.is_empty
         if may_write and not self._changes.is_settling:
             self._out += self._members.write(self._record, now, wall)
 
+    def _is_complete(self, now: float) -> bool:
+        """Returns whether the next revision may be written.
+
+        The present one must be accepted. Without enough voters at hand the
+        next one could not be accepted and would hold up all later ones.
+        """
+        return self._acceptance.is_accepted and self._members.reaches_voters(
+            self._record, now
+        )
+
     def _send(self, to: str, message: Message) -> None:
         self._out.append(Send(to=to, message=message))
 
@@ -476,6 +469,8 @@
         self._out.append(Decision(event=event, fields=fields))
 
     def _finish(self, now: float) -> list[Effect]:
+        if self._members.take_departed():
+            self._decide("departed", revision=self._record.revision)
         is_fresh = self.is_fresh(now)
         if is_fresh != self._was_fresh:
             self._was_fresh = is_fresh
--- a/gypsumline/core/membership_writer.py
+++ b/gypsumline/core/membership_writer.py
@@ -20,7 +20,7 @@
 from gypsumline.core.membership_timer import MembershipTimer
 from gypsumline.core.peers import Peer, PeerTable
 from gypsumline.core.record_writer import RecordWriter
-from gypsumline.core.voter import is_listed
+from gypsumline.core.voter import is_listed, is_same_incarnation, majority
 
 
 class MembershipWriter:
@@ -37,7 +37,6 @@
       was_listed: Whether a known record listed this incarnation.
       is_removed: Whether a later record dropped it.
       is_leaving: Whether it leaves as planned.
-      is_departing: Whether it has drained and asks to be dropped.
     """
 
     def __init__(
@@ -57,7 +56,10 @@
         self.was_listed = False
         self.is_removed = False
         self.is_leaving = False
-        self.is_departing = False
+        self._removed_at = math.inf
+        self._is_departing = False
+        self._has_departed = False
+        self._told_departed = False
 
     @property
     def is_joining(self) -> bool:
@@ -65,7 +67,11 @@
         return not (self.was_listed or self.is_removed or self.is_leaving)
 
     def learn(self, record: ControlRecord, now: float) -> bool:
-        """Takes over a newer record; returns whether it drops this entry."""
+        """Takes over a newer record.
+
+        Returns:
+          Whether it drops this incarnation, which did not ask to leave.
+        """
         for member in record.entries + record.voters:
             if member.member_id != self._me.member_id:
                 self._peers.expect(member, now)
@@ -75,8 +81,59 @@
         if self.is_removed or not self._is_superseded(record):
             return False
         self.is_removed = True
+        self._removed_at = now
+        return not self.is_leaving
+
+    def depart(self, record: ControlRecord) -> None:
+        """Asks to be dropped, if another entry stays to serve."""
+        self.is_leaving = True
+        self._is_departing = True
+        others = [
+            entry
+            for entry in record.entries
+            if entry.member_id != self._me.member_id
+        ]
+        self._has_departed = self._has_departed or not others
+
+    def on_reply(
+        self, record: ControlRecord, sender: Member, asked_at: float
+    ) -> None:
+        """Notes that a member has seen a heartbeat of a given time.
+
+        A leaving voter counts for the revision that drops it only if a member
+        hears from it afterwards, so it stays until one has.
+        """
+        is_later = self.is_removed and asked_at >= self._removed_at
+        if self.is_leaving and is_later and is_listed(record.entries, sender):
+            self._has_departed = True
+
+    def take_departed(self) -> bool:
+        """Returns whether the process may exit; tells so once."""
+        if not self._has_departed or self._told_departed:
+            return False
+        self._told_departed = True
         return True
 
+    def reaches_voters(self, record: ControlRecord, now: float) -> bool:
+        """Returns whether the next revision could be accepted."""
+        silent = [
+            voter
+            for voter in record.voters
+            if not (
+                is_same_incarnation(voter, self._me)
+                or self._answers(voter, now)
+            )
+        ]
+        return len(silent) < majority(len(record.voters))
+
+    def _answers(self, voter: Member, now: float) -> bool:
+        peer = self._peers.find(voter.member_id)
+        if peer is None:
+            return False
+        if peer.member.incarnation != voter.incarnation:
+            return peer.member.incarnation > voter.incarnation
+        return peer.connected and self._presence(peer, now) is Presence.ALIVE
+
     def write(
         self, record: ControlRecord, now: float, wall: float
     ) -> list[WriteTable]:
@@ -87,7 +144,7 @@
         """
         if self.is_removed or not self._writer.is_idle:
             return []
-        if self.is_departing and is_listed(record.entries, self._me):
+        if self._is_departing and is_listed(record.entries, self._me):
             dropped = depart(record, self._me, self._settings)
             return [self._writer.write(dropped, now)]
         if now < self._next_check_at:
--- a/properties/control_driver.py
+++ b/properties/control_driver.py
@@ -76,7 +76,7 @@
             note=token,
             write_token=token,
         )
-        self.oracle.proposed.append(Proposed(request_id, token))
+        self.oracle.proposed.append(Proposed(request_id, token, process))
         self.world.call(
             process,
             lambda now, wall: machine.propose(request_id, change, now, wall),
@@ -91,19 +91,25 @@
 
     def cut_zone(self, zone: str) -> None:
         """Loses all messages between a zone and the others."""
-        inside = {
-            member
-            for member in self.members
-            if self.process(member).member.availability_zone == zone
-        }
+        inside = {m for m in self.members if self._zone(m) == zone}
         for one in inside:
             for other in set(self.members) - inside:
                 self.cut(one, other, both_ways=True)
 
+    def _zone(self, member: str) -> str:
+        return self.process(member).member.availability_zone
+
+    def split(self, side: set[str]) -> None:
+        """Cuts some processes off from the others and from the table."""
+        for one in side:
+            for other in set(self.members) - side:
+                self.cut(one, other, both_ways=True)
+        self.world.faults.unreachable |= side
+
     def restart_zone(self, zone: str) -> None:
         """Restarts all processes of a zone at once."""
         for member in self.members:
-            if self.process(member).member.availability_zone == zone:
+            if self._zone(member) == zone:
                 self.world.restart(member)
 
     def add_entry(self) -> None:
@@ -123,9 +129,7 @@
         """Ends all faults."""
         self.world.cuts.clear()
         self.world.is_noisy = False
-        self.world.faults.is_down = False
-        self.world.faults.is_slow = False
-        self.world.faults.lost_answers = 0.0
+        self.world.faults.clear()
         for member in self.members:
             if self.process(member).is_paused:
                 self.world.resume(member)
@@ -135,10 +139,9 @@
         self.heal()
         self.run(_HEAL_SECONDS)
         for proposed in self.oracle.proposed:
-            if proposed.request_id not in self.world.outcomes:
-                owner_is_gone = proposed.request_id not in self._open_requests()
-                if not owner_is_gone:
-                    raise OracleError(f"{proposed.token} has no outcome")
+            is_open = proposed.request_id not in self.world.outcomes
+            if is_open and self.world.is_alive(proposed.process):
+                raise OracleError(f"{proposed.token} has no outcome")
         request_id = self.propose(self.entries[0])
         self.run(_IN_FORCE_SECONDS)
         outcome = self.world.outcomes.get(request_id)
@@ -146,9 +149,6 @@
             raise OracleError(f"after the faults a change got {outcome}")
         self._check_agreement()
 
-    def _open_requests(self) -> set[int]:
-        return set()
-
     def _check_agreement(self) -> None:
         row = self.world.row
         for member in self.members:
@@ -197,6 +197,14 @@
     driver.cut_zone(rng.choice(ZONES))
 
 
+def _split(driver: ControlDriver, rng: Random) -> None:
+    # At least one entry stays on each side, else one side decides nothing.
+    first, *others = rng.sample(driver.entries, len(driver.entries))
+    agents = [m for m in driver.members if m not in driver.entries]
+    side = {first} | {m for m in agents if rng.random() < 0.6}
+    driver.split(side | {m for m in others[1:] if rng.random() < 0.5})
+
+
 def _heal_network(driver: ControlDriver, rng: Random) -> None:
     driver.world.cuts.clear()
 
@@ -214,9 +222,7 @@
 
 
 def _table_up(driver: ControlDriver, rng: Random) -> None:
-    driver.world.faults.is_down = False
-    driver.world.faults.is_slow = False
-    driver.world.faults.lost_answers = 0.0
+    driver.world.faults.clear()
 
 
 def _noise(driver: ControlDriver, rng: Random) -> None:
@@ -241,6 +247,7 @@
     "restart_zone": _restart_zone,
     "cut": _cut,
     "cut_zone": _cut_zone,
+    "split": _split,
     "heal_network": _heal_network,
     "table_down": _table_down,
     "table_slow": _table_slow,
@@ -250,7 +257,7 @@
     "add_entry": _add_entry,
     "leave": _leave,
 }
-_WEIGHTS = {"propose": 8, "pause": 2, "resume": 3, "table_up": 3}
+_WEIGHTS = {"propose": 8, "pause": 2, "resume": 3, "table_up": 3, "split": 3}
 _ACTIONS = [
     name for name in _ACTION_TABLE for _ in range(_WEIGHTS.get(name, 1))
 ]
--- a/properties/control_oracle.py
+++ b/properties/control_oracle.py
@@ -27,6 +27,7 @@
 
     request_id: int
     token: str
+    process: Process
 
 
 class Oracle:
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -43,14 +43,26 @@
 
     Attributes:
       is_down: Nothing takes effect and nothing is answered.
+      unreachable: Ids of the processes that do not reach it.
       is_slow: Operations take up to 3 s in all.
       lost_answers: Share of writes that take effect without an answer.
     """
 
     is_down: bool = False
+    unreachable: set[str] = dataclasses.field(default_factory=set)
     is_slow: bool = False
     lost_answers: float = 0.0
 
+    def blocks(self, member_id: str) -> bool:
+        """Returns whether a process gets no answer."""
+        return self.is_down or member_id in self.unreachable
+
+    def clear(self) -> None:
+        """Ends all faults."""
+        self.is_down = self.is_slow = False
+        self.unreachable.clear()
+        self.lost_answers = 0.0
+
 
 class Process:
     """One incarnation of an entry or agent with its clock."""
@@ -314,7 +326,7 @@
             self.call(process, lambda n, w: machine.on_table(result, n, w))
 
         def arrive() -> None:
-            if self.faults.is_down:
+            if self.faults.blocks(process.member.member_id):
                 timeout = _TABLE_TIMEOUT_SECONDS
                 self.after(timeout, lambda: answer(False, None, ""))
                 return
@@ -334,7 +346,7 @@
 
         def arrive() -> None:
             timeout = _TABLE_TIMEOUT_SECONDS
-            if self.faults.is_down:
+            if self.faults.blocks(process.member.member_id):
                 self.after(timeout, lambda: answer("unknown"))
                 return
             kind = self._compare_and_set(effect)
