--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -9,6 +9,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -42,14 +43,26 @@
 
     Attributes:
       is_down: Nothing takes effect and nothing is answered.
+      unreachable: Ids of the processes that do not reach it.
       is_slow: Operations take up to 3 s in all.
       lost_answers: Share of writes that take effect without an answer.
     """
 
     is_down: bool = False
+    unreachable: set[str] = dataclasses.field(default_factory=set)
     is_slow: bool = False
     lost_answers: float = 0.0
 
+    def blocks(self, member_id: str) -> bool:
+        """Returns whether a process gets no answer."""
+        return self.is_down or member_id in self.unreachable
+
+    def clear(self) -> None:
+        """Ends all faults."""
+        self.is_down = self.is_slow = False
+        self.unreachable.clear()
+        self.lost_answers = 0.0
+
 
 class Process:
     """One incarnation of an entry or agent with its clock."""
@@ -115,6 +128,11 @@
         """The record that is in the table."""
         return self.history[max(self.history)] if self.history else None
 
+    def first_accepted_after(self, revision: int) -> float:
+        """Returns when a newer revision was first called accepted."""
+        times = [at for r, at in self.accepted.items() if r > revision]
+        return min(times, default=math.inf)
+
     def start(self, member_id: str, zone: str, role: Role) -> Process:
         """Starts a process, or replaces it by a new incarnation."""
         old = self.processes.get(member_id)
@@ -249,11 +267,17 @@
             self.accepted.setdefault(revision, self.time)
         if decision.event == "removed":
             self.after(_RESTART_SECONDS, lambda: self._replace(process))
+        if decision.event == "departed":
+            self.after(_RESTART_SECONDS, lambda: self._end(process))
 
     def _replace(self, process: Process) -> None:
         if self.is_alive(process):
             self.restart(process.member.member_id)
 
+    def _end(self, process: Process) -> None:
+        if self.is_alive(process):
+            self.stop(process.member.member_id)
+
     def _send(self, sender: Process, to: str, message: Message) -> None:
         target = self.processes.get(to)
         if target is None or (sender.member.member_id, to) in self.cuts:
@@ -302,7 +326,7 @@
             self.call(process, lambda n, w: machine.on_table(result, n, w))
 
         def arrive() -> None:
-            if self.faults.is_down:
+            if self.faults.blocks(process.member.member_id):
                 timeout = _TABLE_TIMEOUT_SECONDS
                 self.after(timeout, lambda: answer(False, None, ""))
                 return
@@ -322,7 +346,7 @@
 
         def arrive() -> None:
             timeout = _TABLE_TIMEOUT_SECONDS
-            if self.faults.is_down:
+            if self.faults.blocks(process.member.member_id):
                 self.after(timeout, lambda: answer("unknown"))
                 return
             kind = self._compare_and_set(effect)
