Add the commands for jobs, the configuration and the status

They talk HTTP to the first entry that answers and tell refused, unknown and not reachable apart in text and exit status.

A test of a lost answer to a PUT saw two PUTs at the stand-in entry: aiohttp sends PUT and DELETE again when the connection breaks, and the second one would have been refused because of the first. A client middleware now ends such a request with an unknown outcome (one PUT seen), and a refusal is checked against the write token, since a balancer may do the same.

--- /dev/null
+++ b/gypsumline/cli/client.py
@@ -0,0 +1,248 @@
+"""HTTP client of the entries, for callers and operators."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import typing
+import urllib.parse
+from collections.abc import AsyncIterator, Sequence
+
+import aiohttp
+
+from gypsumline.cli.options import DEFAULT_ENTRY_URL
+from gypsumline.core.errors import GypsumlineError, InvalidInputError
+
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+CONNECT_LIMIT_SECONDS = 3.0
+# Time for an answer beyond the time that the request asks to wait.
+ANSWER_LIMIT_SECONDS = 10.0
+_SERVICE_UNAVAILABLE = 503
+_PROBLEM_STATUS_MIN = 400
+
+Body = dict[str, typing.Any]
+
+
+class NotReachableError(GypsumlineError):
+    """No entry answered.
+
+    Attributes:
+      reasons: What happened, by the base URL of the entry.
+      maybe_taken: Whether an entry may have received the request.
+    """
+
+    def __init__(self, reasons: dict[str, str], maybe_taken: bool) -> None:
+        self.reasons = reasons
+        self.maybe_taken = maybe_taken
+        tried = "; ".join(f"{url}: {text}" for url, text in reasons.items())
+        super().__init__(f"no entry answered ({tried})")
+
+
+class ProblemError(GypsumlineError):
+    """An entry answered with problem details (RFC 9457).
+
+    Attributes:
+      status: HTTP status.
+      problem: The problem details.
+    """
+
+    def __init__(self, status: int, problem: Body) -> None:
+        self.status = status
+        self.problem = problem
+        title = problem.get("title") or f"HTTP status {status}"
+        detail = problem.get("detail")
+        super().__init__(f"{title}: {detail}" if detail else str(title))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """One request.
+
+    Attributes:
+      method: HTTP method.
+      path: Path with the leading slash.
+      query: Query parameters.
+      body: JSON value, or None for no body.
+      headers: Headers beyond the usual ones.
+      wait: Seconds that the entry may take on request.
+      is_repeatable: Whether another entry may get the request after one that
+        may have received it.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: Body | None = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    wait: float = 0.0
+    is_repeatable: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """The answer of an entry.
+
+    Attributes:
+      url: Base URL of the entry.
+      status: HTTP status.
+      body: The JSON object.
+    """
+
+    url: str
+    status: int
+    body: Body
+
+
+class _FailedAttemptError(GypsumlineError):
+    """One entry gave no usable answer."""
+
+    def __init__(self, reason: str, maybe_taken: bool) -> None:
+        self.maybe_taken = maybe_taken
+        super().__init__(reason)
+
+
+class EntryClient:
+    """Sends requests to the first entry that answers."""
+
+    def __init__(
+        self, urls: Sequence[str], session: aiohttp.ClientSession
+    ) -> None:
+        self._urls = tuple(urls)
+        self._session = session
+
+    @property
+    def urls(self) -> tuple[str, ...]:
+        """Base URLs of the entries, in the order in which they are tried."""
+        return self._urls
+
+    async def send(self, request: Request) -> Response:
+        """Returns the answer of the first entry that gives one.
+
+        Raises:
+          NotReachableError: No entry gave an answer.
+          ProblemError: The answer is a problem.
+        """
+        reasons: dict[str, str] = {}
+        maybe_taken = False
+        for url in self._urls:
+            try:
+                return await self.send_to(url, request)
+            except _FailedAttemptError as error:
+                reasons[url] = str(error)
+                maybe_taken = maybe_taken or error.maybe_taken
+            if maybe_taken and not request.is_repeatable:
+                break
+        raise NotReachableError(reasons, maybe_taken)
+
+    async def get_from(self, url: str, path: str) -> Response:
+        """Returns the answer of one entry.
+
+        Raises:
+          NotReachableError: The entry gave no answer.
+          ProblemError: The answer is a problem.
+        """
+        try:
+            return await self.send_to(url, Request(method="GET", path=path))
+        except _FailedAttemptError as error:
+            raise NotReachableError({url: str(error)}, False) from error
+
+    async def send_to(self, url: str, request: Request) -> Response:
+        """Returns the answer of one entry, or raises a private error."""
+        timeout = aiohttp.ClientTimeout(
+            total=request.wait + ANSWER_LIMIT_SECONDS,
+            sock_connect=CONNECT_LIMIT_SECONDS,
+        )
+        try:
+            async with self._session.request(
+                request.method,
+                url + request.path,
+                params=request.query,
+                json=request.body,
+                headers=request.headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                raw = await response.read()
+                return _check(url, response, raw)
+        except aiohttp.ClientConnectorError as error:
+            reason = f"cannot connect: {error.os_error.strerror}"
+            raise _FailedAttemptError(reason, False) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise _FailedAttemptError(
+                "cannot connect in time", False
+            ) from error
+        except TimeoutError as error:
+            raise _FailedAttemptError("no answer in time", True) from error
+        except (aiohttp.ClientError, OSError) as error:
+            reason = str(error) or type(error).__name__
+            raise _FailedAttemptError(reason, True) from error
+
+
+@contextlib.asynccontextmanager
+async def open_client(urls: Sequence[str]) -> AsyncIterator[EntryClient]:
+    """Yields a client of the entries at these base URLs."""
+    async with aiohttp.ClientSession(middlewares=(_send_once,)) as session:
+        yield EntryClient(urls, session)
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # aiohttp sends a PUT or DELETE again when the connection breaks. A change
+    # of the configuration would then be refused because of itself.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        reason = str(error) or type(error).__name__
+        raise _FailedAttemptError(reason, True) from error
+
+
+def parse_urls(texts: Sequence[str]) -> list[str]:
+    """Returns base URLs from options that may hold several each.
+
+    Without any option it is the one of a local entry.
+
+    Raises:
+      InvalidInputError: A text is not a base URL.
+    """
+    given = list(texts) or [DEFAULT_ENTRY_URL]
+    parts = [part for text in given for part in text.replace(",", " ").split()]
+    if not parts:
+        raise InvalidInputError("entry", "", "at least one base URL")
+    return [_parse_url(part) for part in parts]
+
+
+def _parse_url(text: str) -> str:
+    allowed = "a base URL such as http://127.0.0.1:8080"
+    try:
+        parts = urllib.parse.urlsplit(text)
+        _ = parts.port
+    except ValueError as error:
+        raise InvalidInputError("entry", text, allowed) from error
+    is_plain = not parts.query and not parts.fragment
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise InvalidInputError("entry", text, allowed)
+    if not is_plain:
+        raise InvalidInputError("entry", text, allowed)
+    return text.rstrip("/")
+
+
+def _check(url: str, response: aiohttp.ClientResponse, raw: bytes) -> Response:
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        reason = f"HTTP status {response.status} without a JSON body"
+        raise _FailedAttemptError(reason, True) from error
+    if not isinstance(body, dict):
+        reason = f"HTTP status {response.status} without a JSON object"
+        raise _FailedAttemptError(reason, True)
+    if response.content_type != PROBLEM_MEDIA_TYPE:
+        return Response(url=url, status=response.status, body=body)
+    problem = ProblemError(response.status, body)
+    if response.status == _SERVICE_UNAVAILABLE:
+        # The entry starts or leaves and has taken nothing.
+        raise _FailedAttemptError(str(problem), False) from problem
+    raise problem
--- /dev/null
+++ b/gypsumline/cli/config_commands.py
@@ -0,0 +1,384 @@
+"""The commands `gypsumline config`."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import typing
+import uuid
+from pathlib import Path
+
+import typer
+
+from gypsumline.cli import output
+from gypsumline.cli.client import (
+    Body,
+    NotReachableError,
+    ProblemError,
+    Request,
+    Response,
+    open_client,
+    parse_urls,
+)
+from gypsumline.cli.exit_status import ExitStatus
+from gypsumline.cli.files import read_text
+from gypsumline.cli.options import EntryOption, OutputFormat, OutputOption
+from gypsumline.cli.rollout import wait_until_in_force, warnings_about
+from gypsumline.core.configuration_text import (
+    base_version_of,
+    diff_texts,
+    parse_configuration,
+    with_base_version,
+    without_base,
+)
+from gypsumline.core.errors import InvalidInputError
+
+CONFIGURATION_PATH = "/v1/configuration"
+# A change waits for a majority of the voters; see `stop_limit`.
+CHANGE_LIMIT_SECONDS = 30.0
+_NOT_FOUND = 404
+_OK = 200
+_CONFLICT = 409
+
+app = typer.Typer(no_args_is_help=True, rich_markup_mode="markdown")
+
+FileArgument = typing.Annotated[
+    str,
+    typer.Argument(
+        metavar="FILE",
+        help="The operators' text; - reads the standard input.",
+    ),
+]
+
+
+@app.callback()
+def _config() -> None:
+    """Check, apply and look at the operators' configuration."""
+
+
+@app.command()
+def check(
+    file: FileArgument,
+    offline: typing.Annotated[
+        bool,
+        typer.Option("--offline", help="Check here, without asking an entry."),
+    ] = False,
+    entry: EntryOption = None,
+    output_format: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Check a text and show all its errors, without applying it.
+
+    Example: `gypsumline config check configuration.yaml`
+    """
+    text = read_text(file)
+    parsed = parse_configuration(text)
+    warnings: list[str] = []
+    if not offline:
+        request = Request(
+            method="POST",
+            path=f"{CONFIGURATION_PATH}/check",
+            body={"text": text},
+        )
+        _send(entry, request)
+        warnings = asyncio.run(warnings_about(_urls(entry), parsed))
+    output.write_warnings(warnings)
+    output.write_result("valid", {"valid": True}, output_format)
+
+
+@app.command()
+def apply(  # noqa: PLR0913 - one parameter per option
+    file: FileArgument,
+    note: typing.Annotated[
+        str, typer.Option(help="Why; other operators see it.")
+    ],
+    author: typing.Annotated[
+        str | None, typer.Option(help="Who asks. Default: the login name.")
+    ] = None,
+    base: typing.Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            metavar="N",
+            help="Version that the text was edited from; 0 for the first. "
+            "Default: what config show --save wrote in the first line.",
+        ),
+    ] = None,
+    wait: typing.Annotated[
+        bool,
+        typer.Option("--wait", help="Wait until it is in force everywhere."),
+    ] = False,
+    wait_limit: typing.Annotated[
+        float,
+        typer.Option(min=0, metavar="SECONDS", help="Longest time to wait."),
+    ] = 30.0,
+    entry: EntryOption = None,
+    output_format: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Apply a text as the next version.
+
+    It is accepted as a version; or refused, with what came between and by
+    whom, if another version was accepted since the text was fetched; or its
+    outcome is unknown, with the token to ask by.
+
+    For example:
+
+    - `gypsumline config show --save configuration.yaml`
+    - edit the file
+    - `gypsumline config apply configuration.yaml --note "marousi is back"
+      --wait`
+    """
+    given = read_text(file)
+    text = without_base(given)
+    parsed = parse_configuration(text)
+    body: Body = {
+        "base_version": _base_of(given, base),
+        "text": text,
+        "author": author or _login_name(),
+        "note": note,
+        "write_token": uuid.uuid4().hex,
+    }
+    output.write_warnings(asyncio.run(warnings_about(_urls(entry), parsed)))
+    outcome = _put(entry, body)
+    output.write_change(outcome, output_format)
+    if outcome["kind"] == "refused":
+        raise typer.Exit(ExitStatus.REFUSED)
+    if outcome["kind"] != "accepted":
+        raise typer.Exit(ExitStatus.UNKNOWN)
+    if wait:
+        version = int(outcome["version"])
+        missing = asyncio.run(
+            wait_until_in_force(_urls(entry), version, wait_limit)
+        )
+        output.write_rollout(version, missing, output_format)
+        if missing:
+            raise typer.Exit(ExitStatus.UNKNOWN)
+
+
+@app.command()
+def show(
+    version: typing.Annotated[
+        int | None,
+        typer.Option(
+            "--version", min=0, metavar="N", help="Default: the newest."
+        ),
+    ] = None,
+    token: typing.Annotated[
+        str | None,
+        typer.Option(help="Find the version by the token of its write."),
+    ] = None,
+    save: typing.Annotated[
+        str | None,
+        typer.Option(
+            metavar="FILE", help="Write the text there, ready to be edited."
+        ),
+    ] = None,
+    entry: EntryOption = None,
+    output_format: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Show the configuration in force, or another version.
+
+    The text starts with the line `# gypsumline: base version N`, which
+    `config apply` reads.
+
+    For example:
+
+    - `gypsumline config show --save configuration.yaml`
+    - `gypsumline config show --version 12`
+    """
+    row = _fetch(entry, version, token)
+    if row is None:
+        output.write_error(
+            f"no version has the write token {token} so far; ask again in a "
+            "few seconds"
+        )
+        raise typer.Exit(ExitStatus.UNKNOWN)
+    if save is not None:
+        _save(save, with_base_version(row["text"], int(row["version"])))
+        output.write_result(
+            f"version {row['version']} saved in {save}",
+            {"version": row["version"], "file": save},
+            output_format,
+        )
+        return
+    output.write_configuration(row, output_format)
+
+
+@app.command()
+def history(
+    entry: EntryOption = None, output_format: OutputOption = OutputFormat.TEXT
+) -> None:
+    """Show the versions with their time, author and note, newest first."""
+    request = Request(method="GET", path=f"{CONFIGURATION_PATH}/history")
+    output.write_history(_send(entry, request).body, output_format)
+
+
+@app.command()
+def diff(
+    file: typing.Annotated[
+        str | None,
+        typer.Argument(
+            metavar="FILE", help="Text to compare; default: the newest."
+        ),
+    ] = None,
+    old: typing.Annotated[
+        int | None,
+        typer.Option(
+            "--from",
+            min=0,
+            metavar="N",
+            help="Version to compare with. Default: the newest, or the one "
+            "before it if there is no file.",
+        ),
+    ] = None,
+    new: typing.Annotated[
+        int | None,
+        typer.Option("--to", min=0, metavar="N", help="Version to compare."),
+    ] = None,
+    entry: EntryOption = None,
+    output_format: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Show the difference between two versions, or of a file to a version.
+
+    For example:
+
+    - `gypsumline config diff configuration.yaml`
+    - `gypsumline config diff --from 11 --to 12`
+    """
+    if file is not None and new is not None:
+        raise InvalidInputError("to", new, "no --to together with a file")
+    if file is not None:
+        after, after_name = without_base(read_text(file)), file
+        before, before_name = _text_of(_fetch(entry, old))
+    else:
+        newest = _fetch(entry, new)
+        after, after_name = _text_of(newest)
+        previous = max(0, int((newest or {}).get("version", 0)) - 1)
+        before, before_name = _text_of(
+            _fetch(entry, previous if old is None else old)
+        )
+    difference = diff_texts(before, after, before_name, after_name)
+    output.write_result(
+        difference.rstrip("\n") or "no difference",
+        {"diff": difference},
+        output_format,
+    )
+
+
+def _urls(entry: list[str] | None) -> list[str]:
+    return parse_urls(entry or [])
+
+
+def _send(entry: list[str] | None, request: Request) -> Response:
+    async def send() -> Response:
+        async with open_client(_urls(entry)) as client:
+            return await client.send(request)
+
+    return asyncio.run(send())
+
+
+def _put(entry: list[str] | None, body: Body) -> Body:
+    request = Request(
+        method="PUT",
+        path=CONFIGURATION_PATH,
+        body=body,
+        wait=CHANGE_LIMIT_SECONDS,
+        # After a lost answer a second try could only be refused by the first.
+        is_repeatable=False,
+    )
+    try:
+        response = _send(entry, request)
+    except NotReachableError as error:
+        if not error.maybe_taken:
+            raise
+        return _unknown(body, str(error))
+    except ProblemError as error:
+        if error.status < 500:
+            raise
+        return _unknown(body, str(error))
+    is_typed = (response.status, response.body.get("kind")) in (
+        (_OK, "accepted"),
+        (_CONFLICT, "refused"),
+    )
+    if not is_typed or not isinstance(response.body.get("version"), int):
+        return _unknown(body, str(response.body.get("detail", "")))
+    if response.body["kind"] == "refused":
+        return _accepted_before(entry, body) or response.body
+    return response.body
+
+
+def _accepted_before(entry: list[str] | None, body: Body) -> Body | None:
+    # A balancer may send a PUT twice; the second one is refused because the
+    # first one has taken effect.
+    try:
+        row = _fetch(entry, None, body["write_token"])
+    except (NotReachableError, ProblemError):
+        return None
+    if row is None or row.get("write_token") != body["write_token"]:
+        return None
+    return {"kind": "accepted", "version": row["version"]}
+
+
+def _unknown(body: Body, detail: str) -> Body:
+    return {
+        "kind": "unknown",
+        "write_token": body["write_token"],
+        "detail": detail,
+    }
+
+
+def _fetch(
+    entry: list[str] | None, version: int | None, token: str | None = None
+) -> Body | None:
+    if version is not None and token is not None:
+        raise InvalidInputError("token", token, "either a version or a token")
+    query = {}
+    if version is not None:
+        query["version"] = str(version)
+    if token is not None:
+        query["token"] = token
+    request = Request(method="GET", path=CONFIGURATION_PATH, query=query)
+    try:
+        response = _send(entry, request)
+    except ProblemError as error:
+        if error.status == _NOT_FOUND and token is not None:
+            return None
+        raise
+    row = response.body
+    if not isinstance(row.get("text"), str) or "version" not in row:
+        title = "The answer holds no configuration"
+        raise ProblemError(response.status, {"title": title})
+    return row
+
+
+def _text_of(row: Body | None) -> tuple[str, str]:
+    if row is None:
+        return "", "nothing"
+    return str(row["text"]), f"version {row['version']}"
+
+
+def _base_of(text: str, base: int | None) -> int:
+    found = base if base is not None else base_version_of(text)
+    if found is None:
+        allowed = (
+            "a version number; give --base N, or edit a text that "
+            "config show --save has written"
+        )
+        raise InvalidInputError("base", None, allowed)
+    return found
+
+
+def _login_name() -> str:
+    # `getuser` raises KeyError, and OSError from Python 3.13, without a name.
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError, ImportError) as error:
+        allowed = "a name; the login name is not known, give --author"
+        raise InvalidInputError("author", None, allowed) from error
+
+
+def _save(file: str, text: str) -> None:
+    try:
+        Path(file).write_bytes(text.encode())
+    except OSError as error:
+        allowed = f"a file that can be written ({error})"
+        raise InvalidInputError("save", file, allowed) from error
--- a/gypsumline/cli/main.py
+++ b/gypsumline/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib
 import sys
 import typing
@@ -9,9 +10,22 @@
 import typer
 
 import gypsumline
-from gypsumline.cli import output
-from gypsumline.cli.exit_status import ExitStatus
-from gypsumline.cli.options import OutputFormat, OutputOption, setting_options
+from gypsumline.cli import config_commands, job_commands, output
+from gypsumline.cli.client import (
+    NotReachableError,
+    ProblemError,
+    Request,
+    Response,
+    open_client,
+    parse_urls,
+)
+from gypsumline.cli.exit_status import ExitStatus, status_of_problem
+from gypsumline.cli.options import (
+    EntryOption,
+    OutputFormat,
+    OutputOption,
+    setting_options,
+)
 from gypsumline.cli.settings import (
     SETTINGS_BY_ROLE,
     AgentSettings,
@@ -30,15 +44,23 @@
     rich_markup_mode="markdown",
     pretty_exceptions_enable=False,
 )
+app.add_typer(config_commands.app, name="config")
+app.add_typer(job_commands.app, name="job")
 
 
 def main() -> None:
     """Runs the command line and ends the process with its exit status."""
     try:
-        app()
-    except InvalidInputGroup as error:
-        output.write_errors(error)
+        app(prog_name="gypsumline")
+    except (InvalidInputError, InvalidInputGroup) as error:
+        output.write_input_errors(error)
         sys.exit(ExitStatus.BAD_INPUT)
+    except ProblemError as error:
+        output.write_problem(error)
+        sys.exit(status_of_problem(error.status))
+    except NotReachableError as error:
+        output.write_error(str(error))
+        sys.exit(ExitStatus.NOT_REACHABLE)
 
 
 def _show_version(wanted: bool) -> None:
@@ -131,6 +153,22 @@
         raise InvalidInputGroup("settings", errors)
 
 
+@app.command()
+def status(
+    entry: EntryOption = None, output_format: OutputOption = OutputFormat.TEXT
+) -> None:
+    """Show the entries, agents and availability zones as an entry sees them.
+
+    Example: `gypsumline status --entry http://127.0.0.1:8080`
+    """
+
+    async def send() -> Response:
+        async with open_client(parse_urls(entry or [])) as client:
+            return await client.send(Request(method="GET", path="/v1/status"))
+
+    output.write_status(asyncio.run(send()).body, output_format)
+
+
 def _run(module_name: str, function_name: str, settings: object) -> None:
     # The role's module is imported here so that the clients start quickly.
     module = importlib.import_module(module_name)
--- a/gypsumline/cli/options.py
+++ b/gypsumline/cli/options.py
@@ -13,7 +13,7 @@
 
 from gypsumline.cli.settings import CommonSettings
 
-_Flags = dict[str, str]
+DEFAULT_ENTRY_URL = "http://127.0.0.1:8080"
 
 
 class OutputFormat(enum.StrEnum):
@@ -32,6 +32,17 @@
     ),
 ]
 
+EntryOption = typing.Annotated[
+    list[str] | None,
+    typer.Option(
+        "--entry",
+        envvar="GYPSUMLINE_ENTRY",
+        metavar="URL",
+        help="Base URL of an entry; give several to have the next one tried. "
+        f"Default: {DEFAULT_ENTRY_URL}.",
+    ),
+]
+
 
 def setting_options(
     *models: type[CommonSettings],
--- /dev/null
+++ b/gypsumline/tests/cli/test_commands.py
@@ -0,0 +1,309 @@
+"""Tests of the commands against a stand-in entry."""
+
+import json
+import socket
+
+import pytest
+
+from gypsumline.tests.cli.conftest import CannedAnswer
+
+KEY = "0198c5a2-7b1e-7c3a-9f00-2f6d0c1b5a77"
+TEXT = "services:\n  ordering: {}\n"
+PROBLEM = "application/problem+json"
+COMMANDS = [
+    "",
+    "entry",
+    "agent",
+    "settings",
+    "status",
+    "job",
+    "job submit",
+    "job show",
+    "job cancel",
+    "config",
+    "config check",
+    "config apply",
+    "config show",
+    "config history",
+    "config diff",
+]
+
+
+def answer(outcome, status=200, **changes):
+    body = {"key": KEY, "outcome": outcome, "results": [], "reason": ""}
+    return CannedAnswer(status, {**body, "detail": "", **changes})
+
+
+@pytest.fixture
+def closed_url():
+    """Returns a URL at which nothing listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"http://127.0.0.1:{probe.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help(run_cli, snapshot, command):
+    """Guards against an option or example that disappears unnoticed."""
+    status, out, _ = run_cli(*command.split(), "--help")
+    assert status == 0
+    assert "\n".join(line.rstrip() for line in out.splitlines()) == snapshot
+
+
+def test_errors_in_settings(run_cli, snapshot, monkeypatch):
+    """Guards against a start that reports only the first bad setting."""
+    monkeypatch.setenv("GYPSUMLINE_HEARTBEAT_INTERVAL", "1.5")
+    monkeypatch.setenv("GYPSUMLINE_PRT", "7")
+    status, _, err = run_cli("entry", "--host", "localhost", "--port", "x")
+    assert (status, err) == (2, snapshot)
+    status, out, _ = run_cli("settings", "--role", "agent", "--port", "1")
+    assert status == 2
+    assert "heartbeat_interval    1.5" in out
+    status, out, _ = run_cli(
+        "settings", "--role", "entry", "--seed", "3", "--output", "json"
+    )
+    assert json.loads(out)["seed"] == {"value": "3", "origin": "flag"}
+
+
+def test_job_is_followed_to_its_end(run_cli, stand_in_entry, closed_url):
+    """Guards against a client that gives up on a job that still runs."""
+    result = {"index": 0, "value": {"x": 1}, "run_time": 0.25}
+    done = answer("complete", results=[result])
+    stand_in_entry.answer("POST", "/v1/jobs", answer("running", 202))
+    stand_in_entry.answer(
+        "GET", f"/v1/jobs/{KEY}", answer("running", 202), done
+    )
+    status, out, _ = run_cli(
+        *("job", "submit", "--service", "ordering", "--kind", "card"),
+        *("--count", "2", "--payload", '{"a": 1}', "--key", KEY),
+        *("--entry", closed_url, "--entry", stand_in_entry.url),
+    )
+    assert status == 0
+    assert '{"x": 1}' in out
+    request, body = stand_in_entry.requests[0]
+    assert request.headers["Idempotency-Key"] == KEY
+    assert (
+        body["tasks"]
+        == [{"kind": "card", "payload": {"a": 1}, "size": 0, "run_time": 0.0}]
+        * 2
+    )
+
+
+def test_lost_answer_is_asked_for_with_the_same_key(run_cli, stand_in_entry):
+    """Guards against a second submission of a job whose answer was lost."""
+    stand_in_entry.answer(
+        "POST", "/v1/jobs", CannedAnswer(200, None), answer("complete")
+    )
+    arguments = ("job", "submit", "--service", "a", "--kind", "b")
+    status, _, _ = run_cli(*arguments, "--entry", stand_in_entry.url)
+    assert status == 0
+    keys = {r.headers["Idempotency-Key"] for r, _ in stand_in_entry.requests}
+    assert (len(stand_in_entry.requests), len(keys)) == (2, 1)
+    stand_in_entry.answer("POST", "/v1/jobs", CannedAnswer(200, None))
+    arguments += ("--no-wait", "--key", KEY)
+    status, out, _ = run_cli(*arguments, "--entry", stand_in_entry.url)
+    assert status == 4
+    assert f"gypsumline job show {KEY}" in out
+
+
+@pytest.mark.parametrize(
+    ("canned", "status"),
+    [
+        (answer("complete"), 0),
+        (answer("running", 202), 0),
+        (answer("failed_ran", 502, reason="task_failed"), 1),
+        (answer("failed_not_run", 429, retry_after=1.5), 3),
+        (answer("outcome_unknown", 404, reason="unknown_key"), 4),
+        (CannedAnswer(400, {"title": "Bad"}, PROBLEM), 2),
+        (CannedAnswer(503, {"title": "Starting"}, PROBLEM), 5),
+        (CannedAnswer(500, {"title": "Internal"}, PROBLEM), 4),
+    ],
+)
+def test_exit_status_tells_the_outcome(run_cli, stand_in_entry, canned, status):
+    """Guards against a script that takes an unknown outcome for a refusal."""
+    stand_in_entry.answer("GET", f"/v1/jobs/{KEY}", canned)
+    arguments = ("job", "show", KEY, "--entry", stand_in_entry.url)
+    assert run_cli(*arguments)[0] == status
+
+
+def test_cancel_that_worked_is_a_success(run_cli, stand_in_entry):
+    """Guards against an exit status that calls a cancelled job refused."""
+    canned = answer("failed_not_run", 422, reason="cancelled")
+    stand_in_entry.answer("DELETE", f"/v1/jobs/{KEY}", canned)
+    status, out, _ = run_cli(
+        "job", "cancel", KEY, "--entry", stand_in_entry.url
+    )
+    assert (status, "cancelled" in out) == (0, True)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("job", "show", "17"),
+        ("job", "submit", "--kind", "a"),
+        ("job", "submit", "--service", "a", "--kind", "b", "--payload", "NaN"),
+        ("job", "submit", "no-such-file.json"),
+        ("status", "--entry", "127.0.0.1:8080"),
+        ("status", "--entry", "http://127.0.0.1:x"),
+        ("status", "--no-such-option"),
+        ("config", "check", "no-such-file.yaml"),
+    ],
+)
+def test_bad_input_has_status_2(run_cli, arguments):
+    """Guards against a traceback for a mistyped argument."""
+    status, _, err = run_cli(*arguments)
+    assert (status, bool(err)) == (2, True)
+
+
+def test_no_entry_has_status_5(run_cli, closed_url):
+    """Guards against a refusal by nobody that looks like one by an entry."""
+    status, _, err = run_cli("status", "--entry", closed_url)
+    assert status == 5
+    assert f"{closed_url}: cannot connect" in err
+
+
+def test_text_goes_from_show_to_apply(run_cli, stand_in_entry, tmp_path):
+    """Guards against an apply on another base than the one fetched."""
+    row = {"version": 4, "text": TEXT, "author": "dora", "note": "first"}
+    row.update(written_at=1.75e9, write_token="t")
+    stand_in_entry.answer("GET", "/v1/configuration", CannedAnswer(200, row))
+    accepted = CannedAnswer(200, {"kind": "accepted", "version": 5})
+    stand_in_entry.answer("PUT", "/v1/configuration", accepted)
+    file = str(tmp_path / "configuration.yaml")
+    entry = ("--entry", stand_in_entry.url)
+    assert run_cli("config", "show", "--save", file, *entry)[0] == 0
+    with open(file, "a", encoding="utf-8") as stream:
+        stream.write("out: {availability_zones: [marusi]}\n")
+    difference = run_cli("config", "diff", file, *entry)[1]
+    assert "+out: {availability_zones: [marusi]}" in difference
+    status = {"agents": [{"availability_zone": "marousi"}]}
+    stand_in_entry.answer("GET", "/v1/status", CannedAnswer(200, status))
+    arguments = ("config", "apply", file, "--note", "n", "--author", "nikos")
+    code, out, err = run_cli(*arguments, *entry)
+    assert (code, out) == (0, "accepted as version 5\n")
+    assert "availability zone marusi" in err
+    body = stand_in_entry.requests[-1][1]
+    assert body["base_version"] == 4
+    assert body["author"] == "nikos"
+    assert body["text"].startswith(TEXT)
+
+
+def test_text_without_a_base_is_not_applied(run_cli, tmp_path):
+    """Guards against a change that overwrites what came in between."""
+    file = tmp_path / "configuration.yaml"
+    file.write_text(TEXT)
+    status, _, err = run_cli("config", "apply", str(file), "--note", "n")
+    assert status == 2
+    assert "--base" in err
+
+
+@pytest.mark.parametrize(
+    ("canned", "status"),
+    [
+        (
+            CannedAnswer(
+                409,
+                {
+                    "kind": "refused",
+                    "version": 6,
+                    "detail": "version 6 by dora came first",
+                    "diff": "-a\n+b\n",
+                    "between": [
+                        {
+                            "version": 6,
+                            "author": "dora",
+                            "note": "noon \x1b[31m",
+                            "written_at": 1.75e9,
+                        }
+                    ],
+                },
+            ),
+            3,
+        ),
+        (CannedAnswer(504, {"kind": "unknown", "detail": "table down"}), 4),
+        (CannedAnswer(200, None), 4),
+        (CannedAnswer(200, {"kind": "later"}), 4),
+        (CannedAnswer(500, {"title": "Internal error"}, PROBLEM), 4),
+    ],
+)
+def test_change_that_is_not_accepted(
+    run_cli, stand_in_entry, tmp_path, snapshot, canned, status
+):
+    """Guards against an unknown outcome that is shown as a refusal."""
+    file = tmp_path / "configuration.yaml"
+    file.write_text(TEXT)
+    stand_in_entry.answer("PUT", "/v1/configuration", canned)
+    code, out, _ = run_cli(
+        *("config", "apply", str(file), "--note", "n", "--base", "5"),
+        *("--entry", stand_in_entry.url),
+    )
+    assert code == status
+    token = next(
+        body["write_token"] for _, body in stand_in_entry.requests if body
+    )
+    shown = out.replace(token, "TOKEN").replace(stand_in_entry.url, "URL")
+    assert shown == snapshot
+    puts = [r for r, _ in stand_in_entry.requests if r.method == "PUT"]
+    assert len(puts) == 1
+
+
+def test_change_refused_because_of_itself_is_accepted(
+    run_cli, stand_in_entry, tmp_path
+):
+    """Guards against "refused" for a PUT that a balancer sent twice."""
+    file = tmp_path / "configuration.yaml"
+    file.write_text(TEXT)
+    refused = CannedAnswer(409, {"kind": "refused", "version": 6})
+    stand_in_entry.answer("PUT", "/v1/configuration", refused)
+
+    def row_with_the_token():
+        return {
+            "version": 6,
+            "text": TEXT,
+            "write_token": stand_in_entry.requests[-2][1]["write_token"],
+        }
+
+    stand_in_entry.answer(
+        "GET", "/v1/configuration", CannedAnswer(200, row_with_the_token)
+    )
+    arguments = ("config", "apply", str(file), "--note", "n", "--base", "5")
+    code, out, _ = run_cli(*arguments, "--entry", stand_in_entry.url)
+    assert (code, out) == (0, "accepted as version 6\n")
+
+
+def test_status_and_history(run_cli, stand_in_entry, snapshot):
+    """Guards against a column that operators rely on and that goes missing."""
+    status = {
+        "entry": "entry-1",
+        "revision": 9,
+        "configuration_version": 3,
+        "fresh": True,
+        "voters": ["entry-1", "agent-1"],
+        "entries": [
+            {
+                "member_id": "entry-1",
+                "availability_zone": "piraeus",
+                "revision": 9,
+                "alive": True,
+                "leaving": False,
+            }
+        ],
+        "agents": [{"agent_id": "agent-1", "slots": 8, "out": True}],
+        "availability_zones": [
+            {"name": "marousi", "out": True, "slots": 8, "agents": 1}
+        ],
+    }
+    versions = [
+        {"version": 2, "author": "a", "note": "b", "written_at": 1.75e9}
+    ]
+    stand_in_entry.answer("GET", "/v1/status", CannedAnswer(200, status))
+    stand_in_entry.answer(
+        "GET",
+        "/v1/configuration/history",
+        CannedAnswer(200, {"versions": versions}),
+    )
+    entry = ("--entry", stand_in_entry.url)
+    assert run_cli("status", *entry)[1] == snapshot
+    assert run_cli("config", "history", *entry)[1] == snapshot
+    shown = run_cli("status", "--output", "json", *entry)[1]
+    assert json.loads(shown) == status
