Check the entry's answers at the border of the command line

An answer of another form ended a command with a traceback. The status is asked for with a limit of 2 s and from all entries at once, so that an entry that hangs does not hold up a change.

--- a/gypsumline/cli/client.py
+++ b/gypsumline/cli/client.py
@@ -18,6 +18,9 @@
 CONNECT_LIMIT_SECONDS = 3.0
 # Time for an answer beyond the time that the request asks to wait.
 ANSWER_LIMIT_SECONDS = 10.0
+# The status is asked for several times, and an entry that hangs must not hold
+# up a change.
+STATUS_LIMIT_SECONDS = 2.0
 _SERVICE_UNAVAILABLE = 503
 _PROBLEM_STATUS_MIN = 400
 
@@ -66,6 +69,7 @@
       body: JSON value, or None for no body.
       headers: Headers beyond the usual ones.
       wait: Seconds that the entry may take on request.
+      answer_limit: Seconds for the answer beyond `wait`.
       is_repeatable: Whether another entry may get the request after one that
         may have received it.
     """
@@ -76,6 +80,7 @@
     body: Body | None = None
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     wait: float = 0.0
+    answer_limit: float = ANSWER_LIMIT_SECONDS
     is_repeatable: bool = True
 
 
@@ -127,7 +132,7 @@
         maybe_taken = False
         for url in self._urls:
             try:
-                return await self.send_to(url, request)
+                return await self._send_to(url, request)
             except _FailedAttemptError as error:
                 reasons[url] = str(error)
                 maybe_taken = maybe_taken or error.maybe_taken
@@ -142,15 +147,17 @@
           NotReachableError: The entry gave no answer.
           ProblemError: The answer is a problem.
         """
+        request = Request(
+            method="GET", path=path, answer_limit=STATUS_LIMIT_SECONDS
+        )
         try:
-            return await self.send_to(url, Request(method="GET", path=path))
+            return await self._send_to(url, request)
         except _FailedAttemptError as error:
             raise NotReachableError({url: str(error)}, False) from error
 
-    async def send_to(self, url: str, request: Request) -> Response:
-        """Returns the answer of one entry, or raises a private error."""
+    async def _send_to(self, url: str, request: Request) -> Response:
         timeout = aiohttp.ClientTimeout(
-            total=request.wait + ANSWER_LIMIT_SECONDS,
+            total=request.wait + request.answer_limit,
             sock_connect=CONNECT_LIMIT_SECONDS,
         )
         try:
--- a/gypsumline/cli/config_commands.py
+++ b/gypsumline/cli/config_commands.py
@@ -11,6 +11,13 @@
 import typer
 
 from gypsumline.cli import output
+from gypsumline.cli.answers import (
+    ChangeAnswer,
+    ConfigurationAnswer,
+    HistoryAnswer,
+    UnexpectedAnswerError,
+    parse_answer,
+)
 from gypsumline.cli.client import (
     Body,
     NotReachableError,
@@ -37,8 +44,7 @@
 # A change waits for a majority of the voters; see `stop_limit`.
 CHANGE_LIMIT_SECONDS = 30.0
 _NOT_FOUND = 404
-_OK = 200
-_CONFLICT = 409
+_SERVER_ERROR_MIN = 500
 
 app = typer.Typer(no_args_is_help=True, rich_markup_mode="markdown")
 
@@ -140,12 +146,12 @@
     output.write_warnings(asyncio.run(warnings_about(_urls(entry), parsed)))
     outcome = _put(entry, body)
     output.write_change(outcome, output_format)
-    if outcome["kind"] == "refused":
+    if outcome.kind == "refused":
         raise typer.Exit(ExitStatus.REFUSED)
-    if outcome["kind"] != "accepted":
+    if outcome.kind != "accepted":
         raise typer.Exit(ExitStatus.UNKNOWN)
     if wait:
-        version = int(outcome["version"])
+        version = outcome.version
         missing = asyncio.run(
             wait_until_in_force(_urls(entry), version, wait_limit)
         )
@@ -193,10 +199,10 @@
         )
         raise typer.Exit(ExitStatus.UNKNOWN)
     if save is not None:
-        _save(save, with_base_version(row["text"], int(row["version"])))
+        _save(save, with_base_version(row.text, row.version))
         output.write_result(
-            f"version {row['version']} saved in {save}",
-            {"version": row["version"], "file": save},
+            f"version {row.version} saved in {save}",
+            {"version": row.version, "file": save},
             output_format,
         )
         return
@@ -209,7 +215,8 @@
 ) -> None:
     """Show the versions with their time, author and note, newest first."""
     request = Request(method="GET", path=f"{CONFIGURATION_PATH}/history")
-    output.write_history(_send(entry, request).body, output_format)
+    versions = parse_answer(HistoryAnswer, _send(entry, request))
+    output.write_history(versions, output_format)
 
 
 @app.command()
@@ -252,10 +259,9 @@
     else:
         newest = _fetch(entry, new)
         after, after_name = _text_of(newest)
-        previous = max(0, int((newest or {}).get("version", 0)) - 1)
-        before, before_name = _text_of(
-            _fetch(entry, previous if old is None else old)
-        )
+        previous = newest.version - 1 if newest else 0
+        base = _fetch(entry, previous if old is None else old)
+        before, before_name = _text_of(base)
     difference = diff_texts(before, after, before_name, after_name)
     output.write_result(
         difference.rstrip("\n") or "no difference",
@@ -276,7 +282,7 @@
     return asyncio.run(send())
 
 
-def _put(entry: list[str] | None, body: Body) -> Body:
+def _put(entry: list[str] | None, body: Body) -> ChangeAnswer:
     request = Request(
         method="PUT",
         path=CONFIGURATION_PATH,
@@ -287,48 +293,47 @@
     )
     try:
         response = _send(entry, request)
+        answer = parse_answer(ChangeAnswer, response)
     except NotReachableError as error:
         if not error.maybe_taken:
             raise
         return _unknown(body, str(error))
     except ProblemError as error:
-        if error.status < 500:
+        if error.status < _SERVER_ERROR_MIN:
             raise
         return _unknown(body, str(error))
-    is_typed = (response.status, response.body.get("kind")) in (
-        (_OK, "accepted"),
-        (_CONFLICT, "refused"),
-    )
-    if not is_typed or not isinstance(response.body.get("version"), int):
-        return _unknown(body, str(response.body.get("detail", "")))
-    if response.body["kind"] == "refused":
-        return _accepted_before(entry, body) or response.body
-    return response.body
+    except UnexpectedAnswerError as error:
+        return _unknown(body, str(error))
+    if answer.kind == "unknown":
+        return _unknown(body, answer.detail)
+    if answer.kind == "refused":
+        return _accepted_before(entry, body) or answer
+    return answer
 
 
-def _accepted_before(entry: list[str] | None, body: Body) -> Body | None:
+def _accepted_before(
+    entry: list[str] | None, body: Body
+) -> ChangeAnswer | None:
     # A balancer may send a PUT twice; the second one is refused because the
     # first one has taken effect.
+    token = str(body["write_token"])
     try:
-        row = _fetch(entry, None, body["write_token"])
-    except (NotReachableError, ProblemError):
+        row = _fetch(entry, None, token)
+    except (NotReachableError, ProblemError, UnexpectedAnswerError):
         return None
-    if row is None or row.get("write_token") != body["write_token"]:
+    if row is None or row.write_token != token:
         return None
-    return {"kind": "accepted", "version": row["version"]}
+    return ChangeAnswer(kind="accepted", version=row.version)
 
 
-def _unknown(body: Body, detail: str) -> Body:
-    return {
-        "kind": "unknown",
-        "write_token": body["write_token"],
-        "detail": detail,
-    }
+def _unknown(body: Body, detail: str) -> ChangeAnswer:
+    token = str(body["write_token"])
+    return ChangeAnswer(kind="unknown", write_token=token, detail=detail)
 
 
 def _fetch(
     entry: list[str] | None, version: int | None, token: str | None = None
-) -> Body | None:
+) -> ConfigurationAnswer | None:
     if version is not None and token is not None:
         raise InvalidInputError("token", token, "either a version or a token")
     query = {}
@@ -343,17 +348,13 @@
         if error.status == _NOT_FOUND and token is not None:
             return None
         raise
-    row = response.body
-    if not isinstance(row.get("text"), str) or "version" not in row:
-        title = "The answer holds no configuration"
-        raise ProblemError(response.status, {"title": title})
-    return row
+    return parse_answer(ConfigurationAnswer, response)
 
 
-def _text_of(row: Body | None) -> tuple[str, str]:
+def _text_of(row: ConfigurationAnswer | None) -> tuple[str, str]:
     if row is None:
         return "", "nothing"
-    return str(row["text"]), f"version {row['version']}"
+    return row.text, f"version {row.version}"
 
 
 def _base_of(text: str, base: int | None) -> int:
--- a/gypsumline/cli/job_commands.py
+++ b/gypsumline/cli/job_commands.py
@@ -11,6 +11,7 @@
 import typer
 
 from gypsumline.cli import output
+from gypsumline.cli.answers import JobAnswer, parse_answer
 from gypsumline.cli.client import (
     Body,
     EntryClient,
@@ -175,8 +176,8 @@
     request = Request(method="DELETE", path=f"/v1/jobs/{parsed_key}")
     answer = asyncio.run(_ask(entry, request, parsed_key, 0.0))
     output.write_answer(answer, output_format)
-    if answer.get("reason") != "cancelled":
-        raise typer.Exit(status_of_outcome(str(answer.get("outcome"))))
+    if answer.reason != "cancelled":
+        raise typer.Exit(status_of_outcome(answer.outcome))
 
 
 def _finish(
@@ -188,12 +189,12 @@
 ) -> None:
     answer = asyncio.run(_ask(entry, request, key, wait))
     output.write_answer(answer, output_format)
-    raise typer.Exit(status_of_outcome(str(answer.get("outcome"))))
+    raise typer.Exit(status_of_outcome(answer.outcome))
 
 
 async def _ask(
     entry: list[str] | None, request: Request, key: str, wait: float
-) -> Body:
+) -> JobAnswer:
     end = time.monotonic() + wait
     inquiry = Request(method="GET", path=f"/v1/jobs/{key}")
     async with open_client(parse_urls(entry or [])) as client:
@@ -206,7 +207,7 @@
 
 async def _send(
     client: EntryClient, request: Request, end: float, is_taken: bool = False
-) -> Body:
+) -> JobAnswer:
     # The key makes it safe to send a request again, also to another entry.
     while True:
         left = max(0.0, end - time.monotonic())
@@ -214,7 +215,7 @@
         query = {} if request.method == "DELETE" else {"wait": f"{wait:.3f}"}
         sent = dataclasses.replace(request, query=query, wait=wait)
         try:
-            return (await client.send(sent)).body
+            return parse_answer(JobAnswer, await client.send(sent))
         except NotReachableError as error:
             is_taken = is_taken or error.maybe_taken
             if not is_taken:
@@ -224,20 +225,14 @@
         await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
 
-def _unknown_answer(request: Request, error: NotReachableError) -> Body:
+def _unknown_answer(request: Request, error: NotReachableError) -> JobAnswer:
     key = request.headers.get("Idempotency-Key") or request.path.split("/")[-1]
-    return {
-        "key": key,
-        "outcome": "outcome_unknown",
-        "results": [],
-        "reason": "",
-        "detail": f"{error}; ask with: gypsumline job show {key}",
-        "retry_after": 0.0,
-    }
-
-
-def _is_running(answer: Body) -> bool:
-    return answer.get("outcome") == "running"
+    detail = f"{error}; ask with: gypsumline job show {key}"
+    return JobAnswer(key=key, outcome="outcome_unknown", detail=detail)
+
+
+def _is_running(answer: JobAnswer) -> bool:
+    return answer.outcome == "running"
 
 
 def _required(name: str, value: str | None) -> str:
--- a/gypsumline/cli/main.py
+++ b/gypsumline/cli/main.py
@@ -11,6 +11,11 @@
 
 import gypsumline
 from gypsumline.cli import config_commands, job_commands, output
+from gypsumline.cli.answers import (
+    StatusAnswer,
+    UnexpectedAnswerError,
+    parse_answer,
+)
 from gypsumline.cli.client import (
     NotReachableError,
     ProblemError,
@@ -58,6 +63,9 @@
     except ProblemError as error:
         output.write_problem(error)
         sys.exit(status_of_problem(error.status))
+    except UnexpectedAnswerError as error:
+        output.write_error(str(error))
+        sys.exit(ExitStatus.UNKNOWN)
     except NotReachableError as error:
         output.write_error(str(error))
         sys.exit(ExitStatus.NOT_REACHABLE)
@@ -166,7 +174,8 @@
         async with open_client(parse_urls(entry or [])) as client:
             return await client.send(Request(method="GET", path="/v1/status"))
 
-    output.write_status(asyncio.run(send()).body, output_format)
+    answer = parse_answer(StatusAnswer, asyncio.run(send()))
+    output.write_status(answer, output_format)
 
 
 def _run(module_name: str, function_name: str, settings: object) -> None:
--- a/gypsumline/cli/output.py
+++ b/gypsumline/cli/output.py
@@ -4,14 +4,25 @@
 
 import datetime
 import json
-import typing
 from collections.abc import Iterable, Sequence
 
 import typer
 
+from gypsumline.cli.answers import (
+    AgentAnswer,
+    AnswerModel,
+    ChangeAnswer,
+    ConfigurationAnswer,
+    EntryAnswer,
+    HistoryAnswer,
+    JobAnswer,
+    StatusAnswer,
+    VersionAnswer,
+    ZoneAnswer,
+)
 from gypsumline.cli.client import Body, ProblemError
 from gypsumline.cli.options import OutputFormat
-from gypsumline.cli.settings import EffectiveSetting
+from gypsumline.cli.setting_values import EffectiveSetting
 from gypsumline.core.configuration_text import with_base_version
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
 
@@ -76,45 +87,43 @@
     write_table(("setting", "value", "from"), rows)
 
 
-def write_answer(answer: Body, output_format: OutputFormat) -> None:
+def write_answer(answer: JobAnswer, output_format: OutputFormat) -> None:
     """Writes the answer to a job."""
     if output_format is OutputFormat.JSON:
-        write_json(answer)
+        write_json(answer.model_dump())
         return
-    typer.echo(f"key      {answer.get('key')}")
-    typer.echo(f"outcome  {answer.get('outcome')}")
-    for name in ("reason", "detail"):
-        if answer.get(name):
-            typer.echo(f"{name.ljust(7)}  {answer[name]}")
-    if answer.get("retry_after"):
-        typer.echo(
-            f"retry    with a new key after {answer['retry_after']:.1f} s"
-        )
-    results = answer.get("results") or []
-    if results:
+    typer.echo(f"key      {answer.key}")
+    typer.echo(f"outcome  {answer.outcome}")
+    if answer.reason:
+        typer.echo(f"reason   {answer.reason}")
+    if answer.detail:
+        typer.echo(f"detail   {answer.detail}")
+    if answer.retry_after > 0:
+        typer.echo(f"retry    with a new key after {answer.retry_after:.1f} s")
+    if answer.results:
         rows = [
-            (r.get("index"), f"{r.get('run_time', 0):.3f}", _short(r))
-            for r in results
+            (result.index, f"{result.run_time:.3f}", _short(result.value))
+            for result in answer.results
         ]
         write_table(("task", "run time (s)", "value"), rows)
 
 
-def write_change(outcome: Body, output_format: OutputFormat) -> None:
+def write_change(outcome: ChangeAnswer, output_format: OutputFormat) -> None:
     """Writes the outcome of a change of the configuration."""
     if output_format is OutputFormat.JSON:
-        write_json(outcome)
+        write_json(outcome.model_dump())
         return
-    match outcome["kind"]:
+    match outcome.kind:
         case "accepted":
-            typer.echo(f"accepted as version {outcome['version']}")
+            typer.echo(f"accepted as version {outcome.version}")
         case "refused":
             _write_refusal(outcome)
-        case _:
-            token = outcome["write_token"]
+        case "unknown":
+            typer.echo(f"outcome unknown: {outcome.detail or 'no answer'}")
             typer.echo(
-                f"outcome unknown: {outcome.get('detail') or 'no answer'}"
+                "ask with: gypsumline config show --token "
+                f"{outcome.write_token}"
             )
-            typer.echo(f"ask with: gypsumline config show --token {token}")
 
 
 def write_rollout(
@@ -131,52 +140,45 @@
             typer.echo(f"  {name}")
 
 
-def write_configuration(row: Body, output_format: OutputFormat) -> None:
+def write_configuration(
+    row: ConfigurationAnswer, output_format: OutputFormat
+) -> None:
     """Writes a configuration: its text alone goes to the standard output."""
     if output_format is OutputFormat.JSON:
-        write_json(row)
+        write_json(row.model_dump())
         return
     typer.echo(
-        f"version {row['version']}, {_time(row.get('written_at'))}, "
-        f"{row.get('author')}: {row.get('note')}",
+        f"version {row.version}, {_time(row.written_at)}, "
+        f"{_cell(row.author)}: {_cell(row.note)}",
         err=True,
     )
-    text = with_base_version(row["text"], int(row["version"]))
+    text = with_base_version(row.text, row.version)
     typer.echo(text, nl=not text.endswith("\n"))
 
 
-def write_history(body: Body, output_format: OutputFormat) -> None:
+def write_history(body: HistoryAnswer, output_format: OutputFormat) -> None:
     """Writes the versions, newest first."""
     if output_format is OutputFormat.JSON:
-        write_json(body)
+        write_json(body.model_dump())
         return
-    _write_versions(body.get("versions") or [])
+    _write_versions(body.versions)
 
 
-def write_status(body: Body, output_format: OutputFormat) -> None:
+def write_status(body: StatusAnswer, output_format: OutputFormat) -> None:
     """Writes the state of the system as one entry knows it."""
     if output_format is OutputFormat.JSON:
-        write_json(body)
+        write_json(body.model_dump())
         return
-    fresh = "fresh" if body.get("fresh") else "NOT FRESH: starts nothing new"
+    fresh = "fresh" if body.fresh else "NOT FRESH: starts nothing new"
     typer.echo(
-        f"entry {body.get('entry')}: revision {body.get('revision')}, "
-        f"configuration version {body.get('configuration_version')}, "
+        f"entry {body.entry}: revision {body.revision}, "
+        f"configuration version {body.configuration_version}, "
         f"evidence {fresh}"
     )
-    typer.echo(f"voters: {', '.join(body.get('voters') or []) or '-'}")
-    _write_items(body, "availability_zones", ("name", "out", "slots", "agents"))
-    _write_items(
-        body,
-        "entries",
-        ("member_id", "availability_zone", "revision", "alive", "leaving"),
-    )
-    _write_items(
-        body,
-        "agents",
-        ("agent_id", "availability_zone", "upstream_id", "service", "slots")
-        + ("free", "queued", "revision", "state", "out"),
-    )
+    typer.echo(f"voters: {', '.join(body.voters) or '-'}")
+    _write_items("availability zones", ZoneAnswer, body.availability_zones)
+    _write_items("entries", EntryAnswer, body.entries)
+    _write_items("agents", AgentAnswer, body.agents)
 
 
 def write_table(
@@ -190,37 +192,33 @@
         typer.echo("  ".join(padded).rstrip())
 
 
-def _write_refusal(outcome: Body) -> None:
+def _write_refusal(outcome: ChangeAnswer) -> None:
     typer.echo(
         "refused, not in force; the newest version is "
-        f"{outcome['version']}: {outcome.get('detail') or 'it changed'}"
+        f"{outcome.version}: {outcome.detail or 'it changed'}"
     )
-    if outcome.get("between"):
+    if outcome.between:
         typer.echo("accepted in between:")
-        _write_versions(outcome["between"])
-    if outcome.get("diff"):
-        typer.echo(str(outcome["diff"]).rstrip("\n"))
+        _write_versions(outcome.between)
+    if outcome.diff:
+        typer.echo(outcome.diff.rstrip("\n"))
 
 
-def _write_versions(versions: list[Body]) -> None:
+def _write_versions(versions: list[VersionAnswer]) -> None:
     rows = [
-        (
-            version.get("version"),
-            _time(version.get("written_at")),
-            version.get("author"),
-            version.get("note"),
-        )
-        for version in versions
+        (v.version, _time(v.written_at), v.author, v.note) for v in versions
     ]
     write_table(("version", "written at", "author", "note"), rows)
 
 
-def _write_items(body: Body, name: str, columns: Sequence[str]) -> None:
-    items: typing.Any = body.get(name) or []
-    typer.echo(f"\n{name.replace('_', ' ')}: {len(items)}")
+def _write_items(
+    title: str, model: type[AnswerModel], items: Sequence[AnswerModel]
+) -> None:
+    typer.echo(f"\n{title}: {len(items)}")
     if items:
-        rows = [[item.get(column) for column in columns] for item in items]
-        write_table([c.replace("_", " ") for c in columns], rows)
+        columns = list(model.model_fields)
+        rows = [[getattr(item, name) for name in columns] for item in items]
+        write_table([name.replace("_", " ") for name in columns], rows)
 
 
 def _cell(value: object) -> str:
@@ -232,17 +230,18 @@
     return "".join(c if c.isprintable() else "?" for c in str(value))
 
 
-def _short(result: Body) -> str:
-    text = json.dumps(result.get("value"), ensure_ascii=False)
+def _short(value: object) -> str:
+    text = json.dumps(value, ensure_ascii=False)
     if len(text) > _SHOWN_VALUE_CHARACTERS:
         return text[:_SHOWN_VALUE_CHARACTERS] + "..."
     return text
 
 
-def _time(seconds: object) -> str:
-    if not isinstance(seconds, int | float):
-        return "-"
-    time = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+def _time(seconds: float) -> str:
+    try:
+        time = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    except (ValueError, OverflowError, OSError):
+        return str(seconds)
     return time.strftime("%Y-%m-%d %H:%M:%SZ")
 
 
--- a/gypsumline/cli/rollout.py
+++ b/gypsumline/cli/rollout.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import time
-import typing
 from collections.abc import Iterator, Sequence
 
+from gypsumline.cli.answers import (
+    StatusAnswer,
+    UnexpectedAnswerError,
+    parse_answer,
+)
 from gypsumline.cli.client import (
-    Body,
     EntryClient,
     NotReachableError,
     ProblemError,
@@ -59,9 +62,9 @@
     found = [status for status in statuses.values() if status is not None]
     if not found:
         return []
-    agents = [agent for status in found for agent in _items(status, "agents")]
-    zones = {str(agent.get("availability_zone")) for agent in agents}
-    upstreams = {str(agent.get("upstream_id")) for agent in agents}
+    agents = [agent for status in found for agent in status.agents]
+    zones = {agent.availability_zone for agent in agents}
+    upstreams = {agent.upstream_id for agent in agents}
     return [
         f"out names the availability zone {name}, in which no agent is known"
         for name in configuration.availability_zones_out
@@ -86,7 +89,7 @@
         self._revision: int | None = None
 
     def observe(
-        self, statuses: dict[str, Body | None]
+        self, statuses: dict[str, StatusAnswer | None]
     ) -> tuple[int, list[str]]:
         """Returns how many members there are and which lack the version.
 
@@ -95,9 +98,8 @@
         """
         for status in statuses.values():
             if status is not None and self._has_version(status):
-                revision = int(status.get("revision", 0))
-                known = self._revision
-                self._revision = min(revision, known or revision)
+                known = self._revision or status.revision
+                self._revision = min(status.revision, known)
         members: dict[str, bool] = {}
         for url, status in statuses.items():
             members[f"entry {url}"] = status is not None and self._has_version(
@@ -109,38 +111,31 @@
                     members[name] = members.get(name, False) or is_in_force
         return len(members), [n for n, has in members.items() if not has]
 
-    def _has_version(self, status: Body) -> bool:
-        return int(status.get("configuration_version", -1)) >= self._version
+    def _has_version(self, status: StatusAnswer) -> bool:
+        return status.configuration_version >= self._version
 
     def _holds(self, revision: int) -> bool:
         return self._revision is not None and revision >= self._revision
 
 
-def _members(status: Body) -> Iterator[tuple[str, int]]:
+def _members(status: StatusAnswer) -> Iterator[tuple[str, int]]:
     # A member that is gone or silent starts nothing until it has caught up.
-    for entry in _items(status, "entries"):
-        if entry.get("alive"):
-            name = f"entry {entry.get('member_id')}"
-            yield name, int(entry.get("revision", 0))
-    for agent in _items(status, "agents"):
-        if agent.get("state") != "silent":
-            name = f"agent {agent.get('agent_id')}"
-            yield name, int(agent.get("revision", 0))
-
-
-def _items(status: Body, name: str) -> list[dict[str, typing.Any]]:
-    items = status.get(name)
-    if not isinstance(items, list):
-        return []
-    return [item for item in items if isinstance(item, dict)]
+    for entry in status.entries:
+        if entry.alive:
+            yield f"entry {entry.member_id}", entry.revision
+    for agent in status.agents:
+        if agent.state != "silent":
+            yield f"agent {agent.agent_id}", agent.revision
 
 
-async def _statuses(client: EntryClient) -> dict[str, Body | None]:
-    return {url: await _status(client, url) for url in client.urls}
+async def _statuses(client: EntryClient) -> dict[str, StatusAnswer | None]:
+    found = await asyncio.gather(*(_status(client, u) for u in client.urls))
+    return dict(zip(client.urls, found, strict=True))
 
 
-async def _status(client: EntryClient, url: str) -> Body | None:
+async def _status(client: EntryClient, url: str) -> StatusAnswer | None:
     try:
-        return (await client.get_from(url, STATUS_PATH)).body
-    except (NotReachableError, ProblemError):
+        response = await client.get_from(url, STATUS_PATH)
+        return parse_answer(StatusAnswer, response)
+    except (NotReachableError, ProblemError, UnexpectedAnswerError):
         return None
--- a/gypsumline/cli/settings.py
+++ b/gypsumline/cli/settings.py
@@ -7,18 +7,28 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
-import ipaddress
 import os
 import typing
-import urllib.parse
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import pydantic
 import pydantic_settings
-from pydantic_settings import NoDecode
 
+from gypsumline.cli.setting_values import (
+    BaseUrl,
+    ByteCount,
+    Count,
+    EffectiveSetting,
+    HostIp,
+    InvalidSettingError,
+    LogLevel,
+    Origin,
+    PlacementPolicy,
+    Port,
+    Relation,
+    Seconds,
+    StreamAddresses,
+)
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
 from gypsumline.core.identity import Role
 from gypsumline.core.validation import Name, invalid_inputs
@@ -31,87 +41,6 @@
 
 _MEBIBYTE = 1024 * 1024
 
-
-class PlacementPolicy(enum.StrEnum):
-    """Names of the placement policies."""
-
-    EARLIEST_FINISH = "earliest_finish"
-    LEAST_LOADED = "least_loaded"
-    POWER_OF_TWO = "power_of_two"
-    RANDOM = "random"
-    ROUND_ROBIN = "round_robin"
-
-
-class LogLevel(enum.StrEnum):
-    """Lowest level of the log lines that are written."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
-class Origin(enum.StrEnum):
-    """Where the value of a setting comes from."""
-
-    FLAG = "flag"
-    ENVIRONMENT = "environment"
-    DEFAULT = "default"
-    NOT_SET = "not set"
-
-
-class InvalidSettingError(InvalidInputError):
-    """A setting has a value that is not allowed.
-
-    Attributes:
-      origin: Where the value comes from.
-    """
-
-    def __init__(
-        self, field: str, given: object, allowed: str, origin: Origin
-    ) -> None:
-        self.origin = origin
-        super().__init__(field, given, allowed)
-
-    def __str__(self) -> str:
-        if self.origin is Origin.NOT_SET:
-            return f"{self.field} is not set; allowed: {self.allowed}"
-        place = f"from {self.origin}"
-        return (
-            f"{self.field} is {self.given} ({place}); allowed: {self.allowed}"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EffectiveSetting:
-    """A setting as it applies.
-
-    Attributes:
-      name: Name of the setting.
-      value: Its value as text; "" if it is required and not set.
-      origin: Where the value comes from.
-    """
-
-    name: str
-    value: str
-    origin: Origin
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Relation:
-    """A condition over several settings.
-
-    Attributes:
-      fields: Names of the settings; the first one is reported.
-      text: The condition in words.
-      holds: Tells whether the values, in the order of `fields`, fulfil it.
-    """
-
-    fields: tuple[str, ...]
-    text: str
-    holds: Callable[..., bool]
-
-
 COMMON_RELATIONS = (
     Relation(
         fields=("evidence_ttl", "heartbeat_interval"),
@@ -160,65 +89,6 @@
     )
 
 
-def _check_ip(text: str) -> str:
-    address = ipaddress.ip_address(text)
-    if address.is_unspecified:
-        raise ValueError("an IP address that other processes can reach")
-    return str(address)
-
-
-def _check_host(text: str) -> str:
-    try:
-        return _check_ip(text)
-    except ValueError:
-        allowed = "an IP address that other processes can reach"
-        raise ValueError(allowed) from None
-
-
-def _check_address(text: str) -> str:
-    allowed = "IP:PORT, several separated by commas, as in 10.0.0.1:7400"
-    parts = urllib.parse.urlsplit(f"//{text}")
-    try:
-        host = _check_ip(parts.hostname or "")
-        port = parts.port
-    except ValueError:
-        raise ValueError(allowed) from None
-    if not port or parts.netloc != text or parts.username is not None:
-        raise ValueError(allowed)
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
-def _check_url(text: str) -> str:
-    allowed = "http://IP:PORT, with an optional path"
-    parts = urllib.parse.urlsplit(text)
-    try:
-        _check_ip(parts.hostname or "")
-        _ = parts.port
-    except ValueError:
-        raise ValueError(allowed) from None
-    if parts.scheme not in ("http", "https") or parts.query or parts.fragment:
-        raise ValueError(allowed)
-    return text.rstrip("/")
-
-
-def _split(value: object) -> object:
-    if isinstance(value, str):
-        return tuple(part.strip() for part in value.split(",") if part.strip())
-    return value
-
-
-_Host = typing.Annotated[str, pydantic.AfterValidator(_check_host)]
-_Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
-_Addresses = typing.Annotated[
-    tuple[_Address, ...], NoDecode, pydantic.BeforeValidator(_split)
-]
-_Url = typing.Annotated[str, pydantic.AfterValidator(_check_url)]
-_Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86400)]
-_Count = typing.Annotated[int, pydantic.Field(ge=1, le=10**9)]
-_Bytes = typing.Annotated[int, pydantic.Field(ge=65536, le=2**40)]
-_Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
-
-
 class CommonSettings(pydantic_settings.BaseSettings):
     """Settings that the entry and the agent share.
 
@@ -241,64 +111,64 @@
     availability_zone: Name = _setting(
         "Identity", "NAME", "Availability zone that this host is in."
     )
-    host: _Host = _setting(
+    host: HostIp = _setting(
         "Identity", "IP", "Address that this process listens on."
     )
-    peers: _Addresses = _setting(
+    peers: StreamAddresses = _setting(
         "Identity",
         "IP:PORT,...",
         "Stream addresses of the entries to connect to.",
         default=(),
     )
-    heartbeat_interval: _Seconds = _setting(
+    heartbeat_interval: Seconds = _setting(
         "Timing", "SECONDS", "Time between two heartbeats.", default=0.5
     )
-    evidence_ttl: _Seconds = _setting(
+    evidence_ttl: Seconds = _setting(
         "Timing",
         "SECONDS",
         "How long evidence of the newest revision is valid.",
         default=2.0,
     )
-    suspect_after: _Seconds = _setting(
+    suspect_after: Seconds = _setting(
         "Timing",
         "SECONDS",
         "Silence after which an entry is removed.",
         default=2.0,
     )
-    silence_limit: _Seconds = _setting(
+    silence_limit: Seconds = _setting(
         "Timing",
         "SECONDS",
         "Silence after which an agent gets no work.",
         default=1.0,
     )
-    clock_skew: _Seconds = _setting(
+    clock_skew: Seconds = _setting(
         "Timing",
         "SECONDS",
         "Largest difference between the clocks of two hosts.",
         default=0.5,
     )
-    client_clock_skew: _Seconds = _setting(
+    client_clock_skew: Seconds = _setting(
         "Timing",
         "SECONDS",
         "How far in the future the time of a submission key may be.",
         default=5.0,
     )
-    resubmission_horizon: _Seconds = _setting(
+    resubmission_horizon: Seconds = _setting(
         "Timing",
         "SECONDS",
         "Oldest submission key that is taken.",
         default=120.0,
     )
-    deadline_max: _Seconds = _setting(
+    deadline_max: Seconds = _setting(
         "Timing", "SECONDS", "Longest timeout of a job.", default=60.0
     )
-    stop_limit: _Seconds = _setting(
+    stop_limit: Seconds = _setting(
         "Timing", "SECONDS", "Longest time for a planned stop.", default=30.0
     )
-    send_queue_limit: _Count = _setting(
+    send_queue_limit: Count = _setting(
         "Limits", "COUNT", "Messages waiting per connection.", default=10_000
     )
-    mailbox_limit: _Count = _setting(
+    mailbox_limit: Count = _setting(
         "Limits",
         "COUNT",
         "Inputs waiting for the deciding task.",
@@ -343,16 +213,16 @@
         COMMON_RELATIONS + _ENTRY_RELATIONS
     )
 
-    port: _Port = _setting(
+    port: Port = _setting(
         "Identity", "PORT", "Port of the stream server.", default=7400
     )
-    http_port: _Port = _setting(
+    http_port: Port = _setting(
         "Identity", "PORT", "Port of HTTP for callers.", default=8080
     )
-    table_url: _Url = _setting(
+    table_url: BaseUrl = _setting(
         "Identity", "URL", "Base URL of the platform's table service."
     )
-    table_poll_interval: _Seconds = _setting(
+    table_poll_interval: Seconds = _setting(
         "Timing",
         "SECONDS",
         "Time between two reads of the control record.",
@@ -364,19 +234,19 @@
         "How tasks are placed: " + ", ".join(PlacementPolicy) + ".",
         default=PlacementPolicy.EARLIEST_FINISH,
     )
-    waiting_tasks_limit: _Count = _setting(
+    waiting_tasks_limit: Count = _setting(
         "Limits", "COUNT", "Unplaced tasks at this entry.", default=100_000
     )
-    http_request_limit: _Count = _setting(
+    http_request_limit: Count = _setting(
         "Limits", "COUNT", "Open requests of callers.", default=20_000
     )
-    kept_answers_count: _Count = _setting(
+    kept_answers_count: Count = _setting(
         "Limits",
         "COUNT",
         "Answers kept until the horizon.",
         default=200_000,
     )
-    kept_answers_bytes: _Bytes = _setting(
+    kept_answers_bytes: ByteCount = _setting(
         "Limits",
         "BYTES",
         "Size of the answers kept until the horizon.",
@@ -387,19 +257,19 @@
 class AgentSettings(CommonSettings):
     """Settings of an agent."""
 
-    peers: _Addresses = _setting(
+    peers: StreamAddresses = _setting(
         "Identity",
         "IP:PORT,...",
         "Stream addresses of the entries to connect to.",
         min_length=1,
     )
-    http_port: _Port = _setting(
+    http_port: Port = _setting(
         "Identity", "PORT", "Port of HTTP for the executor.", default=8090
     )
-    journal_count: _Count = _setting(
+    journal_count: Count = _setting(
         "Limits", "COUNT", "Entries of the journal.", default=100_000
     )
-    journal_bytes: _Bytes = _setting(
+    journal_bytes: ByteCount = _setting(
         "Limits",
         "BYTES",
         "Size of the journal.",
--- a/gypsumline/tests/cli/test_settings.py
+++ b/gypsumline/tests/cli/test_settings.py
@@ -3,10 +3,10 @@
 import pydantic
 import pytest
 
+from gypsumline.cli.setting_values import Origin
 from gypsumline.cli.settings import (
     AgentSettings,
     EntrySettings,
-    Origin,
     effective_settings,
     load_settings,
     setting_errors,
