--- a/gypsumline/testing/local_system.py
+++ b/gypsumline/testing/local_system.py
@@ -356,7 +356,7 @@
     output = await run_command(
         [
             *("gypsumline", "job", "submit", str(path.absolute())),
-            *("--entry", system.entry_urls[-1]),
+            *("--entry", system.entry_urls[-1], "--output", "json"),
         ],
         _COMMAND_LIMIT_SECONDS,
     )
