Let entries that stop together depart at once

Cause: a leaving entry waited until a listed member had heard from it, and when all entries stop together none is listed any more, so each waited for the whole stop limit of 30 s. Change: an entry has departed once the record lists no entry.

--- a/gypsumline/core/membership_writer.py
+++ b/gypsumline/core/membership_writer.py
@@ -78,11 +78,14 @@
         if is_listed(record.entries, self._me):
             self.was_listed = True
             return False
-        if self.is_removed or not self._is_superseded(record):
-            return False
-        self.is_removed = True
-        self._removed_at = now
-        return not self.is_leaving
+        is_news = not self.is_removed and self._is_superseded(record)
+        if is_news:
+            self.is_removed = True
+            self._removed_at = now
+        # When all entries stop together, none is left to hear from this one.
+        if self.is_removed and self.is_leaving and not record.entries:
+            self._has_departed = True
+        return is_news and not self.is_leaving
 
     def depart(self, record: ControlRecord) -> None:
         """Asks to be dropped, if another entry stays to serve."""
