--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -9,12 +9,17 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import ClassVar, TypeVar, cast, dataclass_transform
+from typing import Annotated, ClassVar, TypeVar, cast, dataclass_transform
+
+import msgspec
 
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.identity import Member
+from gypsumline.core.submission_key import KEY_PATTERN
 from gypsumline.core.task import JobAnswer, JobBody, TaskResult, TaskSpec
 
+Key = Annotated[str, msgspec.Meta(pattern=KEY_PATTERN)]
+
 PROTOCOL_VERSION = 1
 LOWEST_PROTOCOL_VERSION = 1
 
@@ -172,7 +177,7 @@
     """A job for the owner of its key."""
 
     request_id: int
-    key: str
+    key: Key
     digest: bytes
     body: JobBody
 
@@ -182,7 +187,7 @@
     """Asks the owner for the answer of a key."""
 
     request_id: int
-    key: str
+    key: Key
     wait: bool = True
 
 
@@ -191,7 +196,7 @@
     """Asks the owner to cancel a job."""
 
     request_id: int
-    key: str
+    key: Key
 
 
 @message("submit_reply")
@@ -222,7 +227,7 @@
       repeatable: Whether a higher attempt may start after an unknown outcome.
     """
 
-    key: str
+    key: Key
     agent_incarnation: int
     service: str
     tasks: tuple[TaskSpec, ...]
@@ -237,7 +242,7 @@
 class TaskResults(Message):
     """Results and refusals of one job, with the state after them."""
 
-    key: str
+    key: Key
     results: tuple[TaskResult, ...]
     free: int
     queued: int
@@ -247,7 +252,7 @@
 class WithdrawTasks(Message):
     """Takes back tasks that have not started; each gets a result."""
 
-    key: str
+    key: Key
     indexes: tuple[int, ...]
     attempts: tuple[int, ...]
     cancel: bool = False
@@ -264,7 +269,7 @@
       attempts: Newest attempt that is withdrawn, for each withdrawn index.
     """
 
-    key: str
+    key: Key
     withdrawn: tuple[int, ...]
     started: tuple[int, ...]
     attempts: tuple[int, ...] = ()
@@ -284,7 +289,7 @@
         the agent has never been sent.
     """
 
-    key: str
+    key: Key
     index: int
     state: str
     attempt: int
@@ -322,7 +327,7 @@
 class KeptAnswer:
     """An answer that an owner keeps until the horizon."""
 
-    key: str
+    key: Key
     digest: bytes
     answer: JobAnswer
 
--- a/gypsumline/core/router.py
+++ b/gypsumline/core/router.py
@@ -213,6 +213,12 @@
         self, pending: PendingRequest, answer: JobAnswer
     ) -> list[Effect]:
         del self._pending[pending.request.request_id]
+        reply = Answer(
+            origin="", request_id=pending.request.request_id, answer=answer
+        )
+        if pending.owner == self._me:
+            # The owner has logged the answer already.
+            return [reply]
         decision = Decision(
             event="request answered",
             fields={
@@ -223,9 +229,6 @@
                 "revision": self._record.revision,
             },
         )
-        reply = Answer(
-            origin="", request_id=pending.request.request_id, answer=answer
-        )
         return [decision, reply]
 
 
--- a/gypsumline/tests/core/test_membership_writer.py
+++ b/gypsumline/tests/core/test_membership_writer.py
@@ -11,7 +11,9 @@
         world.start(f"entry-{number}", zone, Role.ENTRY)
         world.start(f"agent-{number}", zone, Role.AGENT)
     world.run(8)
-    entries = [p for p in world.processes.values() if p.member.role is Role.ENTRY]
+    entries = [
+        p for p in world.processes.values() if p.member.role is Role.ENTRY
+    ]
     for process in entries:
         machine = process.machine
         world.call(process, machine.leave)
--- /dev/null
+++ b/gypsumline/tests/core/test_submission_key.py
@@ -0,0 +1,37 @@
+"""Tests of submission keys."""
+
+import time
+import uuid
+
+import pytest
+
+from gypsumline.core.errors import InvalidInputError
+from gypsumline.core.submission_key import generate_key, key_time, parse_key
+
+
+def test_key_tells_its_time():
+    """Guards against an age that picks the wrong owner or horizon."""
+    before = time.time()
+    key = generate_key()
+    assert before - 0.01 <= key_time(key) <= time.time() + 0.01
+
+
+def test_many_keys_at_once_keep_the_present_time():
+    """Guards against a generator that runs ahead of the clock in a burst."""
+    for _ in range(20_000):
+        key = generate_key()
+    assert key_time(key) <= time.time() + 0.01
+
+
+def test_key_is_made_canonical():
+    """Guards against one key that counts as two by its spelling."""
+    key = generate_key()
+    assert parse_key(key.upper()) == key
+    assert parse_key(f"{{{key}}}") == key
+
+
+@pytest.mark.parametrize("text", ["", "order-17", str(uuid.uuid4())])
+def test_other_keys_are_refused(text):
+    """Guards against an opaque key that could not be settled later."""
+    with pytest.raises(InvalidInputError, match="UUIDv7"):
+        parse_key(text)
--- a/gypsumline/tests/wire/test_codec.py
+++ b/gypsumline/tests/wire/test_codec.py
@@ -19,11 +19,13 @@
     encode_frame,
 )
 
+KEY = "01a23f17-3dbc-7bf9-9c20-6e837baa2563"
+
 
 def test_round_trip_keeps_nested_values():
     """Guards against a field or payload that changes on the wire."""
     message = StartTasks(
-        key="k",
+        key=KEY,
         agent_incarnation=7,
         service="ordering",
         tasks=(TaskSpec(index=3, kind="card", payload=b"\xff\x00"),),
@@ -48,6 +50,11 @@
         (b"\xc1", FrameError),
         (msgpack.packb([1, "goodbye"]), FrameError),
         (msgpack.packb([1, "goodbye", {"reason": 3}]), FrameError),
+        (msgpack.packb([1, "cancel-job", {}]), UnknownMessageError),
+        (
+            msgpack.packb([1, "cancel_job", {"request_id": 1, "key": "k"}]),
+            FrameError,
+        ),
         (msgpack.packb([99, "goodbye", {}]), ProtocolVersionError),
         (msgpack.packb([1, "no-such", {}]), UnknownMessageError),
         (msgpack.packb([1, ["x"], {}]), UnknownMessageError),
