--- a/gypsumline/cli/config_commands.py
+++ b/gypsumline/cli/config_commands.py
@@ -134,8 +134,9 @@
       --wait`
     """
     given = read_text(file)
+    # The whole file is parsed, so that the lines in errors are the file's.
+    parsed = parse_configuration(given)
     text = without_base(given)
-    parsed = parse_configuration(text)
     body: Body = {
         "base_version": _base_of(given, base),
         "text": text,
@@ -304,6 +305,8 @@
         return _unknown(body, str(error))
     except UnexpectedAnswerError as error:
         return _unknown(body, str(error))
+    except KeyboardInterrupt:
+        return _unknown(body, "interrupted")
     if answer.kind == "unknown":
         return _unknown(body, answer.detail)
     if answer.kind == "refused":
--- a/gypsumline/cli/job_commands.py
+++ b/gypsumline/cli/job_commands.py
@@ -187,7 +187,10 @@
     wait: float,
     output_format: OutputFormat,
 ) -> None:
-    answer = asyncio.run(_ask(entry, request, key, wait))
+    try:
+        answer = asyncio.run(_ask(entry, request, key, wait))
+    except KeyboardInterrupt:
+        answer = _unknown_answer(key, "interrupted")
     output.write_answer(answer, output_format)
     raise typer.Exit(status_of_outcome(answer.outcome))
 
@@ -221,13 +224,16 @@
             if not is_taken:
                 raise
             if left <= RETRY_PAUSE_SECONDS:
-                return _unknown_answer(request, error)
+                return _unknown_answer(_key_of(request), str(error))
         await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
 
-def _unknown_answer(request: Request, error: NotReachableError) -> JobAnswer:
-    key = request.headers.get("Idempotency-Key") or request.path.split("/")[-1]
-    detail = f"{error}; ask with: gypsumline job show {key}"
+def _key_of(request: Request) -> str:
+    return request.headers.get("Idempotency-Key") or request.path.split("/")[-1]
+
+
+def _unknown_answer(key: str, cause: str) -> JobAnswer:
+    detail = f"{cause}; ask with: gypsumline job show {key}"
     return JobAnswer(key=key, outcome="outcome_unknown", detail=detail)
 
 
--- a/gypsumline/core/validation.py
+++ b/gypsumline/core/validation.py
@@ -65,9 +65,7 @@
 
 def field_name(location: Location) -> str:
     """Returns a location with dots between its levels."""
-    shown = [
-        str(item)[:80] for item in location if item not in ("[key]", "__root__")
-    ]
+    shown = [str(item)[:80] for item in location if item != "[key]"]
     return ".".join(shown) or "text"
 
 
--- a/gypsumline/tests/cli/test_commands.py
+++ b/gypsumline/tests/cli/test_commands.py
@@ -1,6 +1,8 @@
 """Tests of the commands against a stand-in entry."""
 
 import json
+import os
+import signal
 import socket
 
 import pytest
@@ -106,6 +108,26 @@
     assert f"gypsumline job show {KEY}" in out
 
 
+def interrupt():
+    os.kill(os.getpid(), signal.SIGINT)
+
+
+def test_interrupt_leaves_the_means_to_ask(run_cli, stand_in_entry, tmp_path):
+    """Guards against a key or token that is lost with Ctrl-C."""
+    file = tmp_path / "configuration.yaml"
+    file.write_text(TEXT)
+    canned = CannedAnswer(503, interrupt)
+    stand_in_entry.answer("POST", "/v1/jobs", canned)
+    stand_in_entry.answer("PUT", "/v1/configuration", canned)
+    entry = ("--entry", stand_in_entry.url)
+    arguments = ("job", "submit", "--service", "a", "--kind", "b")
+    status, out, _ = run_cli(*arguments, "--key", KEY, *entry)
+    assert (status, f"gypsumline job show {KEY}" in out) == (4, True)
+    arguments = ("config", "apply", str(file), "--note", "n", "--base", "0")
+    status, out, _ = run_cli(*arguments, *entry)
+    assert (status, "gypsumline config show --token" in out) == (4, True)
+
+
 @pytest.mark.parametrize(
     ("canned", "status"),
     [
