--- a/gypsumline/cli/setting_values.py
+++ b/gypsumline/cli/setting_values.py
@@ -112,8 +112,8 @@
 
 def _check_address(text: str) -> str:
     allowed = "IP:PORT, several separated by commas, as in 10.0.0.1:7400"
-    parts = urllib.parse.urlsplit(f"//{text}")
     try:
+        parts = urllib.parse.urlsplit(f"//{text}")
         host = _check_ip(parts.hostname or "")
         port = parts.port
     except ValueError:
@@ -125,8 +125,8 @@
 
 def _check_url(text: str) -> str:
     allowed = "http://IP:PORT, with an optional path"
-    parts = urllib.parse.urlsplit(text)
     try:
+        parts = urllib.parse.urlsplit(text)
         _check_ip(parts.hostname or "")
         _ = parts.port
     except ValueError:
--- a/gypsumline/core/validation.py
+++ b/gypsumline/core/validation.py
@@ -76,6 +76,7 @@
     "float_type": "a number",
     "int_from_float": "a whole number",
     "int_parsing": "a whole number",
+    "int_parsing_size": "a whole number of fewer digits",
     "int_type": "a whole number",
     "list_type": "a list",
     "missing": "a value; the field is required",
--- a/gypsumline/tests/cli/test_settings.py
+++ b/gypsumline/tests/cli/test_settings.py
@@ -68,6 +68,8 @@
         ({"port": "65536"}, ["port"]),
         ({"table_url": "http://table:9000"}, ["table_url"]),
         ({"table_url": "http://10.0.0.1:x"}, ["table_url"]),
+        ({"table_url": "http://[::1"}, ["table_url"]),
+        ({"port": "9" * 5000}, ["port"]),
         ({"peers": "10.0.0.1"}, ["peers"]),
         ({"peers": "10.0.0.1:7400/x"}, ["peers"]),
         ({"placement_policy": "best"}, ["placement_policy"]),
