--- a/gypsumline/core/plain_yaml.py
+++ b/gypsumline/core/plain_yaml.py
@@ -18,7 +18,11 @@
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
-from gypsumline.core.validation import Location, field_name
+from gypsumline.core.validation import (
+    REPORTED_ERRORS_MAX,
+    Location,
+    field_name,
+)
 
 DEPTH_MAX = 8
 # Both bound the time of the pure Python parser on a hostile text. It takes time
@@ -212,7 +216,11 @@
 
     def _report(self, location: Location, given: str, allowed: str) -> None:
         field = field_name(location)
-        self.errors.append(InvalidInputError(field, given, allowed, self.line))
+        error = InvalidInputError(field, given, allowed, self.line)
+        # The last error that is reported ends the reading.
+        if len(self.errors) >= REPORTED_ERRORS_MAX - 1:
+            raise error
+        self.errors.append(error)
 
 
 def _scalar(event: typing.Any) -> object:
