--- a/gypsumline/core/validation.py
+++ b/gypsumline/core/validation.py
@@ -65,9 +65,7 @@
 
 def field_name(location: Location) -> str:
     """Returns a location with dots between its levels."""
-    shown = [
-        str(item)[:80] for item in location if item not in ("[key]", "__root__")
-    ]
+    shown = [str(item)[:80] for item in location if item != "[key]"]
     return ".".join(shown) or "text"
 
 
@@ -78,6 +76,7 @@
     "float_type": "a number",
     "int_from_float": "a whole number",
     "int_parsing": "a whole number",
+    "int_parsing_size": "a whole number of fewer digits",
     "int_type": "a whole number",
     "list_type": "a list",
     "missing": "a value; the field is required",
