Measure response times with the monotonic clock

Cause: the time of a uvloop event loop is cached and has a resolution of 1 ms, so response times of a few milliseconds came out as whole milliseconds. Change: the callers take the monotonic clock.

--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Sequence
 
 import aiohttp
@@ -39,22 +40,20 @@
         self, rate: float, seconds: float, run_time: float
     ) -> None:
         """Submits tasks at random times at a rate, and awaits them."""
-        loop = asyncio.get_running_loop()
-        due = loop.time()
+        due = time.monotonic()
         ends_at = due + seconds
         async with asyncio.TaskGroup() as group:
             while True:
                 due += self._rng.expovariate(rate)
                 if due >= ends_at:
                     break
-                await asyncio.sleep(max(0.0, due - loop.time()))
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
                 group.create_task(self.call(run_time, due))
 
     async def run_closed(self, count: int, run_time: float) -> None:
         """Submits tasks one after the other."""
-        loop = asyncio.get_running_loop()
         for _ in range(count):
-            await self.call(run_time, loop.time())
+            await self.call(run_time, time.monotonic())
 
     async def call(self, run_time: float, due: float) -> None:
         """Runs one task; its response time counts from when it was due."""
@@ -80,4 +79,4 @@
             return
         finally:
             self._running[executor] -= 1
-        self.seconds.append(asyncio.get_running_loop().time() - due)
+        self.seconds.append(time.monotonic() - due)
--- a/gypsumline/testing/caller.py
+++ b/gypsumline/testing/caller.py
@@ -11,6 +11,7 @@
 import enum
 import json
 import random
+import time
 from collections.abc import Iterable
 
 import aiohttp
@@ -163,20 +164,18 @@
         }
 
     async def _run_closed(self) -> None:
-        ends_at = asyncio.get_running_loop().time() + self._settings.seconds
+        ends_at = time.monotonic() + self._settings.seconds
         workers = range(self._settings.concurrency)
         async with asyncio.TaskGroup() as group:
             for _ in workers:
                 group.create_task(self._submit_in_turn(ends_at))
 
     async def _submit_in_turn(self, ends_at: float) -> None:
-        loop = asyncio.get_running_loop()
-        while loop.time() < ends_at and self._may_submit():
+        while time.monotonic() < ends_at and self._may_submit():
             self.records.append(await self.client.submit(self._make_job()))
 
     async def _run_open(self) -> None:
-        loop = asyncio.get_running_loop()
-        due = loop.time()
+        due = time.monotonic()
         ends_at = due + self._settings.seconds
         opened: set[asyncio.Task[None]] = set()
         async with asyncio.TaskGroup() as group:
@@ -184,7 +183,7 @@
                 due += self._rng.expovariate(self._settings.rate)
                 if due >= ends_at or not self._may_submit():
                     break
-                await asyncio.sleep(max(0.0, due - loop.time()))
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
                 if len(opened) >= self._settings.most_open:
                     self.skipped += 1
                     continue
@@ -195,7 +194,7 @@
     async def _submit_due(self, due: float) -> None:
         # The response time counts from the moment at which the job was due, so
         # that a generator that falls behind does not hide waiting.
-        late = asyncio.get_running_loop().time() - due
+        late = time.monotonic() - due
         record = await self.client.submit(self._make_job())
         record.seconds += max(0.0, late)
         self.records.append(record)
--- a/gypsumline/testing/job_client.py
+++ b/gypsumline/testing/job_client.py
@@ -1,7 +1,9 @@
 """Submits one job until its final answer, and checks that answer.
 
 After a connection error, an unknown outcome or an answer without an outcome,
-the same key goes to another entry, until the deadline of the job.
+the same key goes to another entry, until the deadline of the job. Times are
+taken from the monotonic clock, because the time of a uvloop event loop has a
+resolution of 1 ms only.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 import collections
 import dataclasses
 import random
+import time
 from collections.abc import Sequence
 
 import aiohttp
@@ -159,23 +162,24 @@
 
     async def submit(self, job: Job) -> JobRecord:
         """Submits a job and returns how it ended."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = time.monotonic()
         ends_at = began + job.timeout
         record = JobRecord(key=job.key, tasks=len(job.run_times))
         backoff = _FIRST_BACKOFF_SECONDS
         while True:
-            time_left = ends_at - loop.time()
+            time_left = ends_at - time.monotonic()
             if time_left <= 0:
                 return record
             record.entry = self._choose(record.entry)
             record.requests += 1
             answer = await self._request(job, record.entry, time_left)
-            record.seconds = loop.time() - began
+            record.seconds = time.monotonic() - began
             if answer is not None and _take(record, job, answer):
                 return record
             pause = max(backoff, record.retry_after)
-            await asyncio.sleep(min(pause, max(0.0, ends_at - loop.time())))
+            await asyncio.sleep(
+                min(pause, max(0.0, ends_at - time.monotonic()))
+            )
             backoff = min(2 * backoff, _LONGEST_BACKOFF_SECONDS)
 
     def _choose(self, last: str) -> str:
