--- a/gypsumline/testing/local_system.py
+++ b/gypsumline/testing/local_system.py
@@ -186,11 +186,15 @@
         return exit_code
 
     async def stop(self) -> dict[str, int]:
-        """Stops everything gracefully; returns the exit codes by name."""
+        """Stops everything gracefully; returns the exit codes by name.
+
+        The entries stop one after the other and before the agents: an entry
+        leaves by a change of the record, and agents are voters that accept it.
+        """
         limit = self.settings.stop_limit
         exit_codes: dict[str, int] = {}
-        groups = [self.executors, self.agents, self.entries, [self.platform]]
-        for group in groups:
+        entries = [[entry] for entry in self.entries]
+        for group in [self.executors, *entries, self.agents, [self.platform]]:
             codes = await asyncio.gather(*(p.stop(limit) for p in group))
             exit_codes.update(zip((p.name for p in group), codes, strict=True))
         return exit_codes
