Keep a leaving entry until new keys belong to another epoch

Cause: an entry departed as soon as it had drained, while new keys still mapped to it until its last epoch ended; the next owner refused them, because the earlier one might have. Change: a leaving entry stays until its last epoch is over.

--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -54,6 +54,8 @@
     HandOverAck,
 )
 _CHANGE_TIMEOUT_SECONDS = 10.0
+# Time from the making of a key to its arrival, with the skew of two clocks.
+KEY_TRANSIT_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -135,8 +137,8 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether no job is left and all kept answers were handed over."""
-        return self._machines.owner.is_drained()
+        """Whether this entry has finished and gets no new keys any more."""
+        return self._machines.owner.is_drained() and self._gets_no_keys()
 
     @property
     def has_departed(self) -> bool:
@@ -271,6 +273,25 @@
         control = self._machines.control
         self._run(control.depart(boot_time(), wall_time()))
 
+    def _gets_no_keys(self) -> bool:
+        """Returns whether new keys belong to an epoch without this entry.
+
+        A key that came to another owner only because this entry was dropped
+        might have been refused here, so that owner could not run it.
+        """
+        epochs = self.record.epochs
+        if not epochs:
+            return True
+        if self._me in epochs[-1].owners:
+            return all(self._is_leaving(entry) for entry in self.record.entries)
+        return wall_time() > epochs[-1].begins_at_wall + KEY_TRANSIT_SECONDS
+
+    def _is_leaving(self, entry: Member) -> bool:
+        if entry == self._me:
+            return self._leaving
+        heartbeat = self._peers.get(entry.member_id)
+        return heartbeat is not None and heartbeat.leaving
+
     def _take_control(
         self, member: Member, message: Message, now: float, wall: float
     ) -> None:
