Follow a member's life by its chart and slow down links in walks

Change: the chart "member" drives joining, leaving and removal; the last entry stays while it is needed as a voter; walks also slow down single links.

--- a/gypsumline/core/change.py
+++ b/gypsumline/core/change.py
@@ -64,6 +64,11 @@
         self._writer = writer
         self._waiting: deque[_Proposal] = deque()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no change waits for its outcome."""
+        return not self._waiting
+
     @property
     def is_settling(self) -> bool:
         """Whether a write of the first change may still take effect."""
--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -190,8 +190,8 @@
         wall: float,
     ) -> list[Effect]:
         """Starts an operator's change; it ends in a `ChangeOutcome`."""
-        if self._members.is_removed or self._me.role is not Role.ENTRY:
-            detail = "this process is no member that may write"
+        if not self._members.may_change or self._me.role is not Role.ENTRY:
+            detail = "not written: this process leaves or was removed"
             version = self._record.configuration_version
             self._out.append(
                 ChangeOutcome(
@@ -210,7 +210,7 @@
 
     def leave(self, now: float, wall: float) -> list[Effect]:
         """Announces a planned leave; a new epoch will exclude this entry."""
-        self._members.is_leaving = True
+        self._members.leave()
         self._next_beat_at = now
         return self._finish(now)
 
@@ -219,7 +219,7 @@
 
         Ends in the decision "departed"; the process may exit then.
         """
-        self._members.depart(self._record)
+        self._members.depart()
         return self._finish(now)
 
     def _tick_entry(self, is_beat: bool, now: float, wall: float) -> None:
@@ -469,7 +469,8 @@
         self._out.append(Decision(event=event, fields=fields))
 
     def _finish(self, now: float) -> list[Effect]:
-        if self._members.take_departed():
+        is_done = self._changes.is_empty
+        if is_done and self._members.take_departed(self._record):
             self._decide("departed", revision=self._record.revision)
         is_fresh = self.is_fresh(now)
         if is_fresh != self._was_fresh:
--- a/gypsumline/core/membership_writer.py
+++ b/gypsumline/core/membership_writer.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from gypsumline.core.chart import ChartInstance, load_chart
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.control_settings import ControlSettings
 from gypsumline.core.effects import WriteTable
@@ -32,11 +33,6 @@
       rng: Seeded random generator for delays.
       peers: The other processes.
       writer: Writer of the control row, shared with configuration changes.
-
-    Attributes:
-      was_listed: Whether a known record listed this incarnation.
-      is_removed: Whether a later record dropped it.
-      is_leaving: Whether it leaves as planned.
     """
 
     def __init__(
@@ -53,18 +49,36 @@
         self._writer = writer
         self._timer = MembershipTimer(settings, rng)
         self._next_check_at = -math.inf
-        self.was_listed = False
-        self.is_removed = False
-        self.is_leaving = False
+        self._life = ChartInstance(load_chart("member"))
+        self._was_listed = False
         self._removed_at = math.inf
         self._is_departing = False
-        self._has_departed = False
-        self._told_departed = False
+        self._was_seen_removed = False
+
+    @property
+    def state(self) -> str:
+        """State in the chart "member"."""
+        return self._life.state
 
     @property
     def is_joining(self) -> bool:
         """Whether this incarnation asks to become a member."""
-        return not (self.was_listed or self.is_removed or self.is_leaving)
+        return self.state == "outside"
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this incarnation leaves as planned."""
+        return self.state in ("leaving", "dropped", "departed")
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether a record that it was in was followed by one without it."""
+        return self.state in ("removed", "dropped", "departed")
+
+    @property
+    def may_change(self) -> bool:
+        """Whether this incarnation takes changes of operators."""
+        return self.state in ("outside", "member")
 
     def learn(self, record: ControlRecord, now: float) -> bool:
         """Takes over a newer record.
@@ -76,44 +90,58 @@
             if member.member_id != self._me.member_id:
                 self._peers.expect(member, now)
         if is_listed(record.entries, self._me):
-            self.was_listed = True
+            self._was_listed = True
+            if self._life.can_fire("list"):
+                self._life.fire("list")
             return False
         if self.is_removed or not self._is_superseded(record):
             return False
-        self.is_removed = True
         self._removed_at = now
-        return not self.is_leaving
+        self._life.fire("drop" if self.is_leaving else "remove")
+        return self.state == "removed"
+
+    def leave(self) -> None:
+        """Starts a planned leave; a removed incarnation ends anyway."""
+        if self._life.can_fire("leave"):
+            self._life.fire("leave")
 
-    def depart(self, record: ControlRecord) -> None:
-        """Asks to be dropped, if another entry stays to serve."""
-        self.is_leaving = True
+    def depart(self) -> None:
+        """Asks to be dropped."""
+        self.leave()
         self._is_departing = True
-        others = [
-            entry
-            for entry in record.entries
-            if entry.member_id != self._me.member_id
-        ]
-        self._has_departed = self._has_departed or not others
 
     def on_reply(
         self, record: ControlRecord, sender: Member, asked_at: float
     ) -> None:
-        """Notes that a member has seen a heartbeat of a given time.
-
-        A leaving voter counts for the revision that drops it only if a member
-        hears from it afterwards, so it stays until one has.
-        """
+        """Notes that a member has seen a heartbeat of a given time."""
         is_later = self.is_removed and asked_at >= self._removed_at
-        if self.is_leaving and is_later and is_listed(record.entries, sender):
-            self._has_departed = True
+        if is_later and is_listed(record.entries, sender):
+            self._was_seen_removed = True
 
-    def take_departed(self) -> bool:
+    def take_departed(self, record: ControlRecord) -> bool:
         """Returns whether the process may exit; tells so once."""
-        if not self._has_departed or self._told_departed:
+        if not self._life.can_fire("depart") or not self._may_exit(record):
             return False
-        self._told_departed = True
+        self._life.fire("depart")
         return True
 
+    def _may_exit(self, record: ControlRecord) -> bool:
+        # A voter counts for the revision that drops it only if a member hears
+        # from it afterwards.
+        if not self._is_departing:
+            return False
+        if self.state == "dropped":
+            return self._was_seen_removed
+        if not is_listed(record.entries, self._me):
+            return True
+        if len(record.entries) > 1:
+            return False
+        # The last entry stays while a later one would need it as a voter.
+        return not self._peers.connected() or not any(
+            is_listed(voters, self._me) and majority(len(voters)) == 1
+            for voters in (record.voters, record.previous_voters)
+        )
+
     def reaches_voters(self, record: ControlRecord, now: float) -> bool:
         """Returns whether the next revision could be accepted."""
         silent = [
@@ -144,7 +172,8 @@
         """
         if self.is_removed or not self._writer.is_idle:
             return []
-        if self._is_departing and is_listed(record.entries, self._me):
+        is_member = is_listed(record.entries, self._me)
+        if self._is_departing and is_member and len(record.entries) > 1:
             dropped = depart(record, self._me, self._settings)
             return [self._writer.write(dropped, now)]
         if now < self._next_check_at:
@@ -165,7 +194,7 @@
         self._timer.restart()
 
     def _is_superseded(self, record: ControlRecord) -> bool:
-        if self.was_listed:
+        if self._was_listed:
             return True
         return any(
             entry.member_id == self._me.member_id
--- a/properties/control_driver.py
+++ b/properties/control_driver.py
@@ -30,6 +30,7 @@
     def __init__(self, seed: int, entries: int = 3, agents: int = 3) -> None:
         self.world = World(seed)
         self.oracle = Oracle(self.world, seed)
+        self._leaving: set[str] = set()
         self._ids = itertools.count(1)
         self._extra = itertools.count(entries)
         for number in range(entries):
@@ -52,6 +53,11 @@
         """Ids of the running entries."""
         return [m for m in self.members if m.startswith("entry")]
 
+    @property
+    def staying(self) -> list[str]:
+        """Ids of the running entries that have not been asked to leave."""
+        return [e for e in self.entries if e not in self._leaving]
+
     def process(self, member_id: str) -> Process:
         """Returns a running process."""
         return self.world.processes[member_id]
@@ -120,6 +126,7 @@
         """Lets an entry leave as planned and stop a while later."""
         process = self.process(entry)
         machine = process.machine
+        self._leaving.add(entry)
         self.world.call(process, machine.leave)
         self.world.after(
             drain_seconds, lambda: self.world.call(process, machine.depart)
@@ -128,6 +135,7 @@
     def heal(self) -> None:
         """Ends all faults."""
         self.world.cuts.clear()
+        self.world.slow_links.clear()
         self.world.is_noisy = False
         self.world.faults.clear()
         for member in self.members:
@@ -142,7 +150,7 @@
             is_open = proposed.request_id not in self.world.outcomes
             if is_open and self.world.is_alive(proposed.process):
                 raise OracleError(f"{proposed.token} has no outcome")
-        request_id = self.propose(self.entries[0])
+        request_id = self.propose(self.staying[0])
         self.run(_IN_FORCE_SECONDS)
         outcome = self.world.outcomes.get(request_id)
         if outcome is None or outcome.kind != "accepted":
@@ -193,6 +201,11 @@
     driver.cut(one, other, both_ways=rng.random() < 0.5)
 
 
+def _slow_link(driver: ControlDriver, rng: Random) -> None:
+    one, other = rng.sample(driver.members, 2)
+    driver.world.slow_links[one, other] = rng.uniform(0.5, 4)
+
+
 def _cut_zone(driver: ControlDriver, rng: Random) -> None:
     driver.cut_zone(rng.choice(ZONES))
 
@@ -207,6 +220,7 @@
 
 def _heal_network(driver: ControlDriver, rng: Random) -> None:
     driver.world.cuts.clear()
+    driver.world.slow_links.clear()
 
 
 def _table_down(driver: ControlDriver, rng: Random) -> None:
@@ -235,8 +249,9 @@
 
 
 def _leave(driver: ControlDriver, rng: Random) -> None:
-    if len(driver.entries) > 2:
-        driver.leave(rng.choice(driver.entries), rng.uniform(0.5, 3))
+    staying = driver.staying
+    if len(staying) > 2:
+        driver.leave(rng.choice(staying), rng.uniform(0.5, 3))
 
 
 _ACTION_TABLE = {
@@ -246,6 +261,7 @@
     "restart": _restart,
     "restart_zone": _restart_zone,
     "cut": _cut,
+    "slow_link": _slow_link,
     "cut_zone": _cut_zone,
     "split": _split,
     "heal_network": _heal_network,
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -98,6 +98,9 @@
     Attributes:
       history: Records that were ever in the table, by revision.
       tokens: Write token of each of those records.
+      cuts: Pairs of ids whose messages, from first to second, are lost.
+      slow_links: Extra delay of messages by such a pair, in seconds.
+      is_noisy: Whether messages are delayed, reordered and duplicated.
       outcomes: Outcome of each proposed change, by request id.
       accepted: World time at which each revision was first called accepted.
       observers: Called with each process after each of its inputs.
@@ -114,6 +117,7 @@
         self.tokens: dict[int, str] = {}
         self.faults = TableFaults()
         self.cuts: set[tuple[str, str]] = set()
+        self.slow_links: dict[tuple[str, str], float] = {}
         self.is_noisy = False
         self.outcomes: dict[int, ChangeOutcome] = {}
         self.accepted: dict[int, float] = {}
@@ -283,9 +287,11 @@
         if target is None or (sender.member.member_id, to) in self.cuts:
             return
         copies = 2 if self.is_noisy and self.rng.random() < 0.1 else 1
+        extra = self.slow_links.get((sender.member.member_id, to), 0.0)
         for _ in range(copies):
             self.after(
-                self._delay(), lambda: self._deliver(sender, target, message)
+                extra + self._delay(),
+                lambda: self._deliver(sender, target, message),
             )
 
     def _delay(self) -> float:
