Test charts, membership and the failures of the control state

Cause: charts, membership functions and single failures had no tests. Conclusion: the listed failures are covered in the in-memory world.

--- a/gypsumline/tests/core/test_control_machine.py
+++ b/gypsumline/tests/core/test_control_machine.py
@@ -65,3 +65,118 @@
     for process in world.processes.values():
         configuration = process.machine.record.configuration
         assert configuration.availability_zones_out == ("marousi",)
+
+
+def fresh_members(world: World) -> set[str]:
+    return {
+        member_id
+        for member_id, process in world.processes.items()
+        if process.machine.is_fresh(process.clock(world.time))
+    }
+
+
+def test_lost_answer_is_settled_by_the_token():
+    """Guards against a written change that is reported as refused."""
+    world = small_world()
+    world.faults.lost_answers = 1.0
+    propose(world, "entry-0", 1, change("token-1"))
+    world.run(6)
+    assert world.outcomes[1].kind == "accepted"
+    propose(world, "entry-1", 2, change("token-1"))
+    world.run(3)
+    assert (world.outcomes[2].kind, world.outcomes[2].version) == (
+        "accepted",
+        1,
+    )
+
+
+def test_race_names_the_winner():
+    """Guards against two accepted changes of one base version."""
+    world = small_world()
+    propose(world, "entry-0", 1, change("token-1"))
+    propose(world, "entry-1", 2, change("token-2", out="piraeus"))
+    world.run(5)
+    kinds = {outcome.kind: outcome for outcome in world.outcomes.values()}
+    assert set(kinds) == {"accepted", "refused"}
+    assert "version 1 by ada: power work" in kinds["refused"].detail
+
+
+def test_voters_carry_an_outage_of_the_table():
+    """Guards against starts that stop while only the table is out."""
+    world = small_world()
+    world.faults.is_down = True
+    for _ in range(100):
+        world.run(0.3)
+        assert fresh_members(world) == set(world.processes)
+    propose(world, "entry-0", 1, change("token-1"))
+    world.run(22)
+    assert world.outcomes[1].kind == "refused"
+    world.faults.is_down = False
+    world.run(30)
+    assert "token-1" not in world.tokens.values()
+
+
+def test_evidence_ends_without_table_and_voters():
+    """Guards against statements of fewer than a majority."""
+    world = small_world()
+    world.faults.is_down = True
+    for name in ("entry-1", "entry-2", "agent-1", "agent-2"):
+        world.stop(name)
+    world.run(3)
+    assert fresh_members(world) == set()
+
+
+def test_restarted_voter_counts_again_only_when_listed():
+    """Guards against promises that a restart has forgotten."""
+    world = small_world()
+    world.faults.is_down = True
+    world.restart("agent-0")
+    world.run(5)
+    assert not world.processes["agent-0"].machine.is_voter()
+    world.faults.is_down = False
+    world.run(8)
+    assert world.processes["agent-0"].machine.is_voter()
+
+
+def test_silent_owner_is_removed_and_its_keys_move_late():
+    """Guards against two owners and against an owner that is never replaced."""
+    world = small_world()
+    world.pause("entry-0")
+    world.run(4)
+    assert "entry-0" not in {e.member_id for e in world.row.entries}
+    survivor = world.processes["entry-1"]
+    removed_at = world.accepted[world.row.revision]
+    waited = survivor.machine.ready_at() - survivor.clock(removed_at)
+    assert waited >= world.settings.evidence_ttl
+    world.resume("entry-0")
+    world.run(10)
+    entries = {e.member_id: e.incarnation for e in world.row.entries}
+    assert entries["entry-0"] > survivor.member.incarnation
+
+
+def test_planned_leave_moves_later_keys_then_ends():
+    """Guards against a leave that drops an owner before it has drained."""
+    world = small_world()
+    leaver = world.processes["entry-0"]
+    world.call(leaver, leaver.machine.leave)
+    world.run(4)
+    owners = {o.member_id for o in world.row.epochs[-1].owners}
+    assert owners == {"entry-1", "entry-2"}
+    assert leaver.member in world.row.entries
+    world.call(leaver, leaver.machine.depart)
+    world.run(3)
+    assert "entry-0" not in world.processes
+    assert leaver.member not in world.row.entries
+
+
+def test_large_start_needs_few_writes():
+    """Guards against one write for each of many processes that start."""
+    world = World(3)
+    for number in range(5):
+        world.start(f"entry-{number}", f"zone-{number % 3}", Role.ENTRY)
+    for number in range(30):
+        world.start(f"agent-{number}", f"zone-{number % 3}", Role.AGENT)
+    world.run(10)
+    assert len(world.row.entries) == 5 and len(world.row.agents) == 30
+    writes = [d for _, _, d in world.decisions if d.event == "table_write"]
+    assert len(writes) <= 10
--- /dev/null
+++ b/gypsumline/tests/core/test_membership.py
@@ -0,0 +1,103 @@
+"""Tests of the pure functions for members, voters, epochs and settings."""
+
+import dataclasses
+
+import pytest
+
+from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.errors import InvalidInputGroup
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.membership import (
+    Presence,
+    Sighting,
+    choose_voters,
+    next_record,
+    plan_change,
+)
+from gypsumline.core.submission_key import generate_key, key_time
+
+SETTINGS = ControlSettings()
+
+
+def member(name, zone="glyfada", incarnation=1):
+    role = Role.ENTRY if name.startswith("e") else Role.AGENT
+    return Member(
+        member_id=name,
+        incarnation=incarnation,
+        role=role,
+        availability_zone=zone,
+    )
+
+
+def sighting(one, presence=Presence.ALIVE, **fields):
+    return Sighting(member=one, presence=presence, connected=True, **fields)
+
+
+def test_voters_are_spread_and_change_little():
+    """Guards against a zone that holds a majority, and against churn."""
+    zones = ("glyfada", "marousi", "piraeus")
+    many = [member(f"a{n}", zones[n % 3]) for n in range(12)]
+    voters = choose_voters((), many, 5)
+    for zone in zones:
+        assert sum(v.availability_zone == zone for v in voters) <= 2
+    assert choose_voters(voters, reversed(many), 5) == voters
+    left = [one for one in many if one != voters[0]]
+    replaced = choose_voters(voters, left, 5)
+    assert len(set(voters) & set(replaced)) == 4
+
+
+def test_changes_share_one_revision_and_join_moves_no_key():
+    """Guards against moved keys and against one revision for each member."""
+    old = member("e1")
+    record = ControlRecord(
+        revision=4,
+        entries=(old,),
+        voters=(old,),
+        epochs=(OwnerEpoch(begins_at_wall=0, owners=(old,)),),
+    )
+    seen = [
+        sighting(old),
+        sighting(member("e2"), joining=True),
+        sighting(member("e3"), joining=True),
+        sighting(member("a1")),
+    ]
+    key = generate_key()
+    change = plan_change(record, seen, SETTINGS)
+    new = next_record(record, change, key_time(key), SETTINGS)
+    assert new.revision == 5 and len(new.entries) == 3
+    assert new.previous_voters == record.voters
+    assert new.owner_of(key) == old
+    assert new.epochs[-1].begins_at_wall > key_time(key) + 5
+    assert not plan_change(new, seen, SETTINGS).is_needed
+
+
+def test_removed_incarnation_is_not_admitted_again():
+    """Guards against an earlier owner that gets its keys back."""
+    record = ControlRecord(revision=1, entries=(member("e1"),))
+    seen = [sighting(member("e2"), joining=False)]
+    assert plan_change(record, seen, SETTINGS).joined == ()
+
+
+@pytest.mark.parametrize(
+    ("presence", "count"),
+    [(Presence.SILENT, 1), (Presence.FORGOTTEN, 0)],
+)
+def test_agent_stays_registered_while_its_journal_matters(presence, count):
+    """Guards against a new owner that does not ask a starter of tasks."""
+    agent = RegisteredAgent(agent_id="a1", availability_zone="glyfada")
+    record = ControlRecord(revision=1, agents=(agent,))
+    change = plan_change(record, [sighting(member("a1"), presence)], SETTINGS)
+    assert len(next_record(record, change, 0, SETTINGS).agents) == count
+
+
+def test_settings_report_all_errors_at_once():
+    """Guards against values that break the 4 s, found one at a time."""
+    SETTINGS.check()
+    wrong = dataclasses.replace(
+        SETTINGS, evidence_ttl=3.5, epoch_delay=2.0, voter_count=0
+    )
+    with pytest.raises(InvalidInputGroup) as caught:
+        wrong.check()
+    fields = {error.field for error in caught.value.exceptions}
+    assert fields == {"evidence_ttl", "epoch_delay", "voter_count"}
