--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -54,7 +54,7 @@
         self._applied_revision = 0
         self._announcement: Announcement | None = None
         self._announced_at = math.inf
-        self._leaving = False
+        self._left_at = math.inf
 
     @property
     def record(self) -> ControlRecord:
@@ -80,8 +80,10 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether nothing is queued and nothing runs."""
-        return self._machines.slots.is_drained() and not self._runs
+        """Whether nothing is queued, runs or is still on its way here."""
+        is_idle = self._machines.slots.is_drained() and not self._runs
+        control = self._machines.control
+        return is_idle and control.entries_know_since(self._left_at)
 
     @property
     def running(self) -> int:
@@ -120,13 +122,13 @@
         leaving = dataclasses.replace(self._announcement, leaving=True)
         self._announced_at = boot_time()
         self._run(self._machines.slots.announce(leaving, boot_time()))
-        self.tick_control()
+        self._tell_state()
 
     def begin_leave(self) -> None:
         """Begins a planned stop."""
-        self._leaving = True
-        self._run(self._machines.slots.leave(boot_time()))
-        self.tick_control()
+        self._left_at = boot_time()
+        self._run(self._machines.slots.leave(self._left_at))
+        self._tell_state()
 
     def on_connected(self, member: Member) -> None:
         """Takes a new connection."""
@@ -166,6 +168,11 @@
             self._run(slots.lose_upstream(now))
         self._run(slots.tick(self.is_fresh, now))
 
+    def _tell_state(self) -> None:
+        """Tells the entries at once, so that they place nothing more here."""
+        self._machines.control.beat_soon(boot_time())
+        self.tick_control()
+
     def _apply_record(self) -> None:
         record = self.record
         if record.revision == self._applied_revision:
--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -190,8 +190,8 @@
         wall: float,
     ) -> list[Effect]:
         """Starts an operator's change; it ends in a `ChangeOutcome`."""
-        if self._members.is_removed or self._me.role is not Role.ENTRY:
-            detail = "this process is no member that may write"
+        if not self._members.may_change or self._me.role is not Role.ENTRY:
+            detail = "not written: this process leaves or was removed"
             version = self._record.configuration_version
             self._out.append(
                 ChangeOutcome(
@@ -208,9 +208,22 @@
         self._advance(now)
         return self._finish(now)
 
+    def beat_soon(self, now: float) -> None:
+        """Lets the next tick send heartbeats, to tell a new state."""
+        self._next_beat_at = now
+
+    def entries_know_since(self, sent_at: float) -> bool:
+        """Returns whether all connected entries answered a later heartbeat.
+
+        What such an entry sent before its answer has arrived, because a
+        connection keeps the order.
+        """
+        entries = self._peers.connected(Role.ENTRY)
+        return all(peer.answered >= sent_at for peer in entries)
+
     def leave(self, now: float, wall: float) -> list[Effect]:
         """Announces a planned leave; a new epoch will exclude this entry."""
-        self._members.is_leaving = True
+        self._members.leave()
         self._next_beat_at = now
         return self._finish(now)
 
@@ -219,7 +232,7 @@
 
         Ends in the decision "departed"; the process may exit then.
         """
-        self._members.depart(self._record)
+        self._members.depart()
         return self._finish(now)
 
     def _tick_entry(self, is_beat: bool, now: float, wall: float) -> None:
@@ -288,6 +301,7 @@
         asked_at = self._evidence.note_reply(message, now)
         self._note_revision(peer, message.revision, now)
         if asked_at is not None:
+            peer.answered = max(peer.answered, asked_at)
             self._members.on_reply(self._record, peer.member, asked_at)
 
     def _on_control_request(
@@ -344,7 +358,9 @@
         if not isinstance(record, ControlRecord):
             return
         self._adopt(record, now, source="table")
-        self._evidence.note_table(record.revision, result.asked_at)
+        # A lower revision is a late answer or a table that lost writes.
+        if record.revision == self._record.revision:
+            self._evidence.note_table(record.revision, result.asked_at)
 
     def _on_write(self, pending: PendingWrite, kind: str, now: float) -> None:
         self._decide(
@@ -469,7 +485,8 @@
         self._out.append(Decision(event=event, fields=fields))
 
     def _finish(self, now: float) -> list[Effect]:
-        if self._members.take_departed():
+        is_done = self._changes.is_empty
+        if is_done and self._members.take_departed(self._record):
             self._decide("departed", revision=self._record.revision)
         is_fresh = self.is_fresh(now)
         if is_fresh != self._was_fresh:
--- a/gypsumline/core/peers.py
+++ b/gypsumline/core/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from gypsumline.core.identity import Member, Role
 
@@ -18,6 +19,7 @@
       connected: Whether a connection to it is open.
       joining: Whether it asks to become a member.
       leaving: Whether it said that it leaves.
+      answered: When the newest heartbeat that it answered was sent.
     """
 
     member: Member
@@ -26,6 +28,7 @@
     connected: bool = False
     joining: bool = False
     leaving: bool = False
+    answered: float = -math.inf
 
 
 class PeerTable:
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -21,6 +21,19 @@
 # Importing the modules registers their policies.
 POLICY_MODULES = (earliest_finish, policies)
 
+# Refusals for the state of the agent, which other tasks would meet too.
+_AGENT_REASONS = frozenset(
+    {
+        Reason.EXECUTOR_LOST,
+        Reason.JOURNAL_FULL,
+        Reason.LEAVING,
+        Reason.NO_EVIDENCE,
+        Reason.NO_UPSTREAM,
+        Reason.OUT,
+        Reason.SERVICE_OUT,
+    }
+)
+
 
 class Scheduler:
     """Decides admission, placement and withdrawal of one owner's tasks.
@@ -156,15 +169,27 @@
         agent = self._fleet.agents.get(agent_id)
         if agent is not None:
             agent.placed.pop((key, index), None)
-            if reason is Reason.QUEUE_FULL:
-                agent.blocked_until = now + self._settings.queue_full_backoff
-                self._fleet.wake_at(agent, agent.blocked_until)
+            self._block(agent, reason, now)
             self._fleet.refresh(agent, now)
         job = self._jobs.get(key)
         if job is not None and index in job.work_left:
             job.add(index, job.work_left[index])
             self._queue(job)
 
+    def _block(self, agent: AgentView, reason: Reason, now: float) -> None:
+        """Leaves an agent alone after a refusal that a retry would repeat.
+
+        An agent that refuses for its own state says so in its next heartbeat;
+        until then each new start would come back at once.
+        """
+        if reason is Reason.QUEUE_FULL:
+            agent.blocked_until = now + self._settings.queue_full_backoff
+        elif reason in _AGENT_REASONS:
+            agent.blocked_until = now + self._settings.refusal_backoff
+        else:
+            return
+        self._fleet.wake_at(agent, agent.blocked_until)
+
     def _new_agent(self, member: Member, now: float) -> AgentView:
         self.lose_agent(member.member_id, now)
         view = AgentView(member.member_id, member.availability_zone)
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -209,7 +209,7 @@
         self._run(control.on_connected(member, now, wall))
         if member.role == Role.AGENT:
             owner = self._machines.owner
-            self._run(owner.on_agent_connected(member, now, wall))
+            self._run_owner(owner.on_agent_connected(member, now, wall))
         else:
             self._run(self._router.on_connected(member, now))
 
@@ -221,7 +221,7 @@
         if member.role == Role.AGENT:
             self._agents.pop(member.member_id, None)
             owner = self._machines.owner
-            self._run(owner.on_agent_disconnected(member, now, wall))
+            self._run_owner(owner.on_agent_disconnected(member, now, wall))
         else:
             self._peers.pop(member.member_id, None)
             self._run(self._router.on_disconnected(member, now))
