Answer open changes when an entry is removed

Cause: changes that waited at an entry when it was removed got no outcome, and operators could not see that a change waits. Change: removal gives each open change its outcome; change_states and a decision at the proposal tell what it waits for; slow tables now exceed the timeouts.

--- a/gypsumline/core/change.py
+++ b/gypsumline/core/change.py
@@ -86,7 +86,7 @@
         change: ConfigurationChange,
         now: float,
         wall: float,
-    ) -> None:
+    ) -> list[Effect]:
         """Adds a change."""
         proposal = _Proposal(
             request_id=request_id,
@@ -96,6 +96,20 @@
             chart=ChartInstance(load_chart("change")),
         )
         self._waiting.append(proposal)
+        return [_describe_state(proposal)]
+
+    def states(self) -> dict[int, str]:
+        """Returns the state of each change without outcome, by request id."""
+        return {p.request_id: p.chart.state for p in self._waiting}
+
+    def close(self, view: ControlView) -> list[Effect]:
+        """Gives up all changes, because this incarnation ends."""
+        effects: list[Effect] = []
+        while self._waiting:
+            effects += self._give_up(
+                self._waiting.popleft(), view, "this process was removed"
+            )
+        return effects
 
     def on_written(
         self, pending: PendingWrite, kind: str, now: float
@@ -135,7 +149,7 @@
         step = steps.get(proposal.chart.state)
         effects = step(proposal, view, now) if step is not None else []
         if not effects and self._is_overdue(proposal, now):
-            return self._give_up(proposal, view)
+            return self._give_up(proposal, view, self._overdue_reason)
         return effects
 
     def _on_proposed(
@@ -169,8 +183,8 @@
             return self._confirm(proposal, view.record)
         notes = view.record.changes
         if notes and notes[0].version > attempt.configuration_version:
-            # The note of this version, with its token, is no longer kept.
-            return self._give_up(proposal, view)
+            reason = "the notes of that version are no longer kept"
+            return self._give_up(proposal, view, reason)
         if view.record.revision >= attempt.revision:
             # Another write took this revision, so the attempt never can.
             return self._fire(proposal, "rebase")
@@ -223,18 +237,26 @@
         age = now - proposal.proposed_at
         return age > self._settings.change_timeout
 
-    def _give_up(self, proposal: _Proposal, view: ControlView) -> list[Effect]:
-        if proposal.chart.can_fire("refuse"):
-            detail = (
-                f"not written within {self._settings.change_timeout:g} s:"
-                " the table or a majority of the voters did not answer"
-            )
-            return self._refuse(proposal, view, detail)
+    @property
+    def _overdue_reason(self) -> str:
+        limit = self._settings.change_timeout
+        return (
+            f"the table or a majority of the voters did not answer"
+            f" within {limit:g} s"
+        )
+
+    def _give_up(
+        self, proposal: _Proposal, view: ControlView, reason: str
+    ) -> list[Effect]:
+        # The same token may have been written through another entry.
+        is_written = _find_note(view.record, proposal) is not None
+        if proposal.chart.can_fire("refuse") and not is_written:
+            return self._refuse(proposal, view, f"not written: {reason}")
         if not proposal.chart.can_fire("give_up"):
             return []
         token = proposal.change.write_token
         effects = self._fire(proposal, "give_up")
-        detail = f"ask again with write token {token}"
+        detail = f"{reason}; ask again with write token {token}"
         version = view.record.configuration_version
         return effects + [_outcome(proposal, "unknown", version, detail)]
 
@@ -250,21 +272,31 @@
         for proposal in list(self._waiting)[1:]:
             if self._is_overdue(proposal, now):
                 self._waiting.remove(proposal)
-                effects += self._give_up(proposal, view)
+                effects += self._give_up(proposal, view, self._overdue_reason)
         return effects
 
     def _fire(self, proposal: _Proposal, trigger: str) -> list[Effect]:
         proposal.chart.fire(trigger)
-        return [
-            Decision(
-                event="change",
-                fields={
-                    "request_id": proposal.request_id,
-                    "state": proposal.chart.state,
-                    "write_token": proposal.change.write_token,
-                },
-            )
-        ]
+        return [_describe_state(proposal)]
+
+
+def refuse_at_once(request_id: int, record: ControlRecord) -> ChangeOutcome:
+    """Returns the outcome of a change that this process may not write."""
+    return ChangeOutcome(
+        request_id=request_id,
+        kind="refused",
+        version=record.configuration_version,
+        detail="not written: this process leaves, was removed or is an agent",
+    )
+
+
+def _describe_state(proposal: _Proposal) -> Decision:
+    fields: dict[str, object] = {
+        "request_id": proposal.request_id,
+        "state": proposal.chart.state,
+        "write_token": proposal.change.write_token,
+    }
+    return Decision(event="change", fields=fields)
 
 
 def _find_note(
--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -15,11 +15,10 @@
 from typing import Any
 
 from gypsumline.core.acceptance import Acceptance
-from gypsumline.core.change import ChangeQueue, ControlView
+from gypsumline.core.change import ChangeQueue, ControlView, refuse_at_once
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.control_settings import ControlSettings
 from gypsumline.core.effects import (
-    ChangeOutcome,
     ConfigurationChange,
     Decision,
     Effect,
@@ -119,9 +118,9 @@
         """
         return self._tenure.key_ready_at(key)
 
-    def is_accepted(self) -> bool:
-        """Returns whether the newest known record is known to be accepted."""
-        return self._acceptance.is_accepted
+    def change_states(self) -> dict[int, str]:
+        """Returns the state of each open change, by request id."""
+        return self._changes.states()
 
     def is_voter(self) -> bool:
         """Returns whether the newest known record lists this incarnation."""
@@ -191,18 +190,9 @@
     ) -> list[Effect]:
         """Starts an operator's change; it ends in a `ChangeOutcome`."""
         if not self._members.may_change or self._me.role is not Role.ENTRY:
-            detail = "not written: this process leaves or was removed"
-            version = self._record.configuration_version
-            self._out.append(
-                ChangeOutcome(
-                    request_id=request_id,
-                    kind="refused",
-                    version=version,
-                    detail=detail,
-                )
-            )
+            self._out.append(refuse_at_once(request_id, self._record))
             return self._finish(now)
-        self._changes.propose(request_id, change, now, wall)
+        self._out += self._changes.propose(request_id, change, now, wall)
         self._poller.read_soon(now)
         self._out += self._poller.tick(now)
         self._advance(now)
@@ -395,6 +385,7 @@
                 self._decide("member_removed", member=entry.member_id)
         if self._members.learn(record, now):
             self._decide("removed", revision=record.revision)
+            self._out += self._changes.close(self._view(now))
         if source in ("table", "own write"):
             self._push_to_all()
         else:
@@ -434,13 +425,15 @@
         if is_known and self._acceptance.check(now):
             self._tenure.accept(now)
             self._decide("accepted", revision=self._record.revision)
-        view = ControlView(
+        self._out += self._changes.advance(self._view(now), now)
+
+    def _view(self, now: float) -> ControlView:
+        return ControlView(
             record=self._record,
             is_accepted=self._acceptance.is_accepted,
             is_complete=self._is_complete(now),
             read_at=self._poller.answered_at,
         )
-        self._out += self._changes.advance(view, now)
 
     def _write_membership(self, now: float, wall: float) -> None:
         age = now - self._poller.answered_at
--- a/gypsumline/tests/core/test_chart.py
+++ b/gypsumline/tests/core/test_chart.py
@@ -11,11 +11,16 @@
 # For each state the triggers that it allows, with the state that they lead to.
 ALLOWED = {
     "change": {
-        "proposed": {"read": "completing", "refuse": "refused"},
+        "proposed": {
+            "read": "completing",
+            "refuse": "refused",
+            "give_up": "unknown",
+        },
         "completing": {
             "write": "writing",
             "confirm": "acknowledging",
             "refuse": "refused",
+            "give_up": "unknown",
         },
         "writing": {
             "confirm": "acknowledging",
--- a/properties/control_driver.py
+++ b/properties/control_driver.py
@@ -147,6 +147,7 @@
         self.heal()
         self.run(_HEAL_SECONDS)
         for proposed in self.oracle.proposed:
+            # A process that was restarted from outside answers nothing.
             is_open = proposed.request_id not in self.world.outcomes
             if is_open and self.world.is_alive(proposed.process):
                 raise OracleError(f"{proposed.token} has no outcome")
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -44,7 +44,7 @@
     Attributes:
       is_down: Nothing takes effect and nothing is answered.
       unreachable: Ids of the processes that do not reach it.
-      is_slow: Operations take up to 3 s in all.
+      is_slow: Operations take up to 5 s in all, beyond any timeout.
       lost_answers: Share of writes that take effect without an answer.
     """
 
@@ -311,7 +311,7 @@
         )
 
     def _table_delays(self) -> tuple[float, float]:
-        longest = 1.5 if self.faults.is_slow else 0.01
+        longest = 2.5 if self.faults.is_slow else 0.01
         return self.rng.uniform(0.001, longest), self.rng.uniform(
             0.001, longest
         )
