Add the virtual-time model and weigh waiting against slow slots

Cause: placement could not be compared with the ideal, and tasks waited too long for fast slots or took very slow ones. The policy weighs the finish on each speed class, counts the tasks that it leaves waiting and takes the wait for a fast slot 8 times as long as the slots' rate says, because other owners and later jobs take slots as well.

--- /dev/null
+++ b/benchmarks/virtual_cluster.py
@@ -0,0 +1,498 @@
+"""A small event loop in virtual time around the placement decisions.
+
+It knows slots with speeds, network delays, lagging reports and several owners
+that do not talk to each other. It checks nothing else of the system: messages
+are not lost, processes do not stop, and no journal or evidence is modelled.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+from benchmarks.job_stream import SERVICE, Executor, StreamJob
+from gypsumline.core.configuration import Configuration, Service
+from gypsumline.core.control import ControlRecord, RegisteredAgent
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import UpstreamState
+from gypsumline.core.placement.scheduler import Scheduler
+from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
+
+# Run time of a task on an executor that fails everything.
+FAILURE_SECONDS = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClusterSettings:
+    """Delays and sizes; all times are seconds.
+
+    Attributes:
+      placement: Settings of the owners' schedulers.
+      owners: Entries that own jobs.
+      zones: Availability zones.
+      zone_delay: One way between zones.
+      local_delay: One way inside a zone.
+      client_delay: One way between a client and an entry.
+      heartbeat_interval: Time between an agent's reports to an owner.
+      tick_interval: Time between an owner's ticks.
+      record_delay: Longest time until a process has a new record.
+      bounded_queue: Whether an agent refuses more than one waiting task per
+        slot; the baseline policies need queues without a bound.
+    """
+
+    placement: PlacementSettings = dataclasses.field(
+        default_factory=PlacementSettings
+    )
+    owners: int = 3
+    zones: int = 3
+    zone_delay: float = 0.001
+    local_delay: float = 0.0001
+    client_delay: float = 0.001
+    heartbeat_interval: float = 0.5
+    tick_interval: float = 0.05
+    record_delay: float = 0.3
+    bounded_queue: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class JobRecord:
+    """What became of one job.
+
+    Attributes:
+      job: The job.
+      outcome: "complete", "failed", "refused", "late" or "".
+      answered_at: When the client had the answer.
+      reason: Why it was refused.
+      retry_after: Time to retry of a refusal.
+    """
+
+    job: StreamJob
+    outcome: str = ""
+    answered_at: float = 0.0
+    reason: Reason = Reason.NONE
+    retry_after: float = 0.0
+
+    @property
+    def response(self) -> float:
+        """Seconds from the client's request to its answer."""
+        return self.answered_at - self.job.arrives_at
+
+
+@dataclasses.dataclass(slots=True)
+class MessageCount:
+    """Messages between owners and agents.
+
+    Attributes:
+      total: All except heartbeats.
+      starts: `StartTasks` of which at least one task ran.
+      pairs: Pairs of a job and an agent that ran a task of it.
+      refused: Tasks refused by agents.
+      withdrawn: Tasks withdrawn before they started.
+    """
+
+    total: int = 0
+    starts: int = 0
+    pairs: int = 0
+    refused: int = 0
+    withdrawn: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Task:
+    key: str
+    index: int
+    work: float
+    owner: _Owner
+    message: int
+    deadline: float
+
+
+class VirtualCluster:
+    """Executors, owners and clients in virtual time."""
+
+    def __init__(
+        self,
+        settings: ClusterSettings,
+        executors: list[Executor],
+        seed: int,
+    ) -> None:
+        self.settings = settings
+        self.rng = random.Random(f"cluster-{seed}")
+        self.now = 0.0
+        self.messages = MessageCount()
+        self.records: dict[str, JobRecord] = {}
+        self.executors = executors
+        self.work_done: dict[tuple[str, int], float] = {}
+        self._starts: dict[str, list[float]] = {}
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._numbers = itertools.count()
+        self._useful: set[int] = set()
+        self._pairs: set[tuple[str, str]] = set()
+        self.agents = {e.name: _Agent(self, e) for e in executors}
+        self.owners = [
+            _Owner(self, number) for number in range(settings.owners)
+        ]
+        self.set_out((), at_once=True)
+        for agent in self.agents.values():
+            agent.start()
+        for owner in self.owners:
+            self.after(0.0, owner.tick)
+
+    def at(self, when: float, action: Callable[..., None], *given: Any) -> None:
+        """Has an action done at a virtual time."""
+        heapq.heappush(self._events, (when, next(self._numbers), action, given))
+
+    def after(
+        self, delay: float, action: Callable[..., None], *given: Any
+    ) -> None:
+        """Has an action done after a delay."""
+        self.at(self.now + delay, action, *given)
+
+    def run(self, until: float) -> None:
+        """Runs all events up to a virtual time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action, given = heapq.heappop(self._events)
+            action(*given)
+        self.now = until
+
+    def submit(self, jobs: list[StreamJob]) -> None:
+        """Has clients send jobs, each to an entry that need not own it."""
+        for job in jobs:
+            self.records[job.key] = JobRecord(job)
+            owner = self.rng.choice(self.owners)
+            entry = self.rng.choice(self.owners)
+            delay = self.settings.client_delay + self.delay(
+                owner.zone, entry.zone, same=owner is entry
+            )
+            self.at(job.arrives_at + delay, owner.submit, job, delay)
+
+    def set_out(self, zones: tuple[str, ...], at_once: bool = False) -> None:
+        """Has all processes learn a record with these zones out."""
+        record = ControlRecord(
+            revision=1,
+            configuration=Configuration(
+                services=(Service(name=SERVICE),),
+                availability_zones_out=zones,
+            ),
+            entries=tuple(owner.member for owner in self.owners),
+            agents=tuple(
+                RegisteredAgent(agent_id=e.name, availability_zone=e.zone)
+                for e in self.executors
+            ),
+        )
+        for process in [*self.owners, *self.agents.values()]:
+            delay = self.rng.uniform(0.0, self.settings.record_delay)
+            if at_once:
+                process.set_record(record)
+            else:
+                self.after(delay, process.set_record, record)
+
+    def delay(self, first: str, second: str, same: bool = False) -> float:
+        """Returns the time that a message takes between two zones."""
+        if same:
+            return 0.0
+        if first == second:
+            return self.settings.local_delay
+        return self.settings.zone_delay
+
+    def send(
+        self, first: str, second: str, action: Callable[..., None], *given: Any
+    ) -> None:
+        """Sends a counted message between an owner and an agent."""
+        self.messages.total += 1
+        self.after(self.delay(first, second), action, *given)
+
+    def mark_started(self, task: _Task, agent: _Agent) -> None:
+        """Counts the message and the pair that a started task belongs to."""
+        self._starts.setdefault(agent.executor.zone, []).append(self.now)
+        if task.message not in self._useful:
+            self._useful.add(task.message)
+            self.messages.starts += 1
+        if (task.key, agent.executor.name) not in self._pairs:
+            self._pairs.add((task.key, agent.executor.name))
+            self.messages.pairs += 1
+
+    def starts_in(self, zone: str) -> list[float]:
+        """Returns the times at which tasks were started in a zone."""
+        return self._starts.get(zone, [])
+
+    def new_message(self) -> int:
+        """Returns a number for a `StartTasks` message."""
+        return next(self._numbers)
+
+
+class _Agent:
+    """Slots and queue of one executor."""
+
+    def __init__(self, cluster: VirtualCluster, executor: Executor) -> None:
+        self.cluster = cluster
+        self.executor = executor
+        self.free = executor.slots
+        self.queue: collections.deque[_Task] = collections.deque()
+        self.is_out = False
+        self.fails = False
+        self.pace = 1.0
+        self.busy: list[tuple[float, float]] = []
+        self.member = Member(
+            member_id=executor.name,
+            incarnation=1,
+            role=Role.AGENT,
+            availability_zone=executor.zone,
+        )
+
+    def start(self) -> None:
+        for owner in self.cluster.owners:
+            owner.observe(self, self.state())
+            interval = self.cluster.settings.heartbeat_interval
+            phase = self.cluster.rng.uniform(0.0, interval)
+            self.cluster.after(phase, self._heartbeat, owner)
+
+    def set_failing(self, fails: bool) -> None:
+        self.fails = fails
+
+    def state(self) -> UpstreamState:
+        return UpstreamState(
+            upstream_id=self.executor.name,
+            service=SERVICE,
+            slots=self.executor.slots,
+            free=self.free,
+            queued=len(self.queue),
+            healthy=True,
+        )
+
+    def set_record(self, record: ControlRecord) -> None:
+        out = record.configuration.availability_zones_out
+        self.is_out = self.executor.zone in out
+        if self.is_out:
+            refused = list(self.queue)
+            self.queue.clear()
+            self._refuse(refused, Reason.OUT)
+
+    def receive(self, tasks: list[_Task]) -> None:
+        if self.is_out:
+            self._refuse(tasks, Reason.OUT)
+            return
+        full: list[_Task] = []
+        limit = self.executor.slots
+        for task in tasks:
+            if self.free:
+                self._run(task)
+            elif (
+                self.cluster.settings.bounded_queue and len(self.queue) >= limit
+            ):
+                full.append(task)
+            else:
+                self.queue.append(task)
+        self._refuse(full, Reason.QUEUE_FULL)
+
+    def withdraw(
+        self, owner: _Owner, key: str, indexes: tuple[int, ...]
+    ) -> None:
+        taken = [
+            task
+            for task in self.queue
+            if task.key == key and task.index in indexes
+        ]
+        for task in taken:
+            self.queue.remove(task)
+        self.cluster.messages.withdrawn += len(taken)
+        gone = tuple(task.index for task in taken)
+        self._tell(owner, owner.withdrawn, key, gone)
+
+    def _refuse(self, tasks: list[_Task], reason: Reason) -> None:
+        self.cluster.messages.refused += len(tasks)
+        groups: dict[tuple[int, str], list[_Task]] = {}
+        for task in tasks:
+            groups.setdefault((task.owner.number, task.key), []).append(task)
+        for (number, key), group in groups.items():
+            owner = self.cluster.owners[number]
+            indexes = tuple(task.index for task in group)
+            self._tell(owner, owner.refused, key, indexes, reason)
+
+    def _tell(
+        self, owner: _Owner, action: Callable[..., None], *given: Any
+    ) -> None:
+        state = self.state()
+        self.cluster.send(
+            self.executor.zone, owner.zone, action, self, state, *given
+        )
+
+    def _run(self, task: _Task) -> None:
+        self.free -= 1
+        self.cluster.mark_started(task, self)
+        seconds = task.work / self.executor.speed * self.pace
+        if self.fails:
+            seconds = FAILURE_SECONDS
+        self.cluster.after(seconds, self._finished, task, seconds)
+
+    def _finished(self, task: _Task, seconds: float) -> None:
+        self.free += 1
+        if not self.fails:
+            self._count_work(seconds)
+        while self.queue and self.free:
+            queued = self.queue.popleft()
+            if queued.deadline > self.cluster.now:
+                self._run(queued)
+        status = TaskStatus.FAILED if self.fails else TaskStatus.SUCCEEDED
+        result = TaskResult(index=task.index, status=status, run_time=seconds)
+        self._tell(task.owner, task.owner.finished, task.key, result)
+
+    def _count_work(self, seconds: float) -> None:
+        """Adds the work of a run to the seconds in which it was done."""
+        end = self.cluster.now
+        start = end - seconds
+        speed = self.executor.speed / self.pace
+        while start < end:
+            stop = min(end, float(int(start) + 1))
+            name = (self.executor.zone, int(start))
+            done = self.cluster.work_done.get(name, 0.0)
+            self.cluster.work_done[name] = done + (stop - start) * speed
+            start = stop
+
+    def _heartbeat(self, owner: _Owner) -> None:
+        cluster = self.cluster
+        delay = cluster.delay(self.executor.zone, owner.zone)
+        cluster.after(delay, owner.heartbeat, self, self.state())
+        cluster.after(
+            cluster.settings.heartbeat_interval, self._heartbeat, owner
+        )
+
+
+class _Owner:
+    """An entry that owns jobs, with a scheduler of its own."""
+
+    def __init__(self, cluster: VirtualCluster, number: int) -> None:
+        self.cluster = cluster
+        self.number = number
+        self.zone = f"zone-{number % cluster.settings.zones}"
+        self.member = Member(
+            member_id=f"entry-{number}",
+            incarnation=1,
+            role=Role.ENTRY,
+            availability_zone=self.zone,
+        )
+        rng = random.Random(cluster.rng.random())
+        self.scheduler = Scheduler(cluster.settings.placement, rng)
+        self.left: dict[str, int] = {}
+        self.return_delay: dict[str, float] = {}
+
+    def set_record(self, record: ControlRecord) -> None:
+        self.scheduler.set_record(record, self.cluster.now)
+        self.act()
+
+    def observe(self, agent: _Agent, state: UpstreamState) -> None:
+        self.scheduler.observe_agent(agent.member, state, self.cluster.now)
+
+    def heartbeat(self, agent: _Agent, state: UpstreamState) -> None:
+        self.observe(agent, state)
+        self.act()
+
+    def tick(self) -> None:
+        self.act()
+        self.cluster.after(self.cluster.settings.tick_interval, self.tick)
+
+    def submit(self, job: StreamJob, delay: float) -> None:
+        now = self.cluster.now
+        record = self.cluster.records[job.key]
+        self.return_delay[job.key] = delay
+        admission = self.scheduler.admit(job.body, now)
+        if not admission.accepted:
+            record.reason = admission.reason
+            record.retry_after = admission.retry_after
+            self._answer(job.key, "refused")
+            return
+        self.left[job.key] = len(job.works)
+        indexes = tuple(range(len(job.works)))
+        self.scheduler.add_job(job.key, job.body, indexes, now)
+        deadline = job.arrives_at + job.body.timeout
+        self.cluster.at(deadline, self._expire, job.key)
+        self.act()
+
+    def finished(
+        self,
+        agent: _Agent,
+        state: UpstreamState,
+        key: str,
+        result: TaskResult,
+    ) -> None:
+        now = self.cluster.now
+        self.scheduler.finish_task(agent.executor.name, key, result, now)
+        self.observe(agent, state)
+        if key in self.left:
+            self.left[key] -= 1
+            if result.status is not TaskStatus.SUCCEEDED:
+                self._end(key, "failed")
+            elif not self.left[key]:
+                self._end(key, "complete")
+        self.act()
+
+    def refused(
+        self,
+        agent: _Agent,
+        state: UpstreamState,
+        key: str,
+        indexes: tuple[int, ...],
+        reason: Reason,
+    ) -> None:
+        now = self.cluster.now
+        for index in indexes:
+            self.scheduler.return_task(
+                agent.executor.name, key, index, reason, now
+            )
+        self.observe(agent, state)
+        self.act()
+
+    def withdrawn(
+        self,
+        agent: _Agent,
+        state: UpstreamState,
+        key: str,
+        indexes: tuple[int, ...],
+    ) -> None:
+        self.refused(agent, state, key, indexes, Reason.WITHDRAWN)
+
+    def act(self) -> None:
+        now = self.cluster.now
+        for assignment in self.scheduler.assign(now):
+            self._start(assignment.agent_id, assignment.key, assignment.indexes)
+        for withdrawal in self.scheduler.withdrawals(now):
+            agent = self.cluster.agents[withdrawal.agent_id]
+            self.cluster.send(
+                self.zone,
+                agent.executor.zone,
+                agent.withdraw,
+                self,
+                withdrawal.key,
+                withdrawal.indexes,
+            )
+
+    def _start(self, name: str, key: str, indexes: tuple[int, ...]) -> None:
+        agent = self.cluster.agents[name]
+        job = self.cluster.records[key].job
+        deadline = job.arrives_at + job.body.timeout
+        message = self.cluster.new_message()
+        tasks = [
+            _Task(key, index, job.works[index], self, message, deadline)
+            for index in indexes
+        ]
+        self.cluster.send(self.zone, agent.executor.zone, agent.receive, tasks)
+
+    def _expire(self, key: str) -> None:
+        if key in self.left:
+            self._end(key, "late")
+
+    def _end(self, key: str, outcome: str) -> None:
+        self.scheduler.remove_job(key, self.cluster.now)
+        del self.left[key]
+        self._answer(key, outcome)
+
+    def _answer(self, key: str, outcome: str) -> None:
+        record = self.cluster.records[key]
+        record.outcome = outcome
+        record.answered_at = self.cluster.now + self.return_delay.pop(key)
--- a/gypsumline/core/admission.py
+++ b/gypsumline/core/admission.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from gypsumline.core.configuration import Configuration
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.placement.fleet import Fleet, Pool
@@ -165,33 +166,33 @@
                 f"for {len(body.tasks)}; allowed: {client.max_running}",
                 self._drain_time(body.service),
             )
-        return self._share(body, record)
+        return None
 
-    def _share(self, body: JobBody, record: ControlRecord) -> Admission | None:
-        """Holds a client to its share while others wait."""
-        drain = self._drain_time(body.service)
-        if drain < self._settings.client_burst_time:
-            return None
-        find = record.configuration.find_client
+    def excess_work(self, service: str, client: str, share: float) -> float:
+        """Returns the work that a client has beyond its share, in seconds.
+
+        Args:
+          service: Service of the backlog.
+          client: The client.
+          share: Its part of the slots; see `share_of`.
+        """
+        use = self._backlog.clients.get((service, client))
+        if use is None:
+            return 0.0
+        return max(0.0, use.work - share * self._backlog.work[service])
+
+    def share_of(
+        self, service: str, client: str, configuration: Configuration
+    ) -> float:
+        """Returns a client's part among those that have work in a service."""
+        find = configuration.find_client
         shares = {
-            client: find(client).share
-            for service, client in self._backlog.clients
-            if service == body.service
+            name: find(name).share
+            for other, name in self._backlog.clients
+            if other == service
         }
-        if set(shares) <= {body.client}:
-            return None
-        shares.setdefault(body.client, find(body.client).share)
-        part = shares[body.client] / sum(shares.values())
-        total = self._backlog.work.get(body.service, 0.0)
-        use = self._backlog.clients.get((body.service, body.client))
-        if use is None or use.work <= part * total:
-            return None
-        return self._later(
-            Reason.CLIENT_LIMIT,
-            f"client {body.client!r} has {use.work / total:.0%} of the backlog "
-            f"while others wait; its share is {part:.0%}",
-            drain,
-        )
+        shares.setdefault(client, find(client).share)
+        return shares[client] / sum(shares.values())
 
     def _deadline(
         self, body: JobBody, record: ControlRecord
@@ -205,15 +206,26 @@
         capacity = self._capacity(body.service)
         drain = self._drain_time(body.service)
         typical = max(self._fastest_speed(body.service) / 2.0, 0.1)
-        finish = drain + sum(works) / capacity + max(works) / typical
-        if finish <= body.timeout * self._settings.admission_margin:
-            return None
-        return self._later(
-            Reason.DEADLINE_INFEASIBLE,
-            f"the job would need about {finish:.2f} s at the present backlog; "
-            f"its timeout is {body.timeout:.2f} s",
-            drain,
-        )
+        own = sum(works) / capacity + max(works) / typical
+        allowed = body.timeout * self._settings.admission_margin
+        if drain + own > allowed:
+            return self._later(
+                Reason.DEADLINE_INFEASIBLE,
+                f"the job would need about {drain + own:.2f} s at the present "
+                f"backlog; its timeout is {body.timeout:.2f} s",
+                drain,
+            )
+        share = self.share_of(body.service, body.client, record.configuration)
+        use = self._backlog.clients.get((body.service, body.client))
+        queued = use.work / capacity if use is not None else 0.0
+        if share < 1.0 and queued / share + own > allowed:
+            return self._later(
+                Reason.CLIENT_LIMIT,
+                f"client {body.client!r} has {queued:.2f} s of work in the "
+                f"backlog while others wait; its share is {share:.0%}",
+                drain,
+            )
+        return None
 
     def _capacity(self, service: str) -> float:
         pools = self._fleet.pools(service)
--- a/gypsumline/core/placement/earliest_finish.py
+++ b/gypsumline/core/placement/earliest_finish.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import bisect
 import math
 import random
 
@@ -10,13 +9,21 @@
 from gypsumline.core.placement.registry import placement_policy
 from gypsumline.core.placement.settings import PlacementSettings
 
+# Tasks of one pass that may be left waiting for a faster place. It bounds the
+# work of a pass; the tasks after them are looked at in the next one.
+WAITING_LIMIT = 32
+# The wait for a faster place is taken to be longer than the slots' own rate
+# says by this factor: other owners and later, shorter jobs take slots as well.
+WAIT_FACTOR = 8.0
+
 
 @placement_policy("earliest_finish")
 class EarliestFinishPolicy:
-    """Gives a free place to the longest task that gains by taking it now.
+    """Gives a task to the agent where it is expected to finish first.
 
-    A task waits for a faster place if it is expected to finish earlier there
-    even after the wait.
+    An agent with a free slot starts it at once; in a short queue it waits for
+    the next slot. If it would finish first at an agent whose queue is full, it
+    waits at the owner, and the wait there is longer for the next task.
     """
 
     binds_at_arrival = False
@@ -24,56 +31,54 @@
     def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
         self._settings = settings
         self._rng = rng
+        self._waiting: dict[SpeedClass, int] = {}
+        self._left = WAITING_LIMIT
 
-    def choose(
-        self, pools: list[Pool], works: list[float], waiting: int
-    ) -> tuple[AgentView, int] | None:
-        """Returns an agent and the position of the task that it gets."""
-        for pool in pools:
-            if not pool.ready_count:
-                continue
-            found = self._choose_in(pool, works, waiting)
-            if found is not None:
-                return found
-        return None
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether too many tasks of this pass were left waiting."""
+        return self._left <= 0
 
-    def _choose_in(
-        self, pool: Pool, works: list[float], waiting: int
-    ) -> tuple[AgentView, int] | None:
-        faster: list[SpeedClass] = []
-        for index in pool.order:
-            candidate = pool.classes[index]
-            if not candidate.ready:
-                faster.append(candidate)
-                continue
-            limit = self._longest_work(pool, candidate, faster, waiting)
-            position = bisect.bisect_right(works, limit) - 1
-            if position >= 0:
-                return self._pick(candidate), position
-        return None
+    def begin(self, pools: list[Pool]) -> None:
+        """Begins a pass over the unplaced tasks, first job first."""
+        self._waiting.clear()
+        self._left = WAITING_LIMIT
+
+    def choose(self, pools: list[Pool], work: float) -> AgentView | None:
+        """Returns an agent for a task, or None if it should wait."""
+        best: SpeedClass | None = None
+        best_level = -1
+        best_finish = math.inf
+        for pool in pools:
+            typical = pool.typical_work
+            for index in pool.order:
+                candidate = pool.classes[index]
+                if not candidate.slots:
+                    continue
+                level = candidate.first_level()
+                wait = self._wait(candidate, level, typical)
+                finish = wait + work / candidate.speed
+                if finish < best_finish:
+                    best, best_level, best_finish = candidate, level, finish
+        if best is None:
+            return None
+        if best_level < 0:
+            self._waiting[best] = self._waiting.get(best, 0) + 1
+            self._left -= 1
+            return None
+        return self._pick(best.levels[best_level])
 
-    def _longest_work(
-        self,
-        pool: Pool,
-        candidate: SpeedClass,
-        faster: list[SpeedClass],
-        waiting: int,
-    ) -> float:
-        """Returns the work above which waiting for a faster place is better."""
-        limit = math.inf
-        for other in faster:
-            if not other.slots:
-                continue
-            gain = 1.0 / candidate.speed - 1.0 / other.speed
-            run_time = pool.typical_work / other.speed
-            wait = run_time * (waiting + 1) / other.slots
-            limit = min(limit, (wait + self._settings.round_trip) / gain)
-        return limit
+    def _wait(self, candidate: SpeedClass, level: int, typical: float) -> float:
+        run_time = typical / candidate.speed
+        if level >= 0:
+            return level * run_time * candidate.agents / candidate.slots
+        queue_time = self._settings.queue_time + self._settings.round_trip
+        ahead = (self._waiting.get(candidate, 0) + 1) * WAIT_FACTOR
+        return queue_time + ahead * run_time / candidate.slots
 
-    def _pick(self, candidate: SpeedClass) -> AgentView:
-        ready = candidate.ready
-        if len(ready) == 1:
-            return ready[0]
-        first = self._rng.choice(ready)
-        second = self._rng.choice(ready)
-        return first if first.free >= second.free else second
+    def _pick(self, agents: list[AgentView]) -> AgentView:
+        if len(agents) == 1:
+            return agents[0]
+        first = self._rng.choice(agents)
+        second = self._rng.choice(agents)
+        return first if first.load <= second.load else second
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -17,6 +17,8 @@
 
 # Speed classes per factor of two; agents of one class count as equally fast.
 CLASSES_PER_OCTAVE = 3
+# Weight of the newest run time in the typical work of a pool.
+TYPICAL_RATE = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,8 +57,8 @@
         self.ramp_from = -math.inf
         self.is_out = False
         self.slot_limit: float = math.inf
-        self.free = 0
         self.speed_class: SpeedClass | None = None
+        self.level = -1
         self.position = -1
 
     @property
@@ -92,37 +94,56 @@
             del self.placed[name]
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class SpeedClass:
-    """Agents of about one speed in a pool.
+    """Agents of about one speed in a pool, in levels by what waits there.
+
+    Level 0 holds the agents with a free slot; level n those where a new task
+    would be the n-th to wait.
 
     Attributes:
       index: Logarithm of the speed in steps of one class.
-      ready: Agents with a free place, in no order.
+      speed: Middle speed of the class.
+      levels: Agents that may get a task, in no order.
+      ready: Number of agents in all levels.
       slots: Slots of all usable agents of the class.
+      agents: Number of usable agents of the class.
     """
 
-    index: int
-    ready: list[AgentView] = dataclasses.field(default_factory=list)
-    slots: int = 0
-
-    @property
-    def speed(self) -> float:
-        """Middle speed of the class."""
-        return math.exp2(self.index / CLASSES_PER_OCTAVE)
-
-    def add(self, agent: AgentView) -> None:
-        """Adds an agent that has a free place."""
-        agent.position = len(self.ready)
-        self.ready.append(agent)
+    __slots__ = ("agents", "index", "levels", "ready", "slots", "speed")
+
+    def __init__(self, index: int) -> None:
+        self.index = index
+        self.speed = math.exp2(index / CLASSES_PER_OCTAVE)
+        self.levels: list[list[AgentView]] = []
+        self.ready = 0
+        self.slots = 0
+        self.agents = 0
+
+    def first_level(self) -> int:
+        """Returns the lowest level that has an agent; -1 if none has."""
+        if self.ready:
+            for level, agents in enumerate(self.levels):
+                if agents:
+                    return level
+        return -1
+
+    def add(self, agent: AgentView, level: int) -> None:
+        """Adds an agent to a level."""
+        while len(self.levels) <= level:
+            self.levels.append([])
+        agent.level = level
+        agent.position = len(self.levels[level])
+        self.levels[level].append(agent)
+        self.ready += 1
 
     def remove(self, agent: AgentView) -> None:
-        """Removes an agent that has no free place any more."""
-        last = self.ready.pop()
+        """Removes an agent from its level."""
+        agents = self.levels[agent.level]
+        last = agents.pop()
         if last is not agent:
-            self.ready[agent.position] = last
+            agents[agent.position] = last
             last.position = agent.position
-        agent.position = -1
+        self.ready -= 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,7 +169,8 @@
       usable: Shares in the sums of the agents that may get work, by id.
       members: The same agents.
       capacity: Sum of slots x speed of the usable agents.
-      available: Part of the capacity that other owners do not use.
+      available: Part of the capacity that other owners do not use, at least
+        this owner's part if all use the same.
       typical_work: Mean run time at speed 1 of the latest tasks, in seconds.
     """
 
@@ -182,9 +204,11 @@
 class Fleet:
     """All agents, in pools by service and kinds and in classes by speed."""
 
-    def __init__(self, silence_limit: float) -> None:
+    def __init__(self, silence_limit: float, queue_time: float) -> None:
         self.agents: dict[str, AgentView] = {}
+        self.owners = 1
         self._silence_limit = silence_limit
+        self._queue_time = queue_time
         self._pools: dict[tuple[str, tuple[str, ...]], Pool] = {}
         self._by_service: dict[str, list[Pool]] = {}
         self._pool_of: dict[str, Pool] = {}
@@ -212,6 +236,13 @@
         if pool is not None:
             self._leave_pool(agent, pool)
 
+    def learn_typical(self, agent: AgentView, run_time: float) -> None:
+        """Adds a run time to the typical work of the agent's pool."""
+        pool = self._pool_of.get(agent.agent_id)
+        if pool is not None:
+            work = min(run_time * agent.speed, 10.0 * pool.typical_work)
+            pool.typical_work += TYPICAL_RATE * (work - pool.typical_work)
+
     def advance(self, now: float) -> None:
         """Looks again at the agents whose time has come."""
         for agent in self._due(self._wake, now):
@@ -245,19 +276,25 @@
         old = self._pool_of.get(agent.agent_id)
         if old is not None and old is not pool:
             self._leave_pool(agent, old)
-        agent.free = 0
         if pool is None:
             return
         speed_class = self._account(agent, pool)
         if now < agent.blocked_until:
             return
         limit = min(agent.state.slots, agent.slot_limit)
-        agent.free = max(0, int(limit) - agent.load)
-        if agent.free:
+        level = max(0, agent.load - int(limit) + 1)
+        if level <= self._deepest_level(agent, pool):
             agent.speed_class = speed_class
-            speed_class.add(agent)
+            speed_class.add(agent, level)
             pool.ready_count += 1
 
+    def _deepest_level(self, agent: AgentView, pool: Pool) -> int:
+        slots = agent.state.slots
+        if agent.slot_limit < slots:
+            return 0
+        run_time = pool.typical_work / agent.speed
+        return min(slots, int(self._queue_time * slots / run_time))
+
     def _pool(self, agent: AgentView) -> Pool:
         name = (agent.state.service, agent.state.kinds)
         pool = self._pools.get(name)
@@ -281,6 +318,7 @@
         pool.capacity -= share.total
         pool.available -= share.available
         share.speed_class.slots -= share.slots
+        share.speed_class.agents -= 1
 
     def _account(self, agent: AgentView, pool: Pool) -> SpeedClass:
         old = pool.usable.get(agent.agent_id)
@@ -293,12 +331,13 @@
         index = round(math.log2(agent.speed) * CLASSES_PER_OCTAVE)
         share = _Share(
             slots * agent.speed,
-            max(0, slots - agent.others) * agent.speed,
+            max(slots - agent.others, slots / self.owners) * agent.speed,
             slots,
             pool.class_for(index),
         )
         pool.capacity += share.total
         pool.available += share.available
         share.speed_class.slots += slots
+        share.speed_class.agents += 1
         pool.usable[agent.agent_id] = share
         return share.speed_class
--- a/gypsumline/core/placement/job_queue.py
+++ b/gypsumline/core/placement/job_queue.py
@@ -47,6 +47,7 @@
       queues: Unplaced tasks by kind.
       work_left: Work of the tasks that have not finished, by index.
       unplaced_work: Work of the tasks in the queues.
+      penalty: Seconds that it is put back for what its client has already.
       priority: Place in the order; lower is earlier.
     """
 
@@ -59,6 +60,7 @@
     queues: dict[str, QueuedTasks] = dataclasses.field(default_factory=dict)
     work_left: dict[int, float] = dataclasses.field(default_factory=dict)
     unplaced_work: float = 0.0
+    penalty: float = 0.0
     priority: float = 0.0
 
     def add(self, index: int, work: float) -> None:
--- a/gypsumline/core/placement/policies.py
+++ b/gypsumline/core/placement/policies.py
@@ -17,16 +17,20 @@
     def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
         self._rng = rng
 
-    def choose(
-        self, pools: list[Pool], works: list[float], waiting: int
-    ) -> tuple[AgentView, int] | None:
-        """Returns an agent for the longest task, or None if there is none."""
-        members = pools[0].members
+    @property
+    def is_exhausted(self) -> bool:
+        """Always False: a queue without a bound takes any task."""
+        return False
+
+    def begin(self, pools: list[Pool]) -> None:
+        """Does nothing: each choice stands alone."""
+
+    def choose(self, pools: list[Pool], work: float) -> AgentView | None:
+        """Returns an agent, or None if there is none."""
+        members = pools[0].members if pools else []
         if len(pools) > 1:
             members = [agent for pool in pools for agent in pool.members]
-        if not members:
-            return None
-        return self._pick(members), len(works) - 1
+        return self._pick(members) if members else None
 
     def _pick(self, members: list[AgentView]) -> AgentView:
         raise NotImplementedError
--- a/gypsumline/core/placement/registry.py
+++ b/gypsumline/core/placement/registry.py
@@ -33,19 +33,19 @@
         self, settings: PlacementSettings, rng: random.Random
     ) -> None: ...
 
-    def choose(
-        self, pools: list[Pool], works: list[float], waiting: int
-    ) -> tuple[AgentView, int] | None:
-        """Returns an agent and the position of the task that it gets.
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether no further task can be placed in this pass."""
+
+    def begin(self, pools: list[Pool]) -> None:
+        """Begins a pass over the unplaced tasks, first job first."""
+
+    def choose(self, pools: list[Pool], work: float) -> AgentView | None:
+        """Returns an agent for a task, or None if it should wait.
 
         Args:
           pools: Pools that take the task's kind.
-          works: Expected run times at speed 1 of the tasks that may be
-            chosen, shortest first.
-          waiting: Tasks ahead of these that were left waiting on purpose.
-
-        Returns:
-          None if the tasks should wait.
+          work: Expected run time at speed 1, in seconds.
         """
 
 
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -33,7 +33,7 @@
         self._policy = make_policy(settings, rng)
         self._record = ControlRecord()
         self._registered: set[str] = set()
-        self._fleet = Fleet(settings.silence_limit)
+        self._fleet = Fleet(settings.silence_limit, settings.queue_time)
         self._estimates = RunTimeEstimates(settings.default_run_time)
         self._backlog = Backlog()
         self._jobs: dict[str, QueuedJob] = {}
@@ -46,6 +46,7 @@
         """Takes a newer control record into force."""
         self._record = record
         self._registered = {agent.agent_id for agent in record.agents}
+        self._fleet.owners = max(1, len(record.entries))
         for agent in self._fleet.agents.values():
             self._set_out(agent)
             self._fleet.refresh(agent, now)
@@ -100,6 +101,7 @@
             work = self._estimates.work(job.service, kind, declared)
             job.work_left[index] = work
             job.add(index, work)
+        job.penalty = self._penalty(body)
         self._jobs[key] = job
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, len(indexes), total)
@@ -192,6 +194,7 @@
         now: float,
     ) -> None:
         upstream = _upstream(agent)
+        self._fleet.learn_typical(agent, result.run_time)
         self._estimates.learn(
             upstream,
             agent.state.service,
@@ -201,11 +204,22 @@
         )
         agent.speed = self._estimates.speed(upstream)
 
+    def _penalty(self, body: JobBody) -> float:
+        share = self._admission.share_of(
+            body.service, body.client, self._record.configuration
+        )
+        excess = self._admission.excess_work(body.service, body.client, share)
+        pools = self._fleet.pools(body.service)
+        capacity = max(sum(pool.capacity for pool in pools), 1e-3)
+        return self._settings.fairness_weight * excess / capacity
+
     def _queue(self, job: QueuedJob) -> None:
         pools = self._fleet.pools(job.service)
         capacity = max(sum(pool.capacity for pool in pools), 1e-3)
         own_time = job.unplaced_work / capacity
-        job.priority = job.arrived_at + self._settings.age_weight * own_time
+        job.priority = (
+            job.arrived_at + job.penalty + self._settings.age_weight * own_time
+        )
         order = self._orders.setdefault(job.service, JobOrder())
         order.push(job)
 
@@ -216,38 +230,39 @@
         now: float,
         made: list[Assignment],
     ) -> None:
-        waiting = 0
         left: list[QueuedJob] = []
+        self._policy.begin(pools)
         while self._has_room(pools):
             job = order.pop()
             if job is None:
                 break
-            made.extend(self._assign_job(job, pools, waiting, now))
+            made.extend(self._assign_job(job, pools, now))
             if job.queues:
                 left.append(job)
-                waiting += sum(len(q.works) for q in job.queues.values())
         for job in left:
             self._queue(job)
 
     def _has_room(self, pools: list[Pool]) -> bool:
         if self._policy.binds_at_arrival:
             return any(pool.members for pool in pools)
+        if self._policy.is_exhausted:
+            return False
         return any(pool.ready_count for pool in pools)
 
     def _assign_job(
-        self, job: QueuedJob, pools: list[Pool], waiting: int, now: float
+        self, job: QueuedJob, pools: list[Pool], now: float
     ) -> list[Assignment]:
         chosen: dict[str, list[int]] = {}
         candidates: dict[str, int] = {}
-        for kind in list(job.queues):
-            fitting = [pool for pool in pools if pool.takes(kind)]
-            while fitting and kind in job.queues:
-                queue = job.queues[kind]
+        for queue in list(job.queues.values()):
+            fitting = [pool for pool in pools if pool.takes(queue.kind)]
+            position = len(queue.works)
+            while position and self._has_room(fitting):
+                position -= 1
                 count = sum(pool.ready_count for pool in fitting)
-                found = self._policy.choose(fitting, queue.works, waiting)
-                if found is None:
-                    break
-                agent, position = found
+                agent = self._policy.choose(fitting, queue.works[position])
+                if agent is None:
+                    continue
                 index, work = job.take(queue, position)
                 self._place(agent, job, index, work, now)
                 chosen.setdefault(agent.agent_id, []).append(index)
