Eject upstreams whose failures stand out

Cause: an executor that fails everything at once has free slots all the time and attracted most tasks; 36.9% of the jobs that arrived 5 s later were lost. Change: a cumulative sum of the likelihood of failures per upstream, counted once per job, ejects; single tasks probe after 2 to 30 s, jobs of one task first; places come back one per success. An agent that appears or returns gets only the owner's part of its slots for 1 s.

--- /dev/null
+++ b/gypsumline/core/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts that the code interprets."""
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -14,6 +14,7 @@
 from collections.abc import Container
 
 from gypsumline.core.messages import UpstreamState
+from gypsumline.core.placement.settings import PlacementSettings
 
 # Speed classes per factor of two; agents of one class count as equally fast.
 CLASSES_PER_OCTAVE = 3
@@ -54,9 +55,10 @@
         self.round_trip = 0.0
         self.speed = 1.0
         self.blocked_until = -math.inf
-        self.ramp_from = -math.inf
+        self.ramp_until = -math.inf
+        self.was_usable = False
         self.is_out = False
-        self.slot_limit: float = math.inf
+        self.place_limit = 0
         self.speed_class: SpeedClass | None = None
         self.level = -1
         self.position = -1
@@ -204,11 +206,12 @@
 class Fleet:
     """All agents, in pools by service and kinds and in classes by speed."""
 
-    def __init__(self, silence_limit: float, queue_time: float) -> None:
+    def __init__(self, settings: PlacementSettings) -> None:
         self.agents: dict[str, AgentView] = {}
         self.owners = 1
-        self._silence_limit = silence_limit
-        self._queue_time = queue_time
+        self._silence_limit = settings.silence_limit
+        self._queue_time = settings.queue_time
+        self._ramp_time = settings.ramp_time
         self._pools: dict[tuple[str, tuple[str, ...]], Pool] = {}
         self._by_service: dict[str, list[Pool]] = {}
         self._pool_of: dict[str, Pool] = {}
@@ -263,6 +266,10 @@
 
     def is_usable(self, agent: AgentView, now: float) -> bool:
         """Returns whether an agent may get new work."""
+        return agent.place_limit > 0 and self.is_reachable(agent, now)
+
+    def is_reachable(self, agent: AgentView, now: float) -> bool:
+        """Returns whether an agent would take work, were it not ejected."""
         state = agent.state
         if agent.is_out or state.leaving or not state.healthy:
             return False
@@ -271,6 +278,10 @@
     def refresh(self, agent: AgentView, now: float) -> None:
         """Puts an agent where its present state belongs."""
         usable = self.is_usable(agent, now)
+        if usable and not agent.was_usable:
+            agent.ramp_until = now + self._ramp_time
+            self.wake_at(agent, agent.ramp_until)
+        agent.was_usable = usable
         pool = self._pool(agent) if usable else None
         self._leave_class(agent)
         old = self._pool_of.get(agent.agent_id)
@@ -281,17 +292,24 @@
         speed_class = self._account(agent, pool)
         if now < agent.blocked_until:
             return
-        limit = min(agent.state.slots, agent.slot_limit)
-        level = max(0, agent.load - int(limit) + 1)
+        level = max(0, agent.load - agent.state.slots + 1)
+        if len(agent.placed) >= self._own_limit(agent, now):
+            return
         if level <= self._deepest_level(agent, pool):
             agent.speed_class = speed_class
             speed_class.add(agent, level)
             pool.ready_count += 1
 
+    def _own_limit(self, agent: AgentView, now: float) -> float:
+        slots = agent.state.slots
+        if agent.place_limit < slots:
+            return agent.place_limit
+        if now < agent.ramp_until:
+            return math.ceil(slots / self.owners)
+        return math.inf
+
     def _deepest_level(self, agent: AgentView, pool: Pool) -> int:
         slots = agent.state.slots
-        if agent.slot_limit < slots:
-            return 0
         run_time = pool.typical_work / agent.speed
         return min(slots, int(self._queue_time * slots / run_time))
 
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -6,6 +6,7 @@
 
 from gypsumline.core.admission import AdmissionControl, Backlog
 from gypsumline.core.control import ControlRecord
+from gypsumline.core.ejection import EjectionControl
 from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import UpstreamState
@@ -19,6 +20,8 @@
 
 # Importing the modules registers their policies.
 POLICY_MODULES = (earliest_finish, policies)
+# Reasons of results that say nothing about the upstream.
+NO_FAULT_REASONS = (Reason.CANCELLED, Reason.DEADLINE, Reason.WITHDRAWN)
 
 
 class Scheduler:
@@ -30,12 +33,15 @@
 
     def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
         self._settings = settings
+        self._patience = settings.probe_patience
         self._policy = make_policy(settings, rng)
         self._record = ControlRecord()
         self._registered: set[str] = set()
-        self._fleet = Fleet(settings.silence_limit, settings.queue_time)
+        self._fleet = Fleet(settings)
         self._estimates = RunTimeEstimates(settings.default_run_time)
         self._backlog = Backlog()
+        self._ejection = EjectionControl(settings)
+        self._probes: dict[str, float] = {}
         self._jobs: dict[str, QueuedJob] = {}
         self._orders: dict[str, JobOrder] = {}
         self._admission = AdmissionControl(
@@ -47,6 +53,7 @@
         self._record = record
         self._registered = {agent.agent_id for agent in record.agents}
         self._fleet.owners = max(1, len(record.entries))
+        self._ejection.keep(self._registered | self._fleet.agents.keys())
         for agent in self._fleet.agents.values():
             self._set_out(agent)
             self._fleet.refresh(agent, now)
@@ -63,6 +70,9 @@
         new_upstream = state.upstream_id != view.state.upstream_id
         silent = now - view.seen_at >= self._settings.silence_limit
         view.observe(state, now, self._jobs)
+        view.place_limit = self._ejection.place_limit(
+            view.agent_id, state.slots
+        )
         view.speed = self._estimates.speed(_upstream(view))
         if silent:
             self._fleet.watch_silence(view)
@@ -73,6 +83,7 @@
     def lose_agent(self, agent_id: str, now: float) -> None:
         """Forgets an agent that is gone or silent."""
         agent = self._fleet.agents.pop(agent_id, None)
+        self._probes.pop(agent_id, None)
         if agent is not None:
             self._fleet.drop(agent)
 
@@ -147,7 +158,8 @@
         if agent is None or placed is None:
             return
         if result.status is TaskStatus.SUCCEEDED:
-            self._learn(agent, placed, result, now)
+            self._learn(agent, placed, result)
+        self._judge(agent, key, result, now)
         self._fleet.refresh(agent, now)
 
     def return_task(
@@ -173,6 +185,10 @@
         self._set_out(view)
         view.round_trip = self._settings.round_trip
         self._fleet.agents[member.member_id] = view
+        self._ejection.add(member.member_id)
+        if self._ejection.state(member.member_id) == "ejected":
+            probe_at = self._ejection.probe_at(member.member_id)
+            self._probes[member.member_id] = probe_at
         return view
 
     def _set_out(self, agent: AgentView) -> None:
@@ -191,7 +207,6 @@
         agent: AgentView,
         placed: PlacedTask,
         result: TaskResult,
-        now: float,
     ) -> None:
         upstream = _upstream(agent)
         self._fleet.learn_typical(agent, result.run_time)
@@ -213,6 +228,52 @@
         capacity = max(sum(pool.capacity for pool in pools), 1e-3)
         return self._settings.fairness_weight * excess / capacity
 
+    def _judge(
+        self, agent: AgentView, key: str, result: TaskResult, now: float
+    ) -> None:
+        """Adds a result to the health of the agent's upstream."""
+        name = agent.agent_id
+        before = self._ejection.state(name)
+        if result.status is TaskStatus.SUCCEEDED:
+            self._ejection.succeed(name, agent.state.slots, now)
+        elif result.reason not in NO_FAULT_REASONS:
+            self._ejection.fail(name, key, now)
+        state = self._ejection.state(name)
+        agent.place_limit = self._ejection.place_limit(name, agent.state.slots)
+        if state == "ejected" and before != state:
+            self._probes[name] = self._ejection.probe_at(name)
+
+    def _probe(self, job: QueuedJob, now: float) -> list[Assignment]:
+        """Sends the longest task of a job to an upstream that is due."""
+        for name, due in self._probes.items():
+            agent = self._fleet.agents[name]
+            patience = 0.0 if len(job.declared) == 1 else self._patience
+            if now < due + patience or not self._can_probe(agent, job, now):
+                continue
+            del self._probes[name]
+            self._ejection.begin_probe(name)
+            queue = next(iter(job.queues.values()))
+            index, work = job.take(queue, len(queue.works) - 1)
+            self._place(agent, job, index, work, now)
+            return [
+                Assignment(
+                    agent_id=name,
+                    key=job.key,
+                    indexes=(index,),
+                    reason="probe",
+                    candidates=1,
+                )
+            ]
+        return []
+
+    def _can_probe(self, agent: AgentView, job: QueuedJob, now: float) -> bool:
+        state = agent.state
+        if state.service != job.service or not state.free:
+            return False
+        if state.kinds and not set(job.queues) <= set(state.kinds):
+            return False
+        return self._fleet.is_reachable(agent, now)
+
     def _queue(self, job: QueuedJob) -> None:
         pools = self._fleet.pools(job.service)
         capacity = max(sum(pool.capacity for pool in pools), 1e-3)
@@ -236,6 +297,8 @@
             job = order.pop()
             if job is None:
                 break
+            if self._probes:
+                made.extend(self._probe(job, now))
             made.extend(self._assign_job(job, pools, now))
             if job.queues:
                 left.append(job)
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -18,7 +18,15 @@
       queue_time: float = 0.0
     queue_full_backoff: Pause after an agent refused for a full queue.
       default_run_time: Expected run time of a kind that nothing is known of.
-      ramp_time: Time over which a returning agent gets all its slots.
+      ramp_time: Time for which an agent that appears or returns gets only this
+        owner's part of its slots, so that the owners do not overfill it.
+      probe_interval: Time from the first ejection of an upstream to its probe;
+        it doubles with each further one.
+      probe_interval_max: Longest such time.
+      probe_patience: Time for which a probe waits for a job of one task;
+        after that it takes any job.
+      flapping_memory: Time after which a healthy upstream's ejections are
+        forgotten.
       age_weight: Seconds of response that one second of a job's own remaining
         work (at the speed of all slots) costs in the order of the jobs; 0 is
         the order of arrival.
@@ -37,6 +45,10 @@
     queue_full_backoff: float = 0.02
     default_run_time: float = 0.3
     ramp_time: float = 1.0
+    probe_interval: float = 2.0
+    probe_interval_max: float = 30.0
+    probe_patience: float = 2.0
+    flapping_memory: float = 60.0
     age_weight: float = 8.0
     admission_margin: float = 0.8
     fairness_weight: float = 4.0
--- a/gypsumline/tests/core/placement/test_scheduler.py
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler."""
 
+import dataclasses
 import random
 
 import pytest
@@ -206,3 +207,53 @@
     scheduler.remove_job("j", 0.0)
     report(scheduler, "a")
     assert scheduler.assign(0.0) == []
+
+
+def test_failing_agent_is_ejected_and_probed_with_one_task():
+    """Guards against a broken executor that gets more than single tasks."""
+    names = ("a", "b", "c")
+    scheduler = make_scheduler(make_record(agents=names))
+    for name in names:
+        report(scheduler, name, slots=1, free=1)
+    for number in range(3):
+        add(scheduler, f"j{number}", [0.1])
+        for assignment in scheduler.assign(0.0):
+            ok = assignment.agent_id != "a"
+            finish(
+                scheduler, assignment.agent_id, assignment.key, 0, 0.0, ok=ok
+            )
+    for number in range(20):
+        for assignment in scheduler.assign(0.0):
+            ok = assignment.agent_id != "a"
+            finish(
+                scheduler, assignment.agent_id, assignment.key, 0, 0.0, ok=ok
+            )
+        add(scheduler, f"k{number}", [0.1])
+    for name in names:
+        report(scheduler, name, 2.5)
+    for number in range(20):
+        add(scheduler, f"l{number}", [0.1], 2.5)
+    to_a = [x for x in scheduler.assign(2.5) if x.agent_id == "a"]
+    assert [(x.reason, len(x.indexes)) for x in to_a] == [("probe", 1)]
+    finish(scheduler, "a", to_a[0].key, 0, 2.6)
+    assert [x.reason for x in scheduler.assign(2.6)] == ["earliest_finish"]
+
+
+def test_returning_zone_gets_only_this_owners_part_at_first():
+    """Guards against all owners filling a returning zone at once."""
+    owners = tuple(
+        Member(
+            member_id=f"e{n}",
+            incarnation=1,
+            role=Role.ENTRY,
+            availability_zone="z",
+        )
+        for n in range(4)
+    )
+    record = dataclasses.replace(make_record(agents=("a",)), entries=owners)
+    scheduler = make_scheduler(record)
+    report(scheduler, "a", slots=8, free=8)
+    add(scheduler, "j", [0.1] * 20)
+    assert sum(len(a.indexes) for a in scheduler.assign(0.0)) == 2
+    report(scheduler, "a", 0.9, slots=8, free=6)
+    assert sum(len(a.indexes) for a in scheduler.assign(1.1)) == 6
