Order jobs by remaining work and give each owner its part

Cause: with three owners an owner that ran nothing learned of free slots only from heartbeats, after the others had filled them; and the order by arrival + 8 x own time (at the speed of all slots) was too near to the order of arrival. Change: an owner below its equal part places tasks up to that part even where all slots are busy. The own time counts at the capacity that the owner can count on, with weight 16, at most 30 s. A client is put back only for more than 3 s of work beyond its share. The reference of the ideal got orders up to weight 64 and the work that is left.

--- a/benchmarks/ideal.py
+++ b/benchmarks/ideal.py
@@ -13,8 +13,9 @@
   each percentile is taken from the one that is best at that percentile:
   work-conserving list schedules (the first job in the order gives its longest
   task to the fastest free slot) in the order arrival + weight x own time, and
-  earliest-finish schedules, in the order of arrival and in the same orders as
-  above, which know when each slot becomes free and may leave a slow slot idle.
+  earliest-finish schedules, in the order of arrival and in the order arrival +
+  weight x own time that is left, which know when each slot becomes free and may
+  leave a slow slot idle.
   They are real schedules, so the optimum is between the lower bound and the
   reference. "Ideal" without an addition means this reference.
 """
@@ -29,7 +30,7 @@
 
 from benchmarks.job_stream import Executor, StreamJob
 
-ORDER_WEIGHTS = (0.0, 1.0, 2.0, 4.0, 8.0, 16.0)
+ORDER_WEIGHTS = (0.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0)
 # Tasks that the reserving schedule looks at in one event.
 RESERVED_TASKS = 400
 
@@ -164,7 +165,14 @@
         else:
             now = heapq.heappop(running)[0]
         _reserve(queue, left, ends_at, inverse, now, running, last)
-        queue = [entry for entry in queue if left[entry[1]]]
+        queue = sorted(
+            (
+                jobs[number].arrives_at + weight * sum(left[number]) / total,
+                number,
+            )
+            for _, number in queue
+            if left[number]
+        )
     return [end - job.arrives_at for end, job in zip(last, jobs, strict=True)]
 
 
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -155,6 +155,7 @@
     total: float
     available: float
     slots: int
+    placed: int
     speed_class: SpeedClass
 
 
@@ -173,6 +174,8 @@
       capacity: Sum of slots x speed of the usable agents.
       available: Part of the capacity that other owners do not use, at least
         this owner's part if all use the same.
+      slots: Slots of the usable agents.
+      placed: This owner's tasks at the usable agents.
       typical_work: Mean run time at speed 1 of the latest tasks, in seconds.
     """
 
@@ -186,6 +189,8 @@
     capacity: float = 0.0
     available: float = 0.0
     typical_work: float = 0.3
+    slots: int = 0
+    placed: int = 0
 
     def takes(self, kind: str) -> bool:
         """Returns whether the agents take a kind."""
@@ -211,6 +216,7 @@
         self.owners = 1
         self._silence_limit = settings.silence_limit
         self._queue_time = settings.queue_time
+        self._guaranteed_part = settings.guaranteed_part
         self._ramp_time = settings.ramp_time
         self._pools: dict[tuple[str, tuple[str, ...]], Pool] = {}
         self._by_service: dict[str, list[Pool]] = {}
@@ -295,7 +301,8 @@
         level = max(0, agent.load - agent.state.slots + 1)
         if len(agent.placed) >= self._own_limit(agent, now):
             return
-        if level <= self._deepest_level(agent, pool):
+        deepest = self._deepest_level(agent, pool)
+        if level <= deepest or self._is_short(agent, pool):
             agent.speed_class = speed_class
             speed_class.add(agent, level)
             pool.ready_count += 1
@@ -308,6 +315,17 @@
             return math.ceil(slots / self.owners)
         return math.inf
 
+    def _is_short(self, agent: AgentView, pool: Pool) -> bool:
+        """Returns whether this owner has far less than its part.
+
+        Owners that already use the slots see each of them become free; one
+        that uses none would learn of it only from heartbeats, and too late.
+        """
+        part = self._guaranteed_part / self.owners
+        if pool.placed >= part * pool.slots:
+            return False
+        return len(agent.placed) < part * agent.state.slots
+
     def _deepest_level(self, agent: AgentView, pool: Pool) -> int:
         slots = agent.state.slots
         run_time = pool.typical_work / agent.speed
@@ -335,6 +353,8 @@
     def _subtract(self, pool: Pool, share: _Share) -> None:
         pool.capacity -= share.total
         pool.available -= share.available
+        pool.slots -= share.slots
+        pool.placed -= share.placed
         share.speed_class.slots -= share.slots
         share.speed_class.agents -= 1
 
@@ -351,10 +371,13 @@
             slots * agent.speed,
             max(slots - agent.others, slots / self.owners) * agent.speed,
             slots,
+            len(agent.placed),
             pool.class_for(index),
         )
         pool.capacity += share.total
         pool.available += share.available
+        pool.slots += slots
+        pool.placed += share.placed
         share.speed_class.slots += slots
         share.speed_class.agents += 1
         pool.usable[agent.agent_id] = share
--- a/gypsumline/core/placement/job_queue.py
+++ b/gypsumline/core/placement/job_queue.py
@@ -49,6 +49,7 @@
       unplaced_work: Work of the tasks in the queues.
       penalty: Seconds that it is put back for what its client has already.
       priority: Place in the order; lower is earlier.
+      order_number: Number of its valid entry in the order.
     """
 
     key: str
@@ -62,6 +63,7 @@
     unplaced_work: float = 0.0
     penalty: float = 0.0
     priority: float = 0.0
+    order_number: int = 0
 
     def add(self, index: int, work: float) -> None:
         """Adds an unplaced task."""
@@ -83,17 +85,18 @@
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, QueuedJob]] = []
-        self._numbers = itertools.count()
+        self._numbers = itertools.count(1)
 
     def push(self, job: QueuedJob) -> None:
         """Adds a job, or a job whose priority has changed."""
-        heapq.heappush(self._heap, (job.priority, next(self._numbers), job))
+        job.order_number = next(self._numbers)
+        heapq.heappush(self._heap, (job.priority, job.order_number, job))
 
     def pop(self) -> QueuedJob | None:
         """Removes and returns the first job with unplaced tasks."""
         while self._heap:
-            priority, _, job = heapq.heappop(self._heap)
-            if job.queues and priority == job.priority:
+            _, number, job = heapq.heappop(self._heap)
+            if job.queues and number == job.order_number:
                 return job
         return None
 
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -155,6 +155,8 @@
         if job is not None and result.index in job.work_left:
             work = job.work_left.pop(result.index)
             self._backlog.add(job.service, job.client, -1, -work)
+            if not job.work_left:
+                del self._jobs[key]
         if agent is None or placed is None:
             return
         if result.status is TaskStatus.SUCCEEDED:
@@ -224,9 +226,10 @@
             body.service, body.client, self._record.configuration
         )
         excess = self._admission.excess_work(body.service, body.client, share)
-        pools = self._fleet.pools(body.service)
-        capacity = max(sum(pool.capacity for pool in pools), 1e-3)
-        return self._settings.fairness_weight * excess / capacity
+        settings = self._settings
+        excess_time = excess / self._capacity(body.service)
+        excess_time = max(0.0, excess_time - settings.client_burst_time)
+        return settings.fairness_weight * excess_time
 
     def _judge(
         self, agent: AgentView, key: str, result: TaskResult, now: float
@@ -274,13 +277,16 @@
             return False
         return self._fleet.is_reachable(agent, now)
 
+    def _capacity(self, service: str) -> float:
+        """Returns the work per second that this owner can count on."""
+        pools = self._fleet.pools(service)
+        return max(sum(pool.available for pool in pools), 1e-3)
+
     def _queue(self, job: QueuedJob) -> None:
-        pools = self._fleet.pools(job.service)
-        capacity = max(sum(pool.capacity for pool in pools), 1e-3)
-        own_time = job.unplaced_work / capacity
-        job.priority = (
-            job.arrived_at + job.penalty + self._settings.age_weight * own_time
-        )
+        own_time = job.unplaced_work / self._capacity(job.service)
+        settings = self._settings
+        size = min(settings.age_weight * own_time, settings.size_delay_max)
+        job.priority = job.arrived_at + job.penalty + size
         order = self._orders.setdefault(job.service, JobOrder())
         order.push(job)
 
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -16,6 +16,7 @@
       queue_time: Longest expected wait in the queue of an agent for which a
         task is still placed there.
       queue_time: float = 0.0
+    guaranteed_part: float = 1.0
     queue_full_backoff: Pause after an agent refused for a full queue.
       default_run_time: Expected run time of a kind that nothing is known of.
       ramp_time: Time for which an agent that appears or returns gets only this
@@ -32,7 +33,12 @@
         the order of arrival.
       admission_margin: Part of a job's time limit that the expected finish
         may fill.
-      fairness_weight: Seconds that a job is put back in the order for each
+      size_delay_max: Longest time that a job is put back for its own work.
+      client_burst_time: Work beyond its share, in seconds of all slots, that a
+        client may have in the backlog before its jobs are put back.
+      size_delay_max: float = 30.0
+    client_burst_time: float = 3.0
+    fairness_weight: Seconds that a job is put back in the order for each
         second of work (of all slots) that its client has beyond its share.
       retry_after_min: Shortest time to retry that a refusal names.
       retry_after_max: Longest time to retry that a refusal names.
@@ -42,6 +48,7 @@
     silence_limit: float = 1.0
     round_trip: float = 0.002
     queue_time: float = 0.0
+    guaranteed_part: float = 1.0
     queue_full_backoff: float = 0.02
     default_run_time: float = 0.3
     ramp_time: float = 1.0
@@ -49,8 +56,10 @@
     probe_interval_max: float = 30.0
     probe_patience: float = 2.0
     flapping_memory: float = 60.0
-    age_weight: float = 8.0
+    age_weight: float = 16.0
     admission_margin: float = 0.8
-    fairness_weight: float = 4.0
+    size_delay_max: float = 30.0
+    client_burst_time: float = 3.0
+    fairness_weight: float = 20.0
     retry_after_min: float = 0.1
     retry_after_max: float = 30.0
