--- a/gypsumline/core/chart.py
+++ b/gypsumline/core/chart.py
@@ -42,6 +42,17 @@
         """All trigger names, sorted."""
         return tuple(sorted({trigger for trigger, _, _ in self.arrows}))
 
+    def next_state(self, state: str, trigger: str) -> str:
+        """Returns the state after a trigger.
+
+        Raises:
+          ForbiddenTransitionError: The state does not allow it.
+        """
+        for name, source, target in self.arrows:
+            if (name, source) == (trigger, state):
+                return target
+        raise ForbiddenTransitionError(self.name, state, trigger)
+
 
 class _Model:
     """Holds the state that the library sets."""
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -14,9 +14,12 @@
 from collections.abc import Container
 
 from gypsumline.core.messages import UpstreamState
+from gypsumline.core.placement.settings import PlacementSettings
 
 # Speed classes per factor of two; agents of one class count as equally fast.
 CLASSES_PER_OCTAVE = 3
+# Weight of the newest run time in the typical work of a pool.
+TYPICAL_RATE = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,11 +55,12 @@
         self.round_trip = 0.0
         self.speed = 1.0
         self.blocked_until = -math.inf
-        self.ramp_from = -math.inf
+        self.ramp_until = -math.inf
+        self.was_usable = False
         self.is_out = False
-        self.slot_limit: float = math.inf
-        self.free = 0
+        self.place_limit = 0
         self.speed_class: SpeedClass | None = None
+        self.level = -1
         self.position = -1
 
     @property
@@ -92,37 +96,56 @@
             del self.placed[name]
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class SpeedClass:
-    """Agents of about one speed in a pool.
+    """Agents of about one speed in a pool, in levels by what waits there.
+
+    Level 0 holds the agents with a free slot; level n those where a new task
+    would be the n-th to wait.
 
     Attributes:
       index: Logarithm of the speed in steps of one class.
-      ready: Agents with a free place, in no order.
+      speed: Middle speed of the class.
+      levels: Agents that may get a task, in no order.
+      ready: Number of agents in all levels.
       slots: Slots of all usable agents of the class.
+      agents: Number of usable agents of the class.
     """
 
-    index: int
-    ready: list[AgentView] = dataclasses.field(default_factory=list)
-    slots: int = 0
-
-    @property
-    def speed(self) -> float:
-        """Middle speed of the class."""
-        return math.exp2(self.index / CLASSES_PER_OCTAVE)
-
-    def add(self, agent: AgentView) -> None:
-        """Adds an agent that has a free place."""
-        agent.position = len(self.ready)
-        self.ready.append(agent)
+    __slots__ = ("agents", "index", "levels", "ready", "slots", "speed")
+
+    def __init__(self, index: int) -> None:
+        self.index = index
+        self.speed = math.exp2(index / CLASSES_PER_OCTAVE)
+        self.levels: list[list[AgentView]] = []
+        self.ready = 0
+        self.slots = 0
+        self.agents = 0
+
+    def first_level(self) -> int:
+        """Returns the lowest level that has an agent; -1 if none has."""
+        if self.ready:
+            for level, agents in enumerate(self.levels):
+                if agents:
+                    return level
+        return -1
+
+    def add(self, agent: AgentView, level: int) -> None:
+        """Adds an agent to a level."""
+        while len(self.levels) <= level:
+            self.levels.append([])
+        agent.level = level
+        agent.position = len(self.levels[level])
+        self.levels[level].append(agent)
+        self.ready += 1
 
     def remove(self, agent: AgentView) -> None:
-        """Removes an agent that has no free place any more."""
-        last = self.ready.pop()
+        """Removes an agent from its level."""
+        agents = self.levels[agent.level]
+        last = agents.pop()
         if last is not agent:
-            self.ready[agent.position] = last
+            agents[agent.position] = last
             last.position = agent.position
-        agent.position = -1
+        self.ready -= 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +155,7 @@
     total: float
     available: float
     slots: int
+    placed: int
     speed_class: SpeedClass
 
 
@@ -148,7 +172,10 @@
       usable: Shares in the sums of the agents that may get work, by id.
       members: The same agents.
       capacity: Sum of slots x speed of the usable agents.
-      available: Part of the capacity that other owners do not use.
+      available: Part of the capacity that other owners do not use, at least
+        this owner's part if all use the same.
+      slots: Slots of the usable agents.
+      placed: This owner's tasks at the usable agents.
       typical_work: Mean run time at speed 1 of the latest tasks, in seconds.
     """
 
@@ -162,6 +189,8 @@
     capacity: float = 0.0
     available: float = 0.0
     typical_work: float = 0.3
+    slots: int = 0
+    placed: int = 0
 
     def takes(self, kind: str) -> bool:
         """Returns whether the agents take a kind."""
@@ -182,9 +211,13 @@
 class Fleet:
     """All agents, in pools by service and kinds and in classes by speed."""
 
-    def __init__(self, silence_limit: float) -> None:
+    def __init__(self, settings: PlacementSettings) -> None:
         self.agents: dict[str, AgentView] = {}
-        self._silence_limit = silence_limit
+        self.owners = 1
+        self._silence_limit = settings.silence_limit
+        self._queue_time = settings.queue_time
+        self._guaranteed_part = settings.guaranteed_part
+        self._ramp_time = settings.ramp_time
         self._pools: dict[tuple[str, tuple[str, ...]], Pool] = {}
         self._by_service: dict[str, list[Pool]] = {}
         self._pool_of: dict[str, Pool] = {}
@@ -212,6 +245,13 @@
         if pool is not None:
             self._leave_pool(agent, pool)
 
+    def learn_typical(self, agent: AgentView, run_time: float) -> None:
+        """Adds a run time to the typical work of the agent's pool."""
+        pool = self._pool_of.get(agent.agent_id)
+        if pool is not None:
+            work = min(run_time * agent.speed, 10.0 * pool.typical_work)
+            pool.typical_work += TYPICAL_RATE * (work - pool.typical_work)
+
     def advance(self, now: float) -> None:
         """Looks again at the agents whose time has come."""
         for agent in self._due(self._wake, now):
@@ -232,6 +272,10 @@
 
     def is_usable(self, agent: AgentView, now: float) -> bool:
         """Returns whether an agent may get new work."""
+        return agent.place_limit > 0 and self.is_reachable(agent, now)
+
+    def is_reachable(self, agent: AgentView, now: float) -> bool:
+        """Returns whether an agent would take work, were it not ejected."""
         state = agent.state
         if agent.is_out or state.leaving or not state.healthy:
             return False
@@ -240,24 +284,55 @@
     def refresh(self, agent: AgentView, now: float) -> None:
         """Puts an agent where its present state belongs."""
         usable = self.is_usable(agent, now)
+        if usable and not agent.was_usable:
+            agent.ramp_until = now + self._ramp_time
+            self.wake_at(agent, agent.ramp_until)
+        agent.was_usable = usable
         pool = self._pool(agent) if usable else None
         self._leave_class(agent)
         old = self._pool_of.get(agent.agent_id)
         if old is not None and old is not pool:
             self._leave_pool(agent, old)
-        agent.free = 0
         if pool is None:
             return
         speed_class = self._account(agent, pool)
         if now < agent.blocked_until:
             return
-        limit = min(agent.state.slots, agent.slot_limit)
-        agent.free = max(0, int(limit) - agent.load)
-        if agent.free:
+        level = max(0, agent.load - agent.state.slots + 1)
+        if len(agent.placed) >= self._own_limit(agent, now):
+            return
+        deepest = self._deepest_level(agent, pool)
+        if level <= deepest or self._is_short(agent, pool):
             agent.speed_class = speed_class
-            speed_class.add(agent)
+            speed_class.add(agent, level)
             pool.ready_count += 1
 
+    def _own_limit(self, agent: AgentView, now: float) -> float:
+        slots = agent.state.slots
+        if agent.place_limit < slots:
+            return agent.place_limit
+        if now < agent.ramp_until:
+            return math.ceil(slots / self.owners)
+        return math.inf
+
+    def _is_short(self, agent: AgentView, pool: Pool) -> bool:
+        """Returns whether this owner has far less than its part.
+
+        Owners that already use the slots see each of them become free; one
+        that uses none would learn of it only from heartbeats, and too late.
+        """
+        if self.owners == 1:
+            return False
+        part = self._guaranteed_part / self.owners
+        if pool.placed >= part * pool.slots:
+            return False
+        return len(agent.placed) < part * agent.state.slots
+
+    def _deepest_level(self, agent: AgentView, pool: Pool) -> int:
+        slots = agent.state.slots
+        run_time = pool.typical_work / agent.speed
+        return min(slots, int(self._queue_time * slots / run_time))
+
     def _pool(self, agent: AgentView) -> Pool:
         name = (agent.state.service, agent.state.kinds)
         pool = self._pools.get(name)
@@ -280,7 +355,10 @@
     def _subtract(self, pool: Pool, share: _Share) -> None:
         pool.capacity -= share.total
         pool.available -= share.available
+        pool.slots -= share.slots
+        pool.placed -= share.placed
         share.speed_class.slots -= share.slots
+        share.speed_class.agents -= 1
 
     def _account(self, agent: AgentView, pool: Pool) -> SpeedClass:
         old = pool.usable.get(agent.agent_id)
@@ -293,12 +371,16 @@
         index = round(math.log2(agent.speed) * CLASSES_PER_OCTAVE)
         share = _Share(
             slots * agent.speed,
-            max(0, slots - agent.others) * agent.speed,
+            max(slots - agent.others, slots / self.owners) * agent.speed,
             slots,
+            len(agent.placed),
             pool.class_for(index),
         )
         pool.capacity += share.total
         pool.available += share.available
+        pool.slots += slots
+        pool.placed += share.placed
         share.speed_class.slots += slots
+        share.speed_class.agents += 1
         pool.usable[agent.agent_id] = share
         return share.speed_class
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -7,6 +7,7 @@
 
 from gypsumline.core.admission import AdmissionControl, Backlog
 from gypsumline.core.control import ControlRecord
+from gypsumline.core.ejection import EjectionControl
 from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import UpstreamState
@@ -20,6 +21,8 @@
 
 # Importing the modules registers their policies.
 POLICY_MODULES = (earliest_finish, policies)
+# Reasons of results that say nothing about the upstream.
+NO_FAULT_REASONS = (Reason.CANCELLED, Reason.DEADLINE, Reason.WITHDRAWN)
 
 # Refusals for the state of the agent, which other tasks would meet too.
 _AGENT_REASONS = frozenset(
@@ -44,12 +47,15 @@
 
     def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
         self._settings = settings
+        self._patience = settings.probe_patience
         self._policy = make_policy(settings, rng)
         self._record = ControlRecord()
         self._registered: set[str] = set()
-        self._fleet = Fleet(settings.silence_limit)
+        self._fleet = Fleet(settings)
         self._estimates = RunTimeEstimates(settings.default_run_time)
         self._backlog = Backlog()
+        self._ejection = EjectionControl(settings)
+        self._probes: dict[str, float] = {}
         self._jobs: dict[str, QueuedJob] = {}
         self._orders: dict[str, JobOrder] = {}
         self._admission = AdmissionControl(
@@ -60,6 +66,8 @@
         """Takes a newer control record into force."""
         self._record = record
         self._registered = {agent.agent_id for agent in record.agents}
+        self._fleet.owners = max(1, len(record.entries))
+        self._ejection.keep(self._registered | self._fleet.agents.keys())
         for agent in self._fleet.agents.values():
             self._set_out(agent)
             self._fleet.refresh(agent, now)
@@ -76,6 +84,9 @@
         new_upstream = state.upstream_id != view.state.upstream_id
         silent = now - view.seen_at >= self._settings.silence_limit
         view.observe(state, now, self._jobs)
+        view.place_limit = self._ejection.place_limit(
+            view.agent_id, state.slots
+        )
         view.speed = self._estimates.speed(_upstream(view))
         if silent:
             self._fleet.watch_silence(view)
@@ -86,6 +97,7 @@
     def lose_agent(self, agent_id: str, now: float) -> None:
         """Forgets an agent that is gone or silent."""
         agent = self._fleet.agents.pop(agent_id, None)
+        self._probes.pop(agent_id, None)
         if agent is not None:
             self._fleet.drop(agent)
 
@@ -114,6 +126,7 @@
             work = self._estimates.work(job.service, kind, declared)
             job.work_left[index] = work
             job.add(index, work)
+        job.penalty = self._penalty(body)
         self._jobs[key] = job
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, len(indexes), total)
@@ -156,10 +169,13 @@
         if job is not None and result.index in job.work_left:
             work = job.work_left.pop(result.index)
             self._backlog.add(job.service, job.client, -1, -work)
+            if not job.work_left:
+                del self._jobs[key]
         if agent is None or placed is None:
             return
         if result.status is TaskStatus.SUCCEEDED:
-            self._learn(agent, placed, result, now)
+            self._learn(agent, placed, result)
+        self._judge(agent, key, result, now)
         self._fleet.refresh(agent, now)
 
     def return_task(
@@ -197,6 +213,10 @@
         self._set_out(view)
         view.round_trip = self._settings.round_trip
         self._fleet.agents[member.member_id] = view
+        self._ejection.add(member.member_id)
+        if self._ejection.state(member.member_id) == "ejected":
+            probe_at = self._ejection.probe_at(member.member_id)
+            self._probes[member.member_id] = probe_at
         return view
 
     def _set_out(self, agent: AgentView) -> None:
@@ -215,9 +235,9 @@
         agent: AgentView,
         placed: PlacedTask,
         result: TaskResult,
-        now: float,
     ) -> None:
         upstream = _upstream(agent)
+        self._fleet.learn_typical(agent, result.run_time)
         self._estimates.learn(
             upstream,
             agent.state.service,
@@ -227,11 +247,72 @@
         )
         agent.speed = self._estimates.speed(upstream)
 
+    def _penalty(self, body: JobBody) -> float:
+        share = self._admission.share_of(
+            body.service, body.client, self._record.configuration
+        )
+        excess = self._admission.excess_work(body.service, body.client, share)
+        settings = self._settings
+        excess_time = excess / self._capacity(body.service)
+        excess_time = max(0.0, excess_time - settings.client_burst_time)
+        return settings.fairness_weight * excess_time
+
+    def _judge(
+        self, agent: AgentView, key: str, result: TaskResult, now: float
+    ) -> None:
+        """Adds a result to the health of the agent's upstream."""
+        name = agent.agent_id
+        before = self._ejection.state(name)
+        if result.status is TaskStatus.SUCCEEDED:
+            self._ejection.succeed(name, agent.state.slots, now)
+        elif result.reason not in NO_FAULT_REASONS:
+            self._ejection.fail(name, key, now)
+        state = self._ejection.state(name)
+        agent.place_limit = self._ejection.place_limit(name, agent.state.slots)
+        if state == "ejected" and before != state:
+            self._probes[name] = self._ejection.probe_at(name)
+
+    def _probe(self, job: QueuedJob, now: float) -> list[Assignment]:
+        """Sends the longest task of a job to an upstream that is due."""
+        for name, due in self._probes.items():
+            agent = self._fleet.agents[name]
+            patience = 0.0 if len(job.declared) == 1 else self._patience
+            if now < due + patience or not self._can_probe(agent, job, now):
+                continue
+            del self._probes[name]
+            self._ejection.begin_probe(name)
+            queue = next(iter(job.queues.values()))
+            index, work = job.take(queue, len(queue.works) - 1)
+            self._place(agent, job, index, work, now)
+            return [
+                Assignment(
+                    agent_id=name,
+                    key=job.key,
+                    indexes=(index,),
+                    reason="probe",
+                    candidates=1,
+                )
+            ]
+        return []
+
+    def _can_probe(self, agent: AgentView, job: QueuedJob, now: float) -> bool:
+        state = agent.state
+        if state.service != job.service or not state.free:
+            return False
+        if state.kinds and not set(job.queues) <= set(state.kinds):
+            return False
+        return self._fleet.is_reachable(agent, now)
+
+    def _capacity(self, service: str) -> float:
+        """Returns the work per second that this owner can count on."""
+        pools = self._fleet.pools(service)
+        return max(sum(pool.available for pool in pools), 1e-3)
+
     def _queue(self, job: QueuedJob) -> None:
-        pools = self._fleet.pools(job.service)
-        capacity = max(sum(pool.capacity for pool in pools), 1e-3)
-        own_time = job.unplaced_work / capacity
-        job.priority = job.arrived_at + self._settings.age_weight * own_time
+        own_time = job.unplaced_work / self._capacity(job.service)
+        settings = self._settings
+        size = min(settings.age_weight * own_time, settings.size_delay_max)
+        job.priority = job.arrived_at + job.penalty + size
         order = self._orders.setdefault(job.service, JobOrder())
         order.push(job)
 
@@ -242,38 +323,41 @@
         now: float,
         made: list[Assignment],
     ) -> None:
-        waiting = 0
         left: list[QueuedJob] = []
+        self._policy.begin(pools)
         while self._has_room(pools):
             job = order.pop()
             if job is None:
                 break
-            made.extend(self._assign_job(job, pools, waiting, now))
+            if self._probes:
+                made.extend(self._probe(job, now))
+            made.extend(self._assign_job(job, pools, now))
             if job.queues:
                 left.append(job)
-                waiting += sum(len(q.works) for q in job.queues.values())
         for job in left:
             self._queue(job)
 
     def _has_room(self, pools: list[Pool]) -> bool:
         if self._policy.binds_at_arrival:
             return any(pool.members for pool in pools)
+        if self._policy.is_exhausted:
+            return False
         return any(pool.ready_count for pool in pools)
 
     def _assign_job(
-        self, job: QueuedJob, pools: list[Pool], waiting: int, now: float
+        self, job: QueuedJob, pools: list[Pool], now: float
     ) -> list[Assignment]:
         chosen: dict[str, list[int]] = {}
         candidates: dict[str, int] = {}
-        for kind in list(job.queues):
-            fitting = [pool for pool in pools if pool.takes(kind)]
-            while fitting and kind in job.queues:
-                queue = job.queues[kind]
+        for queue in list(job.queues.values()):
+            fitting = [pool for pool in pools if pool.takes(queue.kind)]
+            position = len(queue.works)
+            while position and self._has_room(fitting):
+                position -= 1
                 count = sum(pool.ready_count for pool in fitting)
-                found = self._policy.choose(fitting, queue.works, waiting)
-                if found is None:
-                    break
-                agent, position = found
+                agent = self._policy.choose(fitting, queue.works[position])
+                if agent is None:
+                    continue
                 index, work = job.take(queue, position)
                 self._place(agent, job, index, work, now)
                 chosen.setdefault(agent.agent_id, []).append(index)
