Remember refusals of senders that don't own a key

A start refused as not owned is placed elsewhere by its sender, so a delayed duplicate of it must stay refused once a newer record makes the sender the owner. Unregistered agents start nothing, because a new owner reads only the journals of registered ones. Parked submissions wait while the evidence is stale instead of ending as unknown.

--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -71,9 +71,9 @@
         `ready_at` must be raised by each revision that takes an owner away,
         to its acceptance + `evidence_ttl`, and be inf until then.
         """
-        self._ownership.set_record(record, ready_at, now, wall)
+        moved = self._ownership.set_record(record, ready_at, now, wall)
         self._scheduler.set_record(record, now)
-        effects = self._drop_moved_jobs(now)
+        effects = self._drop_moved_jobs(now) if moved else []
         return effects + self._ask_journals(now) + self._runner.place(now)
 
     def submit(
@@ -384,6 +384,9 @@
         parked, self._parked = self._parked, []
         effects: list[Effect] = []
         for item in parked:
+            if not fresh and now < item.give_up_at:
+                self._parked.append(item)
+                continue
             effects += self._submit(
                 item.origin, item.message, item.give_up_at, fresh, now, wall
             )
@@ -433,6 +436,8 @@
         self, sender: Member, message: HandOver, now: float, wall: float
     ) -> list[Effect]:
         for item in message.answers:
+            if self._runner.find(item.key) is not None:
+                continue
             self._kept.keep(item.key, item.digest, item.answer, now, wall)
         count = len(message.answers)
         line = Decision(
--- a/gypsumline/core/ownership.py
+++ b/gypsumline/core/ownership.py
@@ -51,25 +51,30 @@
 
     def set_record(
         self, record: ControlRecord, ready_at: float, now: float, wall: float
-    ) -> None:
-        """Takes over a record, or a later `ready_at` of the same record."""
+    ) -> bool:
+        """Takes over a record, or a later `ready_at` of the same record.
+
+        Returns:
+          Whether the owners have changed.
+        """
         ready_wall = wall + (ready_at - now)
         newest = self.newest
         agents = frozenset(agent.agent_id for agent in record.agents)
         if newest is not None:
             if record.revision < newest.record.revision:
-                return
+                return False
             if _has_same_owners(record, newest.record):
                 newest.record = record
                 if math.isinf(newest.ready_at):
                     newest.ready_at = ready_at
                     newest.ready_wall = ready_wall
-                return
+                return False
             agents |= newest.agents
         self._terms.append(
             Term(record, record.revision, ready_at, ready_wall, agents)
         )
         del self._terms[:-_TERMS]
+        return True
 
     def owns(self, key: str) -> bool:
         """Whether the newest record makes this entry the owner."""
--- a/gypsumline/core/slot_gate.py
+++ b/gypsumline/core/slot_gate.py
@@ -17,7 +17,7 @@
         self._me = me
         self._record: ControlRecord | None = None
         self._owners: dict[str, Member | None] = {}
-        self._blocked: dict[str, Reason] = {}
+        self._registered = False
         self.upstream: Announcement | None = None
         self.leaving = False
 
@@ -31,6 +31,9 @@
         if record.revision <= self.revision and self._record is not None:
             return False
         self._record = record
+        self._registered = any(
+            agent.agent_id == self._me.member_id for agent in record.agents
+        )
         self._owners.clear()
         return True
 
@@ -55,7 +58,8 @@
 
     def block_reason(self, service: str) -> Reason:
         """Returns why no task of the service may start here, if so."""
-        if self._record is None:
+        if self._record is None or not self._registered:
+            # A new owner asks only registered agents for their journals.
             return Reason.NO_EVIDENCE
         if self.leaving or (self.upstream and self.upstream.leaving):
             return Reason.LEAVING
--- a/gypsumline/core/slot_table.py
+++ b/gypsumline/core/slot_table.py
@@ -8,6 +8,7 @@
 
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
+from gypsumline.core.foreign_refusals import ForeignRefusals
 from gypsumline.core.identity import Member
 from gypsumline.core.journal import Journal, TaskRecord, TaskState
 from gypsumline.core.journal_report import build_reports
@@ -66,7 +67,7 @@
         self._queue: list[_LiveTask] = []
         self._occupied = 0
         self._fresh = False
-        self._foreign: dict[tuple[str, int, str, int], int] = {}
+        self._foreign = ForeignRefusals(settings)
         self._queries: dict[str, tuple[Member, int]] = {}
 
     @property
@@ -158,6 +159,7 @@
         """Starts what may start, returns what may not, sends results."""
         self._fresh = fresh
         self._journal.prune(now)
+        self._foreign.prune(now)
         return self._settle(now)
 
     def upstream_state(self) -> UpstreamState:
@@ -191,7 +193,7 @@
         if message.agent_incarnation != self._me.incarnation:
             return [_wrong_incarnation(message)]
         if not self._gate.is_owner(sender, message.key):
-            return self._refuse_foreign(sender, message)
+            return self._refuse_foreign(sender, message, now)
         blocked = self._gate.block_reason(message.service)
         if blocked is Reason.NONE and not self._fresh:
             blocked = Reason.NO_EVIDENCE
@@ -205,6 +207,9 @@
                 priority=message.priority,
                 owner=sender,
             )
+            if self._foreign.covers(sender, task.key, spec.index, attempt):
+                self._send_refusal(task, Reason.NOT_OWNER, now)
+                continue
             known = self._journal.find(message.key, spec.index)
             if known is None or self._may_start_again(known, task, message):
                 self._admit(task, message.digest, blocked, now)
@@ -312,30 +317,17 @@
             self._report(sender, key, known.result, True, now)
 
     def _refuse_foreign(
-        self, sender: Member, message: StartTasks
+        self, sender: Member, message: StartTasks, now: float
     ) -> list[Effect]:
-        """Refuses a sender that doesn't own the key.
-
-        The refusal is remembered for this sender: its delayed duplicate must
-        not start the task once a newer record makes the sender the owner.
-        """
         refused: list[TaskResult] = []
         for spec, attempt in zip(message.tasks, message.attempts, strict=True):
-            if self._remember_foreign(sender, message.key, spec.index, attempt):
-                refused.append(_refusal(spec.index, attempt, Reason.NOT_OWNER))
+            index = spec.index
+            if self._foreign.add(sender, message.key, index, attempt, now):
+                refused.append(_refusal(index, attempt, Reason.NOT_OWNER))
         if not refused:
             return []
         return [self._results_message(sender.member_id, message.key, refused)]
 
-    def _remember_foreign(
-        self, sender: Member, key: str, index: int, attempt: int
-    ) -> bool:
-        item = (sender.member_id, sender.incarnation, key, index)
-        if len(self._foreign) >= self._settings.tombstone_entries:
-            return False
-        self._foreign[item] = max(attempt, self._foreign.get(item, 0))
-        return True
-
     def _refuse(self, task: _LiveTask, reason: Reason, now: float) -> None:
         index = task.spec.index
         if self._journal.withdraw(task.key, index, task.attempt, now):
