--- a/gypsumline/core/job.py
+++ b/gypsumline/core/job.py
@@ -11,7 +11,6 @@
     JobBody,
     Outcome,
     TaskResult,
-    TaskSpec,
 )
 
 
@@ -99,9 +98,11 @@
         """Bytes of the payloads."""
         return sum(len(task.payload) for task in self.body.tasks)
 
-    def task(self, index: int) -> TaskSpec:
-        """Returns the task at a position."""
-        return self.body.tasks[index]
+    def attach(self, origin: str, request_id: int) -> None:
+        """Adds a caller that waits for the answer, once."""
+        waiter = (origin, request_id)
+        if waiter not in self.waiters:
+            self.waiters.append(waiter)
 
     def is_waiting(self, index: int) -> bool:
         """Whether a task may be placed."""
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -100,6 +100,8 @@
             if newest is not None and newest.incarnation > agent.incarnation:
                 result = lost_task(index, job.attempts[index])
                 effects += self._on_unknown(job, agent, result, now, wall)
+            if self._jobs.get(job.key) is not job:
+                return effects
         by_agent = group_by_agent(job.placed_tasks())
         for agent in by_agent:
             if self._connected.get(agent.member_id) == agent:
--- a/gypsumline/core/journal_report.py
+++ b/gypsumline/core/journal_report.py
@@ -36,6 +36,7 @@
                 complete_since=journal.complete_since,
                 last=number == len(parts) - 1,
                 part=number,
+                owner_incarnation=receiver.incarnation,
             ),
         )
         for number, part in enumerate(parts)
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -304,6 +304,8 @@
       complete_since: UTC seconds since which the journal misses nothing.
       last: Whether this is the last part.
       part: Number of the part, from 0; a gap makes the answer incomplete.
+      owner_incarnation: Incarnation of the entry that asked; a report for an
+        earlier one holds other keys.
     """
 
     revision: int
@@ -311,6 +313,7 @@
     complete_since: float
     last: bool
     part: int = 0
+    owner_incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -58,7 +58,7 @@
         self._ownership = Ownership(me)
         self._kept = KeptAnswers(settings)
         self._runner = JobRunner(settings, scheduler, self._kept)
-        self._recovery = JournalRecovery(settings)
+        self._recovery = JournalRecovery(me, settings)
         self._hand_over = HandOverSender(me, settings)
         self._parked: list[_Parked] = []
         self._leaving = False
@@ -106,7 +106,7 @@
         if job is None:
             return [reply.with_answer(self._find_answer(message.key))]
         if message.wait:
-            job.waiters.append((origin, message.request_id))
+            job.attach(origin, message.request_id)
             return []
         return [reply.with_answer(JobAnswer(outcome=Outcome.RUNNING))]
 
@@ -126,7 +126,7 @@
         job = self._runner.find(message.key)
         if job is None:
             return [reply.with_answer(self._find_answer(message.key))]
-        job.waiters.append((origin, message.request_id))
+        job.attach(origin, message.request_id)
         effects = self._runner.cancel(job, now)
         return effects + self._runner.settle(job, fresh, now, wall)
 
@@ -233,7 +233,7 @@
         if job is not None:
             if job.digest != message.digest:
                 return [reply.with_answer(_conflict())]
-            job.waiters.append((origin, message.request_id))
+            job.attach(origin, message.request_id)
             return []
         kept = self._kept.find(key)
         if kept is not None:
@@ -243,7 +243,7 @@
         if key_time(key) > wall + self._settings.clock_skew:
             return self._park(parked)
         job = Job(key, message.digest, message.body, give_up_at)
-        job.waiters.append((origin, message.request_id))
+        job.attach(origin, message.request_id)
         if self._ownership.is_new(key, self._settings.key_margin):
             return self._run(job, now, wall)
         return self._recover(job, parked, now, wall)
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/recovery.py
@@ -69,7 +69,8 @@
     nothing for the earlier owner, so a report stays true.
     """
 
-    def __init__(self, settings: OwnerSettings) -> None:
+    def __init__(self, me: Member, settings: OwnerSettings) -> None:
+        self._me = me
         self._settings = settings
         self._journals: dict[str, _AgentJournal] = {}
         self._keys: dict[str, dict[int, RecoveredTask]] = {}
@@ -116,6 +117,8 @@
         journal = self._journals.get(agent.member_id)
         if journal is None or journal.member.incarnation != agent.incarnation:
             return False
+        if report.owner_incarnation != self._me.incarnation:
+            return False
         for entry in report.entries:
             self._add(agent, entry)
         if report.part != journal.parts:
--- a/gypsumline/core/slot_table.py
+++ b/gypsumline/core/slot_table.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 from collections.abc import Iterable
 
 from gypsumline.core.control import ControlRecord
@@ -23,31 +22,13 @@
 )
 from gypsumline.core.outbox import Outbox
 from gypsumline.core.slot_gate import SlotGate
+from gypsumline.core.slot_queue import LiveTask, Place, SlotQueue
 from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.task import Reason, TaskResult, TaskSpec, TaskStatus
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
 
 _MAY_WAIT = (Reason.NO_EVIDENCE, Reason.NOT_OWNER)
 
 
-class _Place(enum.Enum):
-    QUEUE = enum.auto()
-    HELD = enum.auto()
-    RESERVED = enum.auto()
-    RUNNING = enum.auto()
-
-
-@dataclasses.dataclass(slots=True)
-class _LiveTask:
-    key: str
-    spec: TaskSpec
-    service: str
-    attempt: int
-    deadline: float
-    priority: float
-    owner: Member
-    place: _Place = _Place.QUEUE
-
-
 class SlotTable:
     """Decides on each start at one agent.
 
@@ -63,9 +44,7 @@
         self._gate = SlotGate(me)
         self._journal = Journal(me.incarnation, settings)
         self._outbox = Outbox(settings.results_delay)
-        self._live: dict[tuple[str, int], _LiveTask] = {}
-        self._queue: list[_LiveTask] = []
-        self._occupied = 0
+        self._tasks = SlotQueue()
         self._fresh = False
         self._foreign = ForeignRefusals(settings)
         self._queries: dict[str, tuple[Member, int]] = {}
@@ -89,7 +68,7 @@
         """Takes over a newer control record; an older one is ignored."""
         if not self._gate.set_record(record):
             return []
-        for task in self._live.values():
+        for task in self._tasks.all():
             self._hold_or_release(task)
         return self._settle(now) + self._answer_queries()
 
@@ -109,8 +88,7 @@
         elif isinstance(message, WithdrawTasks):
             effects += self._withdraw_tasks(sender, message, now)
         elif isinstance(message, JournalQuery):
-            self._queries[sender.member_id] = (sender, message.revision)
-            return self._answer_queries()
+            return self._ask(sender, message)
         return effects + self._advance(now)
 
     def may_start(
@@ -121,15 +99,17 @@
         The shell writes the request body in the same event-loop step.
         """
         self._fresh = fresh
-        task = self._live.get((key, index))
-        if task is None or task.place is not _Place.RESERVED:
+        task = self._tasks.find(key, index)
+        if task is None or task.place is not Place.RESERVED:
             return self._no_reservation(key, index)
         reason = self._start_reason(task, now)
         if reason is Reason.NONE:
-            task.place = _Place.RUNNING
+            task.place = Place.RUNNING
             self._journal.start(key, index, now)
         elif reason in _MAY_WAIT:
-            self._unreserve(task, reason)
+            self._tasks.hold(task)
+            if reason is not Reason.NOT_OWNER:
+                self._tasks.enqueue(task)
         else:
             self._return(task, reason, now)
         return reason
@@ -141,13 +121,13 @@
 
         The status REFUSED means that the executor provably never started it.
         """
-        task = self._live.get((key, result.index))
-        if task is None or task.place is not _Place.RUNNING:
+        task = self._tasks.find(key, result.index)
+        if task is None or task.place is not Place.RUNNING:
             return [_ignored(key, result.index)]
         if result.status is TaskStatus.REFUSED:
             self._return(task, result.reason, now)
             return self._advance(now)
-        self._remove(task)
+        self._tasks.remove(task)
         result = self._journal.finish(key, result, now)
         record = self._journal.find_key(key)
         key_done = record is None or record.unfinished == 0
@@ -173,7 +153,7 @@
             kinds=upstream.kinds,
             slots=upstream.slots,
             free=self._free(),
-            queued=len(self._queue),
+            queued=self._tasks.queued,
             leaving=self._gate.leaving or upstream.leaving,
             healthy=True,
         )
@@ -185,7 +165,7 @@
 
     def is_drained(self) -> bool:
         """Whether nothing runs, waits or is yet to be sent."""
-        return not self._live and not self._outbox
+        return not self._tasks and not self._outbox
 
     def _start_tasks(
         self, sender: Member, message: StartTasks, now: float
@@ -198,7 +178,7 @@
         if blocked is Reason.NONE and not self._fresh:
             blocked = Reason.NO_EVIDENCE
         for spec, attempt in zip(message.tasks, message.attempts, strict=True):
-            task = _LiveTask(
+            task = LiveTask(
                 key=message.key,
                 spec=spec,
                 service=message.service,
@@ -218,7 +198,7 @@
         return []
 
     def _may_start_again(
-        self, known: TaskRecord, task: _LiveTask, message: StartTasks
+        self, known: TaskRecord, task: LiveTask, message: StartTasks
     ) -> bool:
         if task.attempt <= known.attempt:
             return False
@@ -232,7 +212,7 @@
         )
 
     def _admit(
-        self, task: _LiveTask, digest: bytes, blocked: Reason, now: float
+        self, task: LiveTask, digest: bytes, blocked: Reason, now: float
     ) -> None:
         reason = blocked
         if reason is Reason.NONE:
@@ -242,10 +222,9 @@
             return
         index = task.spec.index
         self._journal.queue(task.key, digest, index, task.attempt, now)
-        self._live[task.key, index] = task
-        self._enqueue(task)
+        self._tasks.add(task)
 
-    def _room_reason(self, task: _LiveTask, now: float) -> Reason:
+    def _room_reason(self, task: LiveTask, now: float) -> Reason:
         if task.deadline <= now:
             return Reason.DEADLINE
         if not self._gate.takes_kind(task.spec.kind):
@@ -255,9 +234,9 @@
         upstream = self._gate.upstream
         slots = 0 if upstream is None else upstream.slots
         room = self._free() + slots * self._settings.queue_per_slot
-        return Reason.QUEUE_FULL if len(self._queue) >= room else Reason.NONE
+        return Reason.QUEUE_FULL if self._tasks.queued >= room else Reason.NONE
 
-    def _repeat(self, known: TaskRecord, task: _LiveTask, now: float) -> None:
+    def _repeat(self, known: TaskRecord, task: LiveTask, now: float) -> None:
         """Answers a task that the journal knows."""
         index = task.spec.index
         if task.attempt < known.attempt:
@@ -271,7 +250,9 @@
             result = dataclasses.replace(known.result, attempt=task.attempt)
             self._report(task.owner, task.key, result, True, now)
             return
-        live = self._live[task.key, index]
+        live = self._tasks.find(task.key, index)
+        if live is None:
+            return
         live.owner = task.owner
         live.attempt = task.attempt
         live.deadline = task.deadline
@@ -298,9 +279,9 @@
             if known is not None and known.attempt > attempt:
                 continue
             if self._journal.withdraw(message.key, index, attempt, now):
-                live = self._live.get((message.key, index))
+                live = self._tasks.find(message.key, index)
                 if live is not None:
-                    self._remove(live)
+                    self._tasks.remove(live)
                 withdrawn.append((index, attempt))
         reply = TasksWithdrawn(
             key=message.key,
@@ -319,29 +300,35 @@
     def _refuse_foreign(
         self, sender: Member, message: StartTasks, now: float
     ) -> list[Effect]:
+        """Refuses a sender that doesn't own the key.
+
+        A task that a former owner has sent before may have started, or may
+        start for the new owner, so its former owner gets no refusal.
+        """
         refused: list[TaskResult] = []
         for spec, attempt in zip(message.tasks, message.attempts, strict=True):
             index = spec.index
+            known = self._journal.find(message.key, index)
+            if known is not None and known.state is not TaskState.WITHDRAWN:
+                continue
             if self._foreign.add(sender, message.key, index, attempt, now):
                 refused.append(_refusal(index, attempt, Reason.NOT_OWNER))
         if not refused:
             return []
         return [self._results_message(sender.member_id, message.key, refused)]
 
-    def _refuse(self, task: _LiveTask, reason: Reason, now: float) -> None:
+    def _refuse(self, task: LiveTask, reason: Reason, now: float) -> None:
         index = task.spec.index
         if self._journal.withdraw(task.key, index, task.attempt, now):
             self._send_refusal(task, reason, now)
 
-    def _send_refusal(
-        self, task: _LiveTask, reason: Reason, now: float
-    ) -> None:
+    def _send_refusal(self, task: LiveTask, reason: Reason, now: float) -> None:
         result = _refusal(task.spec.index, task.attempt, reason)
         self._outbox.add(task.owner.member_id, task.key, result, True, now)
 
-    def _return(self, task: _LiveTask, reason: Reason, now: float) -> None:
+    def _return(self, task: LiveTask, reason: Reason, now: float) -> None:
         """Gives a task back that was queued or provably never started."""
-        self._remove(task)
+        self._tasks.remove(task)
         self._journal.withdraw(task.key, task.spec.index, task.attempt, now)
         result = _refusal(task.spec.index, task.attempt, reason)
         self._report(task.owner, task.key, result, True, now)
@@ -359,8 +346,8 @@
 
     def _settle(self, now: float) -> list[Effect]:
         """Returns queued tasks that can no longer start here."""
-        for task in list(self._live.values()):
-            if task.place is _Place.RUNNING:
+        for task in self._tasks.all():
+            if task.place is Place.RUNNING:
                 continue
             reason = self._start_reason(task, now)
             if reason is not Reason.NONE and reason not in _MAY_WAIT:
@@ -369,10 +356,8 @@
 
     def _advance(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        while self._fresh and self._queue and self._free() > 0:
-            task = self._queue.pop(0)
-            task.place = _Place.RESERVED
-            self._occupied += 1
+        while self._fresh and self._tasks.queued and self._free() > 0:
+            task = self._tasks.reserve_next()
             effects.append(
                 StartTask(
                     key=task.key,
@@ -381,7 +366,9 @@
                     deadline=task.deadline,
                 )
             )
-        for to, key, parcel in self._outbox.take_due(not self._queue, now):
+        for to, key, parcel in self._outbox.take_due(
+            self._tasks.queued == 0, now
+        ):
             effects.append(self._results_message(to, key, parcel.results))
         return effects
 
@@ -392,11 +379,11 @@
             key=key,
             results=tuple(results),
             free=self._free(),
-            queued=len(self._queue),
+            queued=self._tasks.queued,
         )
         return Send(to=to, message=message)
 
-    def _start_reason(self, task: _LiveTask, now: float) -> Reason:
+    def _start_reason(self, task: LiveTask, now: float) -> Reason:
         if task.deadline <= now:
             return Reason.DEADLINE
         blocked = self._gate.block_reason(task.service)
@@ -416,45 +403,28 @@
             return Reason.NOT_OWNER
         return Reason.SUPERSEDED
 
-    def _unreserve(self, task: _LiveTask, reason: Reason) -> None:
-        self._occupied -= 1
-        task.place = _Place.HELD
-        if reason is not Reason.NOT_OWNER:
-            self._enqueue(task)
-
-    def _hold_or_release(self, task: _LiveTask) -> None:
+    def _hold_or_release(self, task: LiveTask) -> None:
         """Keeps a task of a former owner from starting.
 
         It stays queued in the journal, so that the key's new owner finds it
         and sends the start again or withdraws it.
         """
         owned = self._gate.is_owner(task.owner, task.key)
-        if owned and task.place is _Place.HELD:
-            self._enqueue(task)
-        elif not owned and task.place is _Place.QUEUE:
-            self._queue.remove(task)
-            task.place = _Place.HELD
-        elif not owned and task.place is _Place.RESERVED:
-            self._unreserve(task, Reason.NOT_OWNER)
-
-    def _enqueue(self, task: _LiveTask) -> None:
-        task.place = _Place.QUEUE
-        position = len(self._queue)
-        while position and self._queue[position - 1].priority < task.priority:
-            position -= 1
-        self._queue.insert(position, task)
-
-    def _remove(self, task: _LiveTask) -> None:
-        if task.place is _Place.QUEUE:
-            self._queue.remove(task)
-        elif task.place is not _Place.HELD:
-            self._occupied -= 1
-        del self._live[task.key, task.spec.index]
+        if owned and task.place is Place.HELD:
+            self._tasks.enqueue(task)
+        elif not owned and task.place in (Place.QUEUE, Place.RESERVED):
+            self._tasks.hold(task)
 
     def _free(self) -> int:
         upstream = self._gate.upstream
         slots = 0 if upstream is None else upstream.slots
-        return max(slots - self._occupied, 0)
+        return max(slots - self._tasks.occupied, 0)
+
+    def _ask(self, sender: Member, query: JournalQuery) -> list[Effect]:
+        known = self._queries.get(sender.member_id)
+        if known is None or known[0].incarnation <= sender.incarnation:
+            self._queries[sender.member_id] = (sender, query.revision)
+        return self._answer_queries()
 
     def _answer_queries(self) -> list[Effect]:
         effects: list[Effect] = []
--- /dev/null
+++ b/properties/submission_walk.py
@@ -0,0 +1,297 @@
+"""Random walks of owners and slot tables under faults.
+
+Run `python -m properties.submission_walk --seed 1 --walks 1000`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import random
+import sys
+import time
+
+from gypsumline.core.task import Reason, TaskStatus
+from gypsumline.core.task_scheduler import Admission
+from properties.submission_world import World
+
+HEAL_STEP = 0.25  # seconds
+HEAL_TIME = 30.0  # seconds: above the longest deadline of a walk
+
+
+def submit_new(world, rng):
+    repeatable = rng.random() < 0.2
+    submission = world.new_submission(
+        tasks=1 if repeatable else rng.choice((1, 2, 3, 6, 24)),
+        repeatable=repeatable,
+        timeout=rng.choice((0.5, 3.0, 15.0)),
+        skew=rng.choice((0.0, 0.0, -0.3, -2.0, 0.4, 3.0)),
+    )
+    world.submit(rng.choice(world.entries()), submission)
+
+
+def submit_again(world, rng):
+    if world.bodies:
+        key = rng.choice(list(world.bodies)[-8:])
+        world.submit(rng.choice(world.entries()), rng.choice(world.bodies[key]))
+
+
+def submit_conflict(world, rng):
+    if world.bodies:
+        key = rng.choice(list(world.bodies)[-4:])
+        bodies = world.bodies[key]
+        if len(bodies) == 1:
+            bodies.append((key, b"body1", bodies[0][2]))
+        world.submit(rng.choice(world.entries()), bodies[-1])
+
+
+def cancel(world, rng):
+    if world.bodies:
+        key = rng.choice(list(world.bodies)[-6:])
+        world.cancel(rng.choice(world.entries()), world.bodies[key][0])
+
+
+def deliver(world, rng):
+    for _ in range(rng.randint(1, 12)):
+        waiting = world.waiting()
+        if waiting:
+            link, receiver = rng.choice(waiting)
+            world.deliver(link, receiver)
+
+
+def deliver_twice(world, rng):
+    waiting = [
+        (link, receiver)
+        for link, receiver in world.waiting()
+        if not isinstance(link.queues[receiver][1][0], str)
+    ]
+    if waiting:
+        link, receiver = rng.choice(waiting)
+        world.deliver(link, receiver, duplicate=True)
+
+
+def execute(world, rng):
+    agent = rng.choice(world.agents())
+    for _ in range(rng.randint(1, 3)):
+        world.execute(agent, rng.randrange(64))
+
+
+def finish(world, rng):
+    status = TaskStatus.SUCCEEDED
+    if rng.random() < 0.04:
+        status = rng.choice((TaskStatus.FAILED, TaskStatus.UNKNOWN))
+    world.finish(rng.choice(world.agents()), rng.randrange(64), status)
+
+
+def advance(world, rng):
+    world.advance(rng.choice((0.01, 0.05, 0.2, 0.5, 1.0)))
+
+
+def run_on(world, rng):
+    """A quiet stretch in which messages flow and tasks run."""
+    for _ in range(6):
+        deliver(world, rng)
+        execute(world, rng)
+        finish(world, rng)
+
+
+def toggle_pause(world, rng):
+    node = rng.choice(list(world.nodes.values()))
+    node.paused = not node.paused
+
+
+def toggle_evidence(world, rng):
+    node = rng.choice(list(world.nodes.values()))
+    node.cut = not node.cut
+
+
+def resume_all(world, rng):
+    for node in world.nodes.values():
+        node.paused = False
+        node.cut = False
+    for link in world.links:
+        link.blocked.clear()
+    world.connect_all()
+
+
+def block_link(world, rng):
+    if world.links:
+        link = rng.choice(world.links)
+        link.blocked.add(rng.choice(link.ends))
+
+
+def break_link(world, rng):
+    alive = [link for link in world.links if link.alive]
+    if alive:
+        link = rng.choice(alive)
+        world.disconnect(link)
+        if rng.random() < 0.7:
+            world.connect(*link.ends)
+
+
+def restart_agent(world, rng):
+    world.restart(rng.choice(world.agents()).member.member_id)
+
+
+def lose_entry(world, rng):
+    """Removes an entry that is dead, or only paused or cut off."""
+    node = rng.choice(world.entries())
+    member_id = node.member.member_id
+    how = rng.choice(("dead", "paused", "cut"))
+    if how == "dead":
+        world.remove_entry(member_id)
+        world.restart(member_id)
+    else:
+        node.paused = how == "paused"
+        node.cut = True
+        world.remove_entry(member_id)
+
+
+def take_over(world, rng):
+    """Cuts an owner off, and sends its keys to the others after the fence."""
+    node = rng.choice(world.entries())
+    node.cut = True
+    keys = list(world.bodies)[-10:]
+    world.remove_entry(node.member.member_id)
+    for _ in range(4):
+        world.advance(0.6)
+        deliver(world, rng)
+        execute(world, rng)
+    others = [other for other in world.entries() if other is not node]
+    for key in keys:
+        world.submit(rng.choice(others), world.bodies[key][0])
+    run_on(world, rng)
+
+
+def toggle_overload(world, rng):
+    scheduler = rng.choice(world.entries()).owner._scheduler
+    refusal = Admission(accepted=False, reason=Reason.OVERLOAD)
+    scheduler.refusal = None if scheduler.refusal else refusal
+
+
+def join_entry(world, rng):
+    world.join_entry(rng.choice(world.entries()).member.member_id)
+
+
+def leave_entry(world, rng):
+    world.leave_entry(rng.choice(world.entries()).member.member_id)
+
+
+def remove_drained(world, rng):
+    for node in world.entries():
+        if node.runs and node.owner.is_drained():
+            world.remove_entry(node.member.member_id)
+
+
+def change_zone(world, rng):
+    world.set_zone(rng.choice(("a", "b", "c")), out=rng.random() < 0.4)
+
+
+ACTIONS = {
+    submit_new: 10,
+    submit_again: 6,
+    submit_conflict: 2,
+    cancel: 2,
+    deliver: 16,
+    deliver_twice: 2,
+    execute: 12,
+    finish: 12,
+    advance: 10,
+    run_on: 6,
+    toggle_pause: 2,
+    toggle_evidence: 2,
+    resume_all: 4,
+    block_link: 2,
+    break_link: 3,
+    restart_agent: 1,
+    lose_entry: 1,
+    take_over: 1,
+    toggle_overload: 1,
+    join_entry: 3,
+    leave_entry: 1,
+    remove_drained: 2,
+    change_zone: 2,
+}
+
+
+def heal(world):
+    """Ends all faults; every request must then end with its deadline."""
+    rng = random.Random(0)
+    for zone in ("a", "b", "c"):
+        world.set_zone(zone, out=False)
+    end = world.now + HEAL_TIME
+    while world.now < end:
+        resume_all(world, rng)
+        world.advance(HEAL_STEP)
+        for _ in range(40):
+            for link, receiver in world.waiting():
+                world.deliver(link, receiver)
+        for agent in world.agents():
+            for _ in range(4):
+                world.execute(agent, 0)
+            for _ in range(4):
+                world.finish(agent, 0, TaskStatus.SUCCEEDED)
+    return check_end(world)
+
+
+def check_end(world):
+    """Returns what is unfinished although all faults have ended."""
+    found = [
+        f"no answer to request {number} at {member.member_id}"
+        for member, number in world.local
+        if (member, number) in world.submissions
+        and (member, number) not in world.oracle.told
+    ]
+    for entry in world.entries():
+        scheduler = entry.owner._scheduler
+        used = {a: keys for a, keys in scheduler.used.items() if keys}
+        if used:
+            found.append(f"{entry.member.member_id} counts slots: {used}")
+    for agent in world.agents():
+        if not agent.table.leave(world.now) and not agent.table.is_drained():
+            found.append(f"{agent.member.member_id} is not drained")
+    return found
+
+
+def walk(seed, steps):
+    """Returns the world after one walk, and what is unfinished in it."""
+    rng = random.Random(seed)
+    world = World(seed, entries=rng.choice((2, 3)), agents=rng.choice((2, 4)))
+    actions, weights = list(ACTIONS), list(ACTIONS.values())
+    for action in rng.choices(actions, weights, k=steps):
+        action(world, rng)
+    return world, heal(world)
+
+
+def run_walks(seed, walks, steps):
+    """Returns (violations with seeds, counts) of consecutive seeds."""
+    found = []
+    counts = collections.Counter()
+    for number in range(seed, seed + walks):
+        world, unfinished = walk(number, steps)
+        violations = world.oracle.violations + unfinished
+        found += [f"seed {number}: {text}" for text in violations]
+        counts.update(world.oracle.counts)
+    return found, counts
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--walks", type=int, default=1000)
+    parser.add_argument("--steps", type=int, default=300)
+    options = parser.parse_args()
+    began = time.monotonic()
+    found, counts = run_walks(options.seed, options.walks, options.steps)
+    for text in found[:50]:
+        sys.stdout.write(f"{text}\n")
+    sys.stdout.write(
+        f"walks {options.walks}, steps {options.walks * options.steps}, "
+        f"violations {len(found)}, seconds {time.monotonic() - began:.0f}\n"
+        f"{dict(sorted(counts.items()))}\n"
+    )
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/properties/submission_world.py
@@ -0,0 +1,496 @@
+"""Owners and slot tables over an in-memory network with faults.
+
+The control record is changed by the test itself; a process holds the newest
+record as of its last evidence. `TTL` and the waits are those of the design.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import uuid
+
+from gypsumline.core.configuration import Configuration, Service
+from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.effects import Answer, Send, StartTask
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import CancelJob, Submit, SubmitReply
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.task import JobBody, Reason, TaskResult, TaskSpec
+from gypsumline.core.task import TaskStatus as Status
+from gypsumline.tests.core.first_fit import FirstFit
+from properties.submission_oracle import SubmissionOracle
+
+WALL = 1_700_000_000.0
+TTL = 2.0
+FENCE = TTL * 1.01
+JOIN_DELAY = 3.0
+ZONES = ("a", "b", "c")
+
+
+class Node:
+    """One process: what it knows of the record, and whether it runs."""
+
+    def __init__(self, member, skew):
+        self.member = member
+        self.skew = skew
+        self.alive = True
+        self.paused = False
+        self.cut = False  # gets no evidence
+        self.record = None
+        self.evidence_at = -1e9
+
+    @property
+    def runs(self):
+        return self.alive and not self.paused
+
+    def wall(self, now):
+        return WALL + now + self.skew
+
+    def is_fresh(self, now):
+        return now - self.evidence_at < TTL
+
+
+class EntryNode(Node):
+    """An entry with its owner machine."""
+
+    def __init__(self, member, skew):
+        super().__init__(member, skew)
+        self.owner = SubmissionOwner(member, OwnerSettings(), FirstFit())
+
+
+class AgentNode(Node):
+    """An agent with its slot table and a stand-in for its executor."""
+
+    def __init__(self, member, skew):
+        super().__init__(member, skew)
+        self.table = SlotTable(member, SlotSettings())
+        self.handed = []  # StartTask effects that the shell holds
+        self.running = []  # (key, index, attempt, value)
+
+
+@dataclasses.dataclass
+class Link:
+    """One connection between an entry and an agent, or two entries."""
+
+    ends: tuple
+    alive: bool = True
+    blocked: set = dataclasses.field(default_factory=set)
+    queues: dict = dataclasses.field(default_factory=dict)
+
+
+class World:
+    """All processes, the network, the callers and the oracle."""
+
+    def __init__(self, seed_or_rng=0, entries=3, agents=4):
+        rng = seed_or_rng
+        self.rng = rng if not isinstance(rng, int) else random.Random(rng)
+        self.oracle = SubmissionOracle()
+        self.now = 1000.0
+        self.serial = 0
+        self.nodes = {}
+        self.links = []
+        self.submissions = {}  # request -> (key, digest, body)
+        self.bodies = {}  # key -> list of (key, digest, body)
+        self.accepted = []  # (time, record, ready_at of its owners)
+        self.local = set()  # requests whose entry is their owner
+        for number in range(entries):
+            self._add(EntryNode, f"e{number}", Role.ENTRY, number)
+        for number in range(agents):
+            self._add(AgentNode, f"g{number}", Role.AGENT, number)
+        self._accept_first()
+        for node in list(self.nodes.values()):
+            self.refresh(node)
+        self.connect_all()
+        self.advance(8.0)
+
+    # -- processes and the record
+
+    def entries(self):
+        return [n for n in self.nodes.values() if isinstance(n, EntryNode)]
+
+    def agents(self):
+        return [n for n in self.nodes.values() if isinstance(n, AgentNode)]
+
+    def _add(self, kind, member_id, role, number):
+        incarnation = int((WALL + self.now) * 1e9) + self.serial
+        self.serial += 1
+        member = Member(
+            member_id=member_id,
+            incarnation=incarnation,
+            role=role,
+            availability_zone=ZONES[number % len(ZONES)],
+        )
+        node = kind(member, self.rng.uniform(-0.2, 0.2))
+        self.nodes[member_id] = node
+        if kind is AgentNode:
+            node.table.announce(
+                Announcement(upstream_id=member_id, service="s", slots=2),
+                self.now,
+            )
+        return node
+
+    def _accept_first(self):
+        owners = tuple(node.member for node in self.entries())
+        record = ControlRecord(
+            revision=1,
+            configuration=Configuration(services=(Service(name="s"),)),
+            entries=owners,
+            agents=tuple(
+                RegisteredAgent(
+                    agent_id=n.member.member_id,
+                    availability_zone=n.member.availability_zone,
+                )
+                for n in self.agents()
+            ),
+            epochs=(OwnerEpoch(begins_at_wall=0.0, owners=owners),),
+        )
+        self.accepted.append((self.now, record, self.now + FENCE))
+
+    @property
+    def record(self):
+        return self.accepted[-1][1]
+
+    def change(self, moves_owners, **changes):
+        record = dataclasses.replace(
+            self.record, revision=self.record.revision + 1, **changes
+        )
+        ready = self.now + FENCE if moves_owners else self.accepted[-1][2]
+        self.accepted.append((self.now, record, ready))
+
+    def refresh(self, node, lag=0.0):
+        """Gives a process evidence that was requested `lag` seconds ago."""
+        asked = self.now - lag
+        if not node.runs or asked < node.evidence_at:
+            return
+        known = [item for item in self.accepted if item[0] <= asked]
+        if not known:
+            return
+        _, record, ready = known[-1]
+        node.evidence_at = asked
+        if node.record is not None and record.revision <= node.record.revision:
+            return
+        node.record = record
+        if isinstance(node, AgentNode):
+            self.apply(node, node.table.set_record(record, self.now))
+            return
+        wall = node.wall(self.now)
+        self.apply(node, node.owner.set_record(record, ready, self.now, wall))
+        if node.member not in record.entries and self._was_owner(node):
+            self.restart(node.member.member_id)
+
+    def _was_owner(self, node):
+        return any(node.member in item[1].entries for item in self.accepted)
+
+    def remove_entry(self, member_id):
+        member = self.nodes[member_id].member
+        rest = tuple(e for e in self.record.entries if e != member)
+        if rest and len(rest) < len(self.record.entries):
+            self.change(True, entries=rest)
+
+    def join_entry(self, member_id):
+        node = self.nodes[member_id]
+        if not node.alive or self._was_owner(node):
+            return
+        rest = tuple(e for e in self.record.entries if e.member_id != member_id)
+        owners = (*rest, node.member)
+        begins = WALL + self.now + JOIN_DELAY
+        epoch = OwnerEpoch(begins_at_wall=begins, owners=owners)
+        epochs = [e for e in self.record.epochs if e.begins_at_wall <= begins]
+        self.change(True, entries=owners, epochs=(*epochs, epoch))
+
+    def leave_entry(self, member_id):
+        node = self.nodes[member_id]
+        rest = tuple(e for e in self.record.entries if e != node.member)
+        if not node.runs or not rest or node.member not in self.record.entries:
+            return
+        begins = WALL + self.now + JOIN_DELAY
+        epoch = OwnerEpoch(begins_at_wall=begins, owners=rest)
+        self.change(False, epochs=(*self.record.epochs, epoch))
+        wall = node.wall(self.now)
+        self.apply(node, node.owner.leave(self.now, wall))
+
+    def restart(self, member_id):
+        """Replaces a process by an empty one with a higher incarnation."""
+        old = self.nodes[member_id]
+        old.alive = False
+        for link in list(self.links):
+            if member_id in link.ends:
+                link.queues[member_id][1].clear()
+                if link.alive:
+                    self.disconnect(link)
+                link.queues[member_id][1].clear()
+        number = ZONES.index(old.member.availability_zone)
+        self._add(type(old), member_id, old.member.role, number)
+        if isinstance(old, EntryNode):
+            for request in list(self.submissions):
+                if request[0] == old.member:
+                    del self.submissions[request]
+        self.refresh(self.nodes[member_id])
+        self.connect_all()
+
+    def set_zone(self, zone, out):
+        zones = set(self.record.configuration.availability_zones_out)
+        zones = zones | {zone} if out else zones - {zone}
+        configuration = dataclasses.replace(
+            self.record.configuration,
+            availability_zones_out=tuple(sorted(zones)),
+        )
+        self.change(False, configuration=configuration)
+        if out:
+            self.oracle.zone_out_since.setdefault(zone, self.now)
+        else:
+            self.oracle.zone_out_since.pop(zone, None)
+
+    # -- network
+
+    def find_link(self, one, other):
+        for link in self.links:
+            if link.alive and {one, other} == set(link.ends):
+                return link
+        return None
+
+    def connect_all(self):
+        ids = list(self.nodes)
+        for one in self.entries():
+            for other_id in ids:
+                self.connect(one.member.member_id, other_id)
+
+    def connect(self, entry_id, other_id):
+        entry, other = self.nodes[entry_id], self.nodes[other_id]
+        if entry_id == other_id or self.find_link(entry_id, other_id):
+            return
+        if not (entry.alive and other.alive):
+            return
+        link = Link((entry_id, other_id))
+        self.links.append(link)
+        for sender, receiver in ((entry, other), (other, entry)):
+            queue = collections.deque()
+            link.queues[receiver.member.member_id] = (sender.member, queue)
+            if isinstance(receiver, EntryNode) and isinstance(
+                sender, AgentNode
+            ):
+                queue.append("connected")
+
+    def disconnect(self, link):
+        """Cuts a connection; what is under way may still arrive, late."""
+        link.alive = False
+        for receiver_id, (sender, queue) in link.queues.items():
+            while queue and self.rng.random() < 0.4:
+                queue.pop()
+            receiver = self.nodes[receiver_id]
+            if isinstance(receiver, EntryNode) and sender.role is Role.AGENT:
+                queue.append("disconnected")
+
+    def waiting(self):
+        """Returns (link, receiver id) pairs that may deliver now."""
+        self.links = [
+            link
+            for link in self.links
+            if link.alive or any(queue for _, queue in link.queues.values())
+        ]
+        return [
+            (link, receiver_id)
+            for link in self.links
+            for receiver_id, (_, queue) in link.queues.items()
+            if queue
+            and receiver_id not in link.blocked
+            and not self.nodes[receiver_id].paused
+        ]
+
+    def deliver(self, link, receiver_id, duplicate=False):
+        sender, queue = link.queues[receiver_id]
+        item = queue[0] if duplicate else queue.popleft()
+        node = self.nodes[receiver_id]
+        if not node.runs:
+            return
+        if isinstance(node, AgentNode):
+            fresh = node.is_fresh(self.now)
+            args = (sender, item, fresh, self.now, node.wall(self.now))
+            self.apply(node, node.table.on_message(*args))
+        else:
+            self.apply(node, self._receive(node, sender, item))
+
+    def _receive(self, node, sender, item):
+        now, wall = self.now, node.wall(self.now)
+        fresh = node.is_fresh(now)
+        if item == "connected":
+            effects = node.owner.on_agent_connected(sender, now, wall)
+            return effects + self._observe(node, sender)
+        if item == "disconnected":
+            return node.owner.on_agent_disconnected(sender, now, wall)
+        if isinstance(item, Submit):
+            return node.owner.submit(sender.member_id, item, fresh, now, wall)
+        if isinstance(item, CancelJob):
+            return node.owner.cancel(sender.member_id, item, fresh, now, wall)
+        if isinstance(item, SubmitReply):
+            request = (node.member, item.request_id)
+            if request not in self.oracle.told:  # as an entry's shell does
+                self._tell(request, item.answer)
+            return []
+        return node.owner.on_message(sender, item, now, wall, fresh)
+
+    def _observe(self, entry, sender):
+        agent = self.nodes[sender.member_id]
+        if agent.member != sender or not agent.runs:
+            return []
+        state = agent.table.upstream_state()
+        wall = entry.wall(self.now)
+        return entry.owner.on_agent(sender, state, self.now, wall)
+
+    # -- effects and callers
+
+    def apply(self, node, effects):
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.send(node, effect.to, effect.message)
+            elif isinstance(effect, StartTask):
+                node.handed.append(effect)
+            elif isinstance(effect, Answer):
+                self._answer(node, effect)
+
+    def send(self, node, to, message):
+        link = self.find_link(node.member.member_id, to)
+        if link is not None:
+            link.queues[to][1].append(message)
+
+    def _answer(self, node, effect):
+        if effect.origin == "":
+            self._tell((node.member, effect.request_id), effect.answer)
+            return
+        reply = SubmitReply(
+            request_id=effect.request_id, answer=effect.answer, revision=0
+        )
+        self.send(node, effect.origin, reply)
+
+    def _tell(self, request, answer):
+        submission = self.submissions.get(request)
+        if submission is not None:
+            self.oracle.on_answer(request, submission, answer, self.now)
+
+    def new_submission(self, tasks, repeatable, timeout, skew):
+        self.serial += 1
+        milliseconds = int((WALL + self.now + skew) * 1000)
+        value = milliseconds << 80 | 7 << 76 | 2 << 62 | self.serial
+        key = str(uuid.UUID(int=value))
+        body = JobBody(
+            service="s",
+            client="c",
+            tasks=tuple(TaskSpec(index=i, kind="k") for i in range(tasks)),
+            timeout=timeout,
+            repeatable=repeatable,
+        )
+        submission = (key, b"body0", body)
+        self.bodies[key] = [submission]
+        return submission
+
+    def submit(self, entry, submission):
+        """A caller hands a submission to an entry, which forwards it."""
+        key, digest, body = submission
+        self._forward(
+            entry,
+            submission,
+            lambda number: Submit(
+                request_id=number, key=key, digest=digest, body=body
+            ),
+        )
+
+    def cancel(self, entry, submission):
+        self._forward(
+            entry,
+            (submission[0], None, submission[2]),
+            lambda number: CancelJob(request_id=number, key=submission[0]),
+        )
+
+    def _forward(self, entry, submission, build):
+        if not entry.runs or entry.record is None:
+            return
+        owner = entry.record.owner_of(submission[0])
+        if owner is None:
+            return
+        self.serial += 1
+        self.submissions[entry.member, self.serial] = submission
+        message = build(self.serial)
+        if owner.member_id == entry.member.member_id:
+            self.local.add((entry.member, self.serial))
+            self.apply(entry, self._receive_own(entry, message))
+        else:
+            self.send(entry, owner.member_id, message)
+
+    def _receive_own(self, entry, message):
+        take = entry.owner.submit
+        if isinstance(message, CancelJob):
+            take = entry.owner.cancel
+        fresh = entry.is_fresh(self.now)
+        return take("", message, fresh, self.now, entry.wall(self.now))
+
+    # -- executor and time
+
+    def execute(self, agent, position):
+        """The shell passes the gate once more and writes the request."""
+        if not agent.runs or not agent.handed:
+            return
+        effect = agent.handed.pop(position % len(agent.handed))
+        index = effect.task.index
+        fresh = agent.is_fresh(self.now)
+        reason = agent.table.may_start(effect.key, index, fresh, self.now)
+        if reason is not Reason.NONE:
+            self.apply(agent, agent.table.tick(fresh, self.now))
+            return
+        submission = self._started_body(agent, effect.key)
+        zone = agent.member.availability_zone
+        attempt = agent.table.journal.find(effect.key, index).attempt
+        value = self.oracle.on_start(submission, index, attempt, zone, self.now)
+        agent.running.append((effect.key, index, attempt, value))
+
+    def _started_body(self, agent, key):
+        digest = agent.table.journal.find_key(key).digest
+        for submission in self.bodies[key]:
+            if submission[1] == digest:
+                return submission
+        raise AssertionError(f"no body {digest!r} under {key}")
+
+    def finish(self, agent, position, status):
+        if not agent.runs or not agent.running:
+            return
+        key, index, attempt, value = agent.running.pop(
+            position % len(agent.running)
+        )
+        result = TaskResult(
+            index=index,
+            status=status,
+            value=value if status is Status.SUCCEEDED else b"null",
+            reason=Reason.EXECUTOR_LOST
+            if status is Status.UNKNOWN
+            else Reason.NONE,
+            attempt=attempt,
+        )
+        self.apply(agent, agent.table.on_finished(key, result, self.now))
+
+    def advance(self, seconds):
+        """Lets time pass; running processes tick and get evidence."""
+        self.now += seconds
+        for node in list(self.nodes.values()):
+            if not node.runs:
+                continue
+            if not node.cut and self.rng.random() < 0.8:
+                self.refresh(node, lag=self.rng.choice((0.0, 0.3, 1.2)))
+        for node in list(self.nodes.values()):
+            if not node.runs:
+                continue
+            fresh = node.is_fresh(self.now)
+            if isinstance(node, AgentNode):
+                self.apply(node, node.table.tick(fresh, self.now))
+                continue
+            wall = node.wall(self.now)
+            self.apply(node, node.owner.tick(self.now, wall, fresh))
+            for agent in self.agents():
+                link = self.find_link(
+                    node.member.member_id, agent.member.member_id
+                )
+                if link is not None and not link.blocked:
+                    self.apply(node, self._observe(node, agent.member))
--- /dev/null
+++ b/properties/test_submissions.py
@@ -0,0 +1,168 @@
+"""Fuzzes submissions, and shows that the oracle sees missing mechanisms."""
+
+import random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from gypsumline.core.adoption import Adoption
+from gypsumline.core.job import Job
+from gypsumline.core.journal import Journal, TaskState
+from gypsumline.core.ownership import Ownership
+from gypsumline.core.recovery import Completeness, JournalRecovery
+from gypsumline.core.slot_gate import SlotGate
+from gypsumline.core.slot_table import SlotTable
+from properties import submission_walk
+from properties.submission_world import AgentNode, World
+
+WALKS = 60
+MUTANT_WALKS = 400
+STEPS = 300
+
+CHOICES = st.integers(min_value=0, max_value=2**32)
+
+
+class SubmissionMachine(RuleBasedStateMachine):
+    """Any order of callers' requests and faults."""
+
+    @initialize(seed=CHOICES, entries=st.integers(2, 3))
+    def begin(self, seed, entries):
+        self.world = World(seed, entries=entries)
+
+    @rule(
+        action=st.sampled_from(
+            sorted(submission_walk.ACTIONS, key=lambda a: a.__name__)
+        ),
+        choice=CHOICES,
+    )
+    def act(self, action, choice):
+        action(self.world, random.Random(choice))
+        assert self.world.oracle.violations == []
+
+    @rule(choice=CHOICES)
+    def run_on(self, choice):
+        submission_walk.run_on(self.world, random.Random(choice))
+        assert self.world.oracle.violations == []
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            assert submission_walk.heal(self.world) == []
+            assert self.world.oracle.violations == []
+
+
+TestSubmissionMachine = SubmissionMachine.TestCase
+TestSubmissionMachine.settings = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=80,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_walks_keep_every_promise():
+    """Guards the promises of section 1 under any mix of faults."""
+    violations, counts = submission_walk.run_walks(1, WALKS, STEPS)
+    assert violations == []
+    assert counts["complete"] > WALKS
+
+
+def without_owner_check(monkeypatch):
+    monkeypatch.setattr(SlotGate, "is_owner", lambda *_: True)
+
+
+def without_attempts(monkeypatch):
+    """The owner believes a refusal of any attempt."""
+
+    def is_at(job, index, agent, attempt):
+        return index < len(job.attempts) and job.place_of(index) is not None
+
+    monkeypatch.setattr(Job, "is_at", is_at)
+
+
+def without_waiting_until_ready(monkeypatch):
+    original = Ownership.set_record
+
+    def set_record(self, record, ready_at, now, wall):
+        return original(self, record, now - 1000.0, now, wall)
+
+    monkeypatch.setattr(Ownership, "set_record", set_record)
+
+
+def without_journals_in_recovery(monkeypatch):
+    monkeypatch.setattr(Ownership, "is_new", lambda *_: True)
+
+
+def without_journals_of_all_agents(monkeypatch):
+    monkeypatch.setattr(
+        JournalRecovery, "completeness", lambda *_: Completeness.COMPLETE
+    )
+
+
+def without_freshness_at_agents(monkeypatch):
+    monkeypatch.setattr(AgentNode, "is_fresh", lambda *_: True)
+
+
+def without_tombstones(monkeypatch):
+    """A withdrawn or refused task is forgotten instead of journaled."""
+
+    def withdraw(self, key, index, attempt, now):
+        record = self._keys.get(key)
+        task = None if record is None else record.tasks.pop(index, None)
+        if task is not None:
+            record.unfinished -= task.state is TaskState.QUEUED
+            record.unfinished -= task.state is TaskState.STARTED
+            self._entries -= 1
+        return True
+
+    monkeypatch.setattr(Journal, "withdraw", withdraw)
+
+
+def without_journal_at_starts(monkeypatch):
+    """A start sent again is taken for a new one."""
+    monkeypatch.setattr(SlotTable, "_may_start_again", lambda *_: True)
+
+
+def with_restart_of_unstarted_jobs(monkeypatch):
+    """A new owner places jobs that the earlier one may have refused."""
+    from gypsumline.core import owner
+
+    original = owner.adopt
+
+    def adopt(job, tasks, complete):
+        verdict, failure = original(job, tasks, complete)
+        if verdict is Adoption.NOT_STARTED:
+            return Adoption.RUNNING, None
+        return verdict, failure
+
+    monkeypatch.setattr(owner, "adopt", adopt)
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        without_owner_check,
+        without_attempts,
+        without_waiting_until_ready,
+        without_journals_in_recovery,
+        without_journals_of_all_agents,
+        without_freshness_at_agents,
+        without_tombstones,
+        without_journal_at_starts,
+        with_restart_of_unstarted_jobs,
+    ],
+)
+def test_walks_detect_a_missing_mechanism(mutant, monkeypatch):
+    """Guards the oracle: each mechanism must be seen when it is missing."""
+    mutant(monkeypatch)
+    for seed in range(1, MUTANT_WALKS):
+        try:
+            world, _ = submission_walk.walk(seed, STEPS)
+        except (KeyError, ValueError):  # the mutant broke a machine's state
+            continue
+        if world.oracle.violations:
+            return
+    pytest.fail(f"no violation in {MUTANT_WALKS} walks")
