--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -22,7 +22,7 @@
 def submit_new(world, rng):
     repeatable = rng.random() < 0.2
     submission = world.new_submission(
-        tasks=1 if repeatable else rng.choice((1, 2, 3, 6, 24)),
+        tasks=1 if repeatable else rng.choice((1, 2, 3, 6, 6, 16)),
         repeatable=repeatable,
         timeout=rng.choice((0.5, 3.0, 15.0)),
         skew=rng.choice((0.0, 0.0, -0.3, -2.0, 0.4, 3.0)),
@@ -59,15 +59,20 @@
             world.deliver(link, receiver)
 
 
-def deliver_twice(world, rng):
-    waiting = [
-        (link, receiver)
-        for link, receiver in world.waiting()
-        if not isinstance(link.queues[receiver][1][0], str)
-    ]
+def duplicate(world, rng):
+    waiting = world.waiting()
     if waiting:
-        link, receiver = rng.choice(waiting)
-        world.deliver(link, receiver, duplicate=True)
+        world.duplicate(*rng.choice(waiting))
+
+
+def withdraw(world, rng):
+    """The scheduler wants tasks back to place them elsewhere."""
+    entry = rng.choice(world.entries())
+    runner = entry.owner._runner
+    for key in runner.running_keys()[:4]:
+        for index, agent in list(runner.find(key).placed_tasks())[:3]:
+            item = (agent.member_id, key, (index,))
+            entry.owner._scheduler.to_withdraw.append(item)
 
 
 def execute(world, rng):
@@ -109,6 +114,8 @@
     for node in world.nodes.values():
         node.paused = False
         node.cut = False
+    for entry in world.entries():
+        entry.owner._scheduler.refusal = None
     for link in world.links:
         link.blocked.clear()
     world.connect_all()
@@ -193,11 +200,12 @@
     submit_conflict: 2,
     cancel: 2,
     deliver: 16,
-    deliver_twice: 2,
+    duplicate: 4,
+    withdraw: 3,
     execute: 12,
     finish: 12,
     advance: 10,
-    run_on: 6,
+    run_on: 9,
     toggle_pause: 2,
     toggle_evidence: 2,
     resume_all: 4,
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -302,9 +302,22 @@
             and not self.nodes[receiver_id].paused
         ]
 
-    def deliver(self, link, receiver_id, duplicate=False):
+    def duplicate(self, link, receiver_id):
+        """A copy of a message arrives at any later time."""
         sender, queue = link.queues[receiver_id]
-        item = queue[0] if duplicate else queue.popleft()
+        if isinstance(queue[0], str):
+            return
+        copy = Link(link.ends, alive=False)
+        copy.queues[receiver_id] = (sender, collections.deque([queue[0]]))
+        copy.queues[sender.member_id] = (
+            self.nodes[receiver_id].member,
+            collections.deque(),
+        )
+        self.links.append(copy)
+
+    def deliver(self, link, receiver_id):
+        sender, queue = link.queues[receiver_id]
+        item = queue.popleft()
         node = self.nodes[receiver_id]
         if not node.runs:
             return
