--- a/gypsumline/core/adoption.py
+++ b/gypsumline/core/adoption.py
@@ -46,10 +46,9 @@
             return Adoption.FAILED, failure
     if job.is_complete:
         return Adoption.COMPLETE, None
-    known = job.placed + job.done
-    if not complete and known < len(job.attempts):
+    if not complete and job.placed + job.done < len(job.attempts):
         return Adoption.INCOMPLETE, None
-    if known == 0:
+    if job.is_unstarted:
         return Adoption.NOT_STARTED, None
     return Adoption.RUNNING, None
 
@@ -63,10 +62,11 @@
     job.attempts[index] = task.newest_attempt
     if entry.state == TaskState.FINISHED.value:
         job.may_have_run = True
-        result = entry.result
-        if result is None or result.status is not TaskStatus.SUCCEEDED:
-            return result or _lost_result(entry)
-        job.finish(index, result)
+        result = entry.result or _lost_result(entry)
+        if result.status is TaskStatus.SUCCEEDED:
+            job.finish(index, result)
+        elif result.status is TaskStatus.FAILED or not job.body.repeatable:
+            return result
     elif entry.state != TaskState.WITHDRAWN.value:
         started = entry.state == TaskState.STARTED.value
         job.may_have_run = job.may_have_run or started
--- a/gypsumline/core/job.py
+++ b/gypsumline/core/job.py
@@ -33,6 +33,7 @@
       digest: Digest of the body.
       body: The submission.
       deadline: `CLOCK_BOOTTIME` seconds.
+      size: Bytes of the payloads.
       waiters: (origin, request id) of the callers that wait for the answer.
       attempts: Newest attempt of each task, 0 before the first.
       may_have_run: Whether some task is known to have started.
@@ -52,6 +53,7 @@
         "digest",
         "key",
         "may_have_run",
+        "size",
         "waiters",
     )
 
@@ -63,6 +65,7 @@
         self.digest = digest
         self.body = body
         self.deadline = deadline
+        self.size = sum([len(task.payload) for task in body.tasks])
         self.waiters: list[tuple[str, int]] = []
         self.attempts = [0] * count
         self.may_have_run = False
@@ -93,11 +96,6 @@
         """Number of tasks that have succeeded."""
         return self._done
 
-    @property
-    def size(self) -> int:
-        """Bytes of the payloads."""
-        return sum(len(task.payload) for task in self.body.tasks)
-
     def attach(self, origin: str, request_id: int) -> None:
         """Adds a caller that waits for the answer, once."""
         waiter = (origin, request_id)
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -35,11 +35,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Parked:
-    """A submission that waits for the clock or for the journals."""
+    """A submission that waits for the clock or for the journals.
+
+    Times are `CLOCK_BOOTTIME` seconds; journals that arrive wake it earlier.
+    """
 
     origin: str
     message: Submit
     give_up_at: float
+    wake_at: float = 0.0
 
 
 class SubmissionOwner:
@@ -72,7 +76,9 @@
         to its acceptance + `evidence_ttl`, and be inf until then.
         """
         moved = self._ownership.set_record(record, ready_at, now, wall)
+        self._recovery.hold(record.revision)
         self._scheduler.set_record(record, now)
+        self._wake_all(now)
         effects = self._drop_moved_jobs(now) if moved else []
         return effects + self._ask_journals(now) + self._runner.place(now)
 
@@ -85,7 +91,8 @@
         wall: float,
     ) -> list[Effect]:
         """Runs a job, or attaches to the job or answer of its key."""
-        give_up_at = now + message.body.timeout
+        timeout = min(message.body.timeout, self._settings.deadline_max)
+        give_up_at = now + timeout
         effects = self._submit(origin, message, give_up_at, fresh, now, wall)
         return effects + self._runner.place(now)
 
@@ -173,6 +180,7 @@
         if isinstance(message, JournalReport):
             if not self._recovery.on_report(sender, message):
                 return []
+            self._wake_all(now)
             effects = self._retry_parked(fresh, now, wall)
             return effects + self._runner.place(now)
         if isinstance(message, HandOver):
@@ -226,7 +234,7 @@
     ) -> list[Effect]:
         key = message.key
         reply = _Reply(origin, message.request_id)
-        unable = self._unable(key, fresh) or self._expired(key, wall)
+        unable = self._unable(key, fresh)
         if unable is not None:
             return [reply.with_answer(unable)]
         job = self._runner.find(key)
@@ -237,11 +245,17 @@
             return []
         kept = self._kept.find(key)
         if kept is not None:
-            same = not kept[0] or kept[0] == message.digest
-            return [reply.with_answer(kept[1] if same else _conflict())]
+            answer = kept[1] if kept[0] == message.digest else _conflict()
+            return [reply.with_answer(answer)]
+        expired = self._expired(key, wall)
+        if expired is not None:
+            return [reply.with_answer(expired)]
         parked = _Parked(origin, message, give_up_at)
-        if key_time(key) > wall + self._settings.clock_skew:
-            return self._park(parked)
+        early = key_time(key) - wall - self._settings.clock_skew
+        if early > 0:
+            return self._park(parked, now + early)
+        if self._must_wait(parked, now):
+            return []
         job = Job(key, message.digest, message.body, give_up_at)
         job.attach(origin, message.request_id)
         if self._ownership.is_new(key, self._settings.key_margin):
@@ -316,16 +330,26 @@
         settings = self._settings
         return count >= settings.jobs or size > settings.kept_bytes
 
+    def _must_wait(self, parked: _Parked, now: float) -> bool:
+        """Parks a submission whose key the journals have yet to decide on."""
+        key = parked.message.key
+        if self._ownership.is_new(key, self._settings.key_margin):
+            return False
+        term = self._ownership.term_of(key)
+        state = self._recovery.completeness(term, key)
+        limit = term.ready_at + self._settings.recovery_limit
+        limit = min(limit, parked.give_up_at)
+        if state is not Completeness.PENDING or now >= limit:
+            return False
+        self._park(parked, limit)
+        return True
+
     def _recover(
         self, job: Job, parked: _Parked, now: float, wall: float
     ) -> list[Effect]:
         """Decides by the journals on a key that may have had another owner."""
         term = self._ownership.term_of(job.key)
         state = self._recovery.completeness(term, job.key)
-        if state is Completeness.PENDING:
-            limit = term.ready_at + self._settings.recovery_limit
-            if now < min(limit, parked.give_up_at):
-                return self._park(parked)
         tasks = self._recovery.tasks_of(job.key)
         complete = state is Completeness.COMPLETE
         verdict, failure = adopt(job, tasks, complete)
@@ -372,10 +396,15 @@
             self._settings.retry_after,
         )
 
-    def _park(self, parked: _Parked) -> list[Effect]:
+    def _park(self, parked: _Parked, wake_at: float) -> list[Effect]:
+        parked.wake_at = min(wake_at, parked.give_up_at)
         self._parked.append(parked)
         return []
 
+    def _wake_all(self, now: float) -> None:
+        for item in self._parked:
+            item.wake_at = min(item.wake_at, now)
+
     def _retry_parked(
         self, fresh: bool, now: float, wall: float
     ) -> list[Effect]:
@@ -384,7 +413,8 @@
         parked, self._parked = self._parked, []
         effects: list[Effect] = []
         for item in parked:
-            if not fresh and now < item.give_up_at:
+            asleep = now < item.wake_at
+            if asleep or (not fresh and now < item.give_up_at):
                 self._parked.append(item)
                 continue
             effects += self._submit(
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/recovery.py
@@ -72,6 +72,7 @@
     def __init__(self, me: Member, settings: OwnerSettings) -> None:
         self._me = me
         self._settings = settings
+        self._held_revision = 0
         self._journals: dict[str, _AgentJournal] = {}
         self._keys: dict[str, dict[int, RecoveredTask]] = {}
         self._bytes = 0
@@ -82,6 +83,10 @@
         """Bytes of the recovered results."""
         return self._bytes
 
+    def hold(self, revision: int) -> None:
+        """Takes in the revision that this entry holds."""
+        self._held_revision = max(self._held_revision, revision)
+
     def on_agent_connected(self, agent: Member) -> None:
         """Parts on an earlier connection may be lost, so asks again."""
         journal = self._journals.get(agent.member_id)
@@ -148,20 +153,15 @@
         since = key_time(key) - self._settings.key_margin
         complete = True
         for agent_id in term.agents:
-            journal = self._journals.get(agent_id)
-            if journal is None or journal.revision < term.first_revision:
+            if not self._is_read(term, agent_id):
                 return Completeness.PENDING
+            journal = self._journals[agent_id]
             complete = complete and journal.complete_since < since
         return Completeness.COMPLETE if complete else Completeness.INCOMPLETE
 
     def silent_agents(self, term: Term) -> list[str]:
         """Returns the agents whose journals have not been read."""
-        return [
-            agent_id
-            for agent_id in sorted(term.agents)
-            if agent_id not in self._journals
-            or self._journals[agent_id].revision < term.first_revision
-        ]
+        return [a for a in sorted(term.agents) if not self._is_read(term, a)]
 
     def tasks_of(self, key: str) -> dict[int, RecoveredTask]:
         """Returns the journaled tasks of a key by index."""
@@ -182,6 +182,18 @@
         for key in [key for key in self._keys if key_time(key) < oldest]:
             self.forget(key)
 
+    def _is_read(self, term: Term, agent_id: str) -> bool:
+        """Whether an agent's report holds the keys that this entry owns.
+
+        An agent reports the keys that this entry owns by the agent's record.
+        If that one is newer, it may name another owner, and the report says
+        nothing until this entry holds that record too.
+        """
+        journal = self._journals.get(agent_id)
+        if journal is None:
+            return False
+        return term.first_revision <= journal.revision <= self._held_revision
+
     def _add(self, agent: Member, entry: JournalEntry) -> None:
         if self._bytes + _size(entry) > self._settings.kept_bytes:
             entry = dataclasses.replace(entry, result=None)
