--- a/gypsumline/core/adoption.py
+++ b/gypsumline/core/adoption.py
@@ -60,16 +60,14 @@
 def _adopt_task(job: Job, index: int, task: RecoveredTask) -> TaskResult | None:
     entry = task.entry
     job.attempts[index] = task.newest_attempt
+    job.may_have_run = job.may_have_run or task.may_have_run
     if entry.state == TaskState.FINISHED.value:
-        job.may_have_run = True
         result = entry.result or _lost_result(entry)
         if result.status is TaskStatus.SUCCEEDED:
             job.finish(index, result)
         elif result.status is TaskStatus.FAILED or not job.body.repeatable:
             return result
     elif entry.state != TaskState.WITHDRAWN.value:
-        started = entry.state == TaskState.STARTED.value
-        job.may_have_run = job.may_have_run or started
         job.adopt(index, task.agent, entry.attempt)
     return None
 
--- a/gypsumline/core/journal.py
+++ b/gypsumline/core/journal.py
@@ -28,12 +28,21 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
-    """One task in the journal, with the newest attempt that it has seen."""
+    """One task in the journal, with the newest attempt that it has seen.
+
+    Attributes:
+      index: Position in the job.
+      state: State of the newest attempt.
+      attempt: Newest attempt.
+      result: The result, if it has finished.
+      ran: Whether an earlier attempt has run.
+    """
 
     index: int
     state: TaskState
     attempt: int
     result: TaskResult | None = None
+    ran: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -183,6 +192,8 @@
         if task.result is not None:
             self._bytes -= len(task.result.value)
             task.result = None
+        if task.state is TaskState.FINISHED:
+            task.ran = True
         task.state = state
         task.attempt = attempt
 
@@ -203,4 +214,5 @@
             attempt=task.attempt,
             result=task.result,
             digest=record.digest,
+            ran=task.ran,
         )
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -277,6 +277,7 @@
       result: The result, if it has finished.
       digest: Digest of the job's body; empty for a withdrawal of a task that
         the agent has never been sent.
+      ran: Whether an earlier attempt of a repeatable request has run here.
     """
 
     key: str
@@ -285,6 +286,7 @@
     attempt: int
     result: TaskResult | None = None
     digest: bytes = b""
+    ran: bool = False
 
 
 @message("journal_query")
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -27,25 +27,13 @@
 )
 from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.ownership import Ownership
+from gypsumline.core.parked_submissions import Parked, ParkedSubmissions
 from gypsumline.core.recovery import Completeness, JournalRecovery
 from gypsumline.core.submission_key import key_time
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 from gypsumline.core.task_scheduler import TaskScheduler
 
 
-@dataclasses.dataclass(slots=True)
-class _Parked:
-    """A submission that waits for the clock or for the journals.
-
-    Times are `CLOCK_BOOTTIME` seconds; journals that arrive wake it earlier.
-    """
-
-    origin: str
-    message: Submit
-    give_up_at: float
-    wake_at: float = 0.0
-
-
 class SubmissionOwner:
     """Runs the submissions of the keys that this entry owns.
 
@@ -64,7 +52,7 @@
         self._runner = JobRunner(settings, scheduler, self._kept)
         self._recovery = JournalRecovery(me, settings)
         self._hand_over = HandOverSender(me, settings)
-        self._parked: list[_Parked] = []
+        self._parked = ParkedSubmissions()
         self._leaving = False
 
     def set_record(
@@ -78,7 +66,7 @@
         moved = self._ownership.set_record(record, ready_at, now, wall)
         self._recovery.hold(record.revision)
         self._scheduler.set_record(record, now)
-        self._wake_all(now)
+        self._parked.wake_all(now)
         effects = self._drop_moved_jobs(now) if moved else []
         return effects + self._ask_journals(now) + self._runner.place(now)
 
@@ -180,7 +168,7 @@
         if isinstance(message, JournalReport):
             if not self._recovery.on_report(sender, message):
                 return []
-            self._wake_all(now)
+            self._parked.wake_all(now)
             effects = self._retry_parked(fresh, now, wall)
             return effects + self._runner.place(now)
         if isinstance(message, HandOver):
@@ -221,7 +209,7 @@
         return self._leaving and not self._is_busy() and self._hand_over.is_done
 
     def _is_busy(self) -> bool:
-        return len(self._runner) > 0 or bool(self._parked)
+        return bool(self._runner) or bool(self._parked)
 
     def _submit(
         self,
@@ -250,10 +238,11 @@
         expired = self._expired(key, wall)
         if expired is not None:
             return [reply.with_answer(expired)]
-        parked = _Parked(origin, message, give_up_at)
+        parked = Parked(origin, message, give_up_at)
         early = key_time(key) - wall - self._settings.clock_skew
         if early > 0:
-            return self._park(parked, now + early)
+            self._parked.add(parked, now + early)
+            return []
         if self._must_wait(parked, now):
             return []
         job = Job(key, message.digest, message.body, give_up_at)
@@ -330,7 +319,7 @@
         settings = self._settings
         return count >= settings.jobs or size > settings.kept_bytes
 
-    def _must_wait(self, parked: _Parked, now: float) -> bool:
+    def _must_wait(self, parked: Parked, now: float) -> bool:
         """Parks a submission whose key the journals have yet to decide on."""
         key = parked.message.key
         if self._ownership.is_new(key, self._settings.key_margin):
@@ -341,11 +330,11 @@
         limit = min(limit, parked.give_up_at)
         if state is not Completeness.PENDING or now >= limit:
             return False
-        self._park(parked, limit)
+        self._parked.add(parked, limit)
         return True
 
     def _recover(
-        self, job: Job, parked: _Parked, now: float, wall: float
+        self, job: Job, parked: Parked, now: float, wall: float
     ) -> list[Effect]:
         """Decides by the journals on a key that may have had another owner."""
         term = self._ownership.term_of(job.key)
@@ -396,27 +385,11 @@
             self._settings.retry_after,
         )
 
-    def _park(self, parked: _Parked, wake_at: float) -> list[Effect]:
-        parked.wake_at = min(wake_at, parked.give_up_at)
-        self._parked.append(parked)
-        return []
-
-    def _wake_all(self, now: float) -> None:
-        for item in self._parked:
-            item.wake_at = min(item.wake_at, now)
-
     def _retry_parked(
         self, fresh: bool, now: float, wall: float
     ) -> list[Effect]:
-        if not self._parked:
-            return []
-        parked, self._parked = self._parked, []
         effects: list[Effect] = []
-        for item in parked:
-            asleep = now < item.wake_at
-            if asleep or (not fresh and now < item.give_up_at):
-                self._parked.append(item)
-                continue
+        for item in self._parked.take_due(fresh, now):
             effects += self._submit(
                 item.origin, item.message, item.give_up_at, fresh, now, wall
             )
@@ -481,6 +454,8 @@
         kept = self._kept.find(key)
         if kept is not None:
             return kept[1]
+        if self._parked.has_key(key):
+            return JobAnswer(outcome=Outcome.RUNNING)
         detail = "this owner knows no submission with this key"
         return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
 
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/recovery.py
@@ -46,11 +46,13 @@
       agent: The agent with the most advanced state.
       entry: That agent's entry.
       newest_attempt: Highest attempt that any agent has seen.
+      may_have_run: Whether any agent has started an attempt.
     """
 
     agent: Member
     entry: JournalEntry
     newest_attempt: int
+    may_have_run: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -200,9 +202,12 @@
         tasks = self._keys.setdefault(entry.key, {})
         known = tasks.get(entry.index)
         if known is None:
-            tasks[entry.index] = RecoveredTask(agent, entry, entry.attempt)
+            ran = _has_run(entry)
+            task = RecoveredTask(agent, entry, entry.attempt, ran)
+            tasks[entry.index] = task
             self._bytes += _size(entry)
             return
+        known.may_have_run = known.may_have_run or _has_run(entry)
         known.newest_attempt = max(known.newest_attempt, entry.attempt)
         if _rank(entry) > _rank(known.entry):
             self._bytes += _size(entry) - _size(known.entry)
@@ -210,6 +215,11 @@
             known.entry = entry
 
 
+def _has_run(entry: JournalEntry) -> bool:
+    states = (TaskState.STARTED.value, TaskState.FINISHED.value)
+    return entry.ran or entry.state in states
+
+
 def _rank(entry: JournalEntry) -> tuple[int, bool, int]:
     succeeded = (
         entry.result is not None and entry.result.status is TaskStatus.SUCCEEDED
