--- /dev/null
+++ b/gypsumline/tests/core/test_recovery.py
@@ -0,0 +1,269 @@
+"""Tests of what a new or leaving owner makes of earlier submissions."""
+
+import dataclasses
+
+import pytest
+
+from gypsumline.core.effects import Answer, Send
+from gypsumline.core.messages import (
+    HandOver,
+    JournalEntry,
+    JournalQuery,
+    JournalReport,
+    StartTasks,
+    TaskResults,
+)
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.task import (
+    JobAnswer,
+    Outcome,
+    Reason,
+    TaskResult,
+    TaskStatus,
+)
+from gypsumline.tests.core.builders import (
+    AGENT,
+    ENTRY,
+    OTHER,
+    WALL,
+    key_at,
+    make_record,
+    make_submit,
+)
+from gypsumline.tests.core.first_fit import FirstFit
+
+READY = 100.0
+KEY = key_at(WALL + READY - 5)
+VALUE = TaskResult(index=0, status=TaskStatus.SUCCEEDED, value=b"7")
+
+
+def make_owner(agents=("g1",), **settings):
+    owner = SubmissionOwner(ENTRY, OwnerSettings(**settings), FirstFit())
+    record = make_record(revision=5, agents=agents)
+    owner.set_record(record, READY, READY - 2, WALL + READY - 2)
+    owner.on_agent_connected(AGENT, READY - 2, WALL + READY - 2)
+    return owner
+
+
+def submit(owner, key=KEY, now=READY, **changes):
+    message = make_submit(key, **changes)
+    return owner.submit("", message, True, now, WALL + now)
+
+
+def tick(owner, now):
+    return owner.tick(now, WALL + now, True)
+
+
+def report(owner, *entries, now=READY + 0.1, **changes):
+    fields = {
+        "revision": 5,
+        "entries": entries,
+        "complete_since": WALL - 1000,
+        "last": True,
+        "owner_incarnation": ENTRY.incarnation,
+    }
+    message = JournalReport(**{**fields, **changes})
+    return owner.on_message(AGENT, message, now, WALL + now, True)
+
+
+def entry(index, state, result=None, digest=b"d", attempt=1, **changes):
+    return JournalEntry(
+        key=KEY,
+        index=index,
+        state=state,
+        attempt=attempt,
+        result=result,
+        digest=digest,
+        **changes,
+    )
+
+
+def sent(effects, kind):
+    return [
+        e.message
+        for e in effects
+        if isinstance(e, Send) and isinstance(e.message, kind)
+    ]
+
+
+def outcomes(effects):
+    return [
+        (e.answer.outcome, e.answer.reason)
+        for e in effects
+        if isinstance(e, Answer)
+    ]
+
+
+def test_asks_the_journals_only_after_ready():
+    """Before `ready_at` an agent may still start for the earlier owner."""
+    owner = make_owner()
+    assert submit(owner, now=READY - 1) == []
+    assert sent(tick(owner, READY - 0.1), JournalQuery) == []
+    assert len(sent(tick(owner, READY), JournalQuery)) == 1
+    assert sent(tick(owner, READY + 0.1), JournalQuery) == []
+
+
+def test_adopts_finished_started_and_unstarted_tasks():
+    """A started task must not be placed a second time."""
+    owner = make_owner()
+    submit(owner, count=3)
+    tick(owner, READY)
+    effects = report(
+        owner, entry(0, "finished", VALUE), entry(1, "started", attempt=2)
+    )
+    (start,) = sent(effects, StartTasks)
+    assert [task.index for task in start.tasks] == [1]
+    assert start.attempts == (2,)
+    done = TaskResults(
+        key=KEY,
+        results=(dataclasses.replace(VALUE, index=1, attempt=2),),
+        free=1,
+        queued=0,
+    )
+    owner.on_message(AGENT, done, READY + 1, WALL + READY + 1, True)
+    job = owner._runner.find(KEY)
+    assert (job.done, job.placed, job.is_waiting(2)) == (2, 0, True)
+
+
+@pytest.mark.parametrize(
+    ("entries", "changes", "expected"),
+    [
+        ((), {}, (Outcome.FAILED_NOT_RUN, Reason.NO_OWNER)),
+        (
+            (entry(0, "withdrawn"),),
+            {},
+            (Outcome.FAILED_NOT_RUN, Reason.NO_OWNER),
+        ),
+        (
+            (),
+            {"complete_since": WALL + READY - 5.5},
+            (Outcome.UNKNOWN, Reason.UPSTREAM_LOST),
+        ),
+        (
+            (entry(0, "started", digest=b"other"),),
+            {},
+            (Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT),
+        ),
+        (
+            (entry(0, "finished"),),
+            {},
+            (Outcome.FAILED_RAN, Reason.UPSTREAM_LOST),
+        ),
+    ],
+)
+def test_answers_by_the_journals(entries, changes, expected):
+    """An earlier owner may have said "not run", or may have run the job."""
+    owner = make_owner()
+    submit(owner)
+    tick(owner, READY)
+    effects = report(owner, *entries, **changes)
+    assert outcomes(effects) == [expected]
+    assert sent(effects, StartTasks) == []
+
+
+def test_ignores_reports_that_say_nothing_about_its_keys():
+    """A report for an earlier incarnation or a newer record holds others."""
+    owner = make_owner()
+    submit(owner)
+    tick(owner, READY)
+    assert report(owner, owner_incarnation=ENTRY.incarnation - 1) == []
+    assert report(owner, part=1) == []
+    assert report(owner, revision=6) == []
+
+
+def test_silent_agent_leaves_the_outcome_unknown_in_time():
+    """A caller must not be held for a journal that may never come."""
+    owner = make_owner(agents=("g1", "g2"))
+    submit(owner)
+    tick(owner, READY)
+    assert report(owner) == []
+    effects = tick(owner, READY + OwnerSettings().recovery_limit)
+    assert outcomes(effects) == [(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)]
+
+
+def test_early_key_waits_for_the_clock():
+    """Otherwise a later owner would take the key for one of its own tenure."""
+    owner = make_owner()
+    early = key_at(WALL + READY + 13)
+    assert submit(owner, early, now=READY + 10) == []
+    assert owner._runner.find(early) is None
+    tick(owner, READY + 12.6)
+    assert owner._runner.find(early) is not None
+
+
+def test_leaving_owner_hands_its_answers_over():
+    """A kept answer must survive a planned stop."""
+    owner = make_owner()
+    record = make_record(revision=6, entries=(ENTRY, OTHER))
+    owner.set_record(record, READY, READY, WALL + READY)
+    key = next(
+        key
+        for key in (key_at(WALL + READY + 50, n) for n in range(99))
+        if record.owner_of(key) == ENTRY
+    )
+    owner._kept.keep(key, b"d", make_answer(), READY, WALL + READY)
+    (message,) = sent(owner.leave(READY + 51, WALL + READY + 51), HandOver)
+    assert not owner.is_drained()
+    other = SubmissionOwner(OTHER, OwnerSettings(), FirstFit())
+    (ack, _) = other.on_message(ENTRY, message, 0.0, WALL + READY + 51)
+    owner.on_message(OTHER, ack.message, READY + 52, WALL + READY + 52)
+    assert owner.is_drained()
+    after = make_record(revision=7, entries=(OTHER,))
+    other.set_record(after, READY + 55, 0.0, WALL + READY + 52)
+    effects = other.submit("", make_submit(key), True, 1.0, WALL + READY + 53)
+    assert [e.answer for e in effects] == [make_answer()]
+
+
+def make_answer():
+    return JobAnswer(outcome=Outcome.COMPLETE, results=(VALUE,))
+
+
+@pytest.mark.parametrize(
+    ("settings", "expected"),
+    [
+        ({"jobs": 1}, (Outcome.FAILED_NOT_RUN, Reason.OVERLOAD)),
+        ({"jobs": 1, "refusals": 0}, (Outcome.UNKNOWN, Reason.OVERLOAD)),
+        ({"kept_bytes": 4}, (Outcome.FAILED_NOT_RUN, Reason.OVERLOAD)),
+    ],
+)
+def test_full_owner_refuses_instead_of_forgetting(settings, expected):
+    """A forgotten answer would let its key run again."""
+    owner = make_owner(**settings)
+    now = READY + 10
+    first = key_at(WALL + now, 1)
+    owner._kept.keep(first, b"d", make_answer(), now, WALL + now)
+    effects = submit(owner, key_at(WALL + now, 2), now=now)
+    assert outcomes(effects) == [expected]
+    assert owner._kept.find(first) is not None
+
+
+def test_answers_are_forgotten_after_the_horizon_only():
+    """Until then the key may be submitted again."""
+    owner = make_owner()
+    now = READY + 10
+    key = key_at(WALL + now)
+    owner._kept.keep(key, b"d", make_answer(), now, WALL + now)
+    tick(owner, now + 120)
+    assert owner._kept.find(key) is not None
+    tick(owner, now + 123)
+    assert owner._kept.find(key) is None
+    effects = submit(owner, key, now=now + 123)
+    assert outcomes(effects) == [(Outcome.UNKNOWN, Reason.KEY_EXPIRED)]
+
+
+def test_repeats_stay_within_their_budget():
+    """Repeats without a bound double the load when agents are lost."""
+    owner = make_owner(retry_burst=1.0, retry_share=0.0)
+    now = READY + 10
+    key = key_at(WALL + now)
+    submit(owner, key, now=now, count=1, repeatable=True)
+    job = owner._runner.find(key)
+    lost = TaskResult(index=0, status=TaskStatus.UNKNOWN)
+    for attempt, expected in ((1, 0), (2, 1)):
+        owner._scheduler.remove_job(key, now)
+        job.place(0, AGENT)
+        result = dataclasses.replace(lost, attempt=attempt)
+        message = TaskResults(key=key, results=(result,), free=1, queued=0)
+        effects = owner.on_message(AGENT, message, now, WALL + now, True)
+        assert len(outcomes(effects)) == expected
--- a/gypsumline/tests/core/test_slot_table.py
+++ b/gypsumline/tests/core/test_slot_table.py
@@ -21,6 +21,7 @@
     make_record,
     make_start,
 )
+from gypsumline.wire.codec import FRAME_LIMIT_BYTES, encode_frame
 
 KEY = key_at(WALL)
 
@@ -178,3 +179,36 @@
     assert not table.is_drained()
     assert table.on_finished(KEY, succeed(0), 3.0)
     assert table.is_drained()
+
+
+def test_long_journal_is_reported_in_frames_below_the_limit():
+    """A part above the frame limit would close the connection."""
+    table = make_table(slots=8, report_bytes=1024 * 1024)
+    keys = [key_at(WALL, number) for number in range(8)]
+    for key in keys:
+        receive(table, make_start(key))
+        table.may_start(key, 0, True, 1.0)
+        table.on_finished(key, succeed(0, b"x" * 900_000), 2.0)
+    effects = receive(table, JournalQuery(revision=1))
+    parts = [effect.message for effect in effects]
+    assert all(len(encode_frame(part)) < FRAME_LIMIT_BYTES for part in parts)
+    assert [part.part for part in parts] == list(range(len(parts)))
+    assert [part.last for part in parts][-1:] == [True]
+    assert [e.key for part in parts for e in part.entries] == keys
+
+
+def test_journal_forgets_only_finished_keys_after_their_time():
+    """A key may be submitted again until the horizon has passed."""
+    table = make_table(slots=1, resubmission_horizon=10.0, deadline_max=5.0)
+    running, done = key_at(WALL, 1), key_at(WALL, 2)
+    receive(table, make_start(done))
+    table.may_start(done, 0, True, 1.0)
+    table.on_finished(done, succeed(0), 1.0)
+    receive(table, make_start(running, deadline_left=90.0))
+    table.may_start(running, 0, True, 1.0)
+    table.tick(True, 15.9)
+    assert table.journal.find(done, 0) is not None
+    table.tick(True, 16.1)
+    assert table.journal.find(done, 0) is None
+    table.tick(True, 80.0)
+    assert table.journal.find(running, 0) is not None
