--- /dev/null
+++ b/benchmarks/submission_cost.py
@@ -0,0 +1,181 @@
+"""Processor time per task of the owner and of the slot table.
+
+Run `python -m benchmarks.submission_cost`. Figures are in microseconds and
+depend on the machine; they are for comparing two versions on one machine.
+"""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+from gypsumline.core.configuration import Configuration, Service
+from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.effects import Send, StartTask
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.messages import StartTasks, Submit, TaskResults
+from gypsumline.core.owner import SubmissionOwner
+from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.task import JobBody, TaskResult, TaskSpec, TaskStatus
+from gypsumline.core.task_scheduler import Admission, Assignment
+
+WALL = 1_700_000_000.0
+JOBS = 1000
+TASKS_PER_JOB = 20
+AGENTS = 10
+SLOTS = 8
+_MICRO = 1e6
+
+
+class _InstantScheduler:
+    """Spreads each job over all agents at once, at next to no cost."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Assignment] = []
+
+    def set_record(self, record: object, now: float) -> None:
+        pass
+
+    def admit(self, body: JobBody, now: float) -> Admission:
+        return Admission(accepted=True)
+
+    def add_job(
+        self, key: str, body: JobBody, indexes: list[int], now: float
+    ) -> None:
+        for number in range(AGENTS):
+            here = tuple(indexes[number::AGENTS])
+            self._waiting.append(
+                Assignment(agent_id=f"g{number}", key=key, indexes=here)
+            )
+
+    def remove_job(self, key: str, now: float) -> None:
+        pass
+
+    def assign(self, now: float) -> list[Assignment]:
+        found, self._waiting = self._waiting, []
+        return found
+
+    def withdrawals(self, now: float) -> list[object]:
+        return []
+
+    def finish_task(
+        self, agent_id: str, key: str, result: TaskResult, now: float
+    ) -> None:
+        pass
+
+
+def _make_member(member_id: str, role: Role) -> Member:
+    return Member(
+        member_id=member_id,
+        incarnation=1,
+        role=role,
+        availability_zone="a",
+    )
+
+
+def _make_record() -> tuple[Member, list[Member], ControlRecord]:
+    entry = _make_member("e0", Role.ENTRY)
+    agents = [_make_member(f"g{n}", Role.AGENT) for n in range(AGENTS)]
+    record = ControlRecord(
+        revision=1,
+        configuration=Configuration(services=(Service(name="s"),)),
+        entries=(entry,),
+        agents=tuple(
+            RegisteredAgent(agent_id=a.member_id, availability_zone="a")
+            for a in agents
+        ),
+        epochs=(OwnerEpoch(begins_at_wall=0.0, owners=(entry,)),),
+    )
+    return entry, agents, record
+
+
+def _make_key(number: int) -> str:
+    value = int((WALL + 1000) * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+def _make_submits(jobs: int) -> list[Submit]:
+    tasks = tuple(
+        TaskSpec(index=index, kind="k", payload=b"x" * 100)
+        for index in range(TASKS_PER_JOB)
+    )
+    body = JobBody(service="s", client="c", tasks=tasks, timeout=30.0)
+    return [
+        Submit(request_id=n, key=_make_key(n), digest=b"d" * 32, body=body)
+        for n in range(jobs)
+    ]
+
+
+def measure_owner(jobs: int = JOBS) -> float:
+    """Returns microseconds per task from the submission to the answer."""
+    entry, agents, record = _make_record()
+    owner = SubmissionOwner(entry, OwnerSettings(), _InstantScheduler())
+    owner.set_record(record, 0.0, 0.0, WALL)
+    members = {agent.member_id: agent for agent in agents}
+    for agent in agents:
+        owner.on_agent_connected(agent, 0.0, WALL)
+    now, spent = 1000.0, 0.0
+    for submit in _make_submits(jobs):
+        began = time.perf_counter()
+        effects = owner.submit("", submit, True, now, WALL + now)
+        spent += time.perf_counter() - began
+        sends = [effect for effect in effects if isinstance(effect, Send)]
+        replies = [(members[s.to], _make_results(s.message)) for s in sends]
+        began = time.perf_counter()
+        for agent, reply in replies:
+            owner.on_message(agent, reply, now, WALL + now, True)
+        spent += time.perf_counter() - began
+    return spent / (jobs * TASKS_PER_JOB) * _MICRO
+
+
+def _make_results(start: object) -> TaskResults:
+    assert isinstance(start, StartTasks)
+    results = tuple(
+        TaskResult(
+            index=task.index, status=TaskStatus.SUCCEEDED, value=b"y" * 100
+        )
+        for task in start.tasks
+    )
+    return TaskResults(key=start.key, results=results, free=0, queued=0)
+
+
+def measure_slot_table(jobs: int = JOBS) -> float:
+    """Returns microseconds per task from the start message to the result."""
+    entry, agents, record = _make_record()
+    table = SlotTable(agents[0], SlotSettings())
+    table.set_record(record, 0.0)
+    table.announce(Announcement(upstream_id="x", service="s", slots=SLOTS), 0)
+    now, spent, tasks = 1000.0, 0.0, 0
+    for submit in _make_submits(jobs):
+        start = StartTasks(
+            key=submit.key,
+            agent_incarnation=1,
+            service="s",
+            tasks=submit.body.tasks[:SLOTS],
+            attempts=(1,) * SLOTS,
+            deadline_left=30.0,
+            digest=submit.digest,
+        )
+        results = _make_results(start).results
+        began = time.perf_counter()
+        effects = table.on_message(entry, start, True, now, WALL + now)
+        for effect in effects:
+            if isinstance(effect, StartTask):
+                table.may_start(effect.key, effect.task.index, True, now)
+        for result in results:
+            table.on_finished(submit.key, result, now)
+        spent += time.perf_counter() - began
+        tasks += SLOTS
+    return spent / tasks * _MICRO
+
+
+def main() -> None:
+    """Prints both figures."""
+    print(f"owner: {measure_owner():.1f} us per task")
+    print(f"slot table: {measure_slot_table():.1f} us per task")
+
+
+if __name__ == "__main__":
+    main()
