--- a/gypsumline/core/job.py
+++ b/gypsumline/core/job.py
@@ -11,7 +11,6 @@
     JobBody,
     Outcome,
     TaskResult,
-    TaskSpec,
 )
 
 
@@ -34,6 +33,7 @@
       digest: Digest of the body.
       body: The submission.
       deadline: `CLOCK_BOOTTIME` seconds.
+      size: Bytes of the payloads.
       waiters: (origin, request id) of the callers that wait for the answer.
       attempts: Newest attempt of each task, 0 before the first.
       may_have_run: Whether some task is known to have started.
@@ -53,6 +53,7 @@
         "digest",
         "key",
         "may_have_run",
+        "size",
         "waiters",
     )
 
@@ -64,6 +65,7 @@
         self.digest = digest
         self.body = body
         self.deadline = deadline
+        self.size = sum([len(task.payload) for task in body.tasks])
         self.waiters: list[tuple[str, int]] = []
         self.attempts = [0] * count
         self.may_have_run = False
@@ -84,6 +86,11 @@
         """Whether no task has started and none can start."""
         return not (self._placed or self._done or self.may_have_run)
 
+    @property
+    def waiting(self) -> int:
+        """Number of tasks that may be placed."""
+        return len(self._phases) - self._placed - self._done
+
     @property
     def placed(self) -> int:
         """Number of tasks that are at an agent."""
@@ -94,14 +101,11 @@
         """Number of tasks that have succeeded."""
         return self._done
 
-    @property
-    def size(self) -> int:
-        """Bytes of the payloads."""
-        return sum(len(task.payload) for task in self.body.tasks)
-
-    def task(self, index: int) -> TaskSpec:
-        """Returns the task at a position."""
-        return self.body.tasks[index]
+    def attach(self, origin: str, request_id: int) -> None:
+        """Adds a caller that waits for the answer, once."""
+        waiter = (origin, request_id)
+        if waiter not in self.waiters:
+            self.waiters.append(waiter)
 
     def is_waiting(self, index: int) -> bool:
         """Whether a task may be placed."""
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -225,6 +225,9 @@
       digest: Digest of the job's body; the journal keeps it, so that a later
         owner can tell another body under the same key.
       repeatable: Whether a higher attempt may start after an unknown outcome.
+      backlog: Whether the owner has further tasks that wait for a slot; the
+        agent then reports a free slot at once instead of with the last result
+        of the key.
     """
 
     key: Key
@@ -236,6 +239,7 @@
     priority: float = 0.0
     digest: bytes = b""
     repeatable: bool = False
+    backlog: bool = False
 
 
 @message("task_results")
@@ -287,6 +291,7 @@
       result: The result, if it has finished.
       digest: Digest of the job's body; empty for a withdrawal of a task that
         the agent has never been sent.
+      ran: Whether an earlier attempt of a repeatable request has run here.
     """
 
     key: Key
@@ -295,6 +300,7 @@
     attempt: int
     result: TaskResult | None = None
     digest: bytes = b""
+    ran: bool = False
 
 
 @message("journal_query")
@@ -314,6 +320,8 @@
       complete_since: UTC seconds since which the journal misses nothing.
       last: Whether this is the last part.
       part: Number of the part, from 0; a gap makes the answer incomplete.
+      owner_incarnation: Incarnation of the entry that asked; a report for an
+        earlier one holds other keys.
     """
 
     revision: int
@@ -321,6 +329,7 @@
     complete_since: float
     last: bool
     part: int = 0
+    owner_incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -27,21 +27,13 @@
 )
 from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.ownership import Ownership
+from gypsumline.core.parked_submissions import Parked, ParkedSubmissions
 from gypsumline.core.recovery import Completeness, JournalRecovery
 from gypsumline.core.submission_key import key_time
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 from gypsumline.core.task_scheduler import TaskScheduler
 
 
-@dataclasses.dataclass(slots=True)
-class _Parked:
-    """A submission that waits for the clock or for the journals."""
-
-    origin: str
-    message: Submit
-    give_up_at: float
-
-
 class SubmissionOwner:
     """Runs the submissions of the keys that this entry owns.
 
@@ -58,9 +50,9 @@
         self._ownership = Ownership(me)
         self._kept = KeptAnswers(settings)
         self._runner = JobRunner(settings, scheduler, self._kept)
-        self._recovery = JournalRecovery(settings)
+        self._recovery = JournalRecovery(me, settings)
         self._hand_over = HandOverSender(me, settings)
-        self._parked: list[_Parked] = []
+        self._parked = ParkedSubmissions()
         self._leaving = False
 
     def set_record(
@@ -71,9 +63,11 @@
         `ready_at` must be raised by each revision that takes an owner away,
         to its acceptance + `evidence_ttl`, and be inf until then.
         """
-        self._ownership.set_record(record, ready_at, now, wall)
+        moved = self._ownership.set_record(record, ready_at, now, wall)
+        self._recovery.hold(record.revision)
         self._scheduler.set_record(record, now)
-        effects = self._drop_moved_jobs(now)
+        self._parked.wake_all(now)
+        effects = self._drop_moved_jobs(now) if moved else []
         return effects + self._ask_journals(now) + self._runner.place(now)
 
     def submit(
@@ -85,7 +79,8 @@
         wall: float,
     ) -> list[Effect]:
         """Runs a job, or attaches to the job or answer of its key."""
-        give_up_at = now + message.body.timeout
+        timeout = min(message.body.timeout, self._settings.deadline_max)
+        give_up_at = now + timeout
         effects = self._submit(origin, message, give_up_at, fresh, now, wall)
         return effects + self._runner.place(now)
 
@@ -106,7 +101,7 @@
         if job is None:
             return [reply.with_answer(self._find_answer(message.key))]
         if message.wait:
-            job.waiters.append((origin, message.request_id))
+            job.attach(origin, message.request_id)
             return []
         return [reply.with_answer(JobAnswer(outcome=Outcome.RUNNING))]
 
@@ -125,8 +120,11 @@
             return [reply.with_answer(unable)]
         job = self._runner.find(message.key)
         if job is None:
-            return [reply.with_answer(self._find_answer(message.key))]
-        job.waiters.append((origin, message.request_id))
+            answer = self._find_answer(message.key)
+            if answer.outcome is Outcome.RUNNING:
+                answer = self._too_early()
+            return [reply.with_answer(answer)]
+        job.attach(origin, message.request_id)
         effects = self._runner.cancel(job, now)
         return effects + self._runner.settle(job, fresh, now, wall)
 
@@ -173,6 +171,7 @@
         if isinstance(message, JournalReport):
             if not self._recovery.on_report(sender, message):
                 return []
+            self._parked.wake_all(now)
             effects = self._retry_parked(fresh, now, wall)
             return effects + self._runner.place(now)
         if isinstance(message, HandOver):
@@ -218,7 +217,7 @@
         return self._leaving and not self._is_busy() and self._hand_over.is_done
 
     def _is_busy(self) -> bool:
-        return len(self._runner) > 0 or bool(self._parked)
+        return bool(self._runner) or bool(self._parked)
 
     def _submit(
         self,
@@ -231,24 +230,31 @@
     ) -> list[Effect]:
         key = message.key
         reply = _Reply(origin, message.request_id)
-        unable = self._unable(key, fresh) or self._expired(key, wall)
+        unable = self._unable(key, fresh)
         if unable is not None:
             return [reply.with_answer(unable)]
         job = self._runner.find(key)
         if job is not None:
             if job.digest != message.digest:
                 return [reply.with_answer(_conflict())]
-            job.waiters.append((origin, message.request_id))
+            job.attach(origin, message.request_id)
             return []
         kept = self._kept.find(key)
         if kept is not None:
-            same = not kept[0] or kept[0] == message.digest
-            return [reply.with_answer(kept[1] if same else _conflict())]
-        parked = _Parked(origin, message, give_up_at)
-        if key_time(key) > wall + self._settings.clock_skew:
-            return self._park(parked)
+            answer = kept[1] if kept[0] == message.digest else _conflict()
+            return [reply.with_answer(answer)]
+        expired = self._expired(key, wall)
+        if expired is not None:
+            return [reply.with_answer(expired)]
+        parked = Parked(origin, message, give_up_at)
+        early = key_time(key) - wall - self._settings.clock_skew
+        if early > 0:
+            self._parked.add(parked, now + early)
+            return []
+        if self._must_wait(parked, now):
+            return []
         job = Job(key, message.digest, message.body, give_up_at)
-        job.waiters.append((origin, message.request_id))
+        job.attach(origin, message.request_id)
         if self._ownership.is_new(key, self._settings.key_margin):
             return self._run(job, now, wall)
         return self._recover(job, parked, now, wall)
@@ -321,16 +327,26 @@
         settings = self._settings
         return count >= settings.jobs or size > settings.kept_bytes
 
+    def _must_wait(self, parked: Parked, now: float) -> bool:
+        """Parks a submission whose key the journals have yet to decide on."""
+        key = parked.message.key
+        if self._ownership.is_new(key, self._settings.key_margin):
+            return False
+        term = self._ownership.term_of(key)
+        state = self._recovery.completeness(term, key)
+        limit = term.ready_at + self._settings.recovery_limit
+        limit = min(limit, parked.give_up_at)
+        if state is not Completeness.PENDING or now >= limit:
+            return False
+        self._parked.add(parked, limit)
+        return True
+
     def _recover(
-        self, job: Job, parked: _Parked, now: float, wall: float
+        self, job: Job, parked: Parked, now: float, wall: float
     ) -> list[Effect]:
         """Decides by the journals on a key that may have had another owner."""
         term = self._ownership.term_of(job.key)
         state = self._recovery.completeness(term, job.key)
-        if state is Completeness.PENDING:
-            limit = term.ready_at + self._settings.recovery_limit
-            if now < min(limit, parked.give_up_at):
-                return self._park(parked)
         tasks = self._recovery.tasks_of(job.key)
         complete = state is Completeness.COMPLETE
         verdict, failure = adopt(job, tasks, complete)
@@ -377,18 +393,11 @@
             self._settings.retry_after,
         )
 
-    def _park(self, parked: _Parked) -> list[Effect]:
-        self._parked.append(parked)
-        return []
-
     def _retry_parked(
         self, fresh: bool, now: float, wall: float
     ) -> list[Effect]:
-        if not self._parked:
-            return []
-        parked, self._parked = self._parked, []
         effects: list[Effect] = []
-        for item in parked:
+        for item in self._parked.take_due(fresh, now):
             effects += self._submit(
                 item.origin, item.message, item.give_up_at, fresh, now, wall
             )
@@ -438,6 +447,8 @@
         self, sender: Member, message: HandOver, now: float, wall: float
     ) -> list[Effect]:
         for item in message.answers:
+            if self._runner.find(item.key) is not None:
+                continue
             self._kept.keep(item.key, item.digest, item.answer, now, wall)
         count = len(message.answers)
         line = Decision(
@@ -447,10 +458,21 @@
         ack = HandOverAck(count=count)
         return [Send(to=sender.member_id, message=ack), line]
 
+    def _too_early(self) -> JobAnswer:
+        detail = "an earlier owner's journals are still being read; try again"
+        return failed(
+            Outcome.UNKNOWN,
+            Reason.NO_OWNER,
+            detail,
+            self._settings.retry_after,
+        )
+
     def _find_answer(self, key: str) -> JobAnswer:
         kept = self._kept.find(key)
         if kept is not None:
             return kept[1]
+        if self._parked.has_key(key):
+            return JobAnswer(outcome=Outcome.RUNNING)
         detail = "this owner knows no submission with this key"
         return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
 
