Parse operators' texts beside the event loop

Cause: a hostile text of 1 MiB stopped the event loop of an entry for seconds, the operators' and executors' bodies were read whole before their length was checked, and a change that was sent twice was refused because of itself.

Change: texts are parsed and compared in one thread, with at most 8 calls waiting (503 with Retry-After beyond that). `read_body` has its own module and refuses oversize bodies while they arrive, everywhere. A refused change whose write token is in the history with the same text is answered as accepted once that version is accepted; if the table can't tell, the outcome is unknown.

--- a/gypsumline/agent/http.py
+++ b/gypsumline/agent/http.py
@@ -21,6 +21,7 @@
     problem_of,
 )
 from gypsumline.runtime.http_server import health_response, metrics_response
+from gypsumline.runtime.request_body import read_body
 
 _BODY_BYTES_MAX = 64 * 1024
 _SLOTS_MAX = 4096
@@ -50,7 +51,7 @@
     """Returns the HTTP application of an agent."""
 
     async def announce(request: Request) -> Response:
-        raw = await request.body()
+        raw = await read_body(request, _BODY_BYTES_MAX)
         body = parse_body(AnnouncementBody, raw, _BODY_BYTES_MAX)
         announcement = Announcement(
             upstream_id=body.executor_id,
--- a/gypsumline/entry/configuration_http.py
+++ b/gypsumline/entry/configuration_http.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
+from gypsumline.core.configuration import Configuration
 from gypsumline.core.configuration_text import diff_texts, parse_configuration
 from gypsumline.core.effects import (
     ChangeOutcome,
@@ -25,6 +27,15 @@
 )
 from gypsumline.entry.node import EntryNode
 from gypsumline.entry.table_task import TableTask
+from gypsumline.runtime.clock import boot_time
+from gypsumline.runtime.one_thread import OneThread, TooManyWaitingError
+from gypsumline.runtime.request_body import read_body
+
+# Parsing a hostile text of the longest allowed size takes seconds.
+_PARSES_WAITING_MAX = 8
+_ACCEPTANCE_LIMIT_SECONDS = 5.0
+_ACCEPTANCE_POLL_SECONDS = 0.05
+_RETRY_AFTER_SECONDS = 2
 
 
 class ConfigurationHttp:
@@ -33,6 +44,7 @@
     def __init__(self, node: EntryNode, table: TableTask) -> None:
         self._node = node
         self._table = table
+        self._thread = OneThread("configuration", _PARSES_WAITING_MAX)
 
     def routes(self) -> list[Route]:
         """Returns the operators' routes."""
@@ -61,9 +73,12 @@
 
     async def check(self, request: Request) -> Response:
         """Answers `POST /v1/configuration/check`."""
-        raw = await request.body()
+        raw = await read_body(request, CONFIGURATION_BYTES_MAX)
         body = parse_body(ConfigurationCheck, raw, CONFIGURATION_BYTES_MAX)
-        parse_configuration(body.text)
+        try:
+            await self._parse(body.text)
+        except TooManyWaitingError as error:
+            return _busy_problem(error)
         return _json(200, {"valid": True})
 
     async def history(self, request: Request) -> Response:
@@ -77,36 +92,48 @@
 
     async def change(self, request: Request) -> Response:
         """Answers `PUT /v1/configuration`."""
-        raw = await request.body()
+        raw = await read_body(request, CONFIGURATION_BYTES_MAX)
         body = parse_body(ConfigurationPut, raw, CONFIGURATION_BYTES_MAX)
+        try:
+            configuration = await self._parse(body.text)
+        except TooManyWaitingError as error:
+            return _busy_problem(error)
         change = ConfigurationChange(
             base_version=body.base_version,
             text=body.text,
-            configuration=parse_configuration(body.text),
+            configuration=configuration,
             author=body.author,
             note=body.note,
             write_token=body.write_token,
         )
         outcome = await self._node.propose(change)
         if outcome.kind == "accepted":
-            fields = {"kind": "accepted", "version": outcome.version}
-            return _json(200, fields)
+            return _accepted(outcome.version)
         if outcome.kind == "refused":
             return await self._refused(change, outcome)
-        fields = {
-            "kind": "unknown",
-            "write_token": change.write_token,
-            "detail": outcome.detail,
-        }
-        return _json(504, fields)
+        return _unknown(change, outcome.detail)
+
+    async def _parse(self, text: str) -> Configuration:
+        return await self._thread.call(parse_configuration, text)
 
     async def _refused(
         self, change: ConfigurationChange, outcome: ChangeOutcome
     ) -> Response:
+        """Answers a refusal, unless the change is in the history already.
+
+        A client or balancer that sends a change twice has the second one
+        refused because of the first.
+        """
         try:
             rows = await self._table.list_configurations()
-        except TableUnavailableError:
-            rows = ()
+        except TableUnavailableError as error:
+            detail = f"{outcome.detail}; the history can't be read: {error}"
+            return _unknown(change, detail)
+        for row in rows:
+            if row.write_token == change.write_token:
+                if row.text == change.text:
+                    return await self._accepted_before(change, row.version)
+                break
         between = [
             _row_fields(row, with_text=False)
             for row in rows
@@ -116,11 +143,36 @@
             "kind": "refused",
             "version": outcome.version,
             "detail": outcome.detail,
-            "diff": _diff_since(change.base_version, rows),
+            "diff": await self._diff_since(change.base_version, rows),
             "between": between,
         }
         return _json(409, fields)
 
+    async def _accepted_before(
+        self, change: ConfigurationChange, version: int
+    ) -> Response:
+        end = boot_time() + _ACCEPTANCE_LIMIT_SECONDS
+        while self._node.accepted_version < version:
+            if boot_time() > end:
+                detail = f"written as version {version}, not accepted yet"
+                return _unknown(change, detail)
+            await asyncio.sleep(_ACCEPTANCE_POLL_SECONDS)
+        return _accepted(version)
+
+    async def _diff_since(
+        self, base_version: int, rows: tuple[ConfigurationRow, ...]
+    ) -> str:
+        texts = {row.version: row.text for row in rows}
+        if not texts:
+            return ""
+        earlier = texts.get(base_version, "")
+        try:
+            return await self._thread.call(
+                diff_texts, earlier, texts[max(texts)]
+            )
+        except TooManyWaitingError:
+            return ""
+
     async def _find_token(self, token: str) -> ConfigurationRow | None:
         for row in await self._table.list_configurations():
             if row.write_token == token:
@@ -136,11 +188,17 @@
         return int(text)
 
 
-def _diff_since(base_version: int, rows: tuple[ConfigurationRow, ...]) -> str:
-    texts = {row.version: row.text for row in rows}
-    if not texts:
-        return ""
-    return diff_texts(texts.get(base_version, ""), texts[max(texts)])
+def _accepted(version: int) -> Response:
+    return _json(200, {"kind": "accepted", "version": version})
+
+
+def _unknown(change: ConfigurationChange, detail: str) -> Response:
+    fields: dict[str, object] = {
+        "kind": "unknown",
+        "write_token": change.write_token,
+        "detail": detail,
+    }
+    return _json(504, fields)
 
 
 def _row_fields(
@@ -175,3 +233,11 @@
     return _problem(
         503, "table-unavailable", "The platform's table is down", str(error)
     )
+
+
+def _busy_problem(error: TooManyWaitingError) -> Response:
+    response = _problem(
+        503, "too-many-requests", "Too many open requests", str(error)
+    )
+    response.headers["Retry-After"] = str(_RETRY_AFTER_SECONDS)
+    return response
--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -26,7 +26,6 @@
 from gypsumline.entry.http_models import (
     JOB_BYTES_MAX,
     PROBLEM_MEDIA_TYPE,
-    BodyTooLargeError,
     answer_body,
     answer_headers,
     answer_status,
@@ -40,6 +39,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import wall_time
 from gypsumline.runtime.http_server import health_response, metrics_response
+from gypsumline.runtime.request_body import read_body
 
 # The owner answers at the deadline; its answer needs a moment to arrive.
 _WAIT_GRACE_S = 0.05
@@ -204,20 +204,6 @@
     )
 
 
-async def read_body(request: Request, limit: int) -> bytes:
-    """Returns the body of a request.
-
-    Raises:
-      BodyTooLargeError: The body is over the limit; the rest is not read.
-    """
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > limit:
-            raise BodyTooLargeError(len(body), limit)
-    return bytes(body)
-
-
 def _answer(key: str, answer: JobAnswer) -> Response:
     return Response(
         answer_body(key, answer),
--- a/gypsumline/entry/http_models.py
+++ b/gypsumline/entry/http_models.py
@@ -30,6 +30,7 @@
     invalid_inputs,
     raise_all,
 )
+from gypsumline.runtime.request_body import BodyTooLargeError
 
 # A job travels to its owner in one frame of at most 4 MiB; the rest is room
 # for the names of the fields around each task.
@@ -52,13 +53,6 @@
 _Seconds = typing.Annotated[float, pydantic.Field(gt=0)]
 
 
-class BodyTooLargeError(InvalidInputError):
-    """A request body is longer than the limit (HTTP status 413)."""
-
-    def __init__(self, size: int, limit: int) -> None:
-        super().__init__("body", size, f"up to {limit} bytes")
-
-
 class TaskRequest(BorderModel):
     """One task of a job request.
 
--- a/gypsumline/tests/entry/test_http_models.py
+++ b/gypsumline/tests/entry/test_http_models.py
@@ -17,7 +17,6 @@
 )
 from gypsumline.entry.http_models import (
     JOB_BYTES_MAX,
-    BodyTooLargeError,
     answer_body,
     answer_headers,
     answer_status,
@@ -25,6 +24,7 @@
     parse_job,
     problem_of,
 )
+from gypsumline.runtime.request_body import BodyTooLargeError
 
 WALL = 1_750_000_000.0  # 2025-06-15T15:06:40Z
 LIMITS = Limits(tasks_per_job=3, payload_bytes=20)
