Bound results so that every answer fits into a frame

Cause: the answer of a job, the results of one agent and a hand-over of many small results could be longer than a frame of 4 MiB. They were dropped, so the caller got no answer and a planned stop did not end. A stop could also end before the last kept answer was handed over, and each tick of a stop looked up the successor of every kept answer.

TaskResults and HandOver are split by bytes that include the fields. The hand-over looks at 256 keys per call and is done only when it has looked at the newest answer. An unknown reason of a newer peer is read as "other" instead of ending the connection.

Tests: 720 results at the limit complete and fit into a frame, one byte more each fails the job; the tests of the outbox fail with the earlier module.

--- a/gypsumline/core/hand_over.py
+++ b/gypsumline/core/hand_over.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 from gypsumline.core.control import ControlRecord
@@ -13,6 +14,10 @@
 
 _RESEND_INTERVAL = 1.0  # seconds without an acknowledgement
 _ANSWERS_PER_MESSAGE = 4096
+_ANSWER_OVERHEAD_BYTES = 512
+# Finding the successor of a key takes about 10 us; a whole set of kept answers
+# at once would stop the event loop.
+_KEYS_PER_CALL = 256
 
 
 class HandOverSender:
@@ -22,13 +27,19 @@
         self._me = me
         self._settings = settings
         self._held: set[str] = set()
+        self._unseen: collections.deque[str] = collections.deque()
+        self._seen_state: tuple[int, int] | None = None
         self._unsent: dict[str, list[KeptAnswer]] = {}
         self._in_flight: dict[str, tuple[float, list[KeptAnswer]]] = {}
 
-    @property
-    def is_done(self) -> bool:
-        """Whether the successors hold every answer given to them."""
-        return not self._unsent and not self._in_flight
+    def is_done(self, kept: KeptAnswers, record: ControlRecord) -> bool:
+        """Whether the successors hold every answer that can be given on."""
+        return (
+            self._seen_state == _state_of(kept, record)
+            and not self._unseen
+            and not self._unsent
+            and not self._in_flight
+        )
 
     def send(
         self, kept: KeptAnswers, record: ControlRecord, now: float
@@ -40,6 +51,7 @@
             if all(entry.member_id != to for entry in record.entries):
                 del self._in_flight[to]
                 self._held.difference_update(item.key for item in answers)
+                self._seen_state = None
             elif now - sent_at >= _RESEND_INTERVAL:
                 self._in_flight[to] = (now, answers)
                 effects.append(_message(to, answers))
@@ -56,24 +68,36 @@
             del self._in_flight[sender.member_id]
 
     def _collect(self, kept: KeptAnswers, record: ControlRecord) -> None:
+        """Looks at some of the answers that no successor has been given."""
+        state = _state_of(kept, record)
+        if self._seen_state != state:
+            self._seen_state = state
+            self._unseen.clear()
+            self._unseen.extend(
+                k for k in kept.all_keys() if k not in self._held
+            )
         rest = tuple(e for e in record.entries if e != self._me)
         after = dataclasses.replace(record, entries=rest)
-        for key, digest, answer in kept.items():
-            if key in self._held:
-                continue
-            successor = after.owner_of(key)
-            if successor is None:
-                continue
-            self._held.add(key)
-            item = KeptAnswer(key=key, digest=digest, answer=answer)
-            self._unsent.setdefault(successor.member_id, []).append(item)
+        for _ in range(min(len(self._unseen), _KEYS_PER_CALL)):
+            self._give(self._unseen.popleft(), kept, after)
+
+    def _give(self, key: str, kept: KeptAnswers, after: ControlRecord) -> None:
+        successor = after.owner_of(key)
+        found = kept.find(key)
+        if successor is None or found is None:
+            return
+        digest, answer = found
+        self._held.add(key)
+        item = KeptAnswer(key=key, digest=digest, answer=answer)
+        self._unsent.setdefault(successor.member_id, []).append(item)
 
     def _take_part(self, to: str) -> list[KeptAnswer]:
         waiting = self._unsent.pop(to)
         size = 0
         count = 0
         for item in waiting[:_ANSWERS_PER_MESSAGE]:
-            size += sum(len(result.value) for result in item.answer.results)
+            size += _ANSWER_OVERHEAD_BYTES
+            size += sum(result.size for result in item.answer.results)
             if count and size > self._settings.hand_over_bytes:
                 break
             count += 1
@@ -84,3 +108,7 @@
 
 def _message(to: str, answers: list[KeptAnswer]) -> Send:
     return Send(to=to, message=HandOver(answers=tuple(answers)))
+
+
+def _state_of(kept: KeptAnswers, record: ControlRecord) -> tuple[int, int]:
+    return record.revision, kept.kept_total
--- a/gypsumline/core/job.py
+++ b/gypsumline/core/job.py
@@ -7,9 +7,12 @@
 
 from gypsumline.core.identity import Member
 from gypsumline.core.task import (
+    JOB_RESULTS_BYTES_MAX,
+    RESULT_OVERHEAD_BYTES,
     JobAnswer,
     JobBody,
     Outcome,
+    Reason,
     TaskResult,
     TaskSpec,
 )
@@ -38,6 +41,7 @@
       attempts: Newest attempt of each task, 0 before the first.
       may_have_run: Whether some task is known to have started.
       cancelling: Whether a caller has cancelled the job.
+      results_size: Bytes that the results take in an answer.
     """
 
     __slots__ = (
@@ -53,6 +57,7 @@
         "digest",
         "key",
         "may_have_run",
+        "results_size",
         "waiters",
     )
 
@@ -68,6 +73,7 @@
         self.attempts = [0] * count
         self.may_have_run = False
         self.cancelling = False
+        self.results_size = 0
         self._phases = [Phase.WAITING] * count
         self._places: list[Member | None] = [None] * count
         self._results: list[TaskResult | None] = [None] * count
@@ -150,6 +156,7 @@
         self._phases[index] = Phase.DONE
         self._results[index] = result
         self._done += 1
+        self.results_size += result.size
 
     def placed_tasks(self) -> Iterator[tuple[int, Member]]:
         """Yields the index and the agent of each placed task."""
@@ -159,7 +166,26 @@
             if place is not None:
                 yield index, place
 
-    def complete_answer(self) -> JobAnswer:
-        """Returns the answer with all results in index order."""
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the results don't fit into one answer."""
+        return self.results_size > JOB_RESULTS_BYTES_MAX
+
+    def final_answer(self) -> JobAnswer:
+        """Returns the answer of a job whose results are complete or too large.
+
+        A complete one has all results in index order.
+        """
+        if self.is_too_large:
+            detail = (
+                f"results take {self.results_size} bytes, with "
+                f"{RESULT_OVERHEAD_BYTES} for each task; allowed: up to "
+                f"{JOB_RESULTS_BYTES_MAX}"
+            )
+            return JobAnswer(
+                outcome=Outcome.FAILED_RAN,
+                reason=Reason.RESULT_TOO_LARGE,
+                detail=detail,
+            )
         results = tuple(r for r in self._results if r is not None)
         return JobAnswer(outcome=Outcome.COMPLETE, results=results)
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -306,8 +306,8 @@
         self._scheduler.finish_task(agent.member_id, job.key, result, now)
         if result.status is TaskStatus.SUCCEEDED:
             job.finish(result.index, result)
-            if job.is_complete:
-                return self.end(job, job.complete_answer(), now, wall)
+            if job.is_complete or job.is_too_large:
+                return self.end(job, job.final_answer(), now, wall)
             return []
         job.give_back(result.index)
         detail = f"task {result.index} failed at {agent.member_id}"
@@ -351,7 +351,7 @@
             left = Leftover(place, job.attempts[index], until)
             self._leftovers.add(job.key, index, left)
         job.finish(index, result)
-        effects = self.end(job, job.complete_answer(), now, wall)
+        effects = self.end(job, job.final_answer(), now, wall)
         if place is not None and self.is_connected(place):
             effects.append(withdraw_tasks(job, place, [index], cancel=True))
         return effects
--- a/gypsumline/core/kept_answers.py
+++ b/gypsumline/core/kept_answers.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import heapq
-from collections.abc import Iterator
 
 from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.submission_key import key_time
@@ -32,6 +31,7 @@
         self._answers: dict[str, _Kept] = {}
         self._expiries: list[tuple[float, str]] = []
         self._bytes = 0
+        self._kept_total = 0
 
     def __len__(self) -> int:
         return len(self._answers)
@@ -41,6 +41,11 @@
         """Bytes of the kept results."""
         return self._bytes
 
+    @property
+    def kept_total(self) -> int:
+        """Number of answers that were ever kept; it grows with each one."""
+        return self._kept_total
+
     @property
     def has_refusal_room(self) -> bool:
         """Whether one more answer without results may be kept."""
@@ -63,11 +68,12 @@
         """Keeps an answer; the first one for a key is final."""
         if key in self._answers:
             return
-        size = sum(len(result.value) for result in answer.results)
+        size = sum(result.size for result in answer.results)
         left = key_time(key) + self._settings.resubmission_horizon - wall
         left = max(left, 0.0) + self._settings.clock_skew
         self._answers[key] = _Kept(digest, answer, size)
         self._bytes += size
+        self._kept_total += 1
         heapq.heappush(self._expiries, (now + left * _CLOCK_DRIFT, key))
 
     def prune(self, now: float) -> None:
@@ -76,7 +82,6 @@
             _, key = heapq.heappop(self._expiries)
             self._bytes -= self._answers.pop(key).size
 
-    def items(self) -> Iterator[tuple[str, bytes, JobAnswer]]:
-        """Yields (key, digest, answer)."""
-        for key, kept in self._answers.items():
-            yield key, kept.digest, kept.answer
+    def all_keys(self) -> list[str]:
+        """Returns the keys of all kept answers."""
+        return list(self._answers)
--- a/gypsumline/core/outbox.py
+++ b/gypsumline/core/outbox.py
@@ -6,6 +6,9 @@
 
 from gypsumline.core.task import TaskResult
 
+# Well below the frame limit of 4 MiB, even with one more result of 1 MiB.
+MESSAGE_BYTES = 1024 * 1024
+
 
 @dataclasses.dataclass(slots=True)
 class Parcel:
@@ -59,4 +62,21 @@
         ]
         for to, key, _ in due:
             del self._parcels[to, key]
-        return due
+        return [
+            (to, key, part)
+            for to, key, parcel in due
+            for part in _split(parcel)
+        ]
+
+
+def _split(parcel: Parcel) -> list[Parcel]:
+    """Returns parts of a parcel, each small enough for one message."""
+    parts = [Parcel(parcel.since, parcel.urgent)]
+    size = 0
+    for result in parcel.results:
+        if size and size + result.size > MESSAGE_BYTES:
+            parts.append(Parcel(parcel.since, parcel.urgent))
+            size = 0
+        parts[-1].results.append(result)
+        size += result.size
+    return parts
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -215,7 +215,10 @@
 
     def is_drained(self) -> bool:
         """Whether this entry may be removed from the record."""
-        return self._leaving and not self._is_busy() and self._hand_over.is_done
+        record = self._ownership.record
+        if not self._leaving or self._is_busy():
+            return False
+        return record is None or self._hand_over.is_done(self._kept, record)
 
     def _is_busy(self) -> bool:
         return len(self._runner) > 0 or bool(self._parked)
@@ -355,7 +358,7 @@
             return self._refuse(job, answer, now, wall)
         self._runner.add(job, now)
         if verdict is Adoption.COMPLETE:
-            return self._runner.end(job, job.complete_answer(), now, wall)
+            return self._runner.end(job, job.final_answer(), now, wall)
         if failure is not None:
             detail = f"task {failure.index} failed under an earlier owner"
             reason = failure.reason or Reason.TASK_FAILED
--- a/gypsumline/core/task.py
+++ b/gypsumline/core/task.py
@@ -5,6 +5,12 @@
 import dataclasses
 import enum
 
+# One result at an agent, and all results of a job at its owner. A job's answer
+# travels in one frame of at most 4 MiB; the rest is room for the fields.
+RESULT_BYTES_MAX = 1024 * 1024
+JOB_RESULTS_BYTES_MAX = 3 * 1024 * 1024
+RESULT_OVERHEAD_BYTES = 128
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TaskSpec:
@@ -77,6 +83,7 @@
     OUT = "out"
     OVERLOAD = "overload"
     QUEUE_FULL = "queue_full"
+    RESULT_TOO_LARGE = "result_too_large"
     SERVICE_OUT = "service_out"
     SUPERSEDED = "superseded"
     TASK_FAILED = "task_failed"
@@ -84,6 +91,12 @@
     UNKNOWN_SERVICE = "unknown_service"
     UPSTREAM_LOST = "upstream_lost"
     WITHDRAWN = "withdrawn"
+    OTHER = "other"
+
+    @classmethod
+    def _missing_(cls, value: object) -> Reason | None:
+        """Reads a reason that a newer peer has, so that it ends nothing."""
+        return cls.OTHER if isinstance(value, str) else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -106,6 +119,11 @@
     run_time: float = 0.0
     attempt: int = 1
 
+    @property
+    def size(self) -> int:
+        """Bytes that it takes at most in a frame."""
+        return len(self.value) + RESULT_OVERHEAD_BYTES
+
 
 class Outcome(enum.StrEnum):
     """What a caller is told about a job."""
