End every start at an agent in its slot table

Cause: a start held its slot for ever when there was no executor or when the client raised something unexpected. Results with numbers out of range or bad UTF-8 went into answers, redirects were followed, clients of earlier addresses stayed open, and an agent that stopped closed its connections while entries still sent starts to it, which then counted as lost.

Change: the end of each run is reported in any case, by whether the gate was asked and passed. The whole result is checked as JSON. Nothing is redirected, decompressed or kept idle for more than 4 s. A stopping agent sends its heartbeat at once and stays until each connected entry has replied to it, and until results for listed entries that are not connected have been sent.

--- a/gypsumline/agent/executor_client.py
+++ b/gypsumline/agent/executor_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -9,13 +10,25 @@
 import msgspec
 
 from gypsumline.core.effects import StartTask
-from gypsumline.core.task import Reason, TaskResult, TaskStatus
+from gypsumline.core.errors import InvalidInputGroup
+from gypsumline.core.task import (
+    RESULT_BYTES_MAX,
+    Reason,
+    TaskResult,
+    TaskStatus,
+)
+from gypsumline.entry.http_models import parse_json
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 
-RESULT_LIMIT_BYTES = 1024 * 1024
 _CONNECT_TIMEOUT_SECONDS = 1.0
-_JSON = {"Content-Type": "application/json"}
+# HTTP servers close idle connections after 5 s at the earliest. A request that
+# meets such a close is lost with an unknown outcome.
+_KEEP_ALIVE_SECONDS = 4.0
+# Room for the object around the value.
+_ENVELOPE_BYTES = 4096
+# Compressed answers could be small on the way and of any size here.
+_HEADERS = {"Content-Type": "application/json", "Accept-Encoding": "identity"}
 
 Gate = Callable[[], Reason]
 
@@ -65,6 +78,8 @@
     def __init__(self, address: str) -> None:
         self._address = address.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
+        self._running = 0
+        self._retired = False
 
     @property
     def address(self) -> str:
@@ -79,20 +94,36 @@
         """
         body = _GatedBody(_request_body(start), gate)
         began = time.perf_counter()
+        self._running += 1
         try:
             status, value = await self._post(start, body)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return _lost(start, body)
+        finally:
+            self._running -= 1
+            await self._close_if_unused()
+        if not body.was_written:
+            # The executor has answered without having seen the body.
+            return _lost(start, body)
         run_time = time.perf_counter() - began
-        if status != 200:
+        if status != http.HTTPStatus.OK:
             return _result(start, TaskStatus.FAILED, run_time=run_time)
-        return _succeeded(start, value, run_time)
+        return _read_result(start, value, run_time)
+
+    async def retire(self) -> None:
+        """Closes the connections as soon as nothing runs over them."""
+        self._retired = True
+        await self._close_if_unused()
 
     async def close(self) -> None:
         """Closes the connections."""
         if self._session is not None:
             await self._session.close()
 
+    async def _close_if_unused(self) -> None:
+        if self._retired and not self._running:
+            await self.close()
+
     async def _post(
         self, start: StartTask, body: _GatedBody
     ) -> tuple[int, bytes]:
@@ -100,20 +131,28 @@
         timeout = aiohttp.ClientTimeout(
             total=left, connect=min(left, _CONNECT_TIMEOUT_SECONDS)
         )
-        headers = {**_JSON, "Content-Length": str(body.size)}
+        headers = {**_HEADERS, "Content-Length": str(body.size)}
         async with self._open_session().post(
             f"{self._address}/run",
             data=body.chunks(),
             headers=headers,
             timeout=timeout,
+            # A redirected request would carry the body a second time.
+            allow_redirects=False,
         ) as response:
             return response.status, await _read_limited(response)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             # The slot table bounds the requests in progress.
-            connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(connector=connector)
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=_KEEP_ALIVE_SECONDS
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+            )
         return self._session
 
 
@@ -121,7 +160,7 @@
     value = bytearray()
     async for chunk in response.content.iter_any():
         value += chunk
-        if len(value) > RESULT_LIMIT_BYTES:
+        if len(value) > RESULT_BYTES_MAX + _ENVELOPE_BYTES:
             break
     return bytes(value)
 
@@ -163,14 +202,18 @@
     return _result(start, TaskStatus.UNKNOWN, Reason.EXECUTOR_LOST)
 
 
-def _succeeded(start: StartTask, body: bytes, run_time: float) -> TaskResult:
+def _read_result(start: StartTask, body: bytes, run_time: float) -> TaskResult:
+    if len(body) > RESULT_BYTES_MAX + _ENVELOPE_BYTES:
+        return _too_large(start, run_time)
     try:
+        # The value goes into an answer as it is, so all of it is checked.
+        parse_json(body)
         decoded = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-        value = bytes(decoded.get("value", b"null"))
-    except (msgspec.DecodeError, RecursionError):
-        return _result(start, TaskStatus.FAILED, run_time=run_time)
-    if len(value) > RESULT_LIMIT_BYTES:
+    except (InvalidInputGroup, msgspec.DecodeError):
         return _result(start, TaskStatus.FAILED, run_time=run_time)
+    value = bytes(decoded.get("value", b"null"))
+    if len(value) > RESULT_BYTES_MAX:
+        return _too_large(start, run_time)
     return _result(
         start,
         TaskStatus.SUCCEEDED,
@@ -178,3 +221,9 @@
         run_time=run_time,
         value=value,
     )
+
+
+def _too_large(start: StartTask, run_time: float) -> TaskResult:
+    return _result(
+        start, TaskStatus.FAILED, Reason.RESULT_TOO_LARGE, run_time=run_time
+    )
--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -4,18 +4,23 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
 from collections.abc import Sequence
 
-from gypsumline.agent.executor_client import ExecutorClient, Gate
+from gypsumline.agent.executor_client import ExecutorClient
+from gypsumline.agent.farewell import Farewell
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.control_machine import ControlMachine
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import (
+    Heartbeat,
+    HeartbeatReply,
     JournalQuery,
     Message,
     StartTasks,
+    TaskResults,
     WithdrawTasks,
 )
 from gypsumline.core.slot_settings import Announcement
@@ -29,6 +34,9 @@
 # An executor announces itself every second; three misses mean that it is gone.
 EXECUTOR_SILENCE_SECONDS = 3.0
 _SLOT_MESSAGES = (StartTasks, WithdrawTasks, JournalQuery)
+_CUT_TASKS_LISTED = 100
+
+_LOGGER = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,11 +58,12 @@
         self._log = decision_log
         self._hub: Hub | None = None
         self._executor: ExecutorClient | None = None
-        self._runs: set[asyncio.Task[None]] = set()
+        self._runs: dict[asyncio.Task[None], StartTask] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+        self._farewell = Farewell()
         self._applied_revision = 0
         self._announcement: Announcement | None = None
         self._announced_at = math.inf
-        self._leaving = False
 
     @property
     def record(self) -> ControlRecord:
@@ -80,13 +89,20 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether nothing is queued and nothing runs."""
-        return self._machines.slots.is_drained() and not self._runs
+        """Whether nothing runs, waits, or is still on its way here or back."""
+        if self._runs or not self._machines.slots.is_drained():
+            return False
+        if self._hub is None:
+            return True
+        connected = [member.member_id for member in self._hub.members]
+        listed = [entry.member_id for entry in self.record.entries]
+        return self._farewell.is_complete(connected, listed)
 
     @property
-    def running(self) -> int:
-        """Tasks at the executor."""
-        return len(self._runs)
+    def running(self) -> list[str]:
+        """Tasks at the executor as "key/index", the first ones of many."""
+        starts = list(self._runs.values())[:_CUT_TASKS_LISTED]
+        return [f"{start.key}/{start.task.index}" for start in starts]
 
     def attach(self, hub: Hub) -> None:
         """Sets where messages go."""
@@ -120,18 +136,29 @@
         leaving = dataclasses.replace(self._announcement, leaving=True)
         self._announced_at = boot_time()
         self._run(self._machines.slots.announce(leaving, boot_time()))
-        self.tick_control()
+        self._tell_leave()
 
     def begin_leave(self) -> None:
         """Begins a planned stop."""
-        self._leaving = True
+        self._farewell.begin()
         self._run(self._machines.slots.leave(boot_time()))
-        self.tick_control()
+        self._tell_leave()
+
+    async def close(self) -> None:
+        """Ends the tasks that still run and closes the connections."""
+        for run in self._runs:
+            run.cancel()
+        await asyncio.gather(*self._runs, return_exceptions=True)
+        if self._executor is not None:
+            await self._executor.retire()
+        await asyncio.gather(*self._closing, return_exceptions=True)
 
     def on_connected(self, member: Member) -> None:
         """Takes a new connection."""
         control = self._machines.control
         self._run(control.on_connected(member, boot_time(), wall_time()))
+        for message in self._farewell.on_connected(member.member_id):
+            self._send(Send(to=member.member_id, message=message))
 
     def on_disconnected(self, member: Member) -> None:
         """Takes the loss of a connection."""
@@ -145,10 +172,12 @@
             slots = self._machines.slots
             fresh = self._machines.control.is_fresh(now)
             self._run(slots.on_message(member, message, fresh, now, wall))
-        else:
-            control = self._machines.control
-            self._run(control.on_message(member, message, now, wall))
-            self._apply_record()
+            return
+        if isinstance(message, HeartbeatReply):
+            self._farewell.on_reply(member.member_id, message.sequence)
+        control = self._machines.control
+        self._run(control.on_message(member, message, now, wall))
+        self._apply_record()
 
     def tick_control(self) -> None:
         """Sends heartbeats with the newest state of the upstream."""
@@ -166,6 +195,12 @@
             self._run(slots.lose_upstream(now))
         self._run(slots.tick(self.is_fresh, now))
 
+    def _tell_leave(self) -> None:
+        """Sends a heartbeat at once, so that no more work is sent here."""
+        control = self._machines.control
+        self._run(control.leave(boot_time(), wall_time()))
+        self.tick_control()
+
     def _apply_record(self) -> None:
         record = self.record
         if record.revision == self._applied_revision:
@@ -185,50 +220,97 @@
             return
         # Runs at the earlier address keep their own client until they end.
         self._executor = ExecutorClient(address)
+        if earlier is not None:
+            closing = asyncio.create_task(earlier.retire())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _run(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             match effect:
                 case Send():
-                    if self._hub is not None:
-                        self._hub.send(effect.to, effect.message)
+                    self._send(effect)
                 case StartTask():
                     self._start(effect)
                 case Decision():
                     self._log.write(effect)
 
+    def _send(self, effect: Send) -> None:
+        if isinstance(effect.message, Heartbeat):
+            self._farewell.on_heartbeat(effect.to, effect.message.sequence)
+        is_sent = self._hub is not None and self._hub.send(
+            effect.to, effect.message
+        )
+        if not is_sent and isinstance(effect.message, TaskResults):
+            self._farewell.keep_results(effect.to, effect.message)
+
     def _start(self, start: StartTask) -> None:
-        task = asyncio.create_task(self._run_task(start))
-        self._runs.add(task)
-        task.add_done_callback(self._runs.discard)
+        run = asyncio.create_task(self._run_task(start))
+        self._runs[run] = start
+        run.add_done_callback(self._on_run_ended)
+
+    def _on_run_ended(self, run: asyncio.Task[None]) -> None:
+        del self._runs[run]
+        if not run.cancelled() and run.exception() is not None:
+            _LOGGER.error("run of a task failed", exc_info=run.exception())
 
     async def _run_task(self, start: StartTask) -> None:
+        """Runs one task; whatever happens, the slot table gets its end.
+
+        A start that never ended there would hold its slot for ever.
+        """
+        gate = _StartGate(self._machines, start)
+        result = _lost(start, TaskStatus.UNKNOWN)
+        try:
+            if self._executor is not None:
+                result = await self._executor.run(start, gate.ask)
+        finally:
+            if not gate.is_passed:
+                result = _lost(start, TaskStatus.REFUSED)
+            metrics.TASK_RESULTS.labels(result.status.value).inc()
+            self._end_run(start, result, gate)
+
+    def _end_run(
+        self, start: StartTask, result: TaskResult, gate: _StartGate
+    ) -> None:
         slots = self._machines.slots
+        if not gate.was_asked:
+            # Asked now, so that the slot table releases the slot.
+            gate.ask()
+        if gate.is_passed:
+            self._run(slots.on_finished(start.key, result, boot_time()))
+        else:
+            # The gate has given the task back; a tick sends the refusal.
+            self._run(slots.tick(self.is_fresh, boot_time()))
 
-        def gate() -> Reason:
-            return slots.may_start(
-                start.key, start.task.index, self.is_fresh, boot_time()
-            )
 
-        executor = self._executor
-        if executor is None:
-            return
-        result = await executor.run(start, gate)
-        metrics.TASK_RESULTS.labels(result.status.value).inc()
-        if result.status == TaskStatus.REFUSED:
-            self._refuse(start.key, result, gate)
-            return
-        self._run(slots.on_finished(start.key, result, boot_time()))
+class _StartGate:
+    """The decision on one start, directly before its body is written."""
 
-    def _refuse(self, key: str, result: TaskResult, gate: Gate) -> None:
-        """Gives back a task that has provably not started."""
-        slots = self._machines.slots
-        if result.reason != Reason.EXECUTOR_LOST:
-            # The gate has refused already and given the task back.
-            self._run(slots.tick(self.is_fresh, boot_time()))
-            return
-        # The gate was not asked yet: ask it, so that the slot is released.
-        if gate() == Reason.NONE:
-            self._run(slots.on_finished(key, result, boot_time()))
-        else:
-            self._run(slots.tick(self.is_fresh, boot_time()))
+    def __init__(self, machines: AgentMachines, start: StartTask) -> None:
+        self._machines = machines
+        self._start = start
+        self.was_asked = False
+        self.is_passed = False
+
+    def ask(self) -> Reason:
+        """Returns why the task may not start; NONE allows it."""
+        now = boot_time()
+        reason = self._machines.slots.may_start(
+            self._start.key,
+            self._start.task.index,
+            self._machines.control.is_fresh(now),
+            now,
+        )
+        self.was_asked = True
+        self.is_passed = reason == Reason.NONE
+        return reason
+
+
+def _lost(start: StartTask, status: TaskStatus) -> TaskResult:
+    return TaskResult(
+        index=start.task.index,
+        status=status,
+        reason=Reason.EXECUTOR_LOST,
+        attempt=start.attempt,
+    )
--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -67,6 +67,7 @@
     node = AgentNode(me, machines, DecisionLog(settings.decision_log_limit))
     async with contextlib.AsyncExitStack() as stack:
         hub = await stack.enter_async_context(running_hub(me, node, rng))
+        stack.push_async_callback(node.close)
         timers = await stack.enter_async_context(running_timers())
         node.attach(hub)
         for address in settings.peers:
