Answer forwarded callers when an agent is lost

Cause: the answers that the owner gives when an agent connects or disconnects were resolved as if all callers were local.

Change: these effects take the way of all other effects of the owner. A new incarnation is the later of its start time and the earlier one + 1 instead of a random number.

--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import random
 from collections.abc import Callable, Sequence
 
 from gypsumline.core.control import ControlRecord
@@ -42,7 +41,7 @@
 from gypsumline.core.task import JobAnswer
 from gypsumline.entry.table_task import TableTask
 from gypsumline.runtime import metrics
-from gypsumline.runtime.clock import boot_time, wall_time
+from gypsumline.runtime.clock import boot_time, new_incarnation, wall_time
 from gypsumline.runtime.logs import DecisionLog
 from gypsumline.wire.hub import Hub
 
@@ -113,6 +112,15 @@
         """Newest control record known."""
         return self._machines.control.record
 
+    @property
+    def accepted_version(self) -> int:
+        """Newest configuration version that is known to be accepted.
+
+        A version is written only after the one before it was accepted.
+        """
+        version = self.record.configuration_version
+        return version if self._machines.control.is_accepted() else version - 1
+
     @property
     def agents(self) -> dict[str, AgentReport]:
         """Newest reports of the connected agents, by id."""
@@ -207,7 +215,7 @@
         self._run(control.on_connected(member, now, wall))
         if member.role == Role.AGENT:
             owner = self._machines.owner
-            self._run(owner.on_agent_connected(member, now, wall))
+            self._run_owner(owner.on_agent_connected(member, now, wall))
         else:
             self._run(self._router.on_connected(member, now))
 
@@ -219,7 +227,7 @@
         if member.role == Role.AGENT:
             self._agents.pop(member.member_id, None)
             owner = self._machines.owner
-            self._run(owner.on_agent_disconnected(member, now, wall))
+            self._run_owner(owner.on_agent_disconnected(member, now, wall))
         else:
             self._peers.pop(member.member_id, None)
             self._run(self._router.on_disconnected(member, now))
@@ -370,7 +378,7 @@
         """Starts over as a new member: the earlier one has been replaced."""
         if self._leaving:
             return
-        incarnation = self._me.incarnation + random.randrange(1, 1000)
+        incarnation = max(self._me.incarnation + 1, new_incarnation())
         self._me = dataclasses.replace(self._me, incarnation=incarnation)
         self._machines = self._factory(self._me)
         self._applied = (0, 0.0)
