Bound connections, dials and messages between processes

Cause: a message over the frame limit was dropped without a line; a fault of a listener ended the dialer of its address for good; a peer that ended each connection soon was dialed every 50 ms; addresses of former members were dialed for ever; connections without a hello were not bounded in count and could hold 4 MiB each; a newer peer's unknown message type ended the connection, and a peer without a common version was not told.

Change: unsent messages are counted by type and error, and too long ones are logged. At most 512 connections are without a hello, whose frame has at most 64 KiB. Each side says hello in its lowest version and then speaks the highest common one; unknown types of a newer peer are ignored and counted.

--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -211,8 +211,7 @@
         self._run(self._machines.slots.set_record(record, boot_time()))
         if self._hub is None:
             return
-        for entry in record.entries:
-            self._hub.dial(entry.address)
+        self._hub.set_members(entry.address for entry in record.entries)
 
     def _open_executor(self, address: str) -> None:
         earlier = self._executor
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -324,8 +324,7 @@
     def _dial_entries(self) -> None:
         if self._hub is None:
             return
-        for entry in self.record.entries:
-            self._hub.dial(entry.address)
+        self._hub.set_members(entry.address for entry in self.record.entries)
 
     def _run_owner(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -23,11 +23,23 @@
     "Messages by type and direction.",
     ["type", "direction"],
 )
+UNKNOWN_MESSAGES = Counter(
+    "gypsumline_wire_unknown_messages_total",
+    "Messages of unknown types from peers with a newer protocol version.",
+)
+UNSENT_MESSAGES = Counter(
+    "gypsumline_wire_unsent_messages_total",
+    "Messages that were not sent, by type and error.",
+    ["type", "error"],
+)
 CONNECTION_ERRORS = Counter(
     "gypsumline_wire_connection_errors_total",
     "Connections ended by an error.",
     ["error"],
 )
+DIAL_ERRORS = Counter(
+    "gypsumline_wire_dial_errors_total", "Failed dials.", ["error"]
+)
 CONNECTIONS = Gauge("gypsumline_wire_connections", "Open connections.")
 REVISION = Gauge("gypsumline_control_revision", "Newest revision known.")
 CONFIGURATION_VERSION = Gauge(
--- /dev/null
+++ b/gypsumline/tests/wire/test_hub_faults.py
@@ -0,0 +1,252 @@
+"""Tests of the hub against peers that are broken, slow, silent or newer."""
+
+import asyncio
+import contextlib
+import random
+
+import msgpack
+import pytest
+
+from gypsumline.core.errors import FrameTooLargeError
+from gypsumline.core.identity import Role
+from gypsumline.core.messages import Goodbye, HandOverAck
+from gypsumline.runtime import metrics
+from gypsumline.tests.wire.test_hub import (
+    HOST,
+    Recorder,
+    listen,
+    member,
+    until,
+)
+from gypsumline.wire import backoff, connection, hub
+from gypsumline.wire.codec import FRAME_LIMIT_BYTES, LENGTH
+from gypsumline.wire.hub import running_hub
+
+AGENT = {
+    "member_id": "agent-1",
+    "incarnation": 1,
+    "role": "agent",
+    "availability_zone": "piraeus",
+}
+
+
+def frame(name, fields, version=1):
+    body = msgpack.packb([version, name, fields])
+    return LENGTH.pack(len(body)) + body
+
+
+def hello(lowest=1, highest=1, version=1):
+    fields = {"member": AGENT, "lowest_version": lowest}
+    return frame("hello", {**fields, "highest_version": highest}, version)
+
+
+class Peer:
+    """A raw connection to a hub."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def read(self):
+        """Returns the name and fields of the next frame, or None."""
+        try:
+            header = await self.reader.readexactly(4)
+            body = await self.reader.readexactly(LENGTH.unpack(header)[0])
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return msgpack.unpackb(body)[1:]
+
+    async def is_closed(self):
+        async with asyncio.timeout(5):
+            while await self.read() is not None:
+                pass
+        return True
+
+
+@contextlib.asynccontextmanager
+async def hub_and_peer(listener=None):
+    seen = listener or Recorder()
+    me = member("entry-1", Role.ENTRY)
+    async with running_hub(me, seen, random.Random(1)) as running:
+        address = await listen(running)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            yield running, seen, Peer(reader, writer)
+        finally:
+            writer.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00",
+        b"\x00\x00\x00\x05abc",
+        LENGTH.pack(FRAME_LIMIT_BYTES + 1),
+        LENGTH.pack(0),
+        LENGTH.pack(3) + b"\xc1\xc1\xc1",
+        frame("heartbeat", {"sequence": "x"}),
+        frame("no_such", {}),
+        frame("goodbye", {"reason": "stop"}, version=9),
+    ],
+)
+async def test_hostile_frame_ends_the_connection(data):
+    """Guards against a broken peer that stays a member or ends the process."""
+    async with hub_and_peer() as (running, seen, peer):
+        peer.writer.write(hello() + data)
+        await until(lambda: seen.connected)
+        peer.writer.write_eof()
+        await until(lambda: seen.disconnected)
+        assert running.members == ()
+        assert seen.messages == []
+
+
+async def test_first_frame_is_bounded():
+    """Guards against many new connections that hold 4 MiB each."""
+    async with hub_and_peer() as (_, seen, peer):
+        peer.writer.write(LENGTH.pack(connection.HELLO_LIMIT_BYTES + 1))
+        assert await peer.is_closed()
+        assert seen.connected == []
+
+
+async def test_peer_without_hello_is_closed(monkeypatch):
+    """Guards against connections that stay open without a hello."""
+    monkeypatch.setattr(connection, "HELLO_TIMEOUT_SECONDS", 0.1)
+    async with hub_and_peer() as (_, seen, peer):
+        assert await peer.is_closed()
+        assert seen.connected == []
+
+
+async def test_connections_without_hello_are_bounded(monkeypatch):
+    """Guards against memory and files used up by connections without hello."""
+    monkeypatch.setattr(hub, "GREETING_LIMIT", 1)
+    async with hub_and_peer() as (running, seen, first):
+        await first.read()
+        port = running._server.sockets[0].getsockname()[1]
+        second = Peer(*await asyncio.open_connection(HOST, port))
+        assert await second.is_closed()
+        second.writer.close()
+        first.writer.write(hello())
+        await until(lambda: seen.connected)
+
+
+async def test_silent_peer_is_disconnected(monkeypatch):
+    """Guards against a half-open connection that counts as connected."""
+    monkeypatch.setattr(hub, "IDLE_LIMIT_SECONDS", 0.2)
+    monkeypatch.setattr(hub, "IDLE_CHECK_SECONDS", 0.05)
+    async with hub_and_peer() as (_, seen, peer):
+        peer.writer.write(hello())
+        await until(lambda: seen.connected)
+        await until(lambda: seen.disconnected)
+
+
+async def test_slow_reader_is_disconnected_at_the_buffer_limit():
+    """Guards against a send buffer that grows without bound."""
+    async with hub_and_peer() as (running, seen, peer):
+        peer.writer.write(hello())
+        await until(lambda: seen.connected)
+        message = Goodbye(reason="x" * (2 * 1024 * 1024))
+        sent = 0
+        while running.send("agent-1", message):
+            sent += 1
+            assert sent < 30
+        await until(lambda: seen.disconnected)
+
+
+async def test_too_long_message_is_counted_and_reported():
+    """Guards against a message that is dropped without a trace."""
+    name = FrameTooLargeError.__name__
+    unsent = metrics.UNSENT_MESSAGES.labels("goodbye", name)
+    before = unsent._value.get()
+    async with hub_and_peer() as (running, seen, peer):
+        peer.writer.write(hello())
+        await until(lambda: seen.connected)
+        message = Goodbye(reason="x" * FRAME_LIMIT_BYTES)
+        assert not running.send("agent-1", message)
+        assert unsent._value.get() == before + 1
+        assert running.send("agent-1", HandOverAck(count=1))
+
+
+async def test_newer_peer_may_send_unknown_types_and_fields():
+    """Guards against a newer binary that can't run beside this one."""
+    before = metrics.UNKNOWN_MESSAGES._value.get()
+    async with hub_and_peer() as (_, seen, peer):
+        peer.writer.write(hello(lowest=1, highest=2))
+        peer.writer.write(frame("new_in_two", {"a": 1}))
+        peer.writer.write(frame("hand_over_ack", {"count": 3, "later": [1]}))
+        await until(lambda: seen.messages)
+        assert seen.messages == [HandOverAck(count=3)]
+        assert seen.disconnected == []
+        assert metrics.UNKNOWN_MESSAGES._value.get() == before + 1
+
+
+@pytest.mark.parametrize("first", [hello(2, 3), hello(2, 3, version=2)])
+async def test_peer_without_a_common_version_is_told(first):
+    """Guards against a peer that never learns why it is disconnected."""
+    async with hub_and_peer() as (_, seen, peer):
+        peer.writer.write(first)
+        assert (await peer.read())[0] == "hello"
+        name, fields = await peer.read()
+        assert name == "goodbye"
+        assert "spoken here: 1 to 1" in fields["reason"]
+        assert await peer.read() is None
+        assert seen.connected == []
+
+
+async def test_dialer_goes_on_after_a_fault_of_the_listener(monkeypatch):
+    """Guards against a peer that is never dialed again."""
+    monkeypatch.setattr(hub, "BACKOFF_LAST_SECONDS", 0.05)
+
+    class Faulty(Recorder):
+        def on_message(self, member, message):
+            super().on_message(member, message)
+            raise ValueError("fault")
+
+    seen = Faulty()
+    rng = random.Random(1)
+    async with running_hub(
+        member("entry-1", Role.ENTRY), Recorder(), rng
+    ) as server:
+        address = await listen(server)
+        async with running_hub(
+            member("agent-1", Role.AGENT), seen, rng
+        ) as client:
+            client.dial(address)
+            await until(lambda: server.is_connected("agent-1"))
+            server.send("agent-1", HandOverAck(count=1))
+            await until(lambda: len(seen.connected) == 2)
+
+
+async def test_earlier_member_is_not_dialed_any_more():
+    """Guards against dialing every address that ever was a member's."""
+    rng = random.Random(1)
+    async with running_hub(
+        member("agent-1", Role.AGENT), Recorder(), rng
+    ) as client:
+        client.dial("127.0.0.1:1")
+        client.set_members(["127.0.0.1:2", "not an address", "127.0.0.1:x"])
+        assert len(client._dialers) == 4
+        client.set_members(["127.0.0.1:3"])
+        await until(lambda: len(client._dialers) == 2)
+        assert sorted(client._dialers) == ["127.0.0.1:1", "127.0.0.1:3"]
+
+
+def test_backoff_grows_until_a_connection_was_stable():
+    """Guards against a peer that ends each connection being dialed at once."""
+    waits = backoff.Backoff(random.Random(1))
+    delays = [waits.next_delay(0.1) for _ in range(8)]
+    assert delays[0] <= 1.5 * backoff.BACKOFF_FIRST_SECONDS
+    assert min(delays[6:]) >= 0.5 * backoff.BACKOFF_LAST_SECONDS
+    assert max(delays) <= 1.5 * backoff.BACKOFF_LAST_SECONDS
+    assert len(set(delays)) == len(delays)
+    stable = waits.next_delay(backoff.STABLE_AFTER_SECONDS)
+    assert stable <= 1.5 * backoff.BACKOFF_FIRST_SECONDS
+
+
+def test_dials_of_a_process_are_bounded():
+    """Guards against a storm of dials over many addresses."""
+    budget = backoff.DialBudget(0.0)
+    taken = sum(budget.take(0.0) for _ in range(1000))
+    assert taken == backoff.DIALS_BURST
+    later = sum(budget.take(1.0) for _ in range(1000))
+    assert later == backoff.DIALS_PER_SECOND
--- a/gypsumline/wire/codec.py
+++ b/gypsumline/wire/codec.py
@@ -28,14 +28,18 @@
 _BODY_ITEMS = 3
 
 
-def encode_frame(message: Message) -> bytes:
+def encode_frame(message: Message, version: int = PROTOCOL_VERSION) -> bytes:
     """Returns the frame of a message, with its length.
 
+    Args:
+      message: The message.
+      version: Protocol version that both sides speak.
+
     Raises:
       FrameTooLargeError: The message is longer than the limit.
     """
     fields = msgspec.to_builtins(message, builtin_types=(bytes,))
-    body: bytes = msgpack.packb([PROTOCOL_VERSION, message.wire_name, fields])
+    body: bytes = msgpack.packb([version, message.wire_name, fields])
     if len(body) > FRAME_LIMIT_BYTES:
         raise FrameTooLargeError(len(body), FRAME_LIMIT_BYTES)
     return LENGTH.pack(len(body)) + body
@@ -63,15 +67,15 @@
         raise FrameError(f"message {name!r} is invalid: {error}") from error
 
 
-def check_length(header: bytes) -> int:
+def check_length(header: bytes, limit: int = FRAME_LIMIT_BYTES) -> int:
     """Returns the body length in a frame header.
 
     Raises:
       FrameTooLargeError: The length is over the limit.
     """
     size: int = LENGTH.unpack(header)[0]
-    if size > FRAME_LIMIT_BYTES:
-        raise FrameTooLargeError(size, FRAME_LIMIT_BYTES)
+    if size > limit:
+        raise FrameTooLargeError(size, limit)
     return size
 
 
--- a/gypsumline/wire/connection.py
+++ b/gypsumline/wire/connection.py
@@ -5,7 +5,11 @@
 import asyncio
 import contextlib
 
-from gypsumline.core.errors import FrameError
+from gypsumline.core.errors import (
+    FrameError,
+    ProtocolVersionError,
+    UnknownMessageError,
+)
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import (
     LOWEST_PROTOCOL_VERSION,
@@ -17,6 +21,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.wire.codec import (
+    FRAME_LIMIT_BYTES,
     LENGTH,
     check_length,
     decode_body,
@@ -25,6 +30,8 @@
 
 SEND_BUFFER_LIMIT_BYTES = 16 * 1024 * 1024
 HELLO_TIMEOUT_SECONDS = 2.0
+# A connection without a hello may hold no more memory than this.
+HELLO_LIMIT_BYTES = 64 * 1024
 
 
 class SlowPeerError(FrameError):
@@ -50,6 +57,10 @@
         self._reader = reader
         self._writer = writer
         self._last_received = boot_time()
+        # Each side says hello in its lowest version, so that an older peer can
+        # read it; all else is in the highest version that both speak.
+        self._version = LOWEST_PROTOCOL_VERSION
+        self._peer_is_newer = False
         self.peer: Member | None = None
 
     @property
@@ -70,7 +81,7 @@
             self.abort()
             name = self.peer.member_id if self.peer else "a new peer"
             raise SlowPeerError(name, SEND_BUFFER_LIMIT_BYTES)
-        frame = encode_frame(message)
+        frame = encode_frame(message, self._version)
         self._writer.write(frame)
         metrics.SENT_BYTES.inc(len(frame))
         metrics.MESSAGES.labels(message.wire_name, "sent").inc()
@@ -78,17 +89,24 @@
     async def receive(self) -> Message:
         """Returns the next message.
 
+        Messages of unknown types are ignored and counted if the peer speaks a
+        newer protocol version.
+
         Raises:
           FrameError: The peer sent bytes that are not a valid frame.
           asyncio.IncompleteReadError: The connection was closed.
         """
-        header = await self._reader.readexactly(LENGTH.size)
-        body = await self._reader.readexactly(check_length(header))
-        message = decode_body(body)
-        self._last_received = boot_time()
-        metrics.RECEIVED_BYTES.inc(len(header) + len(body))
-        metrics.MESSAGES.labels(message.wire_name, "received").inc()
-        return message
+        while True:
+            body = await self._receive_body()
+            try:
+                message = decode_body(body)
+            except UnknownMessageError:
+                if not self._peer_is_newer:
+                    raise
+                metrics.UNKNOWN_MESSAGES.inc()
+                continue
+            metrics.MESSAGES.labels(message.wire_name, "received").inc()
+            return message
 
     async def shake_hands(self, me: Member) -> Member:
         """Exchanges `Hello` messages and returns the peer.
@@ -98,19 +116,46 @@
           TimeoutError: The peer did not answer in time.
         """
         self.send(Hello(member=me))
-        async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
-            hello = await self.receive()
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+                hello = await self.receive()
+        except ProtocolVersionError:
+            await self._refuse_version()
+            raise
         if not isinstance(hello, Hello):
             raise FrameError(f"first message is {hello.wire_name}, not hello")
         if not _shares_version(hello):
-            self.send(Goodbye(reason="no common protocol version"))
-            raise FrameError(
-                f"{hello.member.member_id} speaks versions "
-                f"{hello.lowest_version} to {hello.highest_version}"
+            await self._refuse_version()
+            raise ProtocolVersionError(
+                f"{hello.lowest_version} to {hello.highest_version}",
+                LOWEST_PROTOCOL_VERSION,
+                PROTOCOL_VERSION,
             )
+        self._version = min(PROTOCOL_VERSION, hello.highest_version)
+        self._peer_is_newer = hello.highest_version > PROTOCOL_VERSION
         self.peer = hello.member
         return hello.member
 
+    async def say_goodbye(self, reason: str) -> None:
+        """Sends a goodbye and closes the connection."""
+        with contextlib.suppress(FrameError):
+            self.send(Goodbye(reason=reason))
+        await self.close()
+
+    async def _refuse_version(self) -> None:
+        await self.say_goodbye(
+            f"no common protocol version; spoken here: "
+            f"{LOWEST_PROTOCOL_VERSION} to {PROTOCOL_VERSION}"
+        )
+
+    async def _receive_body(self) -> bytes:
+        header = await self._reader.readexactly(LENGTH.size)
+        limit = HELLO_LIMIT_BYTES if self.peer is None else FRAME_LIMIT_BYTES
+        body = await self._reader.readexactly(check_length(header, limit))
+        self._last_received = boot_time()
+        metrics.RECEIVED_BYTES.inc(len(header) + len(body))
+        return body
+
     def abort(self) -> None:
         """Closes the connection at once."""
         self._writer.transport.abort()
--- a/gypsumline/wire/hub.py
+++ b/gypsumline/wire/hub.py
@@ -6,22 +6,23 @@
 import contextlib
 import logging
 import random
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Protocol
 
-from gypsumline.core.errors import FrameError
+from gypsumline.core.errors import FrameError, FrameTooLargeError
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import Goodbye, Message
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
+from gypsumline.wire.backoff import BACKOFF_LAST_SECONDS, Backoff, DialBudget
 from gypsumline.wire.connection import Connection
 
 DIAL_TIMEOUT_SECONDS = 1.0
-BACKOFF_FIRST_SECONDS = 0.05
-BACKOFF_LAST_SECONDS = 2.0
 ANSWERING_SIDE_RETRY_SECONDS = 2.0
 IDLE_LIMIT_SECONDS = 2.5
 IDLE_CHECK_SECONDS = 0.5
+# Accepted connections that have not said hello; further ones are closed.
+GREETING_LIMIT = 512
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -50,6 +51,11 @@
         self._rng = rng
         self._connections: dict[str, Connection] = {}
         self._dialers: dict[str, asyncio.Task[None]] = {}
+        self._seeds: set[str] = set()
+        self._targets: set[str] = set()
+        self._budget = DialBudget(boot_time())
+        self._greeting = 0
+        self._is_closed = False
         self._member_at: dict[str, str] = {}
         self._handlers: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -65,25 +71,47 @@
         return member_id in self._connections
 
     def send(self, member_id: str, message: Message) -> bool:
-        """Sends a message; returns False if the peer is not connected."""
+        """Sends a message; returns False if it could not be sent.
+
+        A message over the frame limit is a fault of the sender's bounds: it is
+        logged, and the connection stays.
+        """
         connection = self._connections.get(member_id)
         if connection is None:
             return False
         try:
             connection.send(message)
+        except FrameTooLargeError as error:
+            _count_unsent(message, error)
+            _LOGGER.error(
+                "message is too long to be sent",
+                extra={
+                    "type": message.wire_name,
+                    "to": member_id,
+                    "detail": str(error),
+                },
+            )
+            return False
         except FrameError as error:
+            _count_unsent(message, error)
             _count_error(error)
             return False
         return True
 
     def dial(self, address: str) -> None:
         """Keeps a connection to an address from now on."""
-        if not address or address == self._me.address:
-            return
-        if address in self._dialers:
-            return
-        task = asyncio.create_task(self._keep_dialing(address))
-        self._dialers[address] = task
+        self._seeds.add(address)
+        self._ensure_dialer(address)
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """Keeps connections to the members at these addresses.
+
+        Addresses of earlier members are not dialed again once their connection
+        has ended; those given to `dial` stay.
+        """
+        self._targets = set(addresses)
+        for address in sorted(self._targets):
+            self._ensure_dialer(address)
 
     async def listen(self, host: str, port: int) -> None:
         """Accepts connections."""
@@ -107,38 +135,68 @@
 
     async def close(self) -> None:
         """Says goodbye to all peers and closes the connections."""
-        for task in self._dialers.values():
-            task.cancel()
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         connections = list(self._connections.values())
-        for connection in connections:
-            with contextlib.suppress(FrameError):
-                connection.send(Goodbye(reason="stop"))
-        await asyncio.gather(*(c.close() for c in connections))
+        await asyncio.gather(*(c.say_goodbye("stop") for c in connections))
+        for task in list(self._dialers.values()):
+            task.cancel()
         for task in list(self._handlers):
             task.cancel()
 
+    def _ensure_dialer(self, address: str) -> None:
+        is_wanted = address and address != self._me.address
+        if not is_wanted or address in self._dialers or self._is_closed:
+            return
+        task = asyncio.create_task(self._keep_dialing(address))
+        self._dialers[address] = task
+        task.add_done_callback(
+            lambda ended: self._on_dialer_ended(address, ended)
+        )
+
+    def _on_dialer_ended(self, address: str, task: asyncio.Task[None]) -> None:
+        """Starts a dialer again that ended by a fault of the listener."""
+        del self._dialers[address]
+        if task.cancelled():
+            return
+        if task.exception() is None:
+            if self._is_wanted(address):
+                self._ensure_dialer(address)
+            return
+        _LOGGER.error(
+            "connection failed",
+            extra={"address": address},
+            exc_info=task.exception(),
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(BACKOFF_LAST_SECONDS, self._ensure_dialer, address)
+
+    def _is_wanted(self, address: str) -> bool:
+        return address in self._seeds or address in self._targets
+
     async def _keep_dialing(self, address: str) -> None:
-        delay = BACKOFF_FIRST_SECONDS
-        while True:
+        backoff = Backoff(self._rng)
+        while self._is_wanted(address) and not self._is_closed:
             # A member may be known by two addresses; a second connection would
             # replace the first one, again and again.
             if self._member_at.get(address) in self._connections:
                 await asyncio.sleep(ANSWERING_SIDE_RETRY_SECONDS)
                 continue
-            was_open = await self._dial_once(address)
+            began = boot_time()
+            was_open = self._budget.take(began)
             if was_open:
-                delay = BACKOFF_FIRST_SECONDS
-            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
-            delay = min(delay * 2, BACKOFF_LAST_SECONDS)
+                was_open = await self._dial_once(address)
+            open_time = boot_time() - began if was_open else 0.0
+            await asyncio.sleep(backoff.next_delay(open_time))
 
     async def _dial_once(self, address: str) -> bool:
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            metrics.DIAL_ERRORS.labels(type(error).__name__).inc()
             return False
         connection = Connection(reader, writer)
         return await self._serve(connection, address)
@@ -150,6 +208,10 @@
         if task is not None:
             self._handlers.add(task)
             task.add_done_callback(self._handlers.discard)
+        if self._greeting >= GREETING_LIMIT:
+            metrics.CONNECTION_ERRORS.labels("greeting_limit").inc()
+            writer.transport.abort()
+            return
         with contextlib.suppress(asyncio.CancelledError):
             await self._serve(Connection(reader, writer), "")
 
@@ -161,11 +223,11 @@
           dialed: Address that was dialed; "" for an accepted connection.
         """
         try:
-            peer = await connection.shake_hands(self._me)
+            peer = await self._greet(connection)
             if dialed:
                 self._member_at[dialed] = peer.member_id
             if self._is_surplus(peer, dialed=bool(dialed)):
-                connection.send(Goodbye(reason="the other side dials"))
+                await connection.say_goodbye("the other side dials")
                 await asyncio.sleep(ANSWERING_SIDE_RETRY_SECONDS)
                 return False
             await self._read_all(connection, peer)
@@ -175,6 +237,13 @@
             connection.abort()
         return connection.peer is not None
 
+    async def _greet(self, connection: Connection) -> Member:
+        self._greeting += 1
+        try:
+            return await connection.shake_hands(self._me)
+        finally:
+            self._greeting -= 1
+
     def _is_surplus(self, peer: Member, *, dialed: bool) -> bool:
         """Of two entries the one with the smaller id dials."""
         if peer.member_id == self._me.member_id:
@@ -184,7 +253,9 @@
         if (self._me.member_id < peer.member_id) == dialed:
             return False
         if not dialed:
-            self.dial(peer.address)
+            # Until the next record tells whether it is a member.
+            self._targets.add(peer.address)
+            self._ensure_dialer(peer.address)
         return True
 
     async def _read_all(self, connection: Connection, peer: Member) -> None:
@@ -243,6 +314,11 @@
         await hub.close()
 
 
+def _count_unsent(message: Message, error: FrameError) -> None:
+    name = type(error).__name__
+    metrics.UNSENT_MESSAGES.labels(message.wire_name, name).inc()
+
+
 def _count_error(error: BaseException) -> None:
     name = type(error).__name__
     metrics.CONNECTION_ERRORS.labels(name).inc()
