--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control_machine.py
@@ -122,6 +122,10 @@
         """Returns the state of each open change, by request id."""
         return self._changes.states()
 
+    def is_accepted(self) -> bool:
+        """Returns whether the newest known record is known to be accepted."""
+        return self._acceptance.is_accepted
+
     def is_voter(self) -> bool:
         """Returns whether the newest known record lists this incarnation."""
         return self._evidence.voter.is_voter
@@ -198,19 +202,6 @@
         self._advance(now)
         return self._finish(now)
 
-    def beat_soon(self, now: float) -> None:
-        """Lets the next tick send heartbeats, to tell a new state."""
-        self._next_beat_at = now
-
-    def entries_know_since(self, sent_at: float) -> bool:
-        """Returns whether all connected entries answered a later heartbeat.
-
-        What such an entry sent before its answer has arrived, because a
-        connection keeps the order.
-        """
-        entries = self._peers.connected(Role.ENTRY)
-        return all(peer.answered >= sent_at for peer in entries)
-
     def leave(self, now: float, wall: float) -> list[Effect]:
         """Announces a planned leave; a new epoch will exclude this entry."""
         self._members.leave()
@@ -291,7 +282,6 @@
         asked_at = self._evidence.note_reply(message, now)
         self._note_revision(peer, message.revision, now)
         if asked_at is not None:
-            peer.answered = max(peer.answered, asked_at)
             self._members.on_reply(self._record, peer.member, asked_at)
 
     def _on_control_request(
--- a/gypsumline/core/peers.py
+++ b/gypsumline/core/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 
 from gypsumline.core.identity import Member, Role
 
@@ -19,7 +18,6 @@
       connected: Whether a connection to it is open.
       joining: Whether it asks to become a member.
       leaving: Whether it said that it leaves.
-      answered: When the newest heartbeat that it answered was sent.
     """
 
     member: Member
@@ -28,7 +26,6 @@
     connected: bool = False
     joining: bool = False
     leaving: bool = False
-    answered: float = -math.inf
 
 
 class PeerTable:
