--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -53,6 +53,8 @@
     HandOverAck,
 )
 _CHANGE_TIMEOUT_SECONDS = 10.0
+# Without jobs an owner only forgets old answers and waits for journals.
+IDLE_TICK_SECONDS = 0.2
 # Time from the making of a key to its arrival, with the skew of two clocks.
 KEY_TRANSIT_SECONDS = 1.0
 
@@ -103,6 +105,7 @@
         self._applied = (0, 0.0)
         self._leaving = False
         self._departed = False
+        self._owner_ticked_at = 0.0
 
     @property
     def me(self) -> Member:
@@ -265,6 +268,10 @@
     def tick_owner(self) -> None:
         """Lets the owner and the router act on the passing of time."""
         now = boot_time()
+        is_idle = not self._machines.owner.open_jobs
+        if is_idle and now < self._owner_ticked_at + IDLE_TICK_SECONDS:
+            return
+        self._owner_ticked_at = now
         fresh = self._machines.control.is_fresh(now)
         self._run_owner(self._machines.owner.tick(now, wall_time(), fresh))
         self._run(self._router.tick(now))
--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -5,7 +5,7 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from gypsumline.core.effects import Decision
 from gypsumline.runtime import metrics
@@ -16,7 +16,7 @@
 
 def configure_logs(member_id: str, level: str) -> None:
     """Sends all logs to standard error as JSON lines."""
-    formatter = JsonFormatter(
+    formatter = MsgspecFormatter(
         _FORMAT,
         rename_fields={"asctime": "time", "levelname": "level"},
         static_fields={"member": member_id},
