--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -11,11 +11,12 @@
 import sys
 import time
 
+from gypsumline.core.messages import StartTasks
 from gypsumline.core.task import Reason, TaskStatus
 from gypsumline.core.task_scheduler import Admission
 from properties.submission_world import World
 
-HEAL_STEP = 0.25  # seconds
+HEAL_STEP = 0.5  # seconds
 HEAL_TIME = 30.0  # seconds: above the longest deadline of a walk
 
 
@@ -60,9 +61,15 @@
 
 
 def duplicate(world, rng):
+    """Copies of starts matter most: one that is late must not start again."""
     waiting = world.waiting()
+    starts = [
+        (link, receiver)
+        for link, receiver in waiting
+        if isinstance(link.queues[receiver][1][0], StartTasks)
+    ]
     if waiting:
-        world.duplicate(*rng.choice(waiting))
+        world.duplicate(*rng.choice(starts or waiting))
 
 
 def withdraw(world, rng):
@@ -75,6 +82,18 @@
             entry.owner._scheduler.to_withdraw.append(item)
 
 
+def cut_zone(world, rng):
+    """Takes out a zone whose agents don't hear of it."""
+    zone = rng.choice(("a", "b", "c"))
+    world.set_zone(zone, out=True)
+    for agent in world.agents():
+        agent.cut = agent.cut or agent.member.availability_zone == zone
+    for _ in range(4):
+        world.advance(0.6)
+        deliver(world, rng)
+        execute(world, rng)
+
+
 def execute(world, rng):
     agent = rng.choice(world.agents())
     for _ in range(rng.randint(1, 3)):
@@ -156,7 +175,7 @@
 
 def take_over(world, rng):
     """Cuts an owner off, and sends its keys to the others after the fence."""
-    node = rng.choice(world.entries())
+    node = max(world.entries(), key=lambda e: e.owner._runner._unplaced)
     node.cut = True
     keys = list(world.bodies)[-10:]
     world.remove_entry(node.member.member_id)
@@ -200,8 +219,8 @@
     submit_conflict: 2,
     cancel: 2,
     deliver: 16,
-    duplicate: 4,
-    withdraw: 3,
+    duplicate: 8,
+    withdraw: 5,
     execute: 12,
     finish: 12,
     advance: 10,
@@ -219,6 +238,7 @@
     leave_entry: 1,
     remove_drained: 2,
     change_zone: 2,
+    cut_zone: 1,
 }
 
 
@@ -232,8 +252,11 @@
         resume_all(world, rng)
         world.advance(HEAL_STEP)
         for _ in range(40):
-            for link, receiver in world.waiting():
+            waiting = world.waiting()
+            for link, receiver in waiting:
                 world.deliver(link, receiver)
+            if not waiting:
+                break
         for agent in world.agents():
             for _ in range(4):
                 world.execute(agent, 0)
@@ -264,13 +287,13 @@
 
 
 def walk(seed, steps):
-    """Returns the world after one walk, and what is unfinished in it."""
+    """Returns the world after one walk."""
     rng = random.Random(seed)
     world = World(seed, entries=rng.choice((2, 3)), agents=rng.choice((2, 4)))
     actions, weights = list(ACTIONS), list(ACTIONS.values())
     for action in rng.choices(actions, weights, k=steps):
         action(world, rng)
-    return world, heal(world)
+    return world
 
 
 def run_walks(seed, walks, steps):
@@ -278,7 +301,8 @@
     found = []
     counts = collections.Counter()
     for number in range(seed, seed + walks):
-        world, unfinished = walk(number, steps)
+        world = walk(number, steps)
+        unfinished = heal(world)
         violations = world.oracle.violations + unfinished
         found += [f"seed {number}: {text}" for text in violations]
         counts.update(world.oracle.counts)
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -308,6 +308,8 @@
         if isinstance(queue[0], str):
             return
         copy = Link(link.ends, alive=False)
+        if self.rng.random() < 0.7:
+            copy.blocked.add(receiver_id)
         copy.queues[receiver_id] = (sender, collections.deque([queue[0]]))
         copy.queues[sender.member_id] = (
             self.nodes[receiver_id].member,
