--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -239,7 +239,7 @@
         effects += self._repeat_silent(now, wall)
         if now - self._pruned_at >= _PRUNE_INTERVAL:
             self._pruned_at = now
-            self._leftovers.prune(now)
+            self._forget_leftovers(now)
         return effects
 
     def end(
@@ -373,6 +373,13 @@
             effects.append(withdraw_tasks(job, place, [index], cancel=True))
         return effects
 
+    def _forget_leftovers(self, now: float) -> None:
+        """Gives up tasks that no agent reports, so that no slot leaks."""
+        for key, index, left in self._leftovers.take_expired(now):
+            result = lost_task(index, left.attempt)
+            agent_id = left.agent.member_id
+            self._scheduler.finish_task(agent_id, key, result, now)
+
     def _on_leftover(
         self, agent: Member, key: str, result: TaskResult, now: float
     ) -> None:
--- a/gypsumline/core/leftovers.py
+++ b/gypsumline/core/leftovers.py
@@ -62,20 +62,28 @@
 
     def drop_older(self, agent: Member) -> None:
         """Forgets the tasks of earlier incarnations of an agent."""
-        self._drop(
+        self._take(
             lambda left: (
                 left.agent.member_id == agent.member_id
                 and left.agent.incarnation < agent.incarnation
             )
         )
 
-    def prune(self, now: float) -> None:
-        """Forgets tasks that no agent has reported in time."""
-        self._drop(lambda left: left.until <= now)
-
-    def _drop(self, matches: Callable[[Leftover], bool]) -> None:
-        for key, tasks in list(self._tasks.items()):
-            for index in [i for i, left in tasks.items() if matches(left)]:
-                del tasks[index]
-            if not tasks:
+    def take_expired(self, now: float) -> list[tuple[str, int, Leftover]]:
+        """Returns and forgets tasks that no agent has reported in time."""
+        return self._take(lambda left: left.until <= now)
+
+    def _take(
+        self, matches: Callable[[Leftover], bool]
+    ) -> list[tuple[str, int, Leftover]]:
+        taken = [
+            (key, index, left)
+            for key, tasks in self._tasks.items()
+            for index, left in tasks.items()
+            if matches(left)
+        ]
+        for key, index, _ in taken:
+            del self._tasks[key][index]
+            if not self._tasks[key]:
                 del self._tasks[key]
+        return taken
--- a/gypsumline/tests/core/test_slot_table.py
+++ b/gypsumline/tests/core/test_slot_table.py
@@ -120,6 +120,30 @@
     assert starts(receive(table, make_start(KEY, attempt=2))) == [0]
 
 
+def test_former_owner_gets_no_refusal_for_what_it_started():
+    """It would answer "not run" for a task that has run."""
+    table = make_table()
+    receive(table, make_start(KEY))
+    table.may_start(KEY, 0, True, 1.0)
+    table.set_record(make_record(revision=2, entries=(OTHER,)), 2.0)
+    assert refusals(receive(table, make_start(KEY), 3.0)) == []
+
+
+def test_journal_remembers_an_earlier_run_of_a_repeatable_request():
+    """Its next attempt is withdrawn, but "not run" would be untrue."""
+    table = make_table()
+    receive(table, make_start(KEY, repeatable=True))
+    table.may_start(KEY, 0, True, 1.0)
+    lost = TaskResult(index=0, status=TaskStatus.UNKNOWN)
+    table.on_finished(KEY, lost, 2.0)
+    receive(table, make_start(KEY, attempt=2, repeatable=True))
+    withdraw = WithdrawTasks(key=KEY, indexes=(0,), attempts=(2,))
+    receive(table, withdraw, 3.0)
+    (part,) = receive(table, JournalQuery(revision=1))
+    (entry,) = part.message.entries
+    assert (entry.state, entry.attempt, entry.ran) == ("withdrawn", 2, True)
+
+
 def test_withdrawal_before_the_start_leaves_a_tombstone():
     """A withdrawal may overtake the start on another connection."""
     table = make_table()
--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -17,7 +17,9 @@
 from properties.submission_world import World
 
 HEAL_STEP = 0.5  # seconds
-HEAL_TIME = 30.0  # seconds: above the longest deadline of a walk
+# The longest deadline, the same time again after which the owner gives up a
+# task that no agent reports, and the interval at which it looks for those.
+HEAL_TIME = 15.0 + 15.0 + 5.0 + 1.0  # seconds
 
 
 def submit_new(world, rng):
@@ -209,6 +211,19 @@
             world.remove_entry(node.member.member_id)
 
 
+def leave_agent(world, rng):
+    agent = rng.choice(world.agents())
+    if agent.runs:
+        world.apply(agent, agent.table.leave(world.now))
+
+
+def replace_drained(world, rng):
+    for agent in world.agents():
+        left = agent.table.upstream_state().leaving
+        if agent.runs and left and agent.table.is_drained():
+            world.restart(agent.member.member_id)
+
+
 def change_zone(world, rng):
     world.set_zone(rng.choice(("a", "b", "c")), out=rng.random() < 0.4)
 
@@ -238,6 +253,8 @@
     leave_entry: 1,
     remove_drained: 2,
     change_zone: 2,
+    leave_agent: 1,
+    replace_drained: 2,
     cut_zone: 1,
 }
 
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -58,17 +58,23 @@
 class EntryNode(Node):
     """An entry with its owner machine."""
 
-    def __init__(self, member, skew):
+    def __init__(self, member, skew, small):
         super().__init__(member, skew)
-        self.owner = SubmissionOwner(member, OwnerSettings(), FirstFit())
+        settings = OwnerSettings(deadline_max=15.0)
+        if small:
+            settings = dataclasses.replace(settings, jobs=12, refusals=4)
+        self.owner = SubmissionOwner(member, settings, FirstFit())
 
 
 class AgentNode(Node):
     """An agent with its slot table and a stand-in for its executor."""
 
-    def __init__(self, member, skew):
+    def __init__(self, member, skew, small):
         super().__init__(member, skew)
-        self.table = SlotTable(member, SlotSettings())
+        settings = SlotSettings()
+        if small:
+            settings = SlotSettings(journal_entries=30, tombstone_entries=8)
+        self.table = SlotTable(member, settings)
         self.handed = []  # StartTask effects that the shell holds
         self.running = []  # (key, index, attempt, value)
 
@@ -89,6 +95,7 @@
     def __init__(self, seed_or_rng=0, entries=3, agents=4):
         rng = seed_or_rng
         self.rng = rng if not isinstance(rng, int) else random.Random(rng)
+        self.small = self.rng.random() < 0.2  # whether bounds are reached
         self.oracle = SubmissionOracle()
         self.now = 1000.0
         self.serial = 0
@@ -125,7 +132,7 @@
             role=role,
             availability_zone=ZONES[number % len(ZONES)],
         )
-        node = kind(member, self.rng.uniform(-0.2, 0.2))
+        node = kind(member, self.rng.uniform(-0.2, 0.2), self.small)
         self.nodes[member_id] = node
         if kind is AgentNode:
             node.table.announce(
