--- a/gypsumline/core/ownership.py
+++ b/gypsumline/core/ownership.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from gypsumline.core.control import ControlRecord, OwnerEpoch
 from gypsumline.core.identity import Member
@@ -87,19 +88,26 @@
         same: another epoch could have given the key to another owner in a
         revision that this entry has not seen.
         """
-        found = self._terms[-1]
-        epoch = _epoch_of(found.record, key)
-        for term in reversed(self._terms[:-1]):
-            same = _epoch_of(term.record, key) == epoch
-            if not same or not self._owns(term, key):
-                break
-            found = term
+        *_, found = self._tenure(key)
         return found
 
     def is_new(self, key: str, margin: float) -> bool:
         """Whether a key is too young for an earlier owner to have seen it."""
-        ready_wall = self.term_of(key).ready_wall
-        return math.isfinite(ready_wall) and key_time(key) > ready_wall + margin
+        wall = key_time(key) - margin
+        return any(term.ready_wall < wall for term in self._tenure(key))
+
+    def _tenure(self, key: str) -> Iterator[Term]:
+        """Yields the terms in which this entry owns a key, newest first."""
+        newest = self._terms[-1]
+        yield newest
+        if len(self._terms) == 1:
+            return
+        epoch = _epoch_of(newest.record, key)
+        for term in reversed(self._terms[:-1]):
+            same = _epoch_of(term.record, key) == epoch
+            if not same or not self._owns(term, key):
+                return
+            yield term
 
     def _owns(self, term: Term, key: str) -> bool:
         owner = term.record.owner_of(key)
--- a/properties/test_submissions.py
+++ b/properties/test_submissions.py
@@ -15,7 +15,7 @@
 from gypsumline.core.slot_gate import SlotGate
 from gypsumline.core.slot_table import SlotTable
 from properties import submission_walk
-from properties.submission_world import AgentNode, World
+from properties.submission_world import AgentNode, EntryNode, World
 
 WALKS = 50
 MUTANT_WALKS = 400
@@ -106,6 +106,10 @@
     monkeypatch.setattr(AgentNode, "is_fresh", lambda *_: True)
 
 
+def without_freshness_at_owners(monkeypatch):
+    monkeypatch.setattr(EntryNode, "is_fresh", lambda *_: True)
+
+
 def without_tombstones(monkeypatch):
     """A withdrawn or refused task is forgotten instead of journaled."""
 
@@ -150,6 +154,7 @@
         without_journals_in_recovery,
         without_journals_of_all_agents,
         without_freshness_at_agents,
+        without_freshness_at_owners,
         without_tombstones,
         without_journal_at_starts,
         with_restart_of_unstarted_jobs,
