--- a/gypsumline/tests/core/builders.py
+++ b/gypsumline/tests/core/builders.py
@@ -6,6 +6,7 @@
 
 from gypsumline.core.configuration import Configuration, Service
 from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.effects import Answer, Send
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import StartTasks, Submit
 from gypsumline.core.task import JobBody, TaskSpec
@@ -70,3 +71,21 @@
         "digest": b"d",
     }
     return StartTasks(key=key, **{**fields, **changes})
+
+
+def sent(effects, kind):
+    """Returns the sent messages of a type."""
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, kind)
+    ]
+
+
+def outcomes(effects):
+    """Returns the outcome and reason of each answer."""
+    return [
+        (effect.answer.outcome, effect.answer.reason)
+        for effect in effects
+        if isinstance(effect, Answer)
+    ]
--- a/gypsumline/tests/core/test_owner.py
+++ b/gypsumline/tests/core/test_owner.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumline.core.effects import Answer, Send
+from gypsumline.core.effects import Answer
 from gypsumline.core.messages import (
     CancelJob,
     Inquire,
@@ -26,6 +26,7 @@
     key_at,
     make_record,
     make_submit,
+    sent,
 )
 from gypsumline.tests.core.first_fit import FirstFit
 
@@ -57,14 +58,6 @@
         return self.deliver(message, now, sender)
 
 
-def sent(effects, kind):
-    return [
-        e.message
-        for e in effects
-        if isinstance(e, Send) and isinstance(e.message, kind)
-    ]
-
-
 def answers(effects):
     return [
         (e.request_id, e.answer.outcome, e.answer.reason)
--- a/gypsumline/tests/core/test_recovery.py
+++ b/gypsumline/tests/core/test_recovery.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from gypsumline.core.effects import Answer, Send
 from gypsumline.core.messages import (
     HandOver,
     JournalEntry,
@@ -30,6 +29,8 @@
     key_at,
     make_record,
     make_submit,
+    outcomes,
+    sent,
 )
 from gypsumline.tests.core.first_fit import FirstFit
 
@@ -79,22 +80,6 @@
     )
 
 
-def sent(effects, kind):
-    return [
-        e.message
-        for e in effects
-        if isinstance(e, Send) and isinstance(e.message, kind)
-    ]
-
-
-def outcomes(effects):
-    return [
-        (e.answer.outcome, e.answer.reason)
-        for e in effects
-        if isinstance(e, Answer)
-    ]
-
-
 def test_asks_the_journals_only_after_ready():
     """Before `ready_at` an agent may still start for the earlier owner."""
     owner = make_owner()
--- a/gypsumline/tests/core/test_slot_table.py
+++ b/gypsumline/tests/core/test_slot_table.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gypsumline.core.effects import Send, StartTask
+from gypsumline.core.effects import StartTask
 from gypsumline.core.messages import (
     JournalQuery,
     TaskResults,
@@ -20,6 +20,7 @@
     key_at,
     make_record,
     make_start,
+    sent,
 )
 from gypsumline.wire.codec import FRAME_LIMIT_BYTES, encode_frame
 
@@ -41,14 +42,6 @@
     return [e.task.index for e in effects if isinstance(e, StartTask)]
 
 
-def sent(effects, kind):
-    return [
-        e.message
-        for e in effects
-        if isinstance(e, Send) and isinstance(e.message, kind)
-    ]
-
-
 def refusals(effects):
     return [
         (result.index, result.reason, result.attempt)
--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -34,18 +34,13 @@
 
 
 def submit_again(world, rng):
+    """The same body, or another one under the same key."""
     if world.bodies:
         key = rng.choice(list(world.bodies)[-8:])
-        world.submit(rng.choice(world.entries()), rng.choice(world.bodies[key]))
-
-
-def submit_conflict(world, rng):
-    if world.bodies:
-        key = rng.choice(list(world.bodies)[-4:])
         bodies = world.bodies[key]
-        if len(bodies) == 1:
+        if len(bodies) == 1 and rng.random() < 0.2:
             bodies.append((key, b"body1", bodies[0][2]))
-        world.submit(rng.choice(world.entries()), bodies[-1])
+        world.submit(rng.choice(world.entries()), rng.choice(bodies))
 
 
 def cancel(world, rng):
@@ -121,14 +116,11 @@
         finish(world, rng)
 
 
-def toggle_pause(world, rng):
-    node = rng.choice(list(world.nodes.values()))
-    node.paused = not node.paused
-
-
-def toggle_evidence(world, rng):
+def toggle(world, rng):
+    """Pauses a process, takes its evidence away, or ends either."""
     node = rng.choice(list(world.nodes.values()))
-    node.cut = not node.cut
+    name = rng.choice(("paused", "cut"))
+    setattr(node, name, not getattr(node, name))
 
 
 def resume_all(world, rng):
@@ -142,37 +134,27 @@
     world.connect_all()
 
 
-def block_link(world, rng):
-    if world.links:
-        link = rng.choice(world.links)
+def change_link(world, rng):
+    """Blocks one direction of a connection, or breaks it."""
+    link = rng.choice(world.links)
+    if rng.random() < 0.4:
         link.blocked.add(rng.choice(link.ends))
-
-
-def break_link(world, rng):
-    alive = [link for link in world.links if link.alive]
-    if alive:
-        link = rng.choice(alive)
+    elif link.alive:
         world.disconnect(link)
         if rng.random() < 0.7:
             world.connect(*link.ends)
 
 
-def restart_agent(world, rng):
-    world.restart(rng.choice(world.agents()).member.member_id)
-
-
 def lose_entry(world, rng):
     """Removes an entry that is dead, or only paused or cut off."""
     node = rng.choice(world.entries())
-    member_id = node.member.member_id
+    world.remove_entry(node)
     how = rng.choice(("dead", "paused", "cut"))
     if how == "dead":
-        world.remove_entry(member_id)
-        world.restart(member_id)
+        world.restart(node)
     else:
         node.paused = how == "paused"
         node.cut = True
-        world.remove_entry(member_id)
 
 
 def take_over(world, rng):
@@ -180,7 +162,7 @@
     node = max(world.entries(), key=lambda e: e.owner._runner._unplaced)
     node.cut = True
     keys = list(world.bodies)[-10:]
-    world.remove_entry(node.member.member_id)
+    world.remove_entry(node)
     for _ in range(4):
         world.advance(0.6)
         deliver(world, rng)
@@ -197,31 +179,19 @@
     scheduler.refusal = None if scheduler.refusal else refusal
 
 
-def join_entry(world, rng):
-    world.join_entry(rng.choice(world.entries()).member.member_id)
-
-
-def leave_entry(world, rng):
-    world.leave_entry(rng.choice(world.entries()).member.member_id)
-
-
-def remove_drained(world, rng):
-    for node in world.entries():
-        if node.runs and node.owner.is_drained():
-            world.remove_entry(node.member.member_id)
-
-
-def leave_agent(world, rng):
-    agent = rng.choice(world.agents())
-    if agent.runs:
-        world.apply(agent, agent.table.leave(world.now))
-
-
-def replace_drained(world, rng):
-    for agent in world.agents():
-        left = agent.table.upstream_state().leaving
-        if agent.runs and left and agent.table.is_drained():
-            world.restart(agent.member.member_id)
+def change_members(world, rng):
+    entry, agent = rng.choice(world.entries()), rng.choice(world.agents())
+    choice = rng.randrange(8)
+    if choice < 4:
+        world.join_entry(entry)
+    elif choice < 6:
+        world.leave_entry(entry)
+    elif choice == 6:
+        world.leave_agent(agent)
+    else:
+        world.restart(agent)
+    if rng.random() < 0.6:
+        world.replace_drained()
 
 
 def change_zone(world, rng):
@@ -230,8 +200,7 @@
 
 ACTIONS = {
     submit_new: 10,
-    submit_again: 6,
-    submit_conflict: 2,
+    submit_again: 8,
     cancel: 2,
     deliver: 16,
     duplicate: 8,
@@ -240,21 +209,14 @@
     finish: 12,
     advance: 10,
     run_on: 9,
-    toggle_pause: 2,
-    toggle_evidence: 2,
+    toggle: 4,
     resume_all: 4,
-    block_link: 2,
-    break_link: 3,
-    restart_agent: 1,
+    change_link: 5,
     lose_entry: 1,
     take_over: 1,
     toggle_overload: 1,
-    join_entry: 3,
-    leave_entry: 1,
-    remove_drained: 2,
+    change_members: 6,
     change_zone: 2,
-    leave_agent: 1,
-    replace_drained: 2,
     cut_zone: 1,
 }
 
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -188,42 +188,56 @@
         wall = node.wall(self.now)
         self.apply(node, node.owner.set_record(record, ready, self.now, wall))
         if node.member not in record.entries and self._was_owner(node):
-            self.restart(node.member.member_id)
+            self.restart(node)
 
     def _was_owner(self, node):
         return any(node.member in item[1].entries for item in self.accepted)
 
-    def remove_entry(self, member_id):
-        member = self.nodes[member_id].member
-        rest = tuple(e for e in self.record.entries if e != member)
+    def remove_entry(self, node):
+        rest = tuple(e for e in self.record.entries if e != node.member)
         if rest and len(rest) < len(self.record.entries):
             self.change(True, entries=rest)
 
-    def join_entry(self, member_id):
-        node = self.nodes[member_id]
-        if not node.alive or self._was_owner(node):
-            return
-        rest = tuple(e for e in self.record.entries if e.member_id != member_id)
-        owners = (*rest, node.member)
-        begins = WALL + self.now + JOIN_DELAY
-        epoch = OwnerEpoch(begins_at_wall=begins, owners=owners)
-        epochs = [e for e in self.record.epochs if e.begins_at_wall <= begins]
-        self.change(True, entries=owners, epochs=(*epochs, epoch))
+    def join_entry(self, node):
+        if node.alive and not self._was_owner(node):
+            owners = (*self.record.entries, node.member)
+            owners = tuple(
+                e
+                for e in owners
+                if e.member_id != node.member.member_id or e == node.member
+            )
+            epochs = self._epochs_with(owners)
+            self.change(True, entries=owners, epochs=epochs)
 
-    def leave_entry(self, member_id):
-        node = self.nodes[member_id]
+    def leave_entry(self, node):
         rest = tuple(e for e in self.record.entries if e != node.member)
-        if not node.runs or not rest or node.member not in self.record.entries:
-            return
-        begins = WALL + self.now + JOIN_DELAY
-        epoch = OwnerEpoch(begins_at_wall=begins, owners=rest)
-        self.change(False, epochs=(*self.record.epochs, epoch))
-        wall = node.wall(self.now)
-        self.apply(node, node.owner.leave(self.now, wall))
+        if node.runs and rest and node.member in self.record.entries:
+            self.change(False, epochs=self._epochs_with(rest))
+            wall = node.wall(self.now)
+            self.apply(node, node.owner.leave(self.now, wall))
 
-    def restart(self, member_id):
+    def _epochs_with(self, owners):
+        begins = WALL + self.now + JOIN_DELAY
+        epoch = OwnerEpoch(begins_at_wall=begins, owners=owners)
+        return (*self.record.epochs, epoch)
+
+    def leave_agent(self, agent):
+        if agent.runs:
+            self.apply(agent, agent.table.leave(self.now))
+
+    def replace_drained(self):
+        """Ends the planned stop of processes that have nothing left."""
+        for entry in self.entries():
+            if entry.runs and entry.owner.is_drained():
+                self.remove_entry(entry)
+        for agent in self.agents():
+            leaving = agent.table.upstream_state().leaving
+            if agent.runs and leaving and agent.table.is_drained():
+                self.restart(agent)
+
+    def restart(self, old):
         """Replaces a process by an empty one with a higher incarnation."""
-        old = self.nodes[member_id]
+        member_id = old.member.member_id
         old.alive = False
         for link in list(self.links):
             if member_id in link.ends:
