--- a/gypsumline/tests/core/builders.py
+++ b/gypsumline/tests/core/builders.py
@@ -32,17 +32,19 @@
     return str(uuid.UUID(int=value))
 
 
-def make_record(revision=1, entries=(ENTRY,), agents=("g1",), **changes):
-    configuration = Configuration(services=(Service(name="s"),), **changes)
+def make_record(
+    revision=1, entries=(ENTRY,), agents=("g1",), epochs=None, **changes
+):
+    first = OwnerEpoch(begins_at_wall=0.0, owners=(ENTRY, OTHER))
     return ControlRecord(
         revision=revision,
-        configuration=configuration,
+        configuration=Configuration(services=(Service(name="s"),), **changes),
         entries=tuple(entries),
         agents=tuple(
             RegisteredAgent(agent_id=agent, availability_zone="a")
             for agent in agents
         ),
-        epochs=(OwnerEpoch(begins_at_wall=0.0, owners=(ENTRY, OTHER)),),
+        epochs=epochs or (first,),
     )
 
 
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -9,92 +9,33 @@
 import collections
 import dataclasses
 import random
-import uuid
 
-from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.control import OwnerEpoch
 from gypsumline.core.effects import Answer, Send, StartTask
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import CancelJob, Submit, SubmitReply
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
-from gypsumline.core.task import JobBody, Reason, TaskResult, TaskSpec
+from gypsumline.core.slot_settings import Announcement
+from gypsumline.core.task import Reason, TaskResult
 from gypsumline.core.task import TaskStatus as Status
-from gypsumline.tests.core.first_fit import FirstFit
+from gypsumline.tests.core.builders import (
+    WALL,
+    key_at,
+    make_record,
+    make_submit,
+)
+from properties.submission_nodes import TTL, AgentNode, EntryNode, Link
 from properties.submission_oracle import SubmissionOracle
 
-WALL = 1_700_000_000.0
-TTL = 2.0
 FENCE = TTL * 1.01
 JOIN_DELAY = 3.0
 ZONES = ("a", "b", "c")
 
 
-class Node:
-    """One process: what it knows of the record, and whether it runs."""
-
-    def __init__(self, member, skew):
-        self.member = member
-        self.skew = skew
-        self.alive = True
-        self.paused = False
-        self.cut = False  # gets no evidence
-        self.record = None
-        self.evidence_at = -1e9
-
-    @property
-    def runs(self):
-        return self.alive and not self.paused
-
-    def wall(self, now):
-        return WALL + now + self.skew
-
-    def is_fresh(self, now):
-        return now - self.evidence_at < TTL
-
-
-class EntryNode(Node):
-    """An entry with its owner machine."""
-
-    def __init__(self, member, skew, small):
-        super().__init__(member, skew)
-        settings = OwnerSettings(deadline_max=15.0)
-        if small:
-            settings = dataclasses.replace(settings, jobs=12, refusals=4)
-        self.owner = SubmissionOwner(member, settings, FirstFit())
-
-
-class AgentNode(Node):
-    """An agent with its slot table and a stand-in for its executor."""
-
-    def __init__(self, member, skew, small):
-        super().__init__(member, skew)
-        settings = SlotSettings()
-        if small:
-            settings = SlotSettings(journal_entries=30, tombstone_entries=8)
-        self.table = SlotTable(member, settings)
-        self.handed = []  # StartTask effects that the shell holds
-        self.running = []  # (key, index, attempt, value)
-
-
-@dataclasses.dataclass
-class Link:
-    """One connection between an entry and an agent, or two entries."""
-
-    ends: tuple
-    alive: bool = True
-    blocked: set = dataclasses.field(default_factory=set)
-    queues: dict = dataclasses.field(default_factory=dict)
-
-
 class World:
     """All processes, the network, the callers and the oracle."""
 
-    def __init__(self, seed_or_rng=0, entries=3, agents=4):
-        rng = seed_or_rng
-        self.rng = rng if not isinstance(rng, int) else random.Random(rng)
+    def __init__(self, seed=0, entries=3, agents=4):
+        self.rng = random.Random(seed)
         self.small = self.rng.random() < 0.2  # whether bounds are reached
         self.oracle = SubmissionOracle()
         self.now = 1000.0
@@ -143,17 +84,9 @@
 
     def _accept_first(self):
         owners = tuple(node.member for node in self.entries())
-        record = ControlRecord(
-            revision=1,
-            configuration=Configuration(services=(Service(name="s"),)),
+        record = make_record(
             entries=owners,
-            agents=tuple(
-                RegisteredAgent(
-                    agent_id=n.member.member_id,
-                    availability_zone=n.member.availability_zone,
-                )
-                for n in self.agents()
-            ),
+            agents=[node.member.member_id for node in self.agents()],
             epochs=(OwnerEpoch(begins_at_wall=0.0, owners=owners),),
         )
         self.accepted.append((self.now, record, self.now + FENCE))
@@ -359,10 +292,8 @@
             return effects + self._observe(node, sender)
         if item == "disconnected":
             return node.owner.on_agent_disconnected(sender, now, wall)
-        if isinstance(item, Submit):
-            return node.owner.submit(sender.member_id, item, fresh, now, wall)
-        if isinstance(item, CancelJob):
-            return node.owner.cancel(sender.member_id, item, fresh, now, wall)
+        if isinstance(item, Submit | CancelJob):
+            return self._request(node, sender.member_id, item)
         if isinstance(item, SubmitReply):
             request = (node.member, item.request_id)
             if request not in self.oracle.told:  # as an entry's shell does
@@ -410,16 +341,10 @@
 
     def new_submission(self, tasks, repeatable, timeout, skew):
         self.serial += 1
-        milliseconds = int((WALL + self.now + skew) * 1000)
-        value = milliseconds << 80 | 7 << 76 | 2 << 62 | self.serial
-        key = str(uuid.UUID(int=value))
-        body = JobBody(
-            service="s",
-            client="c",
-            tasks=tuple(TaskSpec(index=i, kind="k") for i in range(tasks)),
-            timeout=timeout,
-            repeatable=repeatable,
-        )
+        key = key_at(WALL + self.now + skew, self.serial)
+        body = make_submit(
+            key, tasks, repeatable=repeatable, timeout=timeout
+        ).body
         submission = (key, b"body0", body)
         self.bodies[key] = [submission]
         return submission
@@ -427,22 +352,15 @@
     def submit(self, entry, submission):
         """A caller hands a submission to an entry, which forwards it."""
         key, digest, body = submission
-        self._forward(
-            entry,
-            submission,
-            lambda number: Submit(
-                request_id=number, key=key, digest=digest, body=body
-            ),
-        )
+        message = Submit(request_id=0, key=key, digest=digest, body=body)
+        self._forward(entry, submission, message)
 
     def cancel(self, entry, submission):
-        self._forward(
-            entry,
-            (submission[0], None, submission[2]),
-            lambda number: CancelJob(request_id=number, key=submission[0]),
-        )
+        key, _, body = submission
+        message = CancelJob(request_id=0, key=key)
+        self._forward(entry, (key, None, body), message)
 
-    def _forward(self, entry, submission, build):
+    def _forward(self, entry, submission, message):
         if not entry.runs or entry.record is None:
             return
         owner = entry.record.owner_of(submission[0])
@@ -450,19 +368,18 @@
             return
         self.serial += 1
         self.submissions[entry.member, self.serial] = submission
-        message = build(self.serial)
+        message = dataclasses.replace(message, request_id=self.serial)
         if owner.member_id == entry.member.member_id:
             self.local.add((entry.member, self.serial))
-            self.apply(entry, self._receive_own(entry, message))
+            self.apply(entry, self._request(entry, "", message))
         else:
             self.send(entry, owner.member_id, message)
 
-    def _receive_own(self, entry, message):
-        take = entry.owner.submit
-        if isinstance(message, CancelJob):
-            take = entry.owner.cancel
-        fresh = entry.is_fresh(self.now)
-        return take("", message, fresh, self.now, entry.wall(self.now))
+    def _request(self, node, origin, message):
+        is_submit = isinstance(message, Submit)
+        take = node.owner.submit if is_submit else node.owner.cancel
+        now = self.now
+        return take(origin, message, node.is_fresh(now), now, node.wall(now))
 
     # -- executor and time
 
--- a/properties/test_submissions.py
+++ b/properties/test_submissions.py
@@ -15,7 +15,8 @@
 from gypsumline.core.slot_gate import SlotGate
 from gypsumline.core.slot_table import SlotTable
 from properties import submission_walk
-from properties.submission_world import AgentNode, EntryNode, World
+from properties.submission_nodes import AgentNode, EntryNode
+from properties.submission_world import World
 
 WALKS = 50
 MUTANT_WALKS = 400
