--- a/gypsumline/core/job_effects.py
+++ b/gypsumline/core/job_effects.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from gypsumline.core.control import ControlRecord
 from gypsumline.core.effects import Decision, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
@@ -92,7 +93,9 @@
     )
 
 
-def placement_line(job: Job, assignment: Assignment, agent: Member) -> Decision:
+def placement_line(
+    job: Job, assignment: Assignment, agent: Member, record: ControlRecord
+) -> Decision:
     """Returns the log line of a placement."""
     return Decision(
         event="placed",
@@ -101,6 +104,8 @@
             "tasks": assignment.indexes,
             "agent": agent.member_id,
             "availability_zone": agent.availability_zone,
+            "revision": record.revision,
+            "configuration_version": record.configuration_version,
             "reason": assignment.reason,
             "candidates": assignment.candidates,
         },
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+from gypsumline.core.control import ControlRecord
 from gypsumline.core.effects import Answer, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
@@ -52,6 +53,7 @@
         self._settings = settings
         self._scheduler = scheduler
         self._kept = kept
+        self._record = ControlRecord()
         self._budget = RepeatBudget(settings)
         self._jobs: dict[str, Job] = {}
         self._bytes = 0
@@ -76,6 +78,11 @@
         """Ids of the connected agents."""
         return self._connected.keys()
 
+    def set_record(self, record: ControlRecord, now: float) -> None:
+        """Takes over a newer control record."""
+        self._record = record
+        self._scheduler.set_record(record, now)
+
     def find(self, key: str) -> Job | None:
         """Returns a running job."""
         return self._jobs.get(key)
@@ -294,7 +301,7 @@
         self._unplaced -= len(indexes)
         return [
             start_tasks(job, agent, indexes, now, backlog),
-            placement_line(job, assignment, agent),
+            placement_line(job, assignment, agent, self._record),
         ]
 
     def _on_result(
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -65,7 +65,7 @@
         """
         moved = self._ownership.set_record(record, ready_at, now, wall)
         self._recovery.hold(record.revision)
-        self._scheduler.set_record(record, now)
+        self._runner.set_record(record, now)
         self._parked.wake_all(now)
         effects = self._drop_moved_jobs(now) if moved else []
         return effects + self._ask_journals(now) + self._runner.place(now)
--- /dev/null
+++ b/gypsumline/core/slot_effects.py
@@ -0,0 +1,50 @@
+"""Refusals and log lines of an agent's slot table."""
+
+from __future__ import annotations
+
+from gypsumline.core.effects import Decision
+from gypsumline.core.messages import StartTasks
+from gypsumline.core.slot_queue import LiveTask
+from gypsumline.core.task import Reason, TaskResult, TaskStatus
+
+
+def refused_task(index: int, attempt: int, reason: Reason) -> TaskResult:
+    """Returns the proof that an attempt never starts."""
+    return TaskResult(
+        index=index, status=TaskStatus.REFUSED, reason=reason, attempt=attempt
+    )
+
+
+def refusal_line(task: LiveTask, reason: Reason, revision: int) -> Decision:
+    """Returns the log line of a task that goes back to its owner."""
+    return Decision(
+        event="start_refused",
+        fields={
+            "job": task.key,
+            "task": task.spec.index,
+            "attempt": task.attempt,
+            "owner": task.owner.member_id,
+            "revision": revision,
+            "reason": reason.value,
+        },
+    )
+
+
+def ignored_result_line(key: str, index: int) -> Decision:
+    """Returns the log line of a result for a task that doesn't run here."""
+    return Decision(
+        event="result_ignored",
+        fields={"job": key, "task": index, "reason": "not running here"},
+    )
+
+
+def ignored_start_line(message: StartTasks) -> Decision:
+    """Returns the log line of a start for an earlier incarnation."""
+    return Decision(
+        event="start_ignored",
+        fields={
+            "job": message.key,
+            "reason": "meant for another incarnation",
+            "agent_incarnation": message.agent_incarnation,
+        },
+    )
--- a/gypsumline/core/slot_table.py
+++ b/gypsumline/core/slot_table.py
@@ -21,6 +21,12 @@
     WithdrawTasks,
 )
 from gypsumline.core.outbox import Outbox
+from gypsumline.core.slot_effects import (
+    ignored_result_line,
+    ignored_start_line,
+    refusal_line,
+    refused_task,
+)
 from gypsumline.core.slot_gate import SlotGate
 from gypsumline.core.slot_queue import LiveTask, Place, SlotQueue
 from gypsumline.core.slot_settings import Announcement, SlotSettings
@@ -45,6 +51,7 @@
         self._journal = Journal(me.incarnation, settings)
         self._outbox = Outbox(settings.results_delay)
         self._tasks = SlotQueue()
+        self._lines: list[Decision] = []
         self._fresh = False
         self._foreign = ForeignRefusals(settings)
         self._backlogged: set[str] = set()  # entries with waiting tasks
@@ -124,7 +131,7 @@
         """
         task = self._tasks.find(key, result.index)
         if task is None or task.place is not Place.RUNNING:
-            return [_ignored(key, result.index)]
+            return [ignored_result_line(key, result.index)]
         if result.status is TaskStatus.REFUSED:
             self._return(task, result.reason, now)
             return self._advance(now)
@@ -172,7 +179,7 @@
         self, sender: Member, message: StartTasks, now: float
     ) -> list[Effect]:
         if message.agent_incarnation != self._me.incarnation:
-            return [_wrong_incarnation(message)]
+            return [ignored_start_line(message)]
         if not self._gate.is_owner(sender, message.key):
             return self._refuse_foreign(sender, message, now)
         if message.backlog:
@@ -317,7 +324,7 @@
             if known is not None and known.state is not TaskState.WITHDRAWN:
                 continue
             if self._foreign.add(sender, message.key, index, attempt, now):
-                refused.append(_refusal(index, attempt, Reason.NOT_OWNER))
+                refused.append(refused_task(index, attempt, Reason.NOT_OWNER))
         if not refused:
             return []
         return [self._results_message(sender.member_id, message.key, refused)]
@@ -328,14 +335,15 @@
             self._send_refusal(task, reason, now)
 
     def _send_refusal(self, task: LiveTask, reason: Reason, now: float) -> None:
-        result = _refusal(task.spec.index, task.attempt, reason)
+        result = refused_task(task.spec.index, task.attempt, reason)
         self._outbox.add(task.owner.member_id, task.key, result, True, now)
 
     def _return(self, task: LiveTask, reason: Reason, now: float) -> None:
         """Gives a task back that was queued or provably never started."""
         self._tasks.remove(task)
+        self._lines.append(refusal_line(task, reason, self._gate.revision))
         self._journal.withdraw(task.key, task.spec.index, task.attempt, now)
-        result = _refusal(task.spec.index, task.attempt, reason)
+        result = refused_task(task.spec.index, task.attempt, reason)
         self._report(task.owner, task.key, result, True, now)
 
     def _report(
@@ -360,7 +368,8 @@
         return self._advance(now)
 
     def _advance(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
+        effects: list[Effect] = list(self._lines)
+        self._lines.clear()
         while self._fresh and self._tasks.queued and self._free() > 0:
             task = self._tasks.reserve_next()
             effects.append(
@@ -441,27 +450,3 @@
                 sender, self._journal, self._gate, self._settings
             )
         return effects
-
-
-def _refusal(index: int, attempt: int, reason: Reason) -> TaskResult:
-    return TaskResult(
-        index=index, status=TaskStatus.REFUSED, reason=reason, attempt=attempt
-    )
-
-
-def _ignored(key: str, index: int) -> Decision:
-    return Decision(
-        event="result_ignored",
-        fields={"job": key, "task": index, "reason": "not running here"},
-    )
-
-
-def _wrong_incarnation(message: StartTasks) -> Decision:
-    return Decision(
-        event="start_ignored",
-        fields={
-            "job": message.key,
-            "reason": "meant for another incarnation",
-            "agent_incarnation": message.agent_incarnation,
-        },
-    )
