Hand answers over while the last jobs still run

A job of 60 s would otherwise outlast the 30 s of a planned stop, and the kept answers would be lost with it. A successor acknowledges only what it has room for.

--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -443,7 +443,9 @@
                 f"{job.done} of {len(job.attempts)} tasks were done at the "
                 f"deadline and {job.placed} were at agents"
             )
-            return failed(Outcome.FAILED_RAN, Reason.DEADLINE, detail)
+            return failed(
+                Outcome.FAILED_RAN, Reason.DEADLINE, detail, retry_after
+            )
         if not fresh:
             detail = "this owner has no fresh evidence that it still owns it"
             return failed(
--- a/gypsumline/core/kept_answers.py
+++ b/gypsumline/core/kept_answers.py
@@ -36,6 +36,9 @@
     def __len__(self) -> int:
         return len(self._answers)
 
+    def __contains__(self, key: str) -> bool:
+        return key in self._answers
+
     @property
     def size(self) -> int:
         """Bytes of the kept results."""
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -169,7 +169,7 @@
             effects = self._settle(message.key, fresh, now, wall)
             return effects + self._runner.place(now)
         if isinstance(message, JournalReport):
-            if not self._recovery.on_report(sender, message):
+            if not self._recovery.on_report(sender, message, self._knows):
                 return []
             self._parked.wake_all(now)
             effects = self._retry_parked(fresh, now, wall)
@@ -193,24 +193,28 @@
         effects += self._retry_parked(fresh, now, wall)
         self._kept.prune(now)
         self._recovery.prune(now, wall)
-        record = self._ownership.record
-        if self._leaving and record is not None and not self._is_busy():
-            effects += self._hand_over.send(self._kept, record, now)
+        effects += self._send_answers(now)
         return effects + self._runner.place(now)
 
     def leave(self, now: float, wall: float) -> list[Effect]:
-        """Finishes the running jobs, then hands the kept answers over.
+        """Hands the kept answers over, now and as running jobs end.
 
         Keys of the epochs that name this entry still run here, until it is
         removed from the record; new keys belong to the next epoch.
         """
         self._leaving = True
-        return self.tick(now, wall)
+        return self._send_answers(now)
 
     def is_drained(self) -> bool:
         """Whether this entry may be removed from the record."""
         return self._leaving and not self._is_busy() and self._hand_over.is_done
 
+    def _send_answers(self, now: float) -> list[Effect]:
+        record = self._ownership.record
+        if not self._leaving or record is None:
+            return []
+        return self._hand_over.send(self._kept, record, now)
+
     def _is_busy(self) -> bool:
         return bool(self._runner) or bool(self._parked)
 
@@ -441,11 +445,13 @@
     def _on_hand_over(
         self, sender: Member, message: HandOver, now: float, wall: float
     ) -> list[Effect]:
+        count = 0
         for item in message.answers:
-            if self._runner.find(item.key) is not None:
-                continue
-            self._kept.keep(item.key, item.digest, item.answer, now, wall)
-        count = len(message.answers)
+            if not self._kept.has_refusal_room:
+                break  # unacknowledged, so the sender keeps it meanwhile
+            count += 1
+            if self._runner.find(item.key) is None:
+                self._kept.keep(item.key, item.digest, item.answer, now, wall)
         line = Decision(
             event="answers_taken_over",
             fields={"from": sender.member_id, "count": count},
@@ -462,6 +468,9 @@
             self._settings.retry_after,
         )
 
+    def _knows(self, key: str) -> bool:
+        return self._runner.find(key) is not None or key in self._kept
+
     def _find_answer(self, key: str) -> JobAnswer:
         kept = self._kept.find(key)
         if kept is not None:
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/recovery.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gypsumline.core.effects import Effect, Send
 from gypsumline.core.identity import Member
@@ -119,15 +119,31 @@
             effects.append(Send(to=agent_id, message=query))
         return effects
 
-    def on_report(self, agent: Member, report: JournalReport) -> bool:
-        """Takes in one part; returns whether the report is complete now."""
+    def on_report(
+        self,
+        agent: Member,
+        report: JournalReport,
+        is_known: Callable[[str], bool],
+    ) -> bool:
+        """Takes in one part.
+
+        Args:
+          agent: The agent that sent it.
+          report: The part.
+          is_known: Whether this owner runs or has answered a key; its tasks
+            are not kept.
+
+        Returns:
+          Whether the report is complete now.
+        """
         journal = self._journals.get(agent.member_id)
         if journal is None or journal.member.incarnation != agent.incarnation:
             return False
         if report.owner_incarnation != self._me.incarnation:
             return False
         for entry in report.entries:
-            self._add(agent, entry)
+            if not is_known(entry.key):
+                self._add(agent, entry)
         if report.part != journal.parts:
             return False
         journal.parts += 1
