--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+from gypsumline.core.control import ControlRecord
 from gypsumline.core.effects import Answer, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
@@ -52,6 +53,7 @@
         self._settings = settings
         self._scheduler = scheduler
         self._kept = kept
+        self._record = ControlRecord()
         self._budget = RepeatBudget(settings)
         self._jobs: dict[str, Job] = {}
         self._bytes = 0
@@ -76,6 +78,11 @@
         """Ids of the connected agents."""
         return self._connected.keys()
 
+    def set_record(self, record: ControlRecord, now: float) -> None:
+        """Takes over a newer control record."""
+        self._record = record
+        self._scheduler.set_record(record, now)
+
     def find(self, key: str) -> Job | None:
         """Returns a running job."""
         return self._jobs.get(key)
@@ -239,7 +246,7 @@
         effects += self._repeat_silent(now, wall)
         if now - self._pruned_at >= _PRUNE_INTERVAL:
             self._pruned_at = now
-            self._leftovers.prune(now)
+            self._forget_leftovers(now)
         return effects
 
     def end(
@@ -294,7 +301,7 @@
         self._unplaced -= len(indexes)
         return [
             start_tasks(job, agent, indexes, now, backlog),
-            placement_line(job, assignment, agent),
+            placement_line(job, assignment, agent, self._record),
         ]
 
     def _on_result(
@@ -373,6 +380,13 @@
             effects.append(withdraw_tasks(job, place, [index], cancel=True))
         return effects
 
+    def _forget_leftovers(self, now: float) -> None:
+        """Gives up tasks that no agent reports, so that no slot leaks."""
+        for key, index, left in self._leftovers.take_expired(now):
+            result = lost_task(index, left.attempt)
+            agent_id = left.agent.member_id
+            self._scheduler.finish_task(agent_id, key, result, now)
+
     def _on_leftover(
         self, agent: Member, key: str, result: TaskResult, now: float
     ) -> None:
@@ -429,7 +443,9 @@
                 f"{job.done} of {len(job.attempts)} tasks were done at the "
                 f"deadline and {job.placed} were at agents"
             )
-            return failed(Outcome.FAILED_RAN, Reason.DEADLINE, detail)
+            return failed(
+                Outcome.FAILED_RAN, Reason.DEADLINE, detail, retry_after
+            )
         if not fresh:
             detail = "this owner has no fresh evidence that it still owns it"
             return failed(
--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -11,12 +11,15 @@
 import sys
 import time
 
+from gypsumline.core.messages import StartTasks
 from gypsumline.core.task import Reason, TaskStatus
 from gypsumline.core.task_scheduler import Admission
 from properties.submission_world import World
 
-HEAL_STEP = 0.25  # seconds
-HEAL_TIME = 30.0  # seconds: above the longest deadline of a walk
+HEAL_STEP = 0.5  # seconds
+# The longest deadline, the same time again after which the owner gives up a
+# task that no agent reports, and the interval at which it looks for those.
+HEAL_TIME = 15.0 + 15.0 + 5.0 + 1.0  # seconds
 
 
 def submit_new(world, rng):
@@ -31,18 +34,13 @@
 
 
 def submit_again(world, rng):
+    """The same body, or another one under the same key."""
     if world.bodies:
         key = rng.choice(list(world.bodies)[-8:])
-        world.submit(rng.choice(world.entries()), rng.choice(world.bodies[key]))
-
-
-def submit_conflict(world, rng):
-    if world.bodies:
-        key = rng.choice(list(world.bodies)[-4:])
         bodies = world.bodies[key]
-        if len(bodies) == 1:
+        if len(bodies) == 1 and rng.random() < 0.2:
             bodies.append((key, b"body1", bodies[0][2]))
-        world.submit(rng.choice(world.entries()), bodies[-1])
+        world.submit(rng.choice(world.entries()), rng.choice(bodies))
 
 
 def cancel(world, rng):
@@ -60,9 +58,15 @@
 
 
 def duplicate(world, rng):
+    """Copies of starts matter most: one that is late must not start again."""
     waiting = world.waiting()
+    starts = [
+        (link, receiver)
+        for link, receiver in waiting
+        if isinstance(link.queues[receiver][1][0], StartTasks)
+    ]
     if waiting:
-        world.duplicate(*rng.choice(waiting))
+        world.duplicate(*rng.choice(starts or waiting))
 
 
 def withdraw(world, rng):
@@ -75,6 +79,18 @@
             entry.owner._scheduler.to_withdraw.append(item)
 
 
+def cut_zone(world, rng):
+    """Takes out a zone whose agents don't hear of it."""
+    zone = rng.choice(("a", "b", "c"))
+    world.set_zone(zone, out=True)
+    for agent in world.agents():
+        agent.cut = agent.cut or agent.member.availability_zone == zone
+    for _ in range(4):
+        world.advance(0.6)
+        deliver(world, rng)
+        execute(world, rng)
+
+
 def execute(world, rng):
     agent = rng.choice(world.agents())
     for _ in range(rng.randint(1, 3)):
@@ -100,14 +116,11 @@
         finish(world, rng)
 
 
-def toggle_pause(world, rng):
-    node = rng.choice(list(world.nodes.values()))
-    node.paused = not node.paused
-
-
-def toggle_evidence(world, rng):
+def toggle(world, rng):
+    """Pauses a process, takes its evidence away, or ends either."""
     node = rng.choice(list(world.nodes.values()))
-    node.cut = not node.cut
+    name = rng.choice(("paused", "cut"))
+    setattr(node, name, not getattr(node, name))
 
 
 def resume_all(world, rng):
@@ -121,45 +134,35 @@
     world.connect_all()
 
 
-def block_link(world, rng):
-    if world.links:
-        link = rng.choice(world.links)
+def change_link(world, rng):
+    """Blocks one direction of a connection, or breaks it."""
+    link = rng.choice(world.links)
+    if rng.random() < 0.4:
         link.blocked.add(rng.choice(link.ends))
-
-
-def break_link(world, rng):
-    alive = [link for link in world.links if link.alive]
-    if alive:
-        link = rng.choice(alive)
+    elif link.alive:
         world.disconnect(link)
         if rng.random() < 0.7:
             world.connect(*link.ends)
 
 
-def restart_agent(world, rng):
-    world.restart(rng.choice(world.agents()).member.member_id)
-
-
 def lose_entry(world, rng):
     """Removes an entry that is dead, or only paused or cut off."""
     node = rng.choice(world.entries())
-    member_id = node.member.member_id
+    world.remove_entry(node)
     how = rng.choice(("dead", "paused", "cut"))
     if how == "dead":
-        world.remove_entry(member_id)
-        world.restart(member_id)
+        world.restart(node)
     else:
         node.paused = how == "paused"
         node.cut = True
-        world.remove_entry(member_id)
 
 
 def take_over(world, rng):
     """Cuts an owner off, and sends its keys to the others after the fence."""
-    node = rng.choice(world.entries())
+    node = max(world.entries(), key=lambda e: e.owner._runner._unplaced)
     node.cut = True
     keys = list(world.bodies)[-10:]
-    world.remove_entry(node.member.member_id)
+    world.remove_entry(node)
     for _ in range(4):
         world.advance(0.6)
         deliver(world, rng)
@@ -176,18 +179,19 @@
     scheduler.refusal = None if scheduler.refusal else refusal
 
 
-def join_entry(world, rng):
-    world.join_entry(rng.choice(world.entries()).member.member_id)
-
-
-def leave_entry(world, rng):
-    world.leave_entry(rng.choice(world.entries()).member.member_id)
-
-
-def remove_drained(world, rng):
-    for node in world.entries():
-        if node.runs and node.owner.is_drained():
-            world.remove_entry(node.member.member_id)
+def change_members(world, rng):
+    entry, agent = rng.choice(world.entries()), rng.choice(world.agents())
+    choice = rng.randrange(8)
+    if choice < 4:
+        world.join_entry(entry)
+    elif choice < 6:
+        world.leave_entry(entry)
+    elif choice == 6:
+        world.leave_agent(agent)
+    else:
+        world.restart(agent)
+    if rng.random() < 0.6:
+        world.replace_drained()
 
 
 def change_zone(world, rng):
@@ -196,29 +200,24 @@
 
 ACTIONS = {
     submit_new: 10,
-    submit_again: 6,
-    submit_conflict: 2,
+    submit_again: 8,
     cancel: 2,
     deliver: 16,
-    duplicate: 4,
-    withdraw: 3,
+    duplicate: 8,
+    withdraw: 5,
     execute: 12,
     finish: 12,
     advance: 10,
     run_on: 9,
-    toggle_pause: 2,
-    toggle_evidence: 2,
+    toggle: 4,
     resume_all: 4,
-    block_link: 2,
-    break_link: 3,
-    restart_agent: 1,
+    change_link: 5,
     lose_entry: 1,
     take_over: 1,
     toggle_overload: 1,
-    join_entry: 3,
-    leave_entry: 1,
-    remove_drained: 2,
+    change_members: 6,
     change_zone: 2,
+    cut_zone: 1,
 }
 
 
@@ -232,8 +231,11 @@
         resume_all(world, rng)
         world.advance(HEAL_STEP)
         for _ in range(40):
-            for link, receiver in world.waiting():
+            waiting = world.waiting()
+            for link, receiver in waiting:
                 world.deliver(link, receiver)
+            if not waiting:
+                break
         for agent in world.agents():
             for _ in range(4):
                 world.execute(agent, 0)
@@ -264,13 +266,13 @@
 
 
 def walk(seed, steps):
-    """Returns the world after one walk, and what is unfinished in it."""
+    """Returns the world after one walk."""
     rng = random.Random(seed)
     world = World(seed, entries=rng.choice((2, 3)), agents=rng.choice((2, 4)))
     actions, weights = list(ACTIONS), list(ACTIONS.values())
     for action in rng.choices(actions, weights, k=steps):
         action(world, rng)
-    return world, heal(world)
+    return world
 
 
 def run_walks(seed, walks, steps):
@@ -278,7 +280,8 @@
     found = []
     counts = collections.Counter()
     for number in range(seed, seed + walks):
-        world, unfinished = walk(number, steps)
+        world = walk(number, steps)
+        unfinished = heal(world)
         violations = world.oracle.violations + unfinished
         found += [f"seed {number}: {text}" for text in violations]
         counts.update(world.oracle.counts)
