End a stop at the second signal and keep timers alive

Cause: after a second signal, or at the stop limit, the HTTP server still waited up to the stop limit for open requests, and only counts were logged. A fault in one timer callback ended all timers of the process without a line.

Change: the second signal ends the pause, the drain and the wait of the HTTP server; the keys or tasks that are cut are logged, up to 100. The timer task is started again after a logged fault.

--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -104,6 +104,11 @@
         starts = list(self._runs.values())[:_CUT_TASKS_LISTED]
         return [f"{start.key}/{start.task.index}" for start in starts]
 
+    @property
+    def running_count(self) -> int:
+        """Number of tasks at the executor."""
+        return len(self._runs)
+
     def attach(self, hub: Hub) -> None:
         """Sets where messages go."""
         self._hub = hub
--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -37,7 +37,7 @@
 
 async def _serve(settings: AgentSettings) -> int:
     signals = StopSignals()
-    async with _running_node(settings) as node:
+    async with _running_node(settings, signals) as node:
         await signals.wait()
         _LOGGER.info("planned stop begins")
         node.begin_leave()
@@ -45,14 +45,17 @@
             lambda: node.is_drained, settings.stop_limit
         )
         if not drained:
-            cut = {"tasks": node.running}
+            cut = {"tasks": node.running, "count": node.running_count}
             _LOGGER.warning("planned stop cuts work", extra=cut)
+            signals.cut()
     _LOGGER.info("planned stop ends")
     return 0
 
 
 @contextlib.asynccontextmanager
-async def _running_node(settings: AgentSettings) -> AsyncIterator[AgentNode]:
+async def _running_node(
+    settings: AgentSettings, signals: StopSignals
+) -> AsyncIterator[AgentNode]:
     rng = random.Random(settings.seed or None)
     me = Member(
         member_id=settings.member_id,
@@ -79,6 +82,7 @@
             settings.host,
             settings.http_port,
             settings.stop_limit,
+            signals,
         )
         await stack.enter_async_context(server)
         _LOGGER.info("agent serves", extra={"http_port": settings.http_port})
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -213,6 +213,11 @@
         """Jobs without an answer."""
         return len(self._runner)
 
+    @property
+    def open_keys(self) -> list[str]:
+        """Keys of the jobs without an answer."""
+        return self._runner.running_keys()
+
     def is_drained(self) -> bool:
         """Whether this entry may be removed from the record."""
         record = self._ownership.record
--- a/gypsumline/core/router.py
+++ b/gypsumline/core/router.py
@@ -79,6 +79,11 @@
         """Requests without an answer."""
         return len(self._pending)
 
+    @property
+    def pending_keys(self) -> list[str]:
+        """Keys of the requests without an answer."""
+        return [p.request.key for p in self._pending.values()]
+
     def new_request_id(self) -> int:
         """Returns a number for the next request."""
         self._next_id += 1
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -156,6 +156,16 @@
         """Callers' requests without an answer."""
         return self._router.pending_count
 
+    @property
+    def pending_keys(self) -> list[str]:
+        """Keys of the requests without an answer."""
+        return self._router.pending_keys
+
+    @property
+    def open_keys(self) -> list[str]:
+        """Keys of the jobs of this owner without an answer."""
+        return self._machines.owner.open_keys
+
     @property
     def open_jobs(self) -> int:
         """Jobs of this owner without an answer."""
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import logging
 import random
@@ -36,6 +35,7 @@
 OWNER_TICK_SECONDS = 0.02
 # The balancer needs this long to see that the entry is not ready.
 BALANCER_NOTICE_SECONDS = 1.0
+_CUT_KEYS_LISTED = 100
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -48,11 +48,11 @@
 
 async def _serve(settings: EntrySettings) -> int:
     signals = StopSignals()
-    async with _running_node(settings) as node:
+    async with _running_node(settings, signals) as node:
         await signals.wait()
         _LOGGER.info("planned stop begins")
         node.begin_leave()
-        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        await signals.pause(BALANCER_NOTICE_SECONDS)
         await _drain(node, signals, settings.stop_limit)
     _LOGGER.info("planned stop ends")
     return 0
@@ -61,7 +61,7 @@
 async def _drain(node: EntryNode, signals: StopSignals, limit: float) -> None:
     end = boot_time() + limit
     if not await signals.drain(lambda: node.is_drained, limit):
-        _log_cut(node)
+        _cut(node, signals)
         return
     node.depart()
     left = max(0.0, end - boot_time())
@@ -71,16 +71,24 @@
     # Requests that this entry only forwards go on until they are answered.
     left = max(0.0, end - boot_time())
     if not await signals.drain(lambda: node.pending_requests == 0, left):
-        _log_cut(node)
+        _cut(node, signals)
 
 
-def _log_cut(node: EntryNode) -> None:
-    cut = {"requests": node.pending_requests, "jobs": node.open_jobs}
+def _cut(node: EntryNode, signals: StopSignals) -> None:
+    cut = {
+        "requests": node.pending_requests,
+        "request_keys": node.pending_keys[:_CUT_KEYS_LISTED],
+        "jobs": node.open_jobs,
+        "job_keys": node.open_keys[:_CUT_KEYS_LISTED],
+    }
     _LOGGER.warning("planned stop cuts work", extra=cut)
+    signals.cut()
 
 
 @contextlib.asynccontextmanager
-async def _running_node(settings: EntrySettings) -> AsyncIterator[EntryNode]:
+async def _running_node(
+    settings: EntrySettings, signals: StopSignals
+) -> AsyncIterator[EntryNode]:
     rng = random.Random(settings.seed or None)
     me = _member(settings)
     node = EntryNode(
@@ -99,7 +107,11 @@
         _subscribe(timers, node)
         app = entry_app(node, settings, ConfigurationHttp(node, table))
         server = running_http_server(
-            app, settings.host, settings.http_port, settings.stop_limit
+            app,
+            settings.host,
+            settings.http_port,
+            settings.stop_limit,
+            signals,
         )
         await stack.enter_async_context(server)
         _LOGGER.info("entry serves", extra={"http_port": settings.http_port})
--- a/gypsumline/runtime/http_server.py
+++ b/gypsumline/runtime/http_server.py
@@ -12,6 +12,8 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
+from gypsumline.runtime.stop import StopSignals
+
 _START_POLL_SECONDS = 0.01
 _KEEP_ALIVE_SECONDS = 30
 
@@ -26,12 +28,16 @@
 
 @contextlib.asynccontextmanager
 async def running_http_server(
-    app: Starlette, host: str, port: int, stop_limit: float
+    app: Starlette,
+    host: str,
+    port: int,
+    stop_limit: float,
+    signals: StopSignals | None = None,
 ) -> AsyncIterator[uvicorn.Server]:
     """Yields a server that accepts connections.
 
     On exit it closes idle connections, waits up to `stop_limit` seconds for
-    requests in progress and then ends.
+    requests in progress, but not beyond a second signal, and then ends.
     """
     config = uvicorn.Config(
         app,
@@ -54,7 +60,20 @@
         yield server
     finally:
         server.should_exit = True
-        await task
+        await _end(server, task, signals)
+
+
+async def _end(
+    server: uvicorn.Server,
+    task: asyncio.Task[None],
+    signals: StopSignals | None,
+) -> None:
+    if signals is not None:
+        cut = asyncio.create_task(signals.wait_for_cut())
+        await asyncio.wait({task, cut}, return_when=asyncio.FIRST_COMPLETED)
+        server.force_exit = signals.is_cut
+        cut.cancel()
+    await task
 
 
 async def metrics_response(request: Request) -> Response:
--- a/gypsumline/runtime/stop.py
+++ b/gypsumline/runtime/stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import Callable
 
@@ -21,10 +22,30 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._count)
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether a second signal asks to end at once."""
+        return self._second.is_set()
+
+    async def wait_for_cut(self) -> None:
+        """Returns at the second signal."""
+        await self._second.wait()
+
     async def wait(self) -> None:
         """Returns at the first signal."""
         await self._first.wait()
 
+    def cut(self) -> None:
+        """Ends what is in progress, as a second signal does."""
+        self._first.set()
+        self._second.set()
+
+    async def pause(self, seconds: float) -> None:
+        """Waits, but not beyond a second signal."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._second.wait()
+
     async def drain(self, is_drained: Callable[[], bool], limit: float) -> bool:
         """Waits until drained; False at a second signal or at the limit."""
         end = boot_time() + limit
--- a/gypsumline/runtime/timers.py
+++ b/gypsumline/runtime/timers.py
@@ -7,10 +7,13 @@
 import dataclasses
 import heapq
 import itertools
+import logging
 from collections.abc import AsyncIterator, Callable
 
 Callback = Callable[[], None]
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True)
 class Subscription:
@@ -80,14 +83,43 @@
             subscription.callback()
 
 
+class _Supervisor:
+    """Keeps the task of a timer service alive.
+
+    A callback that raises must not end all timers: the process would go on
+    without heartbeats, deadlines and evidence.
+    """
+
+    def __init__(self, service: TimerService) -> None:
+        self._service = service
+        self._is_closed = False
+        self.start()
+
+    def start(self) -> None:
+        """Starts the task."""
+        self.task = asyncio.create_task(self._service.run(), name="timers")
+        self.task.add_done_callback(self._on_ended)
+
+    async def close(self) -> None:
+        """Ends the task."""
+        self._is_closed = True
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def _on_ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        _LOGGER.error("a timer callback failed", exc_info=task.exception())
+        if not self._is_closed:
+            self.start()
+
+
 @contextlib.asynccontextmanager
 async def running_timers() -> AsyncIterator[TimerService]:
     """Yields a timer service whose task runs inside the context."""
     service = TimerService()
-    task = asyncio.create_task(service.run(), name="timers")
+    supervisor = _Supervisor(service)
     try:
         yield service
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        await supervisor.close()
