Check the answers of the platform's table at the border

Cause: an answer of another shape, or a record that can't be read, ended the task without a result, so the poll that waited for it never ended. Redirected writes were followed, and a conflict did not tell what the write expected.

Change: bodies are checked against their shape and end as TableUnavailableError; nothing is redirected. Writes are sent once, which a test counts at the stand-in; outages, rate limits and slow answers end within the time limit.

--- a/gypsumline/entry/table_task.py
+++ b/gypsumline/entry/table_task.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
-from typing import cast
+from typing import TypeVar, cast
 
 import msgspec
 
@@ -24,6 +25,9 @@
 CONFIGURATION_PREFIX = "configuration/"
 HISTORY_LIMIT = 200
 
+_Model = TypeVar("_Model")
+_LOGGER = logging.getLogger(__name__)
+
 Listener = Callable[[TableReadResult | TableWriteResult], None]
 
 
@@ -83,7 +87,9 @@
         asked_at = boot_time()
         try:
             row = await self._table.read(CONTROL_KEY)
-        except TableUnavailableError:
+            record = _control_record(row)
+        except TableUnavailableError as error:
+            _LOGGER.debug("read failed", extra={"detail": str(error)})
             self._listener(
                 TableReadResult(
                     read_id=effect.read_id, ok=False, asked_at=asked_at
@@ -95,7 +101,7 @@
                 read_id=effect.read_id,
                 ok=True,
                 asked_at=asked_at,
-                record=_control_record(row),
+                record=record,
                 write_token=row.write_token if row is not None else "",
             )
         )
@@ -112,13 +118,22 @@
 
 
 def _control_record(row: Row | None) -> ControlRecord | None:
-    if row is None:
-        return None
-    return msgspec.convert(row.value, ControlRecord)
+    return None if row is None else _convert(row, ControlRecord)
 
 
 def _configuration_row(row: Row) -> ConfigurationRow:
-    return msgspec.convert(row.value, ConfigurationRow)
+    return _convert(row, ConfigurationRow)
+
+
+def _convert(row: Row, model: type[_Model]) -> _Model:
+    try:
+        return msgspec.convert(row.value, model)
+    except msgspec.ValidationError as error:
+        _LOGGER.error(
+            "row is not readable",
+            extra={"key": row.key, "detail": str(error)},
+        )
+        raise TableUnavailableError(f"row {row.key}: {error}") from error
 
 
 def _row_writes(effect: WriteTable) -> tuple[RowWrite, ...]:
--- a/gypsumline/platform/http_table.py
+++ b/gypsumline/platform/http_table.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import http
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
+import msgspec
 
 from gypsumline.core.errors import TableConflictError, TableUnavailableError
 from gypsumline.platform.table import Row, RowWrite, table_backend
@@ -14,6 +15,28 @@
 OPERATION_TIMEOUT_SECONDS = 1.0
 
 
+class _RowBody(msgspec.Struct):
+    version: int
+    value: Any
+    write_token: str
+
+
+class _ListedRow(_RowBody, kw_only=True):
+    key: str
+
+
+class _RowList(msgspec.Struct):
+    rows: list[_ListedRow]
+
+
+class _Conflict(msgspec.Struct):
+    key: str
+    version: int
+
+
+_Body = TypeVar("_Body")
+
+
 @table_backend("http")
 @table_backend("https")
 class HttpTable:
@@ -28,18 +51,30 @@
         status, body = await self._call("GET", f"/table/{key}")
         if status == http.HTTPStatus.NOT_FOUND:
             return None
-        _require(status, http.HTTPStatus.OK, "read")
-        return _row(key, body)
+        _require(status, "read")
+        return _parse_row(key, body)
 
     async def list_rows(self, prefix: str, limit: int) -> tuple[Row, ...]:
         """Returns the rows whose key has a prefix, newest first."""
         path = f"/table?prefix={prefix}&limit={limit}"
         status, body = await self._call("GET", path)
-        _require(status, http.HTTPStatus.OK, "list")
-        return tuple(_row(item["key"], item) for item in body["rows"])
+        _require(status, "list")
+        rows = _parse(_RowList, body, "list").rows
+        return tuple(
+            Row(
+                key=row.key,
+                version=row.version,
+                value=row.value,
+                write_token=row.write_token,
+            )
+            for row in rows
+        )
 
     async def write(self, writes: tuple[RowWrite, ...]) -> None:
-        """Writes all rows or none."""
+        """Writes all rows or none.
+
+        It is sent once: a second request could meet the first one's effect.
+        """
         items = [
             {
                 "key": write.key,
@@ -53,12 +88,12 @@
             "POST", "/transactions", {"writes": items}
         )
         if status == http.HTTPStatus.CONFLICT:
+            conflict = _parse(_Conflict, body, "write")
+            expected = {w.key: w.expected_version for w in writes}
             raise TableConflictError(
-                str(body.get("key")),
-                int(body.get("expected_version", -1)),
-                int(body.get("version", -1)),
+                conflict.key, expected.get(conflict.key, -1), conflict.version
             )
-        _require(status, http.HTTPStatus.OK, "write")
+        _require(status, "write")
 
     async def close(self) -> None:
         """Frees the connections."""
@@ -67,16 +102,16 @@
 
     async def _call(
         self, method: str, path: str, body: object = None
-    ) -> tuple[int, Any]:
+    ) -> tuple[int, bytes]:
         kind = method.lower()
         try:
             session = self._open_session()
             async with session.request(
-                method, self._url + path, json=body
+                method, self._url + path, json=body, allow_redirects=False
             ) as response:
-                answer = await response.json()
+                answer = await response.read()
                 status = response.status
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             metrics.TABLE_OPERATIONS.labels(kind, "no_answer").inc()
             raise TableUnavailableError(
                 f"{method} {path.partition('?')[0]}: {type(error).__name__}"
@@ -87,19 +122,31 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=OPERATION_TIMEOUT_SECONDS)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = aiohttp.ClientSession(
+                timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
+            )
         return self._session
 
 
-def _require(status: int, expected: int, operation: str) -> None:
-    if status not in (expected, http.HTTPStatus.CREATED):
+def _require(status: int, operation: str) -> None:
+    if status not in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
         raise TableUnavailableError(f"{operation} answered status {status}")
 
 
-def _row(key: str, body: dict[str, Any]) -> Row:
+def _parse(model: type[_Body], body: bytes, operation: str) -> _Body:
+    try:
+        return msgspec.json.decode(body, type=model)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise TableUnavailableError(
+            f"{operation} answered an invalid body: {error}"
+        ) from error
+
+
+def _parse_row(key: str, body: bytes) -> Row:
+    row = _parse(_RowBody, body, "read")
     return Row(
         key=key,
-        version=body["version"],
-        value=body["value"],
-        write_token=body["write_token"],
+        version=row.version,
+        value=row.value,
+        write_token=row.write_token,
     )
