Use or remove every setting

Cause: http_request_limit, send_queue_limit, mailbox_limit and waiting_tasks_limit changed nothing, and a drawn seed was not logged.

Change: http_request_limit bounds the open requests under /v1/jobs with a 503 problem and Retry-After. The other three are removed with their help: the send buffer is bounded in bytes, there is no mailbox, and admission bounds waiting tasks by deadlines. The seed is logged.

--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import logging
-import random
 from collections.abc import AsyncIterator
 
 import uvloop
@@ -19,6 +18,7 @@
 from gypsumline.runtime.clock import new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import running_timers
 from gypsumline.wire.hub import running_hub
@@ -56,7 +56,7 @@
 async def _running_node(
     settings: AgentSettings, signals: StopSignals
 ) -> AsyncIterator[AgentNode]:
-    rng = random.Random(settings.seed or None)
+    rng = make_random(settings.seed)
     me = Member(
         member_id=settings.member_id,
         incarnation=new_incarnation(),
--- a/gypsumline/cli/settings.py
+++ b/gypsumline/cli/settings.py
@@ -165,15 +165,6 @@
     stop_limit: Seconds = _setting(
         "Timing", "SECONDS", "Longest time for a planned stop.", default=30.0
     )
-    send_queue_limit: Count = _setting(
-        "Limits", "COUNT", "Messages waiting per connection.", default=10_000
-    )
-    mailbox_limit: Count = _setting(
-        "Limits",
-        "COUNT",
-        "Inputs waiting for the deciding task.",
-        default=10_000,
-    )
     log_level: LogLevel = _setting(
         "Logging",
         "LEVEL",
@@ -234,9 +225,6 @@
         "How tasks are placed: " + ", ".join(PlacementPolicy) + ".",
         default=PlacementPolicy.EARLIEST_FINISH,
     )
-    waiting_tasks_limit: Count = _setting(
-        "Limits", "COUNT", "Unplaced tasks at this entry.", default=100_000
-    )
     http_request_limit: Count = _setting(
         "Limits", "COUNT", "Open requests of callers.", default=20_000
     )
--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -43,6 +43,8 @@
 
 # The owner answers at the deadline; its answer needs a moment to arrive.
 _WAIT_GRACE_S = 0.05
+_JOBS_PATH = "/v1/jobs"
+_RETRY_AFTER_SECONDS = 1
 
 
 class JobHttp:
@@ -145,6 +147,45 @@
         )
 
 
+class _RequestLimit:
+    """Refuses callers' requests at once when too many are open."""
+
+    def __init__(self, app: ASGIApp, limit: int) -> None:
+        self._app = app
+        self._limit = limit
+        self._open = 0
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        is_job = str(scope.get("path", "")).startswith(_JOBS_PATH)
+        if scope["type"] != "http" or not is_job:
+            await self._app(scope, receive, send)
+            return
+        if self._open >= self._limit:
+            await self._refuse()(scope, receive, send)
+            return
+        self._open += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self._open -= 1
+
+    def _refuse(self) -> Response:
+        problem = make_problem(
+            503,
+            "too-many-requests",
+            "Too many open requests",
+            detail=f"{self._limit} requests are open, which is the limit",
+        )
+        return Response(
+            problem.body,
+            status_code=problem.status,
+            headers={"Retry-After": str(_RETRY_AFTER_SECONDS)},
+            media_type=PROBLEM_MEDIA_TYPE,
+        )
+
+
 class _CloseWhenLeaving:
     """Asks clients for a new connection once a planned stop has begun.
 
@@ -195,7 +236,10 @@
             Route("/readyz", ready),
             Route("/metrics", metrics_response),
         ],
-        middleware=[Middleware(_CloseWhenLeaving, node=node)],
+        middleware=[
+            Middleware(_CloseWhenLeaving, node=node),
+            Middleware(_RequestLimit, limit=settings.http_request_limit),
+        ],
         exception_handlers={
             GypsumlineError: _problem_response,
             InvalidInputGroup: _problem_response,
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -27,6 +27,7 @@
 from gypsumline.runtime.clock import boot_time, new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import TimerService, running_timers
 from gypsumline.wire.hub import Hub, running_hub
@@ -89,7 +90,7 @@
 async def _running_node(
     settings: EntrySettings, signals: StopSignals
 ) -> AsyncIterator[EntryNode]:
-    rng = random.Random(settings.seed or None)
+    rng = make_random(settings.seed)
     me = _member(settings)
     node = EntryNode(
         me,
--- a/gypsumline/tests/cli/test_settings.py
+++ b/gypsumline/tests/cli/test_settings.py
@@ -1,10 +1,15 @@
 """Tests of the settings."""
 
+import pathlib
+import re
+
 import pydantic
 import pytest
 
+import gypsumline
 from gypsumline.cli.setting_values import Origin
 from gypsumline.cli.settings import (
+    SETTINGS_BY_ROLE,
     AgentSettings,
     EntrySettings,
     effective_settings,
@@ -110,3 +115,17 @@
     )
     assert "seed is 'many' (from environment); allowed: a whole number" in texts
     assert any("evidence_ttl 4, heartbeat" in text for text in texts)
+
+
+def test_every_setting_is_used():
+    """Guards against a documented setting that changes nothing."""
+    root = pathlib.Path(gypsumline.__file__).parent
+    modules = [
+        path
+        for name in ("agent", "entry", "runtime", "wire")
+        for path in (root / name).glob("*.py")
+    ]
+    text = "".join(path.read_text() for path in modules)
+    for model in SETTINGS_BY_ROLE.values():
+        for name in model.model_fields:
+            assert re.search(rf"\bsettings\.{name}\b|\"{name}\"", text), name
--- a/gypsumline/tests/runtime/test_timers.py
+++ b/gypsumline/tests/runtime/test_timers.py
@@ -17,7 +17,7 @@
         timers.subscribe(0.01, fail)
         timers.subscribe(0.01, lambda: calls.append("other"))
         async with asyncio.timeout(5):
-            while min(calls.count("fail"), calls.count("other")) < 3:
+            while min(calls.count("fail"), calls.count("other")) < 3:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
 
@@ -28,6 +28,6 @@
         timers.subscribe(0.01, lambda: calls.append("gone")).cancel()
         timers.subscribe(0.02, lambda: calls.append("kept"))
         async with asyncio.timeout(5):
-            while not calls:
+            while not calls:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
     assert set(calls) == {"kept"}
