--- a/gypsumline/tests/test_documents.py
+++ b/gypsumline/tests/test_documents.py
@@ -1,5 +1,6 @@
 """Tests of the examples in the documents."""
 
+import dataclasses
 import json
 import pathlib
 import re
@@ -8,6 +9,7 @@
 from gypsumline.cli.main import app
 from gypsumline.core.configuration import Limits
 from gypsumline.core.configuration_text import parse_configuration
+from gypsumline.core.messages import MESSAGE_TYPES
 from gypsumline.entry.http_models import parse_job
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -45,3 +47,13 @@
     missing = [name for name in names if f"`gypsumline {name}" not in text]
     assert missing == []
     assert all(f"\n| {status.value} |" in text for status in ExitStatus)
+
+
+def test_messages_and_their_fields_are_listed():
+    """Guards against a message or a field without documentation."""
+    text = (ROOT / "docs/protocol.md").read_text(encoding="utf-8")
+    rows = dict(re.findall(r"^\| `(\w+)` \| [^|]+ \| ([^|]+) \|", text, re.M))
+    for name, message_type in MESSAGE_TYPES.items():
+        fields = [field.name for field in dataclasses.fields(message_type)]
+        listed = ", ".join(f"`{field}`" for field in fields) or "none"
+        assert rows[name] == listed
