--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import logging
-import random
 from collections.abc import AsyncIterator
 
 import uvloop
@@ -19,6 +18,7 @@
 from gypsumline.runtime.clock import new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import running_timers
 from gypsumline.wire.hub import running_hub
@@ -37,7 +37,7 @@
 
 async def _serve(settings: AgentSettings) -> int:
     signals = StopSignals()
-    async with _running_node(settings) as node:
+    async with _running_node(settings, signals) as node:
         await signals.wait()
         _LOGGER.info("planned stop begins")
         node.begin_leave()
@@ -45,15 +45,18 @@
             lambda: node.is_drained, settings.stop_limit
         )
         if not drained:
-            cut = {"tasks": node.running}
+            cut = {"tasks": node.running, "count": node.running_count}
             _LOGGER.warning("planned stop cuts work", extra=cut)
+            signals.cut()
     _LOGGER.info("planned stop ends")
     return 0
 
 
 @contextlib.asynccontextmanager
-async def _running_node(settings: AgentSettings) -> AsyncIterator[AgentNode]:
-    rng = random.Random(settings.seed or None)
+async def _running_node(
+    settings: AgentSettings, signals: StopSignals
+) -> AsyncIterator[AgentNode]:
+    rng = make_random(settings.seed)
     me = Member(
         member_id=settings.member_id,
         incarnation=new_incarnation(),
@@ -79,6 +82,7 @@
             settings.host,
             settings.http_port,
             settings.stop_limit,
+            signals,
         )
         await stack.enter_async_context(server)
         _LOGGER.info("agent serves", extra={"http_port": settings.http_port})
