Skip passes that could place nothing new

Cause: a finished task on a slow upstream set off a pass over all waiting tasks, although slow places had been free before. Change: a pass runs when tasks came, when a speed class got an earlier place than it had, or after 20 ms.

--- a/gypsumline/core/placement/earliest_finish.py
+++ b/gypsumline/core/placement/earliest_finish.py
@@ -63,14 +63,18 @@
     def begin(self, pools: list[Pool]) -> None:
         """Begins a pass over the unplaced tasks, first job first."""
         self._left = WAITING_LIMIT
-        self._options = {id(pool): self._options_in(pool) for pool in pools}
+        # Made when a task is weighed: many passes place none.
+        self._options.clear()
 
     def choose(self, pools: list[Pool], work: float) -> AgentView | None:
         """Returns an agent for a task, or None if it should wait."""
         best: _Option | None = None
         best_finish = math.inf
         for pool in pools:
-            for option in self._options[id(pool)]:
+            options = self._options.get(id(pool))
+            if options is None:
+                options = self._options[id(pool)] = self._options_in(pool)
+            for option in options:
                 finish = option.wait + work * option.seconds_per_work
                 if finish < best_finish:
                     best, best_finish = option, finish
@@ -87,7 +91,7 @@
     def placed(self, pools: list[Pool], agent: AgentView) -> None:
         """Takes note that the agent got the task."""
         for pool in pools:
-            for option in self._options[id(pool)]:
+            for option in self._options.get(id(pool), ()):
                 if option.speed_class.index == agent.class_index:
                     level = option.speed_class.first_level()
                     option.wait = self._wait(option, level)
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -177,6 +177,8 @@
         this owner's part if all use the same.
       slots: Slots of the usable agents.
       placed: This owner's tasks at the usable agents.
+      has_news: Whether a speed class got a place that starts a task earlier
+        than all that it had; without it, tasks that wait keep waiting.
       typical_work: Mean run time at speed 1 of the latest tasks, in seconds.
     """
 
@@ -192,6 +194,7 @@
     typical_work: float = 0.3
     slots: int = 0
     placed: int = 0
+    has_news: bool = False
 
     def takes(self, kind: str) -> bool:
         """Returns whether the agents take a kind."""
@@ -290,7 +293,7 @@
             self.wake_at(agent, agent.ramp_until)
         agent.was_usable = usable
         pool = self._pool(agent) if usable else None
-        self._leave_class(agent)
+        old_level = self._leave_class(agent)
         old = self._pool_of.get(agent.agent_id)
         if old is not None and old is not pool:
             self._leave_pool(agent, old)
@@ -304,8 +307,7 @@
             return
         deepest = self._deepest_level(agent, pool)
         if level <= deepest or self._is_short(agent, pool):
-            agent.speed_class = speed_class
-            speed_class.add(agent, level)
+            self._enter_class(agent, speed_class, level, old_level)
             pool.ready_count += 1
 
     def _own_limit(self, agent: AgentView, now: float) -> float:
@@ -342,11 +344,29 @@
             self._by_service.setdefault(name[0], []).append(pool)
         return pool
 
-    def _leave_class(self, agent: AgentView) -> None:
-        if agent.speed_class is not None:
-            agent.speed_class.remove(agent)
+    def _enter_class(
+        self,
+        agent: AgentView,
+        speed_class: SpeedClass,
+        level: int,
+        old_level: tuple[SpeedClass | None, int],
+    ) -> None:
+        first = speed_class.first_level()
+        if first < 0 or level < first:
+            old_class, before = old_level
+            if old_class is not speed_class or level < before:
+                self._pool_of[agent.agent_id].has_news = True
+        agent.speed_class = speed_class
+        speed_class.add(agent, level)
+
+    def _leave_class(self, agent: AgentView) -> tuple[SpeedClass | None, int]:
+        """Takes an agent out of its class; returns where it was."""
+        speed_class = agent.speed_class
+        if speed_class is not None:
+            speed_class.remove(agent)
             agent.speed_class = None
             self._pool_of[agent.agent_id].ready_count -= 1
+        return speed_class, agent.level
 
     def _leave_pool(self, agent: AgentView, pool: Pool) -> None:
         self._subtract(pool, pool.usable.pop(agent.agent_id))
--- a/gypsumline/core/placement/job_queue.py
+++ b/gypsumline/core/placement/job_queue.py
@@ -6,6 +6,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -81,11 +82,18 @@
 
 
 class JobOrder:
-    """Jobs of one service by priority; changes of priority are lazy."""
+    """Jobs of one service by priority; changes of priority are lazy.
+
+    Attributes:
+      has_news: Whether tasks came since the last pass.
+      passed_at: When the last pass over the jobs was.
+    """
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, QueuedJob]] = []
         self._numbers = itertools.count(1)
+        self.has_news = False
+        self.passed_at = -math.inf
 
     def push(self, job: QueuedJob) -> None:
         """Adds a job, or a job whose priority has changed."""
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from gypsumline.core.admission import AdmissionControl, Backlog
@@ -24,6 +25,14 @@
 NO_FAULT_REASONS = (Reason.CANCELLED, Reason.DEADLINE, Reason.WITHDRAWN)
 
 
+@dataclasses.dataclass(slots=True)
+class _Chosen:
+    """Tasks of one job for one agent."""
+
+    candidates: int
+    indexes: list[int] = dataclasses.field(default_factory=list)
+
+
 class Scheduler:
     """Decides admission, placement and withdrawal of one owner's tasks.
 
@@ -287,6 +296,7 @@
         size = min(settings.age_weight * own_time, settings.size_delay_max)
         job.priority = job.arrived_at + job.penalty + size
         order = self._orders.setdefault(job.service, JobOrder())
+        order.has_news = True
         order.push(job)
 
     def _assign_service(
@@ -298,55 +308,77 @@
     ) -> None:
         if not order or not self._has_room(pools):
             return
-        left: list[QueuedJob] = []
+        if not self._has_news(order, pools, now):
+            return
+        waiting: list[QueuedJob] = []
         self._policy.begin(pools)
-        while self._can_choose(pools):
+        while not self._policy.is_exhausted and self._has_room(pools):
             job = order.pop()
             if job is None:
                 break
             if self._probes:
                 made.extend(self._probe(job, now))
-            made.extend(self._assign_job(job, pools, now))
-            if job.queues:
-                left.append(job)
-        for job in left:
+            given = self._assign_job(job, pools, now)
+            if given:
+                made.extend(given)
+                self._requeue(job)
+            elif job.queues:
+                waiting.append(job)
+        for job in waiting:
+            order.push(job)
+        order.has_news = False
+        order.passed_at = now
+        for pool in pools:
+            pool.has_news = False
+
+    def _has_news(self, order: JobOrder, pools: list[Pool], now: float) -> bool:
+        """Returns whether a pass could place what the last one left."""
+        if order.has_news or self._probes:
+            return True
+        if now - order.passed_at >= self._settings.pass_interval:
+            return True
+        return any(pool.has_news for pool in pools)
+
+    def _requeue(self, job: QueuedJob) -> None:
+        if job.queues:
             self._queue(job)
 
     def _has_room(self, pools: list[Pool]) -> bool:
-        if self._policy.binds_at_arrival:
-            return any(pool.members for pool in pools)
-        return any(pool.ready_count for pool in pools)
-
-    def _can_choose(self, pools: list[Pool]) -> bool:
-        return not self._policy.is_exhausted and self._has_room(pools)
+        for pool in pools:
+            if pool.ready_count:
+                return True
+            if self._policy.binds_at_arrival and pool.members:
+                return True
+        return False
 
     def _assign_job(
         self, job: QueuedJob, pools: list[Pool], now: float
     ) -> list[Assignment]:
-        chosen: dict[str, list[int]] = {}
-        candidates: dict[str, int] = {}
-        for queue in list(job.queues.values()):
+        chosen: dict[str, _Chosen] = {}
+        for queue in tuple(job.queues.values()):
             fitting = [pool for pool in pools if pool.takes(queue.kind)]
             position = len(queue.works)
-            while position and self._can_choose(fitting):
+            while position and not self._policy.is_exhausted:
                 position -= 1
-                count = sum(pool.ready_count for pool in fitting)
                 agent = self._policy.choose(fitting, queue.works[position])
-                if agent is None:
-                    continue
-                index, work = job.take(queue, position)
-                self._place(agent, job, index, work, now)
-                chosen.setdefault(agent.agent_id, []).append(index)
-                candidates.setdefault(agent.agent_id, count)
+                if agent is not None:
+                    if agent.agent_id not in chosen:
+                        count = sum(pool.ready_count for pool in fitting)
+                        chosen[agent.agent_id] = _Chosen(count)
+                    index, work = job.take(queue, position)
+                    chosen[agent.agent_id].indexes.append(index)
+                    self._place(agent, job, index, work, now)
+                    if not self._has_room(fitting):
+                        break
         return [
             Assignment(
                 agent_id=agent_id,
                 key=job.key,
-                indexes=tuple(sorted(indexes)),
+                indexes=tuple(sorted(part.indexes)),
                 reason=self._settings.policy,
-                candidates=candidates[agent_id],
+                candidates=part.candidates,
             )
-            for agent_id, indexes in chosen.items()
+            for agent_id, part in chosen.items()
         ]
 
     def _place(
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -18,7 +18,10 @@
       queue_time: float = 0.0
     guaranteed_part: float = 1.0
     queue_full_backoff: Pause after an agent refused for a full queue.
-      default_run_time: Expected run time of a kind that nothing is known of.
+      pass_interval: Time after which waiting tasks are weighed again although
+        no better place came up.
+      pass_interval: float = 0.02
+    default_run_time: Expected run time of a kind that nothing is known of.
       ramp_time: Time for which an agent that appears or returns gets only this
         owner's part of its slots, so that the owners do not overfill it.
       probe_interval: Time from the first ejection of an upstream to its probe;
@@ -50,6 +53,7 @@
     queue_time: float = 0.0
     guaranteed_part: float = 1.0
     queue_full_backoff: float = 0.02
+    pass_interval: float = 0.02
     default_run_time: float = 0.3
     ramp_time: float = 1.0
     probe_interval: float = 2.0
