--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Sequence
 
@@ -16,6 +17,7 @@
 from gypsumline.core.placement.job_queue import JobOrder, QueuedJob
 from gypsumline.core.placement.registry import make_policy
 from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.placement.withdrawal import TaskName, WithdrawalRules
 from gypsumline.core.task import JobBody, Reason, TaskResult, TaskStatus
 from gypsumline.core.task_scheduler import Admission, Assignment, Withdrawal
 
@@ -38,6 +40,14 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class _Chosen:
+    """Tasks of one job for one agent."""
+
+    candidates: int
+    indexes: list[int] = dataclasses.field(default_factory=list)
+
+
 class Scheduler:
     """Decides admission, placement and withdrawal of one owner's tasks.
 
@@ -56,6 +66,8 @@
         self._backlog = Backlog()
         self._ejection = EjectionControl(settings)
         self._probes: dict[str, float] = {}
+        self._rules = WithdrawalRules(settings)
+        self._crowded: set[str] = set()
         self._jobs: dict[str, QueuedJob] = {}
         self._orders: dict[str, JobOrder] = {}
         self._admission = AdmissionControl(
@@ -66,10 +78,13 @@
         """Takes a newer control record into force."""
         self._record = record
         self._registered = {agent.agent_id for agent in record.agents}
+        self._admission.set_configuration(record.configuration)
         self._fleet.owners = max(1, len(record.entries))
         self._ejection.keep(self._registered | self._fleet.agents.keys())
         for agent in self._fleet.agents.values():
             self._set_out(agent)
+            if agent.is_out:
+                self._crowded.add(agent.agent_id)
             self._fleet.refresh(agent, now)
 
     def observe_agent(
@@ -92,6 +107,8 @@
             self._fleet.watch_silence(view)
         if new_upstream:
             self._set_out(view)
+        if state.queued or state.leaving or not state.healthy:
+            self._crowded.add(view.agent_id)
         self._fleet.refresh(view, now)
 
     def lose_agent(self, agent_id: str, now: float) -> None:
@@ -155,7 +172,28 @@
     def withdrawals(self, now: float) -> list[Withdrawal]:
         """Returns the tasks to take back from their agents."""
         self._fleet.advance(now)
-        return []
+        asked: list[Withdrawal] = []
+        for name in sorted(self._crowded):
+            agent = self._fleet.agents.get(name)
+            if agent is None or not agent.placed:
+                self._crowded.discard(name)
+            elif self._fleet.is_usable(agent, now):
+                idle = self._idle_places(agent)
+                names = self._rules.overdue(agent, idle, now)
+                asked.extend(_withdraw(agent, names, "overdue"))
+                if not agent.state.queued:
+                    self._crowded.discard(name)
+            else:
+                names = self._rules.blocked(agent, now)
+                asked.extend(_withdraw(agent, names, "agent takes no starts"))
+                self._crowded.discard(name)
+        return asked
+
+    def _idle_places(self, agent: AgentView) -> int:
+        return sum(
+            pool.idle_agents()
+            for pool in self._fleet.pools(agent.state.service)
+        )
 
     def finish_task(
         self, agent_id: str, key: str, result: TaskResult, now: float
@@ -248,9 +286,7 @@
         agent.speed = self._estimates.speed(upstream)
 
     def _penalty(self, body: JobBody) -> float:
-        share = self._admission.share_of(
-            body.service, body.client, self._record.configuration
-        )
+        share = self._admission.share_of(body.service, body.client)
         excess = self._admission.excess_work(body.service, body.client, share)
         settings = self._settings
         excess_time = excess / self._capacity(body.service)
@@ -314,6 +350,7 @@
         size = min(settings.age_weight * own_time, settings.size_delay_max)
         job.priority = job.arrived_at + job.penalty + size
         order = self._orders.setdefault(job.service, JobOrder())
+        order.new_jobs.append(job)
         order.push(job)
 
     def _assign_service(
@@ -323,54 +360,113 @@
         now: float,
         made: list[Assignment],
     ) -> None:
-        left: list[QueuedJob] = []
+        if not order or not self._has_room(pools):
+            return
         self._policy.begin(pools)
-        while self._has_room(pools):
+        if self._is_full_pass_due(order, pools, now):
+            self._full_pass(order, pools, now, made)
+        elif order.new_jobs:
+            self._pass_new(order, pools, now, made)
+
+    def _full_pass(
+        self,
+        order: JobOrder,
+        pools: list[Pool],
+        now: float,
+        made: list[Assignment],
+    ) -> None:
+        """Weighs all unplaced tasks in the order of their jobs."""
+        waiting: list[QueuedJob] = []
+        while not self._policy.is_exhausted and self._has_room(pools):
             job = order.pop()
             if job is None:
                 break
             if self._probes:
                 made.extend(self._probe(job, now))
-            made.extend(self._assign_job(job, pools, now))
-            if job.queues:
-                left.append(job)
-        for job in left:
+            given = self._assign_job(job, pools, now)
+            if given:
+                made.extend(given)
+                self._requeue(job)
+            elif job.queues:
+                waiting.append(job)
+        for job in waiting:
+            order.push(job)
+        order.new_jobs.clear()
+        order.passed_at = now
+        for pool in pools:
+            pool.has_news = False
+
+    def _pass_new(
+        self,
+        order: JobOrder,
+        pools: list[Pool],
+        now: float,
+        made: list[Assignment],
+    ) -> None:
+        """Weighs only new tasks; no place came up that others wait for."""
+        jobs = sorted(order.new_jobs, key=lambda job: job.priority)
+        order.new_jobs.clear()
+        for job in jobs:
+            if not job.queues:
+                continue
+            if self._policy.is_exhausted or not self._has_room(pools):
+                break
+            given = self._assign_job(job, pools, now)
+            if given:
+                made.extend(given)
+                self._requeue(job)
+        order.new_jobs.clear()
+
+    def _is_full_pass_due(
+        self, order: JobOrder, pools: list[Pool], now: float
+    ) -> bool:
+        """Returns whether a pass could place what the last one left."""
+        if self._probes:
+            return True
+        if now - order.passed_at >= self._settings.pass_interval:
+            return True
+        return any(pool.has_news for pool in pools)
+
+    def _requeue(self, job: QueuedJob) -> None:
+        if job.queues:
             self._queue(job)
 
     def _has_room(self, pools: list[Pool]) -> bool:
-        if self._policy.binds_at_arrival:
-            return any(pool.members for pool in pools)
-        if self._policy.is_exhausted:
-            return False
-        return any(pool.ready_count for pool in pools)
+        for pool in pools:
+            if pool.ready_count:
+                return True
+            if self._policy.binds_at_arrival and pool.members:
+                return True
+        return False
 
     def _assign_job(
         self, job: QueuedJob, pools: list[Pool], now: float
     ) -> list[Assignment]:
-        chosen: dict[str, list[int]] = {}
-        candidates: dict[str, int] = {}
-        for queue in list(job.queues.values()):
+        chosen: dict[str, _Chosen] = {}
+        for queue in tuple(job.queues.values()):
             fitting = [pool for pool in pools if pool.takes(queue.kind)]
             position = len(queue.works)
-            while position and self._has_room(fitting):
+            while position and not self._policy.is_exhausted:
                 position -= 1
-                count = sum(pool.ready_count for pool in fitting)
                 agent = self._policy.choose(fitting, queue.works[position])
-                if agent is None:
-                    continue
-                index, work = job.take(queue, position)
-                self._place(agent, job, index, work, now)
-                chosen.setdefault(agent.agent_id, []).append(index)
-                candidates.setdefault(agent.agent_id, count)
+                if agent is not None:
+                    if agent.agent_id not in chosen:
+                        count = sum(pool.ready_count for pool in fitting)
+                        chosen[agent.agent_id] = _Chosen(count)
+                    index, work = job.take(queue, position)
+                    chosen[agent.agent_id].indexes.append(index)
+                    self._place(agent, job, index, work, now)
+                    if not self._has_room(fitting):
+                        break
         return [
             Assignment(
                 agent_id=agent_id,
                 key=job.key,
-                indexes=tuple(sorted(indexes)),
+                indexes=tuple(part.indexes),
                 reason=self._settings.policy,
-                candidates=candidates[agent_id],
+                candidates=part.candidates,
             )
-            for agent_id, indexes in chosen.items()
+            for agent_id, part in chosen.items()
         ]
 
     def _place(
@@ -384,6 +480,26 @@
         kind, declared = job.declared[index]
         agent.placed[job.key, index] = PlacedTask(now, work, kind, declared)
         self._fleet.refresh(agent, now)
+        self._policy.placed(self._fleet.pools(job.service), agent)
+
+
+def _withdraw(
+    agent: AgentView, names: list[TaskName], reason: str
+) -> list[Withdrawal]:
+    """Marks tasks as asked back and returns one withdrawal per job."""
+    jobs: dict[str, list[int]] = {}
+    for key, index in names:
+        agent.placed[key, index].withdrawing = True
+        jobs.setdefault(key, []).append(index)
+    return [
+        Withdrawal(
+            agent_id=agent.agent_id,
+            key=key,
+            indexes=tuple(sorted(indexes)),
+            reason=reason,
+        )
+        for key, indexes in jobs.items()
+    ]
 
 
 def _upstream(agent: AgentView) -> str:
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -20,6 +20,10 @@
         task is still placed there.
       guaranteed_part: Share of its part of the slots that an owner may fill
         without regard to the reports about the others.
+      withdraw_after: Time after which a task that waits at an agent without
+        need is taken back.
+      pass_interval: Time after which waiting tasks are weighed again although
+        no better place came up.
       default_run_time: Expected run time of a kind that nothing is known of.
       ramp_time: Time for which an agent that appears or returns gets only this
         owner's part of its slots, so that the owners do not overfill it.
@@ -51,8 +55,10 @@
     round_trip: float = 0.002
     queue_time: float = 0.0
     guaranteed_part: float = 1.0
+    withdraw_after: float = 0.2
     queue_full_backoff: float = 0.02
     refusal_backoff: float = 0.5
+    pass_interval: float = 0.02
     default_run_time: float = 0.3
     ramp_time: float = 1.0
     probe_interval: float = 2.0
--- a/gypsumline/core/task_scheduler.py
+++ b/gypsumline/core/task_scheduler.py
@@ -36,9 +36,9 @@
     Attributes:
       agent_id: Member id of the agent.
       key: Submission key.
-      indexes: Positions of the tasks in the job.
+      indexes: Positions of the tasks in the job, in the order to start them.
       reason: Why this agent was chosen, for the log line.
-      candidates: Number of agents that were weighed.
+      candidates: Agents with a free place that were weighed.
     """
 
     agent_id: str
@@ -55,7 +55,7 @@
     Attributes:
       agent_id: Member id of the agent.
       key: Submission key.
-      indexes: Positions of the tasks in the job.
+      indexes: Positions of the tasks in the job, in the order to start them.
       reason: Why they are taken back, for the log line.
     """
 
