--- a/gypsumline/tests/core/test_control_machine.py
+++ b/gypsumline/tests/core/test_control_machine.py
@@ -180,3 +180,32 @@
     assert len(world.row.entries) == 5 and len(world.row.agents) == 30
     writes = [d for _, _, d in world.decisions if d.event == "table_write"]
     assert len(writes) <= 10
+
+
+def test_writer_without_the_voters_writes_nothing():
+    """Guards against a revision that blocks all later ones."""
+    world = small_world()
+    before = world.row.revision
+    side = {"entry-1", "entry-2", "agent-1", "agent-2"}
+    for far in side:
+        for near in ("entry-0", "agent-0"):
+            world.cuts |= {(near, far), (far, near)}
+    world.faults.unreachable |= side
+    world.run(3)
+    propose(world, "entry-0", 1, change("token-1"))
+    world.run(25)
+    assert world.row.revision == before
+    assert world.outcomes[1].kind == "refused"
+    assert fresh_members(world) == set(world.processes)
+
+
+def test_removed_entry_answers_its_open_changes():
+    """Guards against an operator who waits for an entry that was replaced."""
+    world = small_world()
+    world.faults.unreachable.add("entry-0")
+    propose(world, "entry-0", 1, change("token-1"))
+    for other in set(world.processes) - {"entry-0"}:
+        world.cuts.add(("entry-0", other))
+    world.run(8)
+    assert world.outcomes[1].kind == "refused"
+    assert world.processes["entry-0"].member not in world.history[1].entries
--- /dev/null
+++ b/gypsumline/tests/core/test_tenure.py
@@ -0,0 +1,84 @@
+"""Tests of the ready times of owners over several records."""
+
+import dataclasses
+import math
+
+from gypsumline.core.control import ControlRecord, OwnerEpoch
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.submission_key import generate_key, key_time
+from gypsumline.core.tenure import Tenure
+
+SETTINGS = ControlSettings()
+
+
+def entry(name):
+    return Member(
+        member_id=name, incarnation=1, role=Role.ENTRY, availability_zone="z"
+    )
+
+
+ME, OTHER = entry("entry-0"), entry("entry-1")
+FIRST = ControlRecord(
+    revision=1,
+    entries=(ME, OTHER),
+    epochs=(OwnerEpoch(begins_at_wall=0, owners=(ME, OTHER)),),
+)
+
+
+def key_of(owner):
+    while True:
+        key = generate_key()
+        if FIRST.owner_of(key) == owner:
+            return key
+
+
+def first_tenure():
+    tenure = Tenure(ME, SETTINGS)
+    tenure.learn(FIRST, 10.0)
+    tenure.accept(11.0)
+    return tenure
+
+
+def test_first_owners_need_not_wait():
+    """Guards against a start that is slower than its acceptance."""
+    tenure = Tenure(ME, SETTINGS)
+    assert tenure.ready_at() == math.inf
+    tenure.learn(FIRST, 10.0)
+    assert tenure.ready_at() == math.inf
+    tenure.accept(11.0)
+    assert tenure.ready_at() == 11.0
+
+
+def test_loss_of_an_owner_delays_only_its_keys():
+    """Guards against two owners of a key, and against a pause of all keys."""
+    tenure = first_tenure()
+    mine, gained = key_of(ME), key_of(OTHER)
+    record = dataclasses.replace(FIRST, revision=2, entries=(ME,))
+    tenure.learn(record, 20.0)
+    assert tenure.key_ready_at(mine) == 11.0
+    assert tenure.key_ready_at(gained) == math.inf
+    tenure.accept(21.0)
+    assert tenure.key_ready_at(gained) == 21.0 + SETTINGS.evidence_wait
+    assert tenure.ready_at() == tenure.key_ready_at(gained)
+
+
+def test_unseen_owner_between_two_records_counts():
+    """Guards against an owner that came and went while this one was cut off."""
+    tenure = first_tenure()
+    key = key_of(ME)
+    later = OwnerEpoch(begins_at_wall=key_time(key), owners=(ME, OTHER))
+    record = dataclasses.replace(
+        FIRST, revision=5, epochs=(*FIRST.epochs, later)
+    )
+    tenure.learn(record, 20.0)
+    assert tenure.key_ready_at(key) == math.inf
+
+
+def test_removed_owner_is_never_ready():
+    """Guards against an earlier owner that goes on by its old times."""
+    tenure = first_tenure()
+    record = dataclasses.replace(FIRST, revision=2, entries=(OTHER,))
+    tenure.learn(record, 20.0)
+    tenure.accept(21.0)
+    assert tenure.ready_at() == math.inf
--- a/properties/control_driver.py
+++ b/properties/control_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 from random import Random
 
 from gypsumline.core.configuration import Configuration
@@ -18,6 +19,9 @@
 _IN_FORCE_SECONDS = 4.0
 
 
+Action = Callable[["ControlDriver", Random], None]
+
+
 class ControlDriver:
     """A world of entries and agents with the oracle watching it.
 
@@ -132,10 +136,18 @@
             drain_seconds, lambda: self.world.call(process, machine.depart)
         )
 
-    def heal(self) -> None:
-        """Ends all faults."""
+    def heal_network(self) -> None:
+        """Ends cuts and slow links."""
         self.world.cuts.clear()
         self.world.slow_links.clear()
+
+    def toggle_noise(self) -> None:
+        """Starts or ends delays, reordering and duplicates."""
+        self.world.is_noisy = not self.world.is_noisy
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.heal_network()
         self.world.is_noisy = False
         self.world.faults.clear()
         for member in self.members:
@@ -169,34 +181,11 @@
                 raise OracleError(f"{member} has no evidence")
 
 
-def random_action(driver: ControlDriver, rng: Random) -> str:
-    """Does one random action and returns its name."""
-    name = rng.choice(_WEIGHTED)
-    ACTIONS[name](driver, rng)
-    return name
-
-
 def _propose(driver: ControlDriver, rng: Random) -> None:
     for entry in rng.sample(driver.entries, min(2, len(driver.entries))):
         driver.propose(entry, lag=rng.choice((0, 0, 0, 1)))
 
 
-def _pause(driver: ControlDriver, rng: Random) -> None:
-    driver.world.pause(rng.choice(driver.members))
-
-
-def _resume(driver: ControlDriver, rng: Random) -> None:
-    driver.world.resume(rng.choice(driver.members))
-
-
-def _restart(driver: ControlDriver, rng: Random) -> None:
-    driver.world.restart(rng.choice(driver.members))
-
-
-def _restart_zone(driver: ControlDriver, rng: Random) -> None:
-    driver.restart_zone(rng.choice(ZONES))
-
-
 def _cut(driver: ControlDriver, rng: Random) -> None:
     one, other = rng.sample(driver.members, 2)
     driver.cut(one, other, both_ways=rng.random() < 0.5)
@@ -207,10 +196,6 @@
     driver.world.slow_links[one, other] = rng.uniform(0.5, 4)
 
 
-def _cut_zone(driver: ControlDriver, rng: Random) -> None:
-    driver.cut_zone(rng.choice(ZONES))
-
-
 def _split(driver: ControlDriver, rng: Random) -> None:
     # At least one entry stays on each side, else one side decides nothing.
     first, *others = rng.sample(driver.entries, len(driver.entries))
@@ -219,29 +204,12 @@
     driver.split(side | {m for m in others[1:] if rng.random() < 0.5})
 
 
-def _heal_network(driver: ControlDriver, rng: Random) -> None:
-    driver.world.cuts.clear()
-    driver.world.slow_links.clear()
-
-
-def _table_down(driver: ControlDriver, rng: Random) -> None:
-    driver.world.faults.is_down = True
-
-
-def _table_slow(driver: ControlDriver, rng: Random) -> None:
-    driver.world.faults.is_slow = True
-
-
-def _lose_answers(driver: ControlDriver, rng: Random) -> None:
-    driver.world.faults.lost_answers = 0.5
+def _set_table(**faults: object) -> Action:
+    def act(driver: ControlDriver, rng: Random) -> None:
+        for name, value in faults.items():
+            setattr(driver.world.faults, name, value)
 
-
-def _table_up(driver: ControlDriver, rng: Random) -> None:
-    driver.world.faults.clear()
-
-
-def _noise(driver: ControlDriver, rng: Random) -> None:
-    driver.world.is_noisy = not driver.world.is_noisy
+    return act
 
 
 def _add_entry(driver: ControlDriver, rng: Random) -> None:
@@ -250,29 +218,35 @@
 
 
 def _leave(driver: ControlDriver, rng: Random) -> None:
-    staying = driver.staying
-    if len(staying) > 2:
-        driver.leave(rng.choice(staying), rng.uniform(0.5, 3))
+    if len(driver.staying) > 2:
+        driver.leave(rng.choice(driver.staying), rng.uniform(0.5, 3))
 
 
-ACTIONS = {
+ACTIONS: dict[str, Action] = {
     "propose": _propose,
-    "pause": _pause,
-    "resume": _resume,
-    "restart": _restart,
-    "restart_zone": _restart_zone,
+    "pause": lambda d, rng: d.world.pause(rng.choice(d.members)),
+    "resume": lambda d, rng: d.world.resume(rng.choice(d.members)),
+    "restart": lambda d, rng: d.world.restart(rng.choice(d.members)),
+    "restart_zone": lambda d, rng: d.restart_zone(rng.choice(ZONES)),
     "cut": _cut,
     "slow_link": _slow_link,
-    "cut_zone": _cut_zone,
+    "cut_zone": lambda d, rng: d.cut_zone(rng.choice(ZONES)),
     "split": _split,
-    "heal_network": _heal_network,
-    "table_down": _table_down,
-    "table_slow": _table_slow,
-    "lose_answers": _lose_answers,
-    "table_up": _table_up,
-    "noise": _noise,
+    "heal_network": lambda d, rng: d.heal_network(),
+    "table_down": _set_table(is_down=True),
+    "table_slow": _set_table(is_slow=True),
+    "lose_answers": _set_table(lost_answers=0.5),
+    "table_up": lambda d, rng: d.world.faults.clear(),
+    "noise": lambda d, rng: d.toggle_noise(),
     "add_entry": _add_entry,
     "leave": _leave,
 }
 _WEIGHTS = {"propose": 8, "pause": 2, "resume": 3, "table_up": 3, "split": 3}
 _WEIGHTED = [name for name in ACTIONS for _ in range(_WEIGHTS.get(name, 1))]
+
+
+def random_action(driver: ControlDriver, rng: Random) -> str:
+    """Does one random action and returns its name."""
+    name = rng.choice(_WEIGHTED)
+    ACTIONS[name](driver, rng)
+    return name
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import math
@@ -44,7 +45,8 @@
     Attributes:
       is_down: Nothing takes effect and nothing is answered.
       unreachable: Ids of the processes that do not reach it.
-      is_slow: Operations take up to 5 s in all, beyond any timeout.
+      is_slow: Operations take up to 6 s in all, so writes may arrive after
+        their timeout.
       lost_answers: Share of writes that take effect without an answer.
     """
 
@@ -240,14 +242,14 @@
             if not (self.is_alive(one) and self.is_alive(other)):
                 return
             for at, peer in ((one, other), (other, one)):
-                machine, member = at.machine, peer.member
-                self.call(at, _connected(machine, member))
+                connect = at.machine.on_connected
+                self.call(at, functools.partial(connect, peer.member))
 
         self.after(self.rng.uniform(0.01, 0.2), open_connection)
 
     def _on_closed(self, process: Process, member: Member) -> None:
-        machine = process.machine
-        self.call(process, lambda n, w: machine.on_disconnected(member, n, w))
+        disconnect = process.machine.on_disconnected
+        self.call(process, functools.partial(disconnect, member))
 
     def _carry_out(self, process: Process, effects: list[Effect]) -> None:
         for effect in effects:
@@ -305,13 +307,11 @@
         pair = (sender.member.member_id, target.member.member_id)
         if pair in self.cuts:
             return
-        machine, member = target.machine, sender.member
-        self.call(
-            target, lambda n, w: machine.on_message(member, message, n, w)
-        )
+        handle = target.machine.on_message
+        self.call(target, functools.partial(handle, sender.member, message))
 
     def _table_delays(self) -> tuple[float, float]:
-        longest = 2.5 if self.faults.is_slow else 0.01
+        longest = 3.0 if self.faults.is_slow else 0.01
         return self.rng.uniform(0.001, longest), self.rng.uniform(
             0.001, longest
         )
@@ -328,8 +328,8 @@
                 record=record,
                 write_token=token,
             )
-            machine = process.machine
-            self.call(process, lambda n, w: machine.on_table(result, n, w))
+            on_table = process.machine.on_table
+            self.call(process, functools.partial(on_table, result))
 
         def arrive() -> None:
             if self.faults.blocks(process.member.member_id):
@@ -347,21 +347,19 @@
 
         def answer(kind: str) -> None:
             result = TableWriteResult(write_id=effect.write_id, kind=kind)
-            machine = process.machine
-            self.call(process, lambda n, w: machine.on_table(result, n, w))
+            on_table = process.machine.on_table
+            self.call(process, functools.partial(on_table, result))
 
         def arrive() -> None:
-            timeout = _TABLE_TIMEOUT_SECONDS
             if self.faults.blocks(process.member.member_id):
-                self.after(timeout, lambda: answer("unknown"))
                 return
             kind = self._compare_and_set(effect)
-            if self.rng.random() < self.faults.lost_answers:
-                self.after(timeout, lambda: answer("unknown"))
-            else:
+            if self.rng.random() >= self.faults.lost_answers:
                 self.after(back, lambda: answer(kind))
 
+        # The machine takes the first answer; a write may take effect later.
         self.after(to_table, arrive)
+        self.after(_TABLE_TIMEOUT_SECONDS, lambda: answer("unknown"))
 
     def _compare_and_set(self, effect: WriteTable) -> str:
         record = effect.record
@@ -372,9 +370,3 @@
         self.history[record.revision] = record
         self.tokens[record.revision] = effect.write_token
         return "written"
-
-
-def _connected(
-    machine: ControlMachine, member: Member
-) -> Callable[[float, float], list[Effect]]:
-    return lambda now, wall: machine.on_connected(member, now, wall)
