--- a/benchmarks/fault_run.py
+++ b/benchmarks/fault_run.py
@@ -132,6 +132,9 @@
         if event.kind is FaultKind.ZONE_OUT:
             # Only one zone is out at a time; its processes may fail besides.
             return {"zone_out"}
+        if event.kind in _LINK_KINDS:
+            # Two zones share links, so healing one would heal the other.
+            return {"links"}
         return {event.target or "platform"}
 
     def _takes_last_entry(self, names: set[str]) -> bool:
@@ -210,6 +213,22 @@
     await asyncio.sleep(event.duration)
 
 
+_LINK_KINDS = (FaultKind.LINKS_OF_ZONE_CUT, FaultKind.LINKS_OF_ZONE_SILENT)
+
+
+@_handles(*_LINK_KINDS)
+async def _break_links(run: FaultRun, event: FaultEvent) -> None:
+    links = run.system.links_of(event.target)
+    for link in links:
+        if event.kind is FaultKind.LINKS_OF_ZONE_CUT:
+            link.cut()
+        else:
+            link.silence()
+    await asyncio.sleep(event.duration)
+    for link in links:
+        link.heal()
+
+
 @_handles(FaultKind.ZONE_OUT)
 async def _take_zone_out(run: FaultRun, event: FaultEvent) -> None:
     async with zone_out(run, event.target):
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -42,6 +42,8 @@
 _DIRECTORY = pathlib.Path("build/faults")
 _LOAD_LIMIT_SECONDS = 600.0
 _CALM_SECONDS = 5.0
+# One way between availability zones at Ekfrasi.
+_ZONE_LATENCY_SECONDS = 0.001
 _MOST_EXAMPLES = 5
 
 
@@ -214,6 +216,7 @@
     settings = LocalSystemSettings(
         entries=options.entries,
         agents=options.agents,
+        zone_latency=_ZONE_LATENCY_SECONDS,
         log_directory=_DIRECTORY / f"seed-{options.seed}",
     )
     schedule = make_schedule(
