Take a zone out that cannot hear it in fault runs

Change: a fault that pauses an agent and silences the links of the zone, applies the out-change elsewhere and lets the agent run again after the acceptance; figures of the starts before, while and after each zone was out.

--- a/benchmarks/fault_checks.py
+++ b/benchmarks/fault_checks.py
@@ -30,6 +30,7 @@
 
     Attributes:
       zone: The availability zone.
+      sent_at: When the operator first sent the out-change.
       accepted_at: When the operator had the acceptance of the out-change.
       returns_at: When the operator sent the change that puts it back.
     """
@@ -37,6 +38,7 @@
     zone: str
     accepted_at: float
     returns_at: float
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,18 +131,27 @@
     ]
 
 
-def longest_after_out(
-    outs: Iterable[ZoneOut], starts: Sequence[TaskStart]
-) -> float:
-    """Returns the longest time from an acceptance to a start in that zone."""
-    delays = [
-        start.at - out.accepted_at
-        for out in outs
-        for start in starts
-        if start.zone == out.zone and out.accepted_at < start.at
-        if start.at < out.returns_at
-    ]
-    return max(delays, default=0.0)
+def describe_out(out: ZoneOut, starts: Sequence[TaskStart]) -> dict:
+    """Returns what started in a zone before, while and after it was out.
+
+    The starts before and after show that the zone would have had work.
+    """
+    times = [start.at for start in starts if start.zone == out.zone]
+    inside = [t for t in times if out.accepted_at < t < out.returns_at]
+    window = OUT_LIMIT_SECONDS
+    before = (out.accepted_at - window, out.accepted_at)
+    after = (out.returns_at, out.returns_at + 2 * window)
+    return {
+        "zone": out.zone,
+        "accepted_in_s": round(out.accepted_at - out.sent_at, 3),
+        "seconds": round(out.returns_at - out.accepted_at, 2),
+        "starts_before": sum(before[0] < t <= before[1] for t in times),
+        "starts_while_out": len(inside),
+        "last_start_after_s": round(
+            max((t - out.accepted_at for t in inside), default=0.0), 3
+        ),
+        "starts_after": sum(after[0] <= t < after[1] for t in times),
+    }
 
 
 def count_cut_by_stops(
--- a/benchmarks/fault_run.py
+++ b/benchmarks/fault_run.py
@@ -25,6 +25,9 @@
 _CHANGE_LIMIT_SECONDS = 30.0
 _SLOW_LATENCY_SECONDS = 1.5
 _LOST_ANSWER_SHARE = 0.5
+_UNHEARD_PAUSE_SECONDS = 0.5
+# Longer than the 2 s for which evidence is valid.
+_UNHEARD_LINKS_SECONDS = 2.5
 
 _Handler = Callable[["FaultRun", FaultEvent], Awaitable[None]]
 _HANDLERS: dict[FaultKind, _Handler] = {}
@@ -112,6 +115,11 @@
         members = [*self._entries.values(), *self._agents.values()]
         return [m for m in members if self.system.zones[m.name] == zone]
 
+    def agent_in(self, zone: str) -> LocalProcess:
+        """Returns the first agent in an availability zone."""
+        agents = [a for a in self.members_of(zone) if a.name in self._agents]
+        return agents[0]
+
     async def _do(self, event: FaultEvent) -> None:
         names = self._names_of(event)
         if names & self._busy or self._takes_last_entry(names):
@@ -132,6 +140,8 @@
         if event.kind is FaultKind.ZONE_OUT:
             # Only one zone is out at a time; its processes may fail besides.
             return {"zone_out"}
+        if event.kind is FaultKind.ZONE_OUT_UNHEARD:
+            return {"zone_out", "links", self.agent_in(event.target).name}
         if event.kind in _LINK_KINDS:
             # Two zones share links, so healing one would heal the other.
             return {"links"}
@@ -235,19 +245,60 @@
         await asyncio.sleep(event.duration)
 
 
+@_handles(FaultKind.ZONE_OUT_UNHEARD)
+async def _take_zone_out_unheard(run: FaultRun, event: FaultEvent) -> None:
+    """Takes a zone out that cannot hear it, with one agent paused.
+
+    The agent runs again and the links heal only after the acceptance, so the
+    agents must stop by themselves when their evidence ends.
+    """
+    agent = run.agent_in(event.target)
+    links = run.system.links_of(event.target)
+    agent.pause()
+    for link in links:
+        link.silence()
+    try:
+        async with zone_out(run, event.target):
+            await asyncio.sleep(_UNHEARD_PAUSE_SECONDS)
+            agent.resume()
+            await asyncio.sleep(_UNHEARD_LINKS_SECONDS)
+            for link in links:
+                link.heal()
+            await asyncio.sleep(event.duration)
+    finally:
+        agent.resume()
+        for link in links:
+            link.heal()
+
+
 @contextlib.asynccontextmanager
 async def zone_out(run: FaultRun, zone: str) -> AsyncIterator[None]:
     """Takes an availability zone out by the operators' text and back."""
     text = f"{FIRST_CONFIGURATION}out:\n  availability_zones: [{zone}]\n"
     operator = run.operator
-    accepted = await operator.apply(text, f"{zone} out", _CHANGE_LIMIT_SECONDS)
+    # Through an entry elsewhere, so that the acceptance needs nothing of the
+    # zone, whose links may be silent.
+    elsewhere = [
+        entry.url
+        for entry in run.system.entries
+        if run.system.zones[entry.name] != zone
+    ]
+    sent_at = boot_time()
+    accepted = await operator.apply(
+        text, f"{zone} out", _CHANGE_LIMIT_SECONDS, elsewhere
+    )
     if accepted is None:
         run.failures.append(f"change {zone} out: not accepted in time")
     yield
     returns_at = boot_time()
     if accepted is not None:
         run.outs.append(
-            ZoneOut(zone=zone, accepted_at=accepted.at, returns_at=returns_at)
+            ZoneOut(
+                zone=zone,
+                sent_at=sent_at,
+                accepted_at=accepted.at,
+                returns_at=returns_at,
+            )
         )
     back = await operator.apply(
         FIRST_CONFIGURATION, f"{zone} back", _CHANGE_LIMIT_SECONDS
--- a/benchmarks/fault_schedule.py
+++ b/benchmarks/fault_schedule.py
@@ -28,6 +28,7 @@
     PLATFORM_SLOW = "platform_slow"
     PLATFORM_LOSES_ANSWERS = "platform_loses_answers"
     ZONE_OUT = "zone_out"
+    ZONE_OUT_UNHEARD = "zone_out_unheard"
     LINKS_OF_ZONE_CUT = "links_of_zone_cut"
     LINKS_OF_ZONE_SILENT = "links_of_zone_silent"
 
@@ -49,6 +50,7 @@
     FaultKind.PLATFORM_SLOW: (3.0, 10.0),
     FaultKind.PLATFORM_LOSES_ANSWERS: (4.0, 10.0),
     FaultKind.ZONE_OUT: (6.0, 10.0),
+    FaultKind.ZONE_OUT_UNHEARD: (6.0, 10.0),
     FaultKind.LINKS_OF_ZONE_CUT: (0.5, 6.0),
     FaultKind.LINKS_OF_ZONE_SILENT: (0.5, 6.0),
 }
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -139,10 +139,9 @@
     findings.figures["faults_skipped"] = dict(run.skipped)
     findings.figures["changes_refused"] = run.operator.refused
     findings.figures["starts"] = len(starts)
-    findings.figures["zones_out"] = len(run.outs)
-    findings.figures["longest_start_after_out_s"] = round(
-        fault_checks.longest_after_out(run.outs, starts), 3
-    )
+    findings.figures["zones_out"] = [
+        fault_checks.describe_out(out, starts) for out in run.outs
+    ]
     findings.figures["planned_stops"] = len(run.stops)
     # A run in which no job completes would pass all other checks.
     has_complete = any(r.outcome == COMPLETE for r in records)
--- a/benchmarks/operators.py
+++ b/benchmarks/operators.py
@@ -38,18 +38,23 @@
         self._entries = list(entries)
 
     async def apply(
-        self, text: str, note: str, limit: float
+        self,
+        text: str,
+        note: str,
+        limit: float,
+        entries: Sequence[str] | None = None,
     ) -> Acceptance | None:
         """Returns the acceptance, or None if there is none within the limit.
 
-        A change whose outcome is unknown is tried again from the version that
+        The entries are asked in turn; without a list of them, all are. A change whose outcome is unknown is tried again from the version that
         is then in force, so the text may be accepted twice.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + limit
         attempt = 0
         while loop.time() < ends_at:
-            entry = self._entries[attempt % len(self._entries)]
+            asked = entries or self._entries
+            entry = asked[attempt % len(asked)]
             attempt += 1
             accepted = await self._apply_at(entry, text, note)
             if accepted is not None:
--- a/gypsumline/tests/testing/test_fault_checks.py
+++ b/gypsumline/tests/testing/test_fault_checks.py
@@ -65,6 +65,14 @@
     assert not fault_checks.find_late_starts([elsewhere], starts)
 
 
+def test_describes_the_starts_around_an_out_change():
+    """Guards against a zone without work that passes as one that stopped."""
+    out = ZoneOut(zone="marousi", accepted_at=10.0, returns_at=20.0)
+    shown = fault_checks.describe_out(out, _starts(a0=[9, 11.5], b0=[21]))
+    assert (shown["starts_before"], shown["starts_after"]) == (1, 1)
+    assert (shown["starts_while_out"], shown["last_start_after_s"]) == (1, 1.5)
+
+
 def test_cuts_during_a_planned_stop_are_counted():
     """Guards against cuts that are blamed on nobody or on everybody."""
     stop = PlannedStop(
