Keep one queued task per slot at an agent

Cause: a trial without a queue at agents refused each start that met a busy slot. Change: back to one queued task per slot, which the scheduler takes back.

--- a/gypsumline/core/slot_settings.py
+++ b/gypsumline/core/slot_settings.py
@@ -29,7 +29,7 @@
     journal_entries: int = 100_000
     journal_bytes: int = 64 * 1024 * 1024
     tombstone_entries: int = 50_000
-    queue_per_slot: int = 0
+    queue_per_slot: int = 1
     results_delay: float = 1.0
     report_bytes: int = 1024 * 1024
     report_entries: int = 4096
