--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -58,6 +58,7 @@
         self._jobs: dict[str, Job] = {}
         self._bytes = 0
         self._unplaced = 0
+        self._cancelling: set[str] = set()
         self._deadlines: list[tuple[float, str]] = []
         self._connected: dict[str, Member] = {}
         self._newest: dict[str, Member] = {}
@@ -213,6 +214,7 @@
         if job.cancelling:
             return []
         job.cancelling = True
+        self._cancelling.add(job.key)
         self._scheduler.remove_job(job.key, now)
         return self._withdraw_placed(job)
 
@@ -241,8 +243,8 @@
             if job is not None and job.deadline == deadline:
                 answer = self._late_answer(job, fresh)
                 effects += self.end(job, answer, now, wall)
-        for job in [job for job in self._jobs.values() if job.cancelling]:
-            effects += self.settle(job, fresh, now, wall)
+        for key in list(self._cancelling):
+            effects += self.settle(self._jobs[key], fresh, now, wall)
         effects += self._repeat_silent(now, wall)
         if now - self._pruned_at >= _PRUNE_INTERVAL:
             self._pruned_at = now
@@ -262,6 +264,7 @@
     def drop(self, job: Job, answer: JobAnswer, now: float) -> list[Effect]:
         """Answers every waiter and forgets the job."""
         del self._jobs[job.key]
+        self._cancelling.discard(job.key)
         self._bytes -= job.size
         self._unplaced -= job.waiting
         self._scheduler.remove_job(job.key, now)
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/recovery.py
@@ -75,6 +75,7 @@
         self._me = me
         self._settings = settings
         self._held_revision = 0
+        self._asked_term = -1  # first revision of the term asked about last
         self._journals: dict[str, _AgentJournal] = {}
         self._keys: dict[str, dict[int, RecoveredTask]] = {}
         self._bytes = 0
@@ -91,6 +92,7 @@
 
     def on_agent_connected(self, agent: Member) -> None:
         """Parts on an earlier connection may be lost, so asks again."""
+        self._asked_term = -1
         journal = self._journals.get(agent.member_id)
         if journal is None:
             self._journals[agent.member_id] = _AgentJournal(agent)
@@ -102,8 +104,9 @@
         self, term: Term, connected: Iterable[str], now: float
     ) -> list[Effect]:
         """Returns the queries that are due under a term."""
-        if now < term.ready_at:
+        if now < term.ready_at or self._asked_term == term.first_revision:
             return []
+        self._asked_term = term.first_revision
         effects: list[Effect] = []
         revision = term.record.revision
         for agent_id in connected:
--- a/properties/test_submissions.py
+++ b/properties/test_submissions.py
@@ -14,6 +14,7 @@
 from gypsumline.core.recovery import Completeness, JournalRecovery
 from gypsumline.core.slot_gate import SlotGate
 from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.task import TaskStatus
 from properties import submission_walk
 from properties.submission_nodes import AgentNode, EntryNode
 from properties.submission_world import World
@@ -172,3 +173,29 @@
         if world.oracle.violations:
             return
     pytest.fail(f"no violation in {MUTANT_WALKS} walks")
+
+
+def test_job_costs_one_start_and_one_result_message_per_agent(monkeypatch):
+    """Guards the target for wasted messages."""
+    world = World(1, entries=1, agents=3)
+    for _ in range(4):  # connections, journal queries and their answers
+        for link, receiver in world.waiting():
+            world.deliver(link, receiver)
+        world.advance(0.5)
+    sent = []
+    send = world.send
+    monkeypatch.setattr(
+        world, "send", lambda *args: (sent.append(args[2]), send(*args))
+    )
+    entry = world.entries()[0]
+    submission = world.new_submission(10, False, 10.0, 0.0)
+    world.submit(entry, submission)
+    for _ in range(10):
+        for link, receiver in world.waiting():
+            world.deliver(link, receiver)
+        for agent in world.agents():
+            world.execute(agent, 0)
+            world.finish(agent, 0, TaskStatus.SUCCEEDED)
+    names = sorted(message.wire_name for message in sent)
+    assert names == ["start_tasks"] * 3 + ["task_results"] * 3
+    assert world.oracle.counts["complete"] == 1
