--- a/benchmarks/placement_model.py
+++ b/benchmarks/placement_model.py
@@ -31,8 +31,13 @@
 )
 from gypsumline.core.placement.settings import PlacementSettings
 
+# Suffix of a policy for agents that hold a result for up to 0.3 s while they
+# have a free slot and further tasks of its job.
+HOLD = "+hold"
+HOLD_SECONDS = 0.3
 POLICIES = (
     "earliest_finish",
+    "earliest_finish" + HOLD,
     "power_of_two",
     "least_loaded",
     "round_robin",
@@ -96,6 +101,7 @@
       goodput: Work of jobs complete in time, as a part of the capacity.
       refused: Jobs refused at once.
       late: Admitted jobs that missed their deadline.
+      refusal_p99: p99 time until a refused client had its answer, in seconds.
     """
 
     offered: float
@@ -103,6 +109,7 @@
     jobs: int
     refused: int
     late: int
+    refusal_p99: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +139,7 @@
       late_starts: Tasks started in the zone after all agents knew.
     """
 
+    policy: str
     worst_second: float
     mean: float
     returned_after: float
@@ -164,7 +172,7 @@
     loads: tuple[LoadRun, ...]
     overload: tuple[OverloadRun, ...]
     failing: FailingRun
-    zone: ZoneRun
+    zones: tuple[ZoneRun, ...]
     burst: BurstRun
 
 
@@ -173,11 +181,12 @@
 ) -> ClusterSettings:
     """Returns the settings of a site; baselines get queues without bound."""
     return ClusterSettings(
-        placement=PlacementSettings(policy=policy),
+        placement=PlacementSettings(policy=policy.removesuffix(HOLD)),
         zones=site.zones,
         zone_delay=site.zone_delay,
         client_delay=site.client_delay,
-        bounded_queue=policy == "earliest_finish",
+        bounded_queue=policy.startswith("earliest_finish"),
+        hold_results=HOLD_SECONDS if policy.endswith(HOLD) else 0.0,
     )
 
 
@@ -274,6 +283,11 @@
         for record in cluster.records.values()
         if record.outcome == "complete" and first <= record.answered_at < last
     )
+    refusals = [
+        record.response
+        for record in cluster.records.values()
+        if record.outcome == "refused"
+    ]
     outcomes = [record.outcome for record in cluster.records.values()]
     return OverloadRun(
         offered=offered,
@@ -281,6 +295,7 @@
         jobs=len(jobs),
         refused=outcomes.count("refused"),
         late=outcomes.count("late"),
+        refusal_p99=percentile(refusals, 0.99),
     )
 
 
@@ -306,13 +321,15 @@
     )
 
 
-def run_zone_change(seed: int, seconds: float = 60.0) -> ZoneRun:
+def run_zone_change(
+    seed: int, policy: str = "earliest_finish", seconds: float = 60.0
+) -> ZoneRun:
     """Returns the work done while one zone is out from 20 s to 35 s."""
     out_at, back_at = 20.0, 35.0
     executors = make_executors(EXECUTORS, EKFRASI.zones)
     total = capacity(executors)
     jobs = JobStream(seed).poisson(1.5 * total, seconds, timeout=20.0)
-    cluster = VirtualCluster(cluster_settings(), executors, seed)
+    cluster = VirtualCluster(cluster_settings(policy), executors, seed)
     zone = executors[seed % EXECUTORS].zone
     cluster.at(out_at, cluster.set_out, (zone,))
     cluster.at(back_at, cluster.set_out, ())
@@ -329,6 +346,7 @@
     while after < seconds and _work_part(cluster, returning, after) < 0.97:
         after += 1
     return ZoneRun(
+        policy=policy,
         worst_second=min(parts),
         mean=statistics.fmean(parts),
         returned_after=after - back_at,
@@ -392,21 +410,24 @@
             pool.submit(run_loads, EKFRASI, load, POLICIES, seed, seconds)
             for load in LOADS
         ]
-        two = ("earliest_finish", "power_of_two")
+        two = ("earliest_finish", "earliest_finish" + HOLD, "power_of_two")
         loads.append(pool.submit(run_loads, HALLORAN, 0.8, two, seed, seconds))
         overload = [
             pool.submit(run_overload, offered, seed, 60.0)
             for offered in (1.0, 2.0, 5.0)
         ]
         failing = pool.submit(run_failing, seed, 60.0)
-        zone = pool.submit(run_zone_change, seed)
+        zones = [
+            pool.submit(run_zone_change, seed, policy)
+            for policy in ("earliest_finish", "earliest_finish" + HOLD)
+        ]
         burst = pool.submit(run_burst, seed)
         return ModelReport(
             seed=seed,
             loads=tuple(run for part in loads for run in part.result()),
             overload=tuple(part.result() for part in overload),
             failing=failing.result(),
-            zone=zone.result(),
+            zones=tuple(part.result() for part in zones),
             burst=burst.result(),
         )
 
@@ -414,12 +435,12 @@
 def print_report(report: ModelReport) -> None:
     """Prints the figures as tables."""
     print(
-        "site      policy           load  jobs  done   p50    p99  "
+        "site      policy               load  jobs  done   p50    p99  "
         "ideal50 ideal99 bound99  x50   x99  excess  waste/pair waste/start"
     )
     for run in report.loads:
         print(
-            f"{run.site:9} {run.policy:16} {run.load:4.0%} {run.jobs:5}"
+            f"{run.site:9} {run.policy:20} {run.load:4.0%} {run.jobs:5}"
             f" {run.complete / run.jobs:5.1%} {run.p50:6.3f} {run.p99:6.3f}"
             f" {run.ideal.p50:7.3f} {run.ideal.p99:7.3f}"
             f" {run.ideal.bound_p99:7.3f} {run.p50_ratio:4.2f}"
@@ -430,20 +451,22 @@
         print(
             f"offered {overload.offered:.0f}x: goodput {overload.goodput:.1%} "
             f"of capacity, {overload.refused} of {overload.jobs} jobs refused, "
-            f"{overload.late} late"
+            f"{overload.late} late, refusal p99 "
+            f"{overload.refusal_p99 * 1000:.1f} ms"
         )
     failing = report.failing
     print(
         f"failing executor: {failing.lost_first} jobs lost in the first 5 s, "
         f"{failing.lost_later:.2%} of those that arrived later"
     )
-    zone = report.zone
-    print(
-        f"zone change: work of the remaining slots {zone.worst_second:.1%} in "
-        f"the worst second, {zone.mean:.1%} on average; returned zone at 97% "
-        f"after {zone.returned_after:.0f} s; {zone.late_starts} late starts; "
-        f"wasted messages {zone.wasted_per_start:.1%}"
-    )
+    for zone in report.zones:
+        print(
+            f"zone change, {zone.policy}: work of the remaining slots "
+            f"{zone.worst_second:.1%} in the worst second, {zone.mean:.1%} on "
+            f"average; returned zone at 97% after {zone.returned_after:.0f} s; "
+            f"{zone.late_starts} late starts; wasted messages "
+            f"{zone.wasted_per_start:.1%}"
+        )
     burst = report.burst
     print(
         f"burst of one client: p99 of the others {burst.others_p99:.3f} s, "
--- a/benchmarks/virtual_cluster.py
+++ b/benchmarks/virtual_cluster.py
@@ -44,8 +44,9 @@
       record_delay: Longest time until a process has a new record.
       bounded_queue: Whether an agent refuses more than one waiting task per
         slot; the baseline policies need queues without a bound.
-      hold_results: Whether an agent sends the results of a job only when it has
-        no further task of it, so that each `StartTasks` has one answer.
+      hold_results: Longest time for which an agent holds a result while it has
+        further tasks of the job, so that they share an answer. A result that
+        frees the only free slot is sent at once.
     """
 
     placement: PlacementSettings = dataclasses.field(
@@ -60,7 +61,7 @@
     tick_interval: float = 0.05
     record_delay: float = 0.3
     bounded_queue: bool = True
-    hold_results: bool = False
+    hold_results: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -350,12 +351,18 @@
         held = self._held.setdefault(task.key, [])
         held.append(result)
         self._here[task.key] -= 1
-        if self.cluster.settings.hold_results and self._here[task.key]:
-            return
-        del self._held[task.key]
-        if not self._here[task.key]:
-            del self._here[task.key]
-        self._tell(task.owner, task.owner.finished, task.key, tuple(held))
+        hold = self.cluster.settings.hold_results
+        urgent = self.free == 1 or not self._here[task.key]
+        if not hold or urgent:
+            self._flush(task)
+        elif len(held) == 1:
+            self.cluster.after(hold, self._flush, task)
+
+    def _flush(self, task: _Task) -> None:
+        held = self._held.pop(task.key, None)
+        if held:
+            owner = task.owner
+            self._tell(owner, owner.finished, task.key, tuple(held))
 
     def _count_work(self, seconds: float) -> None:
         """Adds the work of a run to the seconds in which it was done."""
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -209,8 +209,9 @@
         agent = self._fleet.agents.get(agent_id)
         if agent is not None:
             agent.placed.pop((key, index), None)
-            if reason is Reason.QUEUE_FULL:
-                agent.blocked_until = now + self._settings.queue_full_backoff
+            pause = self._pause_after(reason)
+            if pause and agent.blocked_until < now + pause:
+                agent.blocked_until = now + pause
                 self._fleet.wake_at(agent, agent.blocked_until)
             self._fleet.refresh(agent, now)
         job = self._jobs.get(key)
@@ -218,6 +219,13 @@
             job.add(index, job.work_left[index])
             self._queue(job)
 
+    def _pause_after(self, reason: Reason) -> float:
+        if reason is Reason.QUEUE_FULL:
+            return self._settings.queue_full_backoff
+        if reason in NO_FAULT_REASONS:
+            return 0.0
+        return self._settings.refusal_backoff
+
     def _new_agent(self, member: Member, now: float) -> AgentView:
         self.lose_agent(member.member_id, now)
         view = AgentView(member.member_id, member.availability_zone)
--- a/gypsumline/tests/core/placement/test_scheduler.py
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -169,13 +169,14 @@
     assert len(scheduler.assign(3.0)) == 1
 
 
-def test_full_queue_pauses_the_agent_and_the_task_goes_elsewhere():
+@pytest.mark.parametrize("reason", [Reason.QUEUE_FULL, Reason.OUT])
+def test_refusal_pauses_the_agent_and_the_task_goes_elsewhere(reason):
     """Guards against a refused task being sent to the same agent at once."""
     scheduler = make_scheduler()
     report(scheduler, "a", slots=1, free=1)
     add(scheduler, "j", [0.1])
     scheduler.assign(0.0)
-    scheduler.return_task("a", "j", 0, Reason.QUEUE_FULL, 0.001)
+    scheduler.return_task("a", "j", 0, reason, 0.001)
     assert scheduler.assign(0.002) == []
     report(scheduler, "b", 0.003)
     assert placed(scheduler.assign(0.003)) == [("b", "j", (0,))]
