Count large jobs only in part against their client's share

Cause: the backlog beyond a client's share put back its jobs only after 3 s of work, because a single large job would otherwise have put back all jobs of its client. Change: each job counts for at most 0.25 s of all slots, and the limit is 1 s.

--- a/gypsumline/core/admission.py
+++ b/gypsumline/core/admission.py
@@ -21,10 +21,13 @@
     Attributes:
       tasks: Admitted tasks that have not finished.
       work: Their expected run time at speed 1, in seconds.
+      counted: The same for the order of the jobs, where a large job counts only
+        in part: its own size puts it back already.
     """
 
     tasks: int = 0
     work: float = 0.0
+    counted: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,6 +38,7 @@
       work: Expected run time at speed 1 by service, in seconds.
       clients: Use by service and client.
       running: Tasks by client.
+      counted: Counted work by service; see `ClientUse`.
       version: Number that changes when a client comes or goes.
     """
 
@@ -44,6 +48,14 @@
     )
     running: dict[str, int] = dataclasses.field(default_factory=dict)
     version: int = 0
+    counted: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def count(self, service: str, client: str, work: float) -> None:
+        """Adds counted work of a client; negative when a job ends."""
+        self.counted[service] = self.counted.get(service, 0.0) + work
+        use = self.clients.get((service, client))
+        if use is not None:
+            use.counted += work
 
     def add(self, service: str, client: str, tasks: int, work: float) -> None:
         """Adds tasks and their work; both are negative when tasks finish."""
@@ -181,18 +193,13 @@
             )
         return None
 
-    def excess_work(self, service: str, client: str, share: float) -> float:
-        """Returns the work that a client has beyond its share, in seconds.
-
-        Args:
-          service: Service of the backlog.
-          client: The client.
-          share: Its part of the slots; see `share_of`.
-        """
+    def excess_work(self, service: str, client: str) -> float:
+        """Returns the counted work that a client has beyond its share."""
         use = self._backlog.clients.get((service, client))
         if use is None:
             return 0.0
-        return max(0.0, use.work - share * self._backlog.work[service])
+        total = self._backlog.counted[service]
+        return max(0.0, use.counted - self.share_of(service, client) * total)
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Takes a configuration into force."""
--- a/gypsumline/core/placement/job_queue.py
+++ b/gypsumline/core/placement/job_queue.py
@@ -48,6 +48,7 @@
       queues: Unplaced tasks by kind.
       work_left: Work of the tasks that have not finished, by index.
       unplaced_work: Work of the tasks in the queues.
+      counted: Work that it counts for its client; see `ClientUse`.
       penalty: Seconds that it is put back for what its client has already.
       priority: Place in the order; lower is earlier.
       order_number: Number of its valid entry in the order.
@@ -62,6 +63,7 @@
     queues: dict[str, QueuedTasks] = dataclasses.field(default_factory=dict)
     work_left: dict[int, float] = dataclasses.field(default_factory=dict)
     unplaced_work: float = 0.0
+    counted: float = 0.0
     penalty: float = 0.0
     priority: float = 0.0
     order_number: int = 0
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -133,6 +133,9 @@
         self._jobs[key] = job
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, len(indexes), total)
+        limit = self._settings.counted_time_max * self._capacity(job.service)
+        job.counted = min(total, limit)
+        self._backlog.count(job.service, job.client, job.counted)
         self._queue(job)
 
     def remove_job(self, key: str, now: float) -> None:
@@ -141,6 +144,7 @@
         if job is None:
             return
         job.queues.clear()
+        self._backlog.count(job.service, job.client, -job.counted)
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, -len(job.work_left), -total)
 
@@ -192,9 +196,10 @@
         job = self._jobs.get(key)
         if job is not None and result.index in job.work_left:
             work = job.work_left.pop(result.index)
-            self._backlog.add(job.service, job.client, -1, -work)
             if not job.work_left:
                 del self._jobs[key]
+                self._backlog.count(job.service, job.client, -job.counted)
+            self._backlog.add(job.service, job.client, -1, -work)
         if agent is None or placed is None:
             return
         if result.status is TaskStatus.SUCCEEDED:
@@ -268,8 +273,7 @@
         agent.speed = self._estimates.speed(upstream)
 
     def _penalty(self, body: JobBody) -> float:
-        share = self._admission.share_of(body.service, body.client)
-        excess = self._admission.excess_work(body.service, body.client, share)
+        excess = self._admission.excess_work(body.service, body.client)
         settings = self._settings
         excess_time = excess / self._capacity(body.service)
         excess_time = max(0.0, excess_time - settings.client_burst_time)
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -44,7 +44,8 @@
       client_burst_time: Work beyond its share, in seconds of all slots, that a
         client may have in the backlog before its jobs are put back.
       size_delay_max: float = 30.0
-    client_burst_time: float = 3.0
+    client_burst_time: float = 1.0
+    counted_time_max: float = 0.25
     fairness_weight: Seconds that a job is put back in the order for each
         second of work (of all slots) that its client has beyond its share.
       retry_after_min: Shortest time to retry that a refusal names.
@@ -69,7 +70,8 @@
     age_weight: float = 16.0
     admission_margin: float = 0.8
     size_delay_max: float = 30.0
-    client_burst_time: float = 3.0
+    client_burst_time: float = 1.0
+    counted_time_max: float = 0.25
     fairness_weight: float = 20.0
     retry_after_min: float = 0.1
     retry_after_max: float = 30.0
--- /dev/null
+++ b/gypsumline/tests/core/test_estimate.py
@@ -0,0 +1,57 @@
+"""Tests of the learned run times and speeds."""
+
+import random
+
+import pytest
+
+from gypsumline.core.estimate import RunTimeEstimates
+
+
+def learned(results, speed=None, error=lambda rng: 1.0, sigma=0.3):
+    rng = random.Random(1)
+    estimates = RunTimeEstimates(0.3)
+    speed = speed or {"a": 1.0, "b": 4.0}
+    for number in range(results):
+        upstream = rng.choice(sorted(speed))
+        work = 0.4 * rng.lognormvariate(0.0, sigma)
+        declared = work * error(rng)
+        run_time = work / speed[upstream]
+        if number % 50 == 49:
+            run_time *= 30.0
+        estimates.learn(upstream, "s", "k", declared, run_time)
+    return estimates
+
+
+def test_declared_value_counts_until_results_come():
+    """Guards against ignoring the only thing known of a new kind."""
+    estimates = RunTimeEstimates(0.3)
+    assert estimates.work("s", "k", 2.0) == pytest.approx(2.0)
+    assert estimates.work("s", "k", 0.0) == pytest.approx(0.3)
+
+
+@pytest.mark.parametrize("factor", [0.1, 10.0])
+def test_declared_values_wrong_by_ten_times_fade(factor):
+    """Guards against placement and admission by wrong declared values."""
+    estimates = learned(200, {"a": 1.0}, lambda rng: factor)
+    assert 0.25 < estimates.work("s", "k", 0.4 * factor) < 0.8
+
+
+def test_random_declared_values_lose_their_weight():
+    """Guards against trusting declared values that say nothing."""
+    estimates = learned(
+        400, {"a": 1.0}, lambda rng: 10.0 ** rng.uniform(-1.0, 1.0)
+    )
+    ratio = estimates.work("s", "k", 4.0) / estimates.work("s", "k", 0.04)
+    assert ratio < 4.0
+
+
+def test_speeds_are_learned_in_spite_of_heavy_tails():
+    """Guards against a few slow runs that make a fast upstream look slow."""
+    estimates = learned(400)
+    assert 2.5 < estimates.speed("b") / estimates.speed("a") < 6.0
+
+
+def test_shortest_run_time_is_told_only_when_enough_is_known():
+    """Guards against refusing jobs for good on a single result."""
+    assert learned(5).fastest_run_time("s", "k") == 0.0
+    assert learned(100).fastest_run_time("s", "k") > 0.0
