--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -26,18 +26,6 @@
 # Reasons of results that say nothing about the upstream.
 NO_FAULT_REASONS = (Reason.CANCELLED, Reason.DEADLINE, Reason.WITHDRAWN)
 
-# Refusals for the state of the agent, which other tasks would meet too.
-_AGENT_REASONS = frozenset(
-    {
-        Reason.EXECUTOR_LOST,
-        Reason.JOURNAL_FULL,
-        Reason.LEAVING,
-        Reason.NO_EVIDENCE,
-        Reason.NO_UPSTREAM,
-        Reason.OUT,
-        Reason.SERVICE_OUT,
-    }
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,6 +135,9 @@
         self._jobs[key] = job
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, len(indexes), total)
+        limit = self._settings.counted_time_max * self._capacity(job.service)
+        job.counted = min(total, limit)
+        self._backlog.count(job.service, job.client, job.counted)
         self._queue(job)
 
     def remove_job(self, key: str, now: float) -> None:
@@ -155,6 +146,7 @@
         if job is None:
             return
         job.queues.clear()
+        self._backlog.count(job.service, job.client, -job.counted)
         total = sum(job.work_left.values())
         self._backlog.add(job.service, job.client, -len(job.work_left), -total)
 
@@ -206,9 +198,10 @@
         job = self._jobs.get(key)
         if job is not None and result.index in job.work_left:
             work = job.work_left.pop(result.index)
-            self._backlog.add(job.service, job.client, -1, -work)
             if not job.work_left:
                 del self._jobs[key]
+                self._backlog.count(job.service, job.client, -job.counted)
+            self._backlog.add(job.service, job.client, -1, -work)
         if agent is None or placed is None:
             return
         if result.status is TaskStatus.SUCCEEDED:
@@ -223,26 +216,22 @@
         agent = self._fleet.agents.get(agent_id)
         if agent is not None:
             agent.placed.pop((key, index), None)
-            self._block(agent, reason, now)
+            pause = self._pause_after(reason)
+            if pause and agent.blocked_until < now + pause:
+                agent.blocked_until = now + pause
+                self._fleet.wake_at(agent, agent.blocked_until)
             self._fleet.refresh(agent, now)
         job = self._jobs.get(key)
         if job is not None and index in job.work_left:
             job.add(index, job.work_left[index])
             self._queue(job)
 
-    def _block(self, agent: AgentView, reason: Reason, now: float) -> None:
-        """Leaves an agent alone after a refusal that a retry would repeat.
-
-        An agent that refuses for its own state says so in its next heartbeat;
-        until then each new start would come back at once.
-        """
+    def _pause_after(self, reason: Reason) -> float:
         if reason is Reason.QUEUE_FULL:
-            agent.blocked_until = now + self._settings.queue_full_backoff
-        elif reason in _AGENT_REASONS:
-            agent.blocked_until = now + self._settings.refusal_backoff
-        else:
-            return
-        self._fleet.wake_at(agent, agent.blocked_until)
+            return self._settings.queue_full_backoff
+        if reason in NO_FAULT_REASONS:
+            return 0.0
+        return self._settings.refusal_backoff
 
     def _new_agent(self, member: Member, now: float) -> AgentView:
         self.lose_agent(member.member_id, now)
@@ -286,8 +275,7 @@
         agent.speed = self._estimates.speed(upstream)
 
     def _penalty(self, body: JobBody) -> float:
-        share = self._admission.share_of(body.service, body.client)
-        excess = self._admission.excess_work(body.service, body.client, share)
+        excess = self._admission.excess_work(body.service, body.client)
         settings = self._settings
         excess_time = excess / self._capacity(body.service)
         excess_time = max(0.0, excess_time - settings.client_burst_time)
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -14,8 +14,8 @@
       silence_limit: An agent that has not reported for this long gets no work.
       round_trip: Assumed round trip to an agent until one was measured.
       queue_full_backoff: Pause after an agent refused for a full queue.
-      refusal_backoff: Pause after an agent refused for its own state; a
-        heartbeat that tells the state comes within it.
+      refusal_backoff: Pause after an agent refused for another reason, such as
+        its own state or a revision that this owner does not have yet.
       queue_time: Longest expected wait in the queue of an agent for which a
         task is still placed there.
       guaranteed_part: Share of its part of the slots that an owner may fill
@@ -43,7 +43,8 @@
       client_burst_time: Work beyond its share, in seconds of all slots, that a
         client may have in the backlog before its jobs are put back.
       size_delay_max: float = 30.0
-    client_burst_time: float = 3.0
+    client_burst_time: float = 1.0
+    counted_time_max: float = 0.25
     fairness_weight: Seconds that a job is put back in the order for each
         second of work (of all slots) that its client has beyond its share.
       retry_after_min: Shortest time to retry that a refusal names.
@@ -57,9 +58,9 @@
     guaranteed_part: float = 1.0
     withdraw_after: float = 0.2
     queue_full_backoff: float = 0.02
-    refusal_backoff: float = 0.5
     pass_interval: float = 0.02
     default_run_time: float = 0.3
+    refusal_backoff: float = 0.25
     ramp_time: float = 1.0
     probe_interval: float = 2.0
     probe_interval_max: float = 30.0
@@ -68,7 +69,8 @@
     age_weight: float = 16.0
     admission_margin: float = 0.8
     size_delay_max: float = 30.0
-    client_burst_time: float = 3.0
+    client_burst_time: float = 1.0
+    counted_time_max: float = 0.25
     fairness_weight: float = 20.0
     retry_after_min: float = 0.1
     retry_after_max: float = 30.0
