Let a stopping entry own its keys until its epoch ends

Cause: the epoch without a leaving entry begins 6 s after the leave, but the entry departed after about 1.5 s. The keys of the time between moved to successors that had to wait for the end of its evidence, 2 s, and then refused the jobs as not run.

--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -53,6 +53,8 @@
     HandOverAck,
 )
 _CHANGE_TIMEOUT_SECONDS = 10.0
+# For keys whose clients' clocks are a little behind.
+_EPOCH_MARGIN_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,8 +145,13 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether no job is left and all kept answers were handed over."""
-        return self._machines.owner.is_drained()
+        """Whether no job is left or to come, and all answers are handed over.
+
+        Keys go on coming to this entry until the owner epoch without it has
+        begun. If it departed earlier, its successors would refuse such keys
+        until the evidence of its ownership has expired.
+        """
+        return self._machines.owner.is_drained() and self._is_epoch_over()
 
     @property
     def has_departed(self) -> bool:
@@ -289,6 +296,20 @@
         control = self._machines.control
         self._run(control.depart(boot_time(), wall_time()))
 
+    def _is_epoch_over(self) -> bool:
+        record = self.record
+        successors = [
+            entry
+            for entry in record.entries
+            if entry.member_id in self._peers
+            and not self._peers[entry.member_id].leaving
+        ]
+        if self._me not in record.entries or not successors:
+            return True
+        newest = record.epochs[-1]
+        begins = newest.begins_at_wall + _EPOCH_MARGIN_SECONDS
+        return self._me not in newest.owners and begins <= wall_time()
+
     def _take_control(
         self, member: Member, message: Message, now: float, wall: float
     ) -> None:
--- /dev/null
+++ b/gypsumline/tests/entry/test_node.py
@@ -0,0 +1,56 @@
+"""Tests of the entry's shell."""
+
+import asyncio
+import dataclasses
+
+from gypsumline.core.control import OwnerEpoch
+from gypsumline.core.messages import PeerHeartbeat
+from gypsumline.entry import node as node_module
+from gypsumline.runtime.clock import wall_time
+from gypsumline.tests.core.builders import ENTRY, OTHER, make_record
+from gypsumline.tests.entry.entry_server import entry_server
+
+
+def set_record(entry, begins_at):
+    epochs = (
+        OwnerEpoch(begins_at_wall=0.0, owners=(ENTRY, OTHER)),
+        OwnerEpoch(begins_at_wall=begins_at, owners=(OTHER,)),
+    )
+    record = make_record(revision=2, entries=(ENTRY, OTHER))
+    entry.control.record = dataclasses.replace(record, epochs=epochs)
+    entry.node.tick_control()
+
+
+async def test_stop_goes_on_until_the_epoch_without_the_entry(monkeypatch):
+    """Guards against new jobs that are refused for 2 s after each stop."""
+    monkeypatch.setattr(node_module, "_EPOCH_MARGIN_SECONDS", 0.0)
+    async with entry_server() as entry:
+        beat = PeerHeartbeat(sequence=1, revision=2)
+        entry.node.on_message(OTHER, beat)
+        set_record(entry, wall_time() + 0.5)
+        entry.node.begin_leave()
+        await asyncio.sleep(0.2)
+        assert not entry.node.is_drained
+        await asyncio.sleep(0.5)
+        assert entry.node.is_drained
+
+
+async def test_entries_that_stop_together_do_not_wait_for_each_other():
+    """Guards against a stop of the whole system that takes its limit."""
+    async with entry_server() as entry:
+        beat = PeerHeartbeat(sequence=1, revision=2, leaving=True)
+        entry.node.on_message(OTHER, beat)
+        set_record(entry, wall_time() + 60)
+        entry.node.begin_leave()
+        await asyncio.sleep(0.2)
+        assert entry.node.is_drained
+
+
+async def test_new_incarnation_is_later_than_the_removed_one():
+    """Guards against a new incarnation that counts as the earlier process."""
+    async with entry_server() as entry:
+        removed = dataclasses.replace(ENTRY, incarnation=2**62)
+        entry.node._me = removed
+        entry.node._hub = None
+        entry.node._take_new_incarnation()
+        assert entry.node.me.incarnation == removed.incarnation + 1
