--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -27,7 +27,6 @@
 NO_FAULT_REASONS = (Reason.CANCELLED, Reason.DEADLINE, Reason.WITHDRAWN)
 
 
-
 @dataclasses.dataclass(slots=True)
 class _Chosen:
     """Tasks of one job for one agent."""
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -55,8 +55,8 @@
 _CHANGE_TIMEOUT_SECONDS = 10.0
 # Without jobs an owner only forgets old answers and waits for journals.
 IDLE_TICK_SECONDS = 0.2
-# Time from the making of a key to its arrival, with the skew of two clocks.
-KEY_TRANSIT_SECONDS = 1.0
+# For keys whose clients' clocks are a little behind.
+_EPOCH_MARGIN_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -148,8 +148,13 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether this entry has finished and gets no new keys any more."""
-        return self._machines.owner.is_drained() and self._gets_no_keys()
+        """Whether no job is left or to come, and all answers are handed over.
+
+        Keys go on coming to this entry until the owner epoch without it has
+        begun. If it departed earlier, its successors would refuse such keys
+        until the evidence of its ownership has expired.
+        """
+        return self._machines.owner.is_drained() and self._is_epoch_over()
 
     @property
     def has_departed(self) -> bool:
@@ -298,24 +303,19 @@
         control = self._machines.control
         self._run(control.depart(boot_time(), wall_time()))
 
-    def _gets_no_keys(self) -> bool:
-        """Returns whether new keys belong to an epoch without this entry.
-
-        A key that came to another owner only because this entry was dropped
-        might have been refused here, so that owner could not run it.
-        """
-        epochs = self.record.epochs
-        if not epochs:
+    def _is_epoch_over(self) -> bool:
+        record = self.record
+        successors = [
+            entry
+            for entry in record.entries
+            if entry.member_id in self._peers
+            and not self._peers[entry.member_id].leaving
+        ]
+        if self._me not in record.entries or not successors:
             return True
-        if self._me in epochs[-1].owners:
-            return all(self._is_leaving(entry) for entry in self.record.entries)
-        return wall_time() > epochs[-1].begins_at_wall + KEY_TRANSIT_SECONDS
-
-    def _is_leaving(self, entry: Member) -> bool:
-        if entry == self._me:
-            return self._leaving
-        heartbeat = self._peers.get(entry.member_id)
-        return heartbeat is not None and heartbeat.leaving
+        newest = record.epochs[-1]
+        begins = newest.begins_at_wall + _EPOCH_MARGIN_SECONDS
+        return self._me not in newest.owners and begins <= wall_time()
 
     def _take_control(
         self, member: Member, message: Message, now: float, wall: float
