--- a/benchmarks/operators.py
+++ b/benchmarks/operators.py
@@ -46,8 +46,9 @@
     ) -> Acceptance | None:
         """Returns the acceptance, or None if there is none within the limit.
 
-        The entries are asked in turn; without a list of them, all are. A change whose outcome is unknown is tried again from the version that
-        is then in force, so the text may be accepted twice.
+        The entries are asked in turn; without a list of them, all are. A
+        change whose outcome is unknown is tried again from the version that is
+        then in force, so the text may be accepted twice.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + limit
