Make two tests of the hub notice what they guard

The test of the first frame's limit passed by the hello timeout without the limit, and the test of a too long message did not look at the log line. Both fail now when the limit or the line is taken out.

--- a/gypsumline/tests/wire/test_hub_faults.py
+++ b/gypsumline/tests/wire/test_hub_faults.py
@@ -101,8 +101,9 @@
         assert seen.messages == []
 
 
-async def test_first_frame_is_bounded():
+async def test_first_frame_is_bounded(monkeypatch):
     """Guards against many new connections that hold 4 MiB each."""
+    monkeypatch.setattr(connection, "HELLO_TIMEOUT_SECONDS", 60.0)
     async with hub_and_peer() as (_, seen, peer):
         peer.writer.write(LENGTH.pack(connection.HELLO_LIMIT_BYTES + 1))
         assert await peer.is_closed()
@@ -153,7 +154,7 @@
         await until(lambda: seen.disconnected)
 
 
-async def test_too_long_message_is_counted_and_reported():
+async def test_too_long_message_is_counted_and_reported(caplog):
     """Guards against a message that is dropped without a trace."""
     name = FrameTooLargeError.__name__
     unsent = metrics.UNSENT_MESSAGES.labels("goodbye", name)
@@ -164,6 +165,7 @@
         message = Goodbye(reason="x" * FRAME_LIMIT_BYTES)
         assert not running.send("agent-1", message)
         assert unsent._value.get() == before + 1
+        assert "message is too long to be sent" in caplog.text
         assert running.send("agent-1", HandOverAck(count=1))
 
 
