Keep withdrawals away from the baseline policies

Cause: the baselines bind a task for good, but got withdrawals of overdue tasks, which made them look better and wasted messages; a task that was returned twice was queued twice. Change: no overdue withdrawals for policies that bind at arrival; a queued task is kept once. The records of the model moved to a module of their own.

--- a/benchmarks/placement_model.py
+++ b/benchmarks/placement_model.py
@@ -17,6 +17,7 @@
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 
+from benchmarks.cluster_records import ClusterSettings
 from benchmarks.ideal import Ideal, ideal_of, percentile
 from benchmarks.job_stream import (
     Executor,
@@ -25,10 +26,7 @@
     capacity,
     make_executors,
 )
-from benchmarks.virtual_cluster import (
-    ClusterSettings,
-    VirtualCluster,
-)
+from benchmarks.virtual_cluster import VirtualCluster
 from gypsumline.core.placement.settings import PlacementSettings
 
 # Suffix of a policy for agents that hold a result for up to 0.3 s while they
--- a/gypsumline/core/placement/job_queue.py
+++ b/gypsumline/core/placement/job_queue.py
@@ -46,6 +46,7 @@
       deadline: When it is of no more use.
       declared: Kind and declared run time of its tasks, by index.
       queues: Unplaced tasks by kind.
+      queued: Indexes of the unplaced tasks.
       work_left: Work of the tasks that have not finished, by index.
       unplaced_work: Work of the tasks in the queues.
       counted: Work that it counts for its client; see `ClientUse`.
@@ -61,6 +62,7 @@
     deadline: float
     declared: dict[int, tuple[str, float]]
     queues: dict[str, QueuedTasks] = dataclasses.field(default_factory=dict)
+    queued: set[int] = dataclasses.field(default_factory=set)
     work_left: dict[int, float] = dataclasses.field(default_factory=dict)
     unplaced_work: float = 0.0
     counted: float = 0.0
@@ -69,7 +71,10 @@
     order_number: int = 0
 
     def add(self, index: int, work: float) -> None:
-        """Adds an unplaced task."""
+        """Adds an unplaced task; one that is queued already is kept once."""
+        if index in self.queued:
+            return
+        self.queued.add(index)
         kind = self.declared[index][0]
         self.queues.setdefault(kind, QueuedTasks(kind)).add(index, work)
         self.unplaced_work += work
@@ -78,6 +83,7 @@
         """Removes a task that was placed; returns its index and work."""
         index, work = queue.take(position)
         self.unplaced_work -= work
+        self.queued.discard(index)
         if not queue.works:
             del self.queues[queue.kind]
         return index, work
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -168,6 +168,8 @@
             if agent is None or not agent.placed:
                 self._crowded.discard(name)
             elif self._fleet.is_usable(agent, now):
+                if self._policy.binds_at_arrival:
+                    continue
                 idle = self._idle_places(agent)
                 names = self._rules.overdue(agent, idle, now)
                 asked.extend(_withdraw(agent, names, "overdue"))
--- a/gypsumline/tests/core/placement/test_scheduler.py
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -304,3 +304,15 @@
     report(scheduler, "a", 1.5, slots=2, free=0)
     report(scheduler, "b", 1.5)
     assert withdrawn(scheduler, 1.5) == []
+
+
+def test_task_returned_twice_is_placed_once():
+    """Guards against a second start when an answer comes twice."""
+    scheduler = make_scheduler()
+    report(scheduler, "a", slots=1, free=1)
+    add(scheduler, "j", [0.1])
+    scheduler.assign(0.0)
+    report(scheduler, "b")
+    for _ in range(2):
+        scheduler.return_task("a", "j", 0, Reason.WITHDRAWN, 0.1)
+    assert sum(len(a.indexes) for a in scheduler.assign(0.1)) == 1
