Call an entry ready only after the recovery of its first keys

Cause: a job sent right after the start was refused as not run, since its key could have had an earlier owner. Change: /readyz of a starting entry answers 503 until the time of its first keys is past; later gains of keys do not count.

--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -218,8 +218,7 @@
     jobs = JobHttp(node, settings)
 
     async def ready(request: Request) -> Response:
-        is_ready = node.is_fresh and not node.leaving
-        return Response("", status_code=200 if is_ready else 503)
+        return Response("", status_code=200 if node.is_ready else 503)
 
     async def status(request: Request) -> Response:
         body = json.dumps(status_body(node))
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -55,6 +55,8 @@
 _CHANGE_TIMEOUT_SECONDS = 10.0
 # Without jobs an owner only forgets old answers and waits for journals.
 IDLE_TICK_SECONDS = 0.2
+# Twice the skew of two clocks: how much older a new key may look.
+KEY_MARGIN_SECONDS = 1.0
 # For keys whose clients' clocks are a little behind.
 _EPOCH_MARGIN_SECONDS = 0.5
 
@@ -106,6 +108,7 @@
         self._leaving = False
         self._departed = False
         self._owner_ticked_at = 0.0
+        self._has_started = False
 
     @property
     def me(self) -> Member:
@@ -146,6 +149,19 @@
         """Whether the evidence is fresh."""
         return self._machines.control.is_fresh(boot_time())
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here.
+
+        A starting entry waits until it is past the recovery of its keys, since
+        it would refuse jobs. Later gains of keys do not count: all entries
+        have them at once, and then none would be ready.
+        """
+        if not self._has_started:
+            settled = self._machines.control.ready_at() + KEY_MARGIN_SECONDS
+            self._has_started = boot_time() >= settled
+        return self._has_started and self.is_fresh and not self._leaving
+
     @property
     def is_drained(self) -> bool:
         """Whether no job is left or to come, and all answers are handed over.
