--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -25,7 +25,7 @@
     default_run_time: Expected run time of a kind that nothing is known of.
       refusal_backoff: Pause after an agent refused for another reason, such as
         a revision that this owner does not have yet.
-      refusal_backoff: float = 0.25
+      refusal_backoff: float = 0.1
     ramp_time: Time for which an agent that appears or returns gets only this
         owner's part of its slots, so that the owners do not overfill it.
       probe_interval: Time from the first ejection of an upstream to its probe;
@@ -61,7 +61,7 @@
     queue_full_backoff: float = 0.02
     pass_interval: float = 0.02
     default_run_time: float = 0.3
-    refusal_backoff: float = 0.25
+    refusal_backoff: float = 0.1
     ramp_time: float = 1.0
     probe_interval: float = 2.0
     probe_interval_max: float = 30.0
--- a/gypsumline/tests/core/placement/test_model.py
+++ b/gypsumline/tests/core/placement/test_model.py
@@ -57,10 +57,11 @@
     assert run_failing(seed, 40.0).lost_later < 0.01
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("policy", POLICIES[:2])
-def test_remaining_slots_work_on_while_a_zone_leaves_and_returns(policy):
+def test_remaining_slots_work_on_while_a_zone_leaves_and_returns(policy, seed):
     """Guards against slots that idle when placement turns to other zones."""
-    run = run_zone_change(SEED, policy)
+    run = run_zone_change(seed, policy)
     assert run.worst_second >= 0.97
     assert run.late_starts == 0
 
