--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -60,7 +60,7 @@
     queue_full_backoff: float = 0.02
     pass_interval: float = 0.02
     default_run_time: float = 0.3
-    refusal_backoff: float = 0.25
+    refusal_backoff: float = 0.1
     ramp_time: float = 1.0
     probe_interval: float = 2.0
     probe_interval_max: float = 30.0
