Take in the load that agents report with results

Cause: results carry the free slots and the queue of the agent, but the owner read them from heartbeats only, every 0.5 s. Slots that other owners' tasks had left counted as busy for about the time of a task. Change: the owner hands the reported load to the scheduler with each message of results; a test. Replies of the owner moved to job_effects.

--- a/gypsumline/core/job_effects.py
+++ b/gypsumline/core/job_effects.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Iterable
 
 from gypsumline.core.control import ControlRecord
-from gypsumline.core.effects import Decision, Send
+from gypsumline.core.effects import Answer, Decision, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
 from gypsumline.core.messages import StartTasks, WithdrawTasks
@@ -123,3 +124,28 @@
             "detail": answer.detail,
         },
     )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Where the answer of a request goes.
+
+    Attributes:
+      origin: Member id of the entry that forwarded it; "" for a local caller.
+      request_id: Number that the origin gave the request.
+    """
+
+    origin: str
+    request_id: int
+
+    def with_answer(self, answer: JobAnswer) -> Answer:
+        """Returns the effect that answers the request."""
+        return Answer(
+            origin=self.origin, request_id=self.request_id, answer=answer
+        )
+
+
+def conflict_answer() -> JobAnswer:
+    """Returns the answer to a key that came with another body before."""
+    detail = "the key was used for another body; that body decides"
+    return failed(Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT, detail)
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -10,7 +10,12 @@
 from gypsumline.core.hand_over import HandOverSender
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
-from gypsumline.core.job_effects import answer_line, failed
+from gypsumline.core.job_effects import (
+    Reply,
+    answer_line,
+    conflict_answer,
+    failed,
+)
 from gypsumline.core.job_runner import JobRunner
 from gypsumline.core.kept_answers import KeptAnswers
 from gypsumline.core.messages import (
@@ -52,6 +57,7 @@
         self._runner = JobRunner(settings, scheduler, self._kept)
         self._recovery = JournalRecovery(me, settings)
         self._hand_over = HandOverSender(me, settings)
+        self._states: dict[str, UpstreamState] = {}
         self._parked = ParkedSubmissions()
         self._leaving = False
 
@@ -93,7 +99,7 @@
         wall: float,
     ) -> list[Effect]:
         """Answers for a key, at once or when its job ends."""
-        reply = _Reply(origin, message.request_id)
+        reply = Reply(origin, message.request_id)
         unable = self._unable(message.key, fresh)
         if unable is not None:
             return [reply.with_answer(unable)]
@@ -114,7 +120,7 @@
         wall: float,
     ) -> list[Effect]:
         """Cancels a job; answered when its outcome is proven."""
-        reply = _Reply(origin, message.request_id)
+        reply = Reply(origin, message.request_id)
         unable = self._unable(message.key, fresh)
         if unable is not None:
             return [reply.with_answer(unable)]
@@ -134,6 +140,7 @@
         """Takes in the state that a connected agent reports."""
         if not self._runner.is_connected(agent):
             return []
+        self._states[agent.member_id] = state
         self._scheduler.observe_agent(agent, state, now)
         return self._runner.place(now)
 
@@ -241,19 +248,19 @@
         wall: float,
     ) -> list[Effect]:
         key = message.key
-        reply = _Reply(origin, message.request_id)
+        reply = Reply(origin, message.request_id)
         unable = self._unable(key, fresh)
         if unable is not None:
             return [reply.with_answer(unable)]
         job = self._runner.find(key)
         if job is not None:
             if job.digest != message.digest:
-                return [reply.with_answer(_conflict())]
+                return [reply.with_answer(conflict_answer())]
             job.attach(origin, message.request_id)
             return []
         kept = self._kept.find(key)
         if kept is not None:
-            answer = kept[1] if kept[0] == message.digest else _conflict()
+            answer = kept[1] if kept[0] == message.digest else conflict_answer()
             return [reply.with_answer(answer)]
         expired = self._expired(key, wall)
         if expired is not None:
@@ -369,8 +376,8 @@
                 for origin, request_id in job.waiters
             ]
         if verdict is Adoption.CONFLICT:
-            reply = _Reply(parked.origin, parked.message.request_id)
-            return [reply.with_answer(_conflict())]
+            reply = Reply(parked.origin, parked.message.request_id)
+            return [reply.with_answer(conflict_answer())]
         self._recovery.forget(job.key)
         if verdict is Adoption.NOT_STARTED:
             detail = "the key's earlier owner was lost before any task started"
@@ -445,8 +452,25 @@
         self._recovery.on_results(sender, message)
         effects = self._runner.on_results(sender, message, now, wall)
         effects += self._settle(message.key, fresh, now, wall)
+        self._observe_load(sender, message, now)
         return effects + self._runner.place(now)
 
+    def _observe_load(
+        self, sender: Member, message: TaskResults, now: float
+    ) -> None:
+        """Takes in the load that came with results.
+
+        Heartbeats alone come every half second, so that slots which other
+        owners' tasks have left would count as busy for about a task's time.
+        """
+        state = self._states.get(sender.member_id)
+        if state is None or not self._runner.is_connected(sender):
+            return
+        state = dataclasses.replace(
+            state, free=message.free, queued=message.queued
+        )
+        self._scheduler.observe_agent(sender, state, now)
+
     def _settle(
         self, key: str, fresh: bool, now: float, wall: float
     ) -> list[Effect]:
@@ -492,19 +516,3 @@
             return JobAnswer(outcome=Outcome.RUNNING)
         detail = "this owner knows no submission with this key"
         return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    origin: str
-    request_id: int
-
-    def with_answer(self, answer: JobAnswer) -> Answer:
-        return Answer(
-            origin=self.origin, request_id=self.request_id, answer=answer
-        )
-
-
-def _conflict() -> JobAnswer:
-    detail = "the key was used for another body; that body decides"
-    return failed(Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT, detail)
--- a/gypsumline/tests/core/test_owner.py
+++ b/gypsumline/tests/core/test_owner.py
@@ -249,3 +249,14 @@
     (start,) = sent(harness.deliver(late), StartTasks)
     assert start.attempts == (2,)
     assert sent(harness.deliver(late), StartTasks) == []
+
+
+def test_load_that_comes_with_results_reaches_the_scheduler():
+    """Guards against slots that count as busy until the next heartbeat."""
+    harness = Harness()
+    seen = []
+    harness.scheduler.observe_agent = lambda agent, state, now: seen.append(
+        state
+    )
+    harness.deliver(TaskResults(key=KEY, results=(), free=3, queued=2))
+    assert seen == [dataclasses.replace(UP, free=3, queued=2)]
