Write the report of the measurements after each part

Cause: a run of make bench that was ended during its last part lost the figures of the parts before. Change: the file is written after each part. Conclusion: the tests pass; no measurement was run with this change.

--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -76,16 +76,24 @@
     return text[-_SHOWN_ERROR_CHARACTERS:]
 
 
-def make_report(names: list[str]) -> dict[str, Any]:
-    """Runs the parts and returns the whole report."""
-    return {
+def make_report(names: list[str], path: pathlib.Path) -> dict[str, Any]:
+    """Runs the parts and returns the whole report.
+
+    The file is written after each part, so a run that is ended early keeps the
+    figures that it has.
+    """
+    report: dict[str, Any] = {
         "commit": _git("rev-parse", "HEAD"),
         "has_local_changes": bool(_git("status", "--porcelain")),
         "command": " ".join([pathlib.Path(sys.argv[0]).name, *sys.argv[1:]]),
         "at": datetime.datetime.now(datetime.UTC).isoformat(),
         "python": platform.python_version(),
-        "parts": {name: run_part(name) for name in names},
+        "parts": {},
     }
+    for name in names:
+        report["parts"][name] = run_part(name)
+        path.write_text(json.dumps(report, indent=2, default=str))
+    return report
 
 
 def find_problems(report: dict) -> list[str]:
@@ -127,9 +135,8 @@
     parser.add_argument("parts", nargs="*", choices=[*_PARTS, []])
     options = parser.parse_args()
     _DIRECTORY.mkdir(parents=True, exist_ok=True)
-    report = make_report(options.parts or list(_PARTS))
     path = _DIRECTORY / "report.json"
-    path.write_text(json.dumps(report, indent=2, default=str))
+    report = make_report(options.parts or list(_PARTS), path)
     _write_page(report, plots.draw_all(report, _DIRECTORY))
     for name, part in report["parts"].items():
         print(f"{name}: {part['state']} {part.get('why', '')}")
