--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -19,9 +19,19 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _LIST = _ROOT / "benchmarks" / "mutants.toml"
-_COPIED = ("gypsumline", "properties", "benchmarks", "pyproject.toml", "docs")
+_COPIED = (
+    "gypsumline",
+    "properties",
+    "benchmarks",
+    "docs",
+    "pyproject.toml",
+    "conftest.py",  # passes over the known red tests, which find every mutant
+    "KNOWN-RED.txt",
+)
 _WORKERS = 4
 _CHECK_LIMIT_SECONDS = 300.0
+_PASSED = 0  # exit status of pytest
+_FAILED = 1
 _PYTEST = ("-m", "pytest", "-x", "-q", "-p", "no:cacheprovider")
 
 
@@ -119,10 +129,15 @@
         )
     except subprocess.TimeoutExpired:
         return f"no end within {_CHECK_LIMIT_SECONDS:.0f} s"
+    if done.returncode not in (_PASSED, _FAILED):
+        raise MutantError(
+            f"{mutant.name}: the checks did not run, pytest ended with "
+            f"{done.returncode}: {done.stdout[-500:]}"
+        )
     for line in done.stdout.splitlines():
         if line.startswith(("FAILED ", "ERROR ")):
             return line.split(" ")[1]
-    return "" if done.returncode == 0 else f"exit {done.returncode}"
+    return "" if done.returncode == _PASSED else "a failed check"
 
 
 def _print_table(verdicts: list[Verdict]) -> int:
