Add focused tests for the deliberate faults that nothing found

Cause: 9 of the first 44 mutants passed their checks: the owner's incarnation and the repeatable mark at agents, the digest of kept answers, the deadline and a leaving upstream at the gate, an older record at the gate, statements and acknowledgements of a restarted voter, and N+1 before N is accepted.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -145,7 +145,7 @@
     for verdict in verdicts:
         missed += not verdict.found_by
         found = verdict.found_by or "NOT FOUND"
-        print(f"{verdict.mutant.name:<34} {verdict.mutant.guards:<34} {found}")
+        print(f"{verdict.mutant.name:<42} {verdict.mutant.guards:<39} {found}")
     print(f"{len(verdicts)} mutants, {missed} not found")
     return 1 if missed else 0
 
--- a/gypsumline/tests/core/test_control_machine.py
+++ b/gypsumline/tests/core/test_control_machine.py
@@ -1,8 +1,19 @@
 """Focused tests of the control state over the in-memory world."""
 
+import dataclasses
+from random import Random
+
 from gypsumline.core.configuration import Configuration
-from gypsumline.core.effects import ConfigurationChange
-from gypsumline.core.identity import Role
+from gypsumline.core.control import ControlRecord, OwnerEpoch
+from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.effects import (
+    ConfigurationChange,
+    ReadTable,
+    TableReadResult,
+    WriteTable,
+)
+from gypsumline.core.identity import Member, Role
 from properties.control_world import World
 
 
@@ -209,3 +220,52 @@
     world.run(8)
     assert world.outcomes[1].kind == "refused"
     assert world.processes["entry-0"].member not in world.history[1].entries
+
+
+def writes_until(machine, record, effects, now, end):
+    """Answers each read with the record; returns the writes until `end`."""
+    writes = []
+    while now < end:
+        for effect in effects:
+            if isinstance(effect, WriteTable):
+                writes.append(effect)
+        reads = [e for e in effects if isinstance(e, ReadTable)]
+        effects = []
+        for read in reads:
+            result = TableReadResult(
+                read_id=read.read_id, ok=True, asked_at=now, record=record
+            )
+            effects += machine.on_table(result, now, now)
+        now += 0.1
+        effects += machine.tick(now, now)
+    return writes
+
+
+def test_next_revision_waits_until_the_present_one_is_accepted():
+    """Guards against voters of N-1 that state it beside an accepted N+1."""
+    me, *earlier = (
+        Member(
+            member_id=f"entry-{number}",
+            incarnation=1,
+            role=Role.ENTRY,
+            availability_zone="glyfada",
+        )
+        for number in range(4)
+    )
+    record = ControlRecord(
+        revision=5,
+        entries=(me,),
+        voters=(me,),
+        previous_voters=tuple(earlier),
+        epochs=(OwnerEpoch(begins_at_wall=0.0, owners=(me,)),),
+    )
+    machine = ControlMachine(me, ControlSettings(), Random(1))
+    assert writes_until(machine, record, machine.tick(0, 0), 0.0, 1.0) == []
+    effects = machine.propose(1, change("token-1"), 1.0, 1.0)
+    assert writes_until(machine, record, effects, 1.0, 3.0) == []
+    effects = []
+    for voter in earlier[:2]:  # a newer incarnation no longer states N-1
+        newer = dataclasses.replace(voter, incarnation=2)
+        effects += machine.on_connected(newer, 3.0, 3.0)
+    (write, *_) = writes_until(machine, record, effects, 3.0, 4.0)
+    assert write.record.revision == 6
--- a/gypsumline/tests/core/test_owner.py
+++ b/gypsumline/tests/core/test_owner.py
@@ -106,6 +106,17 @@
     ]
 
 
+def test_another_body_after_the_answer_is_a_conflict():
+    """A kept answer belongs to the body that it was given to."""
+    harness = Harness()
+    harness.submit(make_submit(KEY, count=1))
+    harness.report(succeed(0))
+    other = make_submit(KEY, count=1, digest=b"other", request_id=2)
+    assert answers(harness.submit(other, NOW + 2)) == [
+        (2, Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT)
+    ]
+
+
 def test_another_owner_or_stale_evidence_says_unknown():
     """Only the fresh owner knows whether a job has run."""
     harness = Harness()
--- a/gypsumline/tests/core/test_slot_table.py
+++ b/gypsumline/tests/core/test_slot_table.py
@@ -1,7 +1,10 @@
 """Tests of the slot table."""
 
+import dataclasses
+
 import pytest
 
+from gypsumline.core.control import OwnerEpoch
 from gypsumline.core.effects import StartTask
 from gypsumline.core.messages import (
     JournalQuery,
@@ -25,6 +28,7 @@
 from gypsumline.wire.codec import FRAME_LIMIT_BYTES, encode_frame
 
 KEY = key_at(WALL)
+RESTARTED = dataclasses.replace(ENTRY, incarnation=2)
 
 
 def make_table(slots=2, **settings):
@@ -242,3 +246,63 @@
     assert table.journal.find(done, 0) is None
     table.tick(True, 80.0)
     assert table.journal.find(running, 0) is not None
+
+
+def test_earlier_incarnation_of_the_owner_is_refused():
+    """A replaced owner has forgotten what it started."""
+    table = make_table()
+    first = OwnerEpoch(begins_at_wall=0.0, owners=(RESTARTED,))
+    record = make_record(revision=2, entries=(RESTARTED,), epochs=(first,))
+    table.set_record(record, 2.0)
+    effects = receive(table, make_start(KEY), 3.0)
+    assert refusals(effects) == [(0, Reason.NOT_OWNER, 1)]
+
+
+def test_failed_task_runs_again_only_if_repeatable():
+    """A request marked as not repeatable must run at most once."""
+    table = make_table()
+    for key, repeatable in ((KEY, False), (key_at(WALL, 2), True)):
+        receive(table, make_start(key, repeatable=repeatable))
+        table.may_start(key, 0, True, 1.0)
+        lost = TaskResult(index=0, status=TaskStatus.UNKNOWN)
+        table.on_finished(key, lost, 2.0)
+        again = make_start(key, attempt=2, repeatable=repeatable)
+        assert bool(starts(receive(table, again, 3.0))) is repeatable
+
+
+def test_reserved_task_does_not_start_after_its_deadline():
+    """Its caller has got the final answer by then."""
+    table = make_table()
+    assert starts(receive(table, make_start(KEY, deadline_left=5.0))) == [0]
+    assert table.may_start(KEY, 0, True, 6.0) is Reason.DEADLINE
+
+
+def test_leaving_upstream_starts_nothing_more():
+    """Guards against new work for an executor that stops."""
+    table = make_table()
+    receive(table, make_start(KEY))
+    leaving = Announcement(upstream_id="x", service="s", slots=2, leaving=True)
+    effects = table.announce(leaving, 2.0)
+    assert refusals(effects) == [(0, Reason.LEAVING, 1)]
+    effects = receive(table, make_start(KEY, attempt=2), 3.0)
+    assert refusals(effects) == [(0, Reason.LEAVING, 2)]
+
+
+def test_older_record_does_not_bring_a_zone_back():
+    """A late push of the record before must not undo a zone's leave."""
+    table = make_table()
+    out = make_record(revision=3, availability_zones_out=("a",))
+    table.set_record(out, 1.0)
+    table.set_record(make_record(revision=2), 2.0)
+    effects = receive(table, make_start(KEY), 3.0)
+    assert refusals(effects) == [(0, Reason.OUT, 1)]
+
+
+def test_agent_with_an_unsent_result_is_not_drained():
+    """An agent that exits then leaves the owner without the result."""
+    table = make_table()
+    receive(table, make_start(KEY, deadline_left=5.0))
+    table.may_start(KEY, 0, True, 6.0)
+    assert not table.is_drained()
+    assert refusals(table.tick(True, 6.0)) == [(0, Reason.DEADLINE, 1)]
+    assert table.is_drained()
