--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that embed the library; `docs/library.md` shows them."""
