Write log lines in batches

Cause: each decision line was formatted and written in the callback that also sends the messages of a job. Change: lines are buffered and written every 50 ms in one call; a warning writes them at once.

--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -17,7 +17,12 @@
 from gypsumline.core.slot_table import SlotTable
 from gypsumline.runtime.clock import new_incarnation
 from gypsumline.runtime.http_server import running_http_server
-from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.logs import (
+    FLUSH_INTERVAL_SECONDS,
+    DecisionLog,
+    configure_logs,
+    flush_logs,
+)
 from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import running_timers
@@ -77,6 +82,7 @@
             hub.dial(address)
         timers.subscribe(CONTROL_TICK_SECONDS, node.tick_control)
         timers.subscribe(SLOTS_TICK_SECONDS, node.tick_slots)
+        timers.subscribe(FLUSH_INTERVAL_SECONDS, flush_logs)
         server = running_http_server(
             agent_app(node),
             settings.host,
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -26,7 +26,12 @@
 from gypsumline.platform import open_table
 from gypsumline.runtime.clock import boot_time, new_incarnation
 from gypsumline.runtime.http_server import running_http_server
-from gypsumline.runtime.logs import DecisionLog, configure_logs
+from gypsumline.runtime.logs import (
+    FLUSH_INTERVAL_SECONDS,
+    DecisionLog,
+    configure_logs,
+    flush_logs,
+)
 from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import TimerService, running_timers
@@ -149,3 +154,4 @@
 def _subscribe(timers: TimerService, node: EntryNode) -> None:
     timers.subscribe(CONTROL_TICK_SECONDS, node.tick_control)
     timers.subscribe(OWNER_TICK_SECONDS, node.tick_owner)
+    timers.subscribe(FLUSH_INTERVAL_SECONDS, flush_logs)
--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import logging.handlers
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
@@ -11,9 +13,42 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 
+FLUSH_INTERVAL_SECONDS = 0.05
+_BUFFERED_LINES = 1000
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
+class BatchingHandler(logging.handlers.MemoryHandler):
+    """Formats and writes lines in batches, outside the path of a request.
+
+    A warning writes the batch at once. A process that is killed loses the
+    lines of the last flush interval.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(_BUFFERED_LINES, flushLevel=logging.WARNING)
+        self._stream = stream
+
+    def flush(self) -> None:
+        """Writes the buffered lines with one call."""
+        self.acquire()
+        try:
+            if not self.buffer:
+                return
+            lines = [self.format(record) + "\n" for record in self.buffer]
+            self.buffer.clear()
+            self._stream.write("".join(lines))
+            self._stream.flush()
+        finally:
+            self.release()
+
+
+def flush_logs() -> None:
+    """Writes the buffered lines; subscribed to the timers by each daemon."""
+    for handler in logging.getLogger().handlers:
+        handler.flush()
+
+
 def configure_logs(member_id: str, level: str) -> None:
     """Sends all logs to standard error as JSON lines."""
     formatter = MsgspecFormatter(
@@ -21,7 +56,7 @@
         rename_fields={"asctime": "time", "levelname": "level"},
         static_fields={"member": member_id},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BatchingHandler(sys.stderr)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/gypsumline/tests/runtime/test_logs.py
@@ -0,0 +1,48 @@
+"""Tests of the batched logs."""
+
+import io
+import json
+import logging
+
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+from gypsumline.runtime.logs import BatchingHandler
+
+
+class CountingStream(io.StringIO):
+    """Counts the calls that write."""
+
+    writes = 0
+
+    def write(self, text):
+        self.writes += 1
+        return super().write(text)
+
+
+def make_logger():
+    stream = CountingStream()
+    handler = BatchingHandler(stream)
+    handler.setFormatter(MsgspecFormatter("%(levelname)s %(message)s"))
+    logger = logging.Logger("test")
+    logger.addHandler(handler)
+    return logger, handler, stream
+
+
+def test_lines_are_written_together():
+    """Guards against a write call per decision on the path of a request."""
+    logger, handler, stream = make_logger()
+    for number in range(5):
+        logger.info("placed", extra={"task": number})
+    assert stream.writes == 0
+    handler.flush()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line["task"] for line in lines] == [0, 1, 2, 3, 4]
+    assert stream.writes == 1
+
+
+def test_warning_is_written_at_once():
+    """Guards against a warning that is lost with a process that ends."""
+    logger, _, stream = make_logger()
+    logger.info("placed")
+    logger.warning("planned stop cuts work")
+    assert len(stream.getvalue().splitlines()) == 2
