Check the built binary with a real job

Cause: nothing showed that the binary runs the same path as the source tree or that its processes start no child; `make fuzz` named a missing module. Change: `make binary-check` runs the local system with dist/gypsumline and looks for child processes; `make fuzz` runs both random walks.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 SEED ?= 1
+WALKS ?= 300
 
-.PHONY: setup lint format types unit properties test run bench faults mutants binary fuzz
+.PHONY: setup lint format types unit properties test run bench faults mutants binary binary-check fuzz
 
 setup: $(VENV)/.ready
 
@@ -40,7 +41,11 @@
 	$(PYTHON) -m benchmarks.mutants
 
 fuzz: setup
-	$(PYTHON) -m properties.long_run --seed $(SEED)
+	$(PYTHON) -m properties.control_walk --seed $(SEED) --walks $(WALKS)
+	$(PYTHON) -m properties.submission_walk --seed $(SEED) --walks $(WALKS)
+
+binary-check: binary
+	$(PYTHON) -m benchmarks.binary_check
 
 binary: setup
 	mkdir -p dist
--- a/gypsumline/testing/processes.py
+++ b/gypsumline/testing/processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import ctypes
+import os
 import pathlib
 import random
 import signal
@@ -18,6 +19,8 @@
 import gypsumline
 from gypsumline.core.errors import GypsumlineError
 
+# Path of the built binary that takes the place of `python -m gypsumline`.
+BINARY_VARIABLE = "LOCAL_SYSTEM_BINARY"
 _ROOT = pathlib.Path(gypsumline.__file__).parent.parent
 _READY_POLL_SECONDS = 0.05
 _REQUEST_TIMEOUT_SECONDS = 1.0
@@ -101,9 +104,7 @@
         self.restarts += 1
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                *self._arguments,
+                *command_line(self._arguments),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=asyncio.subprocess.STDOUT,
@@ -169,6 +170,18 @@
         return f"{self.name} {problem}; end of {self._log_path}:\n  {tail}"
 
 
+def command_line(arguments: Sequence[str]) -> list[str]:
+    """Returns the command that runs a module, or the binary for the product.
+
+    Args:
+      arguments: Module and its arguments.
+    """
+    binary = os.environ.get(BINARY_VARIABLE)
+    if binary and arguments[0] == "gypsumline":
+        return [binary, *arguments[1:]]
+    return [sys.executable, "-m", *arguments]
+
+
 async def run_command(arguments: Sequence[str], limit: float) -> str:
     """Runs `python -m ARGUMENTS` and returns what it printed.
 
@@ -176,9 +189,7 @@
       LocalProcessError: It failed, or did not end within the limit.
     """
     process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        *arguments,
+        *command_line(arguments),
         stdin=asyncio.subprocess.DEVNULL,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
