Answer inquiries and cancellations by one lookup

Cause: a read-through found the same lookup in two methods of the owner, two budgets for retries, and the receiving half of a hand-over apart from the sending half. Change: one lookup, one RetryBudget, take_over beside HandOverSender, fixed answers in job_effects. No behaviour changes.

--- a/gypsumline/core/hand_over.py
+++ b/gypsumline/core/hand_over.py
@@ -4,9 +4,10 @@
 
 import collections
 import dataclasses
+from collections.abc import Container
 
 from gypsumline.core.control import ControlRecord
-from gypsumline.core.effects import Effect, Send
+from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.kept_answers import KeptAnswers
 from gypsumline.core.messages import HandOver, HandOverAck, KeptAnswer
@@ -112,3 +113,31 @@
 
 def _state_of(kept: KeptAnswers, record: ControlRecord) -> tuple[int, int]:
     return record.revision, kept.kept_total
+
+
+def take_over(
+    sender: Member,
+    message: HandOver,
+    kept: KeptAnswers,
+    running: Container[str],
+    now: float,
+    wall: float,
+) -> list[Effect]:
+    """Keeps the answers of a leaving owner and acknowledges them.
+
+    Answers for which there is no room are not acknowledged, so that the sender
+    keeps them meanwhile.
+    """
+    count = 0
+    for item in message.answers:
+        if not kept.has_refusal_room:
+            break
+        count += 1
+        if item.key not in running:
+            kept.keep(item.key, item.digest, item.answer, now, wall)
+    line = Decision(
+        event="answers_taken_over",
+        fields={"from": sender.member_id, "count": count},
+    )
+    ack = HandOverAck(count=count)
+    return [Send(to=sender.member_id, message=ack), line]
--- a/gypsumline/core/job_effects.py
+++ b/gypsumline/core/job_effects.py
@@ -149,3 +149,15 @@
     """Returns the answer to a key that came with another body before."""
     detail = "the key was used for another body; that body decides"
     return failed(Outcome.FAILED_NOT_RUN, Reason.KEY_CONFLICT, detail)
+
+
+def too_early_answer(retry_after: float) -> JobAnswer:
+    """Returns the answer to a cancellation that cannot be decided yet."""
+    detail = "an earlier owner's journals are still being read; try again"
+    return failed(Outcome.UNKNOWN, Reason.NO_OWNER, detail, retry_after)
+
+
+def unknown_key_answer() -> JobAnswer:
+    """Returns the answer to a question about a key without a submission."""
+    detail = "this owner knows no submission with this key"
+    return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -28,7 +28,7 @@
     WithdrawTasks,
 )
 from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.repeat_budget import RepeatBudget
+from gypsumline.core.retry_budget import RetryBudget
 from gypsumline.core.task import (
     JobAnswer,
     Outcome,
@@ -54,7 +54,9 @@
         self._scheduler = scheduler
         self._kept = kept
         self._record = ControlRecord()
-        self._budget = RepeatBudget(settings)
+        self._budget = RetryBudget(
+            ratio=settings.retry_share, capacity=settings.retry_burst
+        )
         self._jobs: dict[str, Job] = {}
         self._bytes = 0
         self._unplaced = 0
@@ -96,7 +98,7 @@
         """Adds an admitted job; its waiting tasks go to the scheduler."""
         self._jobs[job.key] = job
         self._bytes += job.size
-        self._budget.add_request()
+        self._budget.record_request()
         heapq.heappush(self._deadlines, (job.deadline, job.key))
         self._unplaced += job.waiting
         waiting = [i for i in range(len(job.attempts)) if job.is_waiting(i)]
@@ -352,7 +354,8 @@
         job.may_have_run = True
         self._scheduler.finish_task(agent.member_id, job.key, result, now)
         self._give_back(job, result.index)
-        if job.body.repeatable and not job.cancelling and self._budget.take():
+        may_repeat = job.body.repeatable and not job.cancelling
+        if may_repeat and self._budget.try_spend():
             self._scheduler.add_job(job.key, job.body, [result.index], now)
             return []
         detail = (
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -6,8 +6,8 @@
 
 from gypsumline.core.adoption import Adoption, adopt
 from gypsumline.core.control import ControlRecord
-from gypsumline.core.effects import Answer, Decision, Effect, Send
-from gypsumline.core.hand_over import HandOverSender
+from gypsumline.core.effects import Answer, Effect
+from gypsumline.core.hand_over import HandOverSender, take_over
 from gypsumline.core.identity import Member
 from gypsumline.core.job import Job
 from gypsumline.core.job_effects import (
@@ -15,6 +15,8 @@
     answer_line,
     conflict_answer,
     failed,
+    too_early_answer,
+    unknown_key_answer,
 )
 from gypsumline.core.job_runner import JobRunner
 from gypsumline.core.kept_answers import KeptAnswers
@@ -100,14 +102,11 @@
     ) -> list[Effect]:
         """Answers for a key, at once or when its job ends."""
         reply = Reply(origin, message.request_id)
-        unable = self._unable(message.key, fresh)
-        if unable is not None:
-            return [reply.with_answer(unable)]
-        job = self._runner.find(message.key)
-        if job is None:
-            return [reply.with_answer(self._find_answer(message.key))]
+        found = self._find(message.key, fresh)
+        if isinstance(found, JobAnswer):
+            return [reply.with_answer(found)]
         if message.wait:
-            job.attach(origin, message.request_id)
+            found.attach(origin, message.request_id)
             return []
         return [reply.with_answer(JobAnswer(outcome=Outcome.RUNNING))]
 
@@ -121,18 +120,14 @@
     ) -> list[Effect]:
         """Cancels a job; answered when its outcome is proven."""
         reply = Reply(origin, message.request_id)
-        unable = self._unable(message.key, fresh)
-        if unable is not None:
-            return [reply.with_answer(unable)]
-        job = self._runner.find(message.key)
-        if job is None:
-            answer = self._find_answer(message.key)
-            if answer.outcome is Outcome.RUNNING:
-                answer = self._too_early()
-            return [reply.with_answer(answer)]
-        job.attach(origin, message.request_id)
-        effects = self._runner.cancel(job, now)
-        return effects + self._runner.settle(job, fresh, now, wall)
+        found = self._find(message.key, fresh)
+        if isinstance(found, JobAnswer):
+            if found.outcome is Outcome.RUNNING:
+                found = too_early_answer(self._settings.retry_after)
+            return [reply.with_answer(found)]
+        found.attach(origin, message.request_id)
+        effects = self._runner.cancel(found, now)
+        return effects + self._runner.settle(found, fresh, now, wall)
 
     def on_agent(
         self, agent: Member, state: UpstreamState, now: float, wall: float
@@ -482,37 +477,23 @@
     def _on_hand_over(
         self, sender: Member, message: HandOver, now: float, wall: float
     ) -> list[Effect]:
-        count = 0
-        for item in message.answers:
-            if not self._kept.has_refusal_room:
-                break  # unacknowledged, so the sender keeps it meanwhile
-            count += 1
-            if self._runner.find(item.key) is None:
-                self._kept.keep(item.key, item.digest, item.answer, now, wall)
-        line = Decision(
-            event="answers_taken_over",
-            fields={"from": sender.member_id, "count": count},
-        )
-        ack = HandOverAck(count=count)
-        return [Send(to=sender.member_id, message=ack), line]
-
-    def _too_early(self) -> JobAnswer:
-        detail = "an earlier owner's journals are still being read; try again"
-        return failed(
-            Outcome.UNKNOWN,
-            Reason.NO_OWNER,
-            detail,
-            self._settings.retry_after,
-        )
+        running = set(self._runner.running_keys())
+        return take_over(sender, message, self._kept, running, now, wall)
 
     def _knows(self, key: str) -> bool:
         return self._runner.find(key) is not None or key in self._kept
 
+    def _find(self, key: str, fresh: bool) -> Job | JobAnswer:
+        """Returns a running job, or what is to be answered instead."""
+        unable = self._unable(key, fresh)
+        if unable is not None:
+            return unable
+        return self._runner.find(key) or self._find_answer(key)
+
     def _find_answer(self, key: str) -> JobAnswer:
         kept = self._kept.find(key)
         if kept is not None:
             return kept[1]
         if self._parked.has_key(key):
             return JobAnswer(outcome=Outcome.RUNNING)
-        detail = "this owner knows no submission with this key"
-        return failed(Outcome.UNKNOWN, Reason.UNKNOWN_KEY, detail)
+        return unknown_key_answer()
