Run the measurements that exist in make bench

Cause: the report named parts by modules that do not exist, so placement and decisions would have been listed as not run. Change: the parts are path, job_cost, slopes, decisions, placement_model and capacity; decisions prints JSON on request. The whole of make bench was not run yet.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -10,6 +10,7 @@
 
 import argparse
 import dataclasses
+import json
 import random
 import time
 
@@ -182,7 +183,12 @@
     """Prints the costs."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
     given = parser.parse_args()
+    if given.json:
+        costs = [dataclasses.asdict(cost) for cost in run_all(given.seed)]
+        print(json.dumps({"costs": costs}))
+        return
     print("agents backlog  step us  placed/step  admit+add us  report us")
     for cost in run_all(given.seed):
         print(
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -26,7 +26,16 @@
 # Each module prints one JSON object of figures, and may have
 # `targets(figures) -> dict` from a figure's name to its value and the highest
 # value allowed.
-_PARTS = ("path", "capacity", "placement", "decisions", "zone_change")
+_PARTS = (
+    "path",
+    "job_cost",
+    "slopes",
+    "decisions",
+    "placement_model",
+    "capacity",
+)
+# Modules that print a table unless asked for JSON.
+_JSON_ON_REQUEST = frozenset({"decisions", "placement_model"})
 _PART_LIMIT_SECONDS = 1200.0
 _SHOWN_ERROR_CHARACTERS = 2000
 
@@ -59,7 +68,7 @@
 
 def _run_module(module_name: str) -> dict[str, Any]:
     done = subprocess.run(
-        [sys.executable, "-m", module_name],
+        [sys.executable, "-m", module_name, *_json_flag(module_name)],
         capture_output=True,
         text=True,
         check=True,
@@ -71,6 +80,11 @@
     return figures
 
 
+def _json_flag(module_name: str) -> list[str]:
+    is_asked = module_name.rpartition(".")[2] in _JSON_ON_REQUEST
+    return ["--json"] if is_asked else []
+
+
 def _explain(error: Exception) -> str:
     text = f"{error}\n{getattr(error, 'stderr', None) or ''}"
     return text[-_SHOWN_ERROR_CHARACTERS:]
