Name modules by what they hold

Cause: a read-through found figurative names and lines of code pasted into the description of the placement settings. Change: agent/leave_progress.py and core/orphaned_tasks.py, before farewell and leftovers; the settings' description. No behaviour changes. Result: the tests of agent, entry and submissions pass.

--- a/gypsumline/agent/farewell.py
+++ b/gypsumline/agent/leave_progress.py
@@ -8,7 +8,7 @@
 from gypsumline.core.messages import TaskResults
 
 
-class Farewell:
+class LeaveProgress:
     """Tells when no entry can send work or lack results any more.
 
     Starts that an entry sent before it learned of the leave still arrive and
--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from gypsumline.agent.executor_client import ExecutorClient
-from gypsumline.agent.farewell import Farewell
+from gypsumline.agent.leave_progress import LeaveProgress
 from gypsumline.core.control import ControlRecord
 from gypsumline.core.control_machine import ControlMachine
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
@@ -60,7 +60,7 @@
         self._executor: ExecutorClient | None = None
         self._runs: dict[asyncio.Task[None], StartTask] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self._farewell = Farewell()
+        self._leave = LeaveProgress()
         self._applied_revision = 0
         self._announcement: Announcement | None = None
         self._announced_at = math.inf
@@ -96,7 +96,7 @@
             return True
         connected = [member.member_id for member in self._hub.members]
         listed = [entry.member_id for entry in self.record.entries]
-        return self._farewell.is_complete(connected, listed)
+        return self._leave.is_complete(connected, listed)
 
     @property
     def running(self) -> list[str]:
@@ -145,7 +145,7 @@
 
     def begin_leave(self) -> None:
         """Begins a planned stop."""
-        self._farewell.begin()
+        self._leave.begin()
         self._run(self._machines.slots.leave(boot_time()))
         self._tell_leave()
 
@@ -162,7 +162,7 @@
         """Takes a new connection."""
         control = self._machines.control
         self._run(control.on_connected(member, boot_time(), wall_time()))
-        for message in self._farewell.on_connected(member.member_id):
+        for message in self._leave.on_connected(member.member_id):
             self._send(Send(to=member.member_id, message=message))
 
     def on_disconnected(self, member: Member) -> None:
@@ -179,7 +179,7 @@
             self._run(slots.on_message(member, message, fresh, now, wall))
             return
         if isinstance(message, HeartbeatReply):
-            self._farewell.on_reply(member.member_id, message.sequence)
+            self._leave.on_reply(member.member_id, message.sequence)
         control = self._machines.control
         self._run(control.on_message(member, message, now, wall))
         self._apply_record()
@@ -241,12 +241,12 @@
 
     def _send(self, effect: Send) -> None:
         if isinstance(effect.message, Heartbeat):
-            self._farewell.on_heartbeat(effect.to, effect.message.sequence)
+            self._leave.on_heartbeat(effect.to, effect.message.sequence)
         is_sent = self._hub is not None and self._hub.send(
             effect.to, effect.message
         )
         if not is_sent and isinstance(effect.message, TaskResults):
-            self._farewell.keep_results(effect.to, effect.message)
+            self._leave.keep_results(effect.to, effect.message)
 
     def _start(self, start: StartTask) -> None:
         run = asyncio.create_task(self._run_task(start))
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -21,12 +21,12 @@
     withdrawn_task,
 )
 from gypsumline.core.kept_answers import KeptAnswers
-from gypsumline.core.leftovers import Leftover, Leftovers
 from gypsumline.core.messages import (
     TaskResults,
     TasksWithdrawn,
     WithdrawTasks,
 )
+from gypsumline.core.orphaned_tasks import OrphanedTask, OrphanedTasks
 from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.retry_budget import RetryBudget
 from gypsumline.core.task import (
@@ -65,7 +65,7 @@
         self._connected: dict[str, Member] = {}
         self._newest: dict[str, Member] = {}
         self._silent: dict[str, float] = {}
-        self._leftovers = Leftovers()
+        self._orphans = OrphanedTasks()
         self._pruned_at = 0.0
 
     def __len__(self) -> int:
@@ -146,7 +146,7 @@
         for result in message.results:
             job = self._jobs.get(message.key)
             if job is None:
-                self._on_leftover(agent, message.key, result, now)
+                self._on_orphaned_task(agent, message.key, result, now)
             elif job.is_at(result.index, agent, result.attempt):
                 effects += self._on_result(job, agent, result, now, wall)
             elif _is_late_success(job, result):
@@ -163,7 +163,7 @@
         ):
             if job is None:
                 result = withdrawn_task(index, attempt)
-                self._on_leftover(agent, message.key, result, now)
+                self._on_orphaned_task(agent, message.key, result, now)
             elif job.is_at(index, agent, attempt):
                 self._give_back(job, index)
                 self._scheduler.return_task(
@@ -187,7 +187,7 @@
         effects: list[Effect] = []
         if newest is not None and newest.incarnation < agent.incarnation:
             self._scheduler.lose_agent(agent.member_id, now)
-            self._leftovers.drop_older(agent)
+            self._orphans.drop_older(agent)
             effects += self._lose(agent.member_id, agent, now, wall)
         for job in list(self._jobs.values()):
             here = [i for i, place in job.placed_tasks() if place == agent]
@@ -197,7 +197,7 @@
                     effects.append(
                         withdraw_tasks(job, agent, here, cancel=True)
                     )
-        return effects + self._withdraw_leftovers(agent)
+        return effects + self._withdraw_orphans(agent)
 
     def on_agent_disconnected(self, agent: Member, now: float) -> None:
         """Places nothing more there; open tasks wait for a reconnect."""
@@ -250,7 +250,7 @@
         effects += self._repeat_silent(now, wall)
         if now - self._pruned_at >= _PRUNE_INTERVAL:
             self._pruned_at = now
-            self._forget_leftovers(now)
+            self._forget_orphans(now)
         return effects
 
     def end(
@@ -273,7 +273,9 @@
         until = now + self._settings.deadline_max
         for index, agent in job.placed_tasks():
             attempt = job.attempts[index]
-            self._leftovers.add(job.key, index, Leftover(agent, attempt, until))
+            self._orphans.add(
+                job.key, index, OrphanedTask(agent, attempt, until)
+            )
         effects: list[Effect] = [
             Answer(origin=origin, request_id=request_id, answer=answer)
             for origin, request_id in job.waiters
@@ -378,25 +380,25 @@
             self._unplaced -= 1
         else:
             until = now + self._settings.deadline_max
-            left = Leftover(place, job.attempts[index], until)
-            self._leftovers.add(job.key, index, left)
+            left = OrphanedTask(place, job.attempts[index], until)
+            self._orphans.add(job.key, index, left)
         job.finish(index, result)
         effects = self.end(job, job.final_answer(), now, wall)
         if place is not None and self.is_connected(place):
             effects.append(withdraw_tasks(job, place, [index], cancel=True))
         return effects
 
-    def _forget_leftovers(self, now: float) -> None:
+    def _forget_orphans(self, now: float) -> None:
         """Gives up tasks that no agent reports, so that no slot leaks."""
-        for key, index, left in self._leftovers.take_expired(now):
+        for key, index, left in self._orphans.take_expired(now):
             result = lost_task(index, left.attempt)
             agent_id = left.agent.member_id
             self._scheduler.finish_task(agent_id, key, result, now)
 
-    def _on_leftover(
+    def _on_orphaned_task(
         self, agent: Member, key: str, result: TaskResult, now: float
     ) -> None:
-        if not self._leftovers.take(key, result.index, agent, result.attempt):
+        if not self._orphans.take(key, result.index, agent, result.attempt):
             return
         if result.status is TaskStatus.REFUSED:
             self._scheduler.return_task(
@@ -469,7 +471,7 @@
             if self.is_connected(agent)
         ]
 
-    def _withdraw_leftovers(self, agent: Member) -> list[Effect]:
+    def _withdraw_orphans(self, agent: Member) -> list[Effect]:
         return [
             Send(
                 to=agent.member_id,
@@ -480,7 +482,7 @@
                     cancel=True,
                 ),
             )
-            for key, attempts in self._leftovers.at(agent).items()
+            for key, attempts in self._orphans.at(agent).items()
         ]
 
 
--- a/gypsumline/core/leftovers.py
+++ b/gypsumline/core/orphaned_tasks.py
@@ -9,7 +9,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Leftover:
+class OrphanedTask:
     """A task whose result no caller waits for.
 
     Attributes:
@@ -23,18 +23,18 @@
     until: float
 
 
-class Leftovers:
+class OrphanedTasks:
     """Keeps the scheduler's count of used slots right after a job has ended."""
 
     def __init__(self) -> None:
-        self._tasks: dict[str, dict[int, Leftover]] = {}
+        self._tasks: dict[str, dict[int, OrphanedTask]] = {}
 
     def __contains__(self, key: str) -> bool:
         return key in self._tasks
 
-    def add(self, key: str, index: int, leftover: Leftover) -> None:
+    def add(self, key: str, index: int, orphaned_task: OrphanedTask) -> None:
         """Adds a task that was placed when its job ended."""
-        self._tasks.setdefault(key, {})[index] = leftover
+        self._tasks.setdefault(key, {})[index] = orphaned_task
 
     def take(self, key: str, index: int, agent: Member, attempt: int) -> bool:
         """Forgets a task that the agent has reported."""
@@ -55,9 +55,9 @@
         """Returns the attempts of an agent's tasks by key and index."""
         found: dict[str, dict[int, int]] = {}
         for key, tasks in self._tasks.items():
-            for index, leftover in tasks.items():
-                if leftover.agent == agent:
-                    found.setdefault(key, {})[index] = leftover.attempt
+            for index, orphaned_task in tasks.items():
+                if orphaned_task.agent == agent:
+                    found.setdefault(key, {})[index] = orphaned_task.attempt
         return found
 
     def drop_older(self, agent: Member) -> None:
@@ -69,13 +69,13 @@
             )
         )
 
-    def take_expired(self, now: float) -> list[tuple[str, int, Leftover]]:
+    def take_expired(self, now: float) -> list[tuple[str, int, OrphanedTask]]:
         """Returns and forgets tasks that no agent has reported in time."""
         return self._take(lambda left: left.until <= now)
 
     def _take(
-        self, matches: Callable[[Leftover], bool]
-    ) -> list[tuple[str, int, Leftover]]:
+        self, matches: Callable[[OrphanedTask], bool]
+    ) -> list[tuple[str, int, OrphanedTask]]:
         taken = [
             (key, index, left)
             for key, tasks in self._tasks.items()
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -42,10 +42,9 @@
       size_delay_max: Longest time that a job is put back for its own work.
       client_burst_time: Work beyond its share, in seconds of all slots, that a
         client may have in the backlog before its jobs are put back.
-      size_delay_max: float = 30.0
-    client_burst_time: float = 1.0
-    counted_time_max: float = 0.25
-    fairness_weight: Seconds that a job is put back in the order for each
+      counted_time_max: Most work of one job, in seconds of all slots, that
+        counts against its client's share.
+      fairness_weight: Seconds that a job is put back in the order for each
         second of work (of all slots) that its client has beyond its share.
       retry_after_min: Shortest time to retry that a refusal names.
       retry_after_max: Longest time to retry that a refusal names.
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -419,9 +419,9 @@
                 self._table.write(effect)
             case Decision():
                 self._log.write(effect)
-                self._heed(effect)
+                self._on_membership(effect)
 
-    def _heed(self, decision: Decision) -> None:
+    def _on_membership(self, decision: Decision) -> None:
         if decision.event == "removed":
             self._take_new_incarnation()
         elif decision.event == "departed":
--- a/gypsumline/tests/agent/test_node.py
+++ b/gypsumline/tests/agent/test_node.py
@@ -191,7 +191,7 @@
     assert not node.is_drained
     upstream = node._machines.slots.upstream_state()
     beat = Heartbeat(sequence=7, revision=1, upstream=upstream)
-    node._farewell.on_heartbeat("e1", beat.sequence)
+    node._leave.on_heartbeat("e1", beat.sequence)
     reply = {"revision": 1, "evidence_age": 0.0}
     node.on_message(ENTRY, HeartbeatReply(sequence=6, **reply))
     assert not node.is_drained
