Let only an idle owner and router tick slowly

Cause: found in a read-through. An entry without running jobs of its own ticked every 0.2 s, and this held up the router's retries, which are due every 0.1 s, submissions that wait for their time or for journals, and the hand-over of a planned stop, which looks at 256 keys per tick. Change: the owner says whether it is idle, counting held submissions and a leave, and the entry also asks whether the router has requests. open_jobs, the length of open_keys, is gone. A test of the owner. The delay of retries was not measured.

--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/owner.py
@@ -208,9 +208,9 @@
         return self._send_answers(now)
 
     @property
-    def open_jobs(self) -> int:
-        """Jobs without an answer."""
-        return len(self._runner)
+    def is_idle(self) -> bool:
+        """Whether nothing runs, waits for a retry or is to be handed over."""
+        return not self._leaving and not self._is_busy()
 
     @property
     def open_keys(self) -> list[str]:
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -53,7 +53,7 @@
     HandOverAck,
 )
 _CHANGE_TIMEOUT_SECONDS = 10.0
-# Without jobs an owner only forgets old answers and waits for journals.
+# An idle owner only forgets old answers and asks for journals.
 IDLE_TICK_SECONDS = 0.2
 # Twice the skew of two clocks: how much older a new key may look.
 KEY_MARGIN_SECONDS = 1.0
@@ -192,11 +192,6 @@
         """Keys of the jobs of this owner without an answer."""
         return self._machines.owner.open_keys
 
-    @property
-    def open_jobs(self) -> int:
-        """Jobs of this owner without an answer."""
-        return self._machines.owner.open_jobs
-
     def attach(self, hub: Hub, table: TableTask) -> None:
         """Sets where messages and table operations go."""
         self._hub = hub
@@ -299,7 +294,8 @@
     def tick_owner(self) -> None:
         """Lets the owner and the router act on the passing of time."""
         now = boot_time()
-        is_idle = not self._machines.owner.open_jobs
+        no_requests = self._router.pending_count == 0
+        is_idle = no_requests and self._machines.owner.is_idle
         if is_idle and now < self._owner_ticked_at + IDLE_TICK_SECONDS:
             return
         self._owner_ticked_at = now
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -84,7 +84,7 @@
     cut = {
         "requests": node.pending_requests,
         "request_keys": node.pending_keys[:_CUT_KEYS_LISTED],
-        "jobs": node.open_jobs,
+        "jobs": len(node.open_keys),
         "job_keys": node.open_keys[:_CUT_KEYS_LISTED],
     }
     _LOGGER.warning("planned stop cuts work", extra=cut)
--- a/gypsumline/tests/core/test_owner.py
+++ b/gypsumline/tests/core/test_owner.py
@@ -271,3 +271,15 @@
     )
     harness.deliver(TaskResults(key=KEY, results=(), free=3, queued=2))
     assert seen == [dataclasses.replace(UP, free=3, queued=2)]
+
+
+def test_owner_with_held_or_kept_work_is_not_idle():
+    """Guards against retries and hand-overs at the slow rate of idle ticks."""
+    harness = Harness()
+    assert harness.owner.is_idle
+    harness.submit(make_submit(key_at(WALL + NOW + 2)))
+    assert harness.owner.open_keys == []
+    assert not harness.owner.is_idle
+    leaving = Harness()
+    leaving.owner.leave(NOW, WALL + NOW)
+    assert not leaving.owner.is_idle
