--- /dev/null
+++ b/gypsumline/agent/leased_node.py
@@ -0,0 +1,170 @@
+"""An agent of leased runs wired to its executor, streams and timers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from typing import Protocol
+
+from gypsumline.core.effects import Decision, Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.effects import (
+    Announcement,
+    HeldRuns,
+    OrderAnswer,
+    OrderHold,
+    OrderStart,
+    OrderStop,
+)
+from gypsumline.core.leases.messages import (
+    ClaimRuns,
+    ContactPong,
+    StartRuns,
+    StopRuns,
+    ZonesOut,
+)
+from gypsumline.core.leases.run_table import RunTable
+from gypsumline.core.messages import Message
+from gypsumline.runtime import metrics
+from gypsumline.runtime.clock import boot_time
+from gypsumline.runtime.logs import DecisionLog
+from gypsumline.wire.hub import Hub
+
+# Pause after a request for the runs that had no answer, in seconds.
+UNANSWERED_PAUSE_SECONDS = 0.05
+# Pause between requests while runs of an earlier agent are being stopped.
+SETTLING_PAUSE_SECONDS = 0.02
+
+
+class LeasedExecutor(Protocol):
+    """Calls to the executor beside the agent; none of them raises."""
+
+    async def start(self, order: OrderStart) -> OrderAnswer:
+        """Starts a run."""
+        ...
+
+    async def stop(self, order: OrderStop) -> OrderAnswer:
+        """Stops a run."""
+        ...
+
+    async def hold(self, order: OrderHold) -> HeldRuns | OrderAnswer:
+        """Renews the lease and returns the runs, or why it did not."""
+        ...
+
+
+class LeasedAgentNode:
+    """Feeds inputs to the run table and carries its effects out."""
+
+    def __init__(
+        self,
+        table: RunTable,
+        executor: LeasedExecutor,
+        decision_log: DecisionLog,
+    ) -> None:
+        self._table = table
+        self._executor = executor
+        self._log = decision_log
+        self._hub: Hub | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+
+    @property
+    def table(self) -> RunTable:
+        """The decisions."""
+        return self._table
+
+    def attach(self, hub: Hub) -> None:
+        """Sets where messages go."""
+        self._hub = hub
+
+    def begin_stop(self) -> None:
+        """Takes no more starts."""
+        self._run(self._table.begin_stop())
+
+    def on_announcement(self, announcement: Announcement) -> None:
+        """Takes a heartbeat of the executor."""
+        self._run(self._table.on_announcement(announcement, boot_time()))
+
+    def on_leave(self, executor: str) -> None:
+        """Takes the goodbye of the executor."""
+        self._run(self._table.on_leave(executor, boot_time()))
+
+    def tick(self) -> None:
+        """Lets the table act on the passing of time."""
+        self._run(self._table.tick(boot_time()))
+
+    def on_connected(self, member: Member) -> None:
+        """Takes a new stream to an entry."""
+        self._run(self._table.on_connected(member, boot_time()))
+
+    def on_disconnected(self, member: Member) -> None:
+        """Takes the end of a stream."""
+        self._table.on_disconnected(member)
+
+    def on_message(self, member: Member, message: Message) -> None:
+        """Takes a message from an entry."""
+        now = boot_time()
+        table = self._table
+        match message:
+            case ContactPong():
+                self._run(table.on_pong(member, message, now))
+            case StartRuns():
+                self._run(table.on_start(member, message, now))
+            case StopRuns():
+                self._run(table.on_stop(member, message, now))
+            case ClaimRuns():
+                self._run(table.on_claims(member, message, now))
+            case ZonesOut():
+                self._run(table.on_zones_out(message, now))
+
+    async def keep_holding(self) -> None:
+        """Renews the lease and takes the ends, until cancelled."""
+        while True:
+            order = self._table.next_hold(boot_time())
+            if order is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._hold(order)
+
+    async def _hold(self, order: OrderHold) -> None:
+        sent_at = boot_time()
+        held = await self._executor.hold(order)
+        now = boot_time()
+        if isinstance(held, HeldRuns):
+            self._run(self._table.on_held(order, held, sent_at, now))
+            if not self._table.is_settled:
+                await asyncio.sleep(SETTLING_PAUSE_SECONDS)
+            return
+        self._run(self._table.on_hold_refused(order, held, now))
+        if held is not OrderAnswer.FENCED:
+            await asyncio.sleep(UNANSWERED_PAUSE_SECONDS)
+
+    async def _start(self, order: OrderStart) -> None:
+        metrics.TASK_STARTS.inc()
+        answer = await self._executor.start(order)
+        self._run(self._table.on_start_answer(order, answer, boot_time()))
+
+    async def _stop(self, order: OrderStop) -> None:
+        answer = await self._executor.stop(order)
+        self._run(self._table.on_stop_answer(order, answer, boot_time()))
+
+    def _call(self, call: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def _run(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    if self._hub is not None:
+                        self._hub.send(effect.to, effect.message)
+                case OrderStart():
+                    self._call(self._start(effect))
+                case OrderStop():
+                    self._call(self._stop(effect))
+                case Decision():
+                    self._log.write(effect)
+        if not self._wake.is_set():
+            self._wake.set()
--- /dev/null
+++ b/gypsumline/core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Best-effort submissions: runs under a lease that may start again."""
--- /dev/null
+++ b/gypsumline/core/leases/backlog.py
@@ -0,0 +1,93 @@
+"""Which leased jobs are refused, and when they may come back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gypsumline.core.leases.effects import JobEnded, JobOutcome
+from gypsumline.core.leases.fleet import AgentView, Fleet
+from gypsumline.core.leases.job import LeasedJob, TaskPhase
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+from gypsumline.core.leases.placement import Placement
+
+
+class Backlog:
+    """Weighs the work that waits against the room that there is."""
+
+    def __init__(
+        self,
+        settings: LeasedOwnerSettings,
+        fleet: Fleet,
+        placement: Placement,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._placement = placement
+
+    def refusal(
+        self, job: LeasedJob, waiting: Iterable[LeasedJob], now: float
+    ) -> JobEnded | None:
+        """Returns the refusal of a job that cannot be served, or None."""
+        queue = job.request.queue
+        waiting = list(waiting)
+        if len(waiting) >= self._settings.jobs_limit:
+            return self._refuse(job, "too many open jobs", 1.0)
+        agents = self._fleet.usable(queue.service, now)
+        if not agents:
+            return self._refuse(job, "no executor takes runs", 1.0)
+        ahead = sum(
+            self._unplaced(other)
+            for other in waiting
+            if other.request.queue.service == queue.service
+            and other.order <= job.order
+        )
+        wait = ahead / self._capacity(agents)
+        if wait <= 0.0:
+            return None
+        fastest = max(self._placement.speed(agent) for agent in agents)
+        longest = max(self._placement.work(task) for task in job.tasks)
+        if wait + longest / fastest <= job.objective:
+            return None
+        return self._refuse(job, "backlog", wait)
+
+    def is_hopeless(self, job: LeasedJob, now: float) -> bool:
+        """Returns whether a job that has not started would end too late."""
+        agents = self._fleet.usable(job.request.queue.service, now)
+        fastest = max(map(self._placement.speed, agents), default=1.0)
+        longest = max(self._placement.work(task) for task in job.tasks)
+        late_at = job.received_at + self._settings.late_factor * job.objective
+        return now + longest / fastest > late_at
+
+    def retry_after(self, job: LeasedJob, now: float) -> float:
+        """Returns seconds after which another try may succeed."""
+        return self._bound(job.objective)
+
+    def _refuse(self, job: LeasedJob, reason: str, wait: float) -> JobEnded:
+        return JobEnded(
+            key=job.key,
+            outcome=JobOutcome.NOT_RUN,
+            reason=reason,
+            retry_after=self._bound(wait),
+        )
+
+    def _bound(self, wait: float) -> float:
+        settings = self._settings
+        return min(
+            max(wait, settings.retry_after_min), settings.retry_after_max
+        )
+
+    def _unplaced(self, job: LeasedJob) -> float:
+        """Returns the work that waits, in processor seconds at speed 1."""
+        return sum(
+            self._placement.work(task) * task.shape.resources.processor
+            for task in job.tasks
+            if task.phase is TaskPhase.WAITING
+        )
+
+    def _capacity(self, agents: list[AgentView]) -> float:
+        """Returns processor seconds per second that this owner counts on."""
+        total = sum(
+            self._placement.speed(agent) * agent.load.capacity.processor
+            for agent in agents
+        )
+        return max(total, 1.0)
--- /dev/null
+++ b/gypsumline/core/leases/executor_state.py
@@ -0,0 +1,82 @@
+"""What an agent knows of the executor beside it."""
+
+from __future__ import annotations
+
+import math
+
+from gypsumline.core.leases.effects import Announcement
+from gypsumline.core.leases.settings import LeaseSettings
+
+
+class ExecutorState:
+    """One life of an executor: its announcement, its clock and its lease."""
+
+    def __init__(
+        self, announcement: Announcement, settings: LeaseSettings, now: float
+    ) -> None:
+        self.announcement = announcement
+        self.last_seen = 0
+        self.is_gone = False
+        self._settings = settings
+        self._clock = announcement.clock
+        self._clock_at = now
+        self._leaving_at = math.inf
+        self._lease_until = now
+        self._is_answering = True
+        self.update(announcement, now)
+
+    @property
+    def name(self) -> str:
+        """Name of the executor."""
+        return self.announcement.executor
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """Name and start; another value is another life."""
+        return self.announcement.executor, self.announcement.started_at
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the newest request for its runs was answered."""
+        return self._is_answering
+
+    def update(self, announcement: Announcement, now: float) -> None:
+        """Takes a newer announcement of the same life."""
+        self.announcement = announcement
+        self.set_clock(announcement.clock, now)
+        if announcement.leaving:
+            leaving_at = now + announcement.leaving_in
+            self._leaving_at = min(self._leaving_at, leaving_at)
+
+    def set_clock(self, clock: int, now: float) -> None:
+        """Takes a reading of the executor's clock."""
+        self._clock = clock
+        self._clock_at = now
+
+    def leaving_in(self, now: float) -> float:
+        """Returns seconds until it leaves; negative unless it leaves."""
+        if not self.announcement.leaving:
+            return -1.0
+        return max(0.0, self._leaving_at - now)
+
+    def renew(self, now: float) -> int:
+        """Returns the end of a lease that begins now, on its clock."""
+        settings = self._settings
+        until = now + settings.lease * (1.0 + settings.clock_drift)
+        self._lease_until = max(self._lease_until, until)
+        elapsed = now - self._clock_at
+        return self._clock + int(1000.0 * (elapsed + settings.lease))
+
+    def on_answered(self) -> None:
+        """Notes that it answered a request for its runs."""
+        self._is_answering = True
+
+    def on_unanswered(self) -> None:
+        """Notes that a request had no answer; the lease is not renewed."""
+        self._is_answering = False
+
+    def has_lapsed(self, now: float) -> bool:
+        """Returns whether every lease has run out, by this clock."""
+        if self._is_answering:
+            return False
+        return now > self._lease_until + self._settings.stop_time
--- /dev/null
+++ b/gypsumline/core/leases/fleet.py
@@ -0,0 +1,126 @@
+"""An owner's view of the agents."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterator
+
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.messages import ExecutorLoad
+from gypsumline.core.leases.resources import NOTHING, Resources
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class AgentView:
+    """What an owner knows of one agent.
+
+    Attributes:
+      member: The agent.
+      load: Newest load that it told.
+      heard_at: Time of its newest message.
+      stamp: Newest stamp of its pings.
+      answered_at: Time at which its newest ping was answered.
+      is_connected: Whether a stream to it is open.
+      paused_until: Time before which it gets no runs.
+      orders_sent: Run orders on its present stream.
+      unseen: Orders that the load does not take account of yet.
+      unseen_total: Sum of their resources.
+    """
+
+    member: Member
+    load: ExecutorLoad = dataclasses.field(default_factory=ExecutorLoad)
+    heard_at: float = -math.inf
+    stamp: float = -math.inf
+    answered_at: float = -math.inf
+    is_connected: bool = True
+    paused_until: float = -math.inf
+    orders_sent: int = 0
+    unseen: collections.deque[tuple[int, Resources]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    unseen_total: Resources = NOTHING
+
+    @property
+    def free(self) -> Resources:
+        """Room, less the orders that are still on their way."""
+        return self.load.free - self.unseen_total
+
+    @property
+    def service(self) -> str:
+        """Service of its executor."""
+        return self.load.service
+
+    def take(self, load: ExecutorLoad, now: float) -> None:
+        """Takes a newer load."""
+        self.heard_at = now
+        self.load = load
+        while self.unseen and self.unseen[0][0] <= load.orders_seen:
+            _, resources = self.unseen.popleft()
+            self.unseen_total = self.unseen_total - resources
+
+    def add_order(self, resources: Resources) -> int:
+        """Counts an order that is sent; returns its number."""
+        self.orders_sent += 1
+        self.unseen.append((self.orders_sent, resources))
+        self.unseen_total = self.unseen_total + resources
+        return self.orders_sent
+
+    def reset_stream(self) -> None:
+        """Begins a new stream."""
+        self.is_connected = True
+        self.orders_sent = 0
+        self.unseen.clear()
+        self.unseen_total = NOTHING
+
+
+class Fleet:
+    """All agents that an owner has seen."""
+
+    def __init__(self, silence_limit: float) -> None:
+        self._agents: dict[str, AgentView] = {}
+        self._silence_limit = silence_limit
+
+    def __iter__(self) -> Iterator[AgentView]:
+        return iter(self._agents.values())
+
+    def __len__(self) -> int:
+        return len(self._agents)
+
+    def find(self, member: Member) -> AgentView | None:
+        """Returns the view of this incarnation."""
+        view = self._agents.get(member.member_id)
+        return view if view is not None and view.member == member else None
+
+    def connect(self, member: Member) -> AgentView:
+        """Takes a new stream; an earlier incarnation is replaced."""
+        view = self.find(member)
+        if view is None:
+            view = AgentView(member)
+            self._agents[member.member_id] = view
+        view.reset_stream()
+        return view
+
+    def forget_silent(self, now: float, limit: float) -> None:
+        """Forgets agents without a stream that were not heard for long."""
+        for name, view in list(self._agents.items()):
+            if not view.is_connected and now - view.heard_at > limit:
+                del self._agents[name]
+
+    def usable(self, service: str, now: float) -> list[AgentView]:
+        """Returns the agents that may be given runs of a service."""
+        return [
+            view
+            for view in self._agents.values()
+            if view.service == service and self.is_usable(view, now)
+        ]
+
+    def is_usable(self, view: AgentView, now: float) -> bool:
+        """Returns whether an agent may be given runs."""
+        return (
+            view.is_connected
+            and view.load.taking
+            and view.paused_until <= now
+            and now - view.heard_at <= self._silence_limit
+        )
--- /dev/null
+++ b/gypsumline/core/leases/job.py
@@ -0,0 +1,198 @@
+"""Leased jobs and their tasks, as the owner keeps them."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Iterator
+
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.fleet import AgentView
+from gypsumline.core.leases.resources import Resources
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JobStep:
+    """Tasks of one shape.
+
+    Attributes:
+      count: Number of tasks.
+      resources: What each takes.
+      run_time: Rough run time that the caller declares, in seconds.
+      after: Numbers of the steps whose tasks must all be done first.
+      label: Label that the executor must have; "" for none.
+      near: Label of the rack where the data is; "" for none.
+      apart: Most tasks of the step on one executor; 0 for no limit.
+    """
+
+    count: int
+    resources: Resources
+    run_time: float = 0.0
+    after: tuple[int, ...] = ()
+    label: str = ""
+    near: str = ""
+    apart: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueRules:
+    """What the operators' configuration says of the jobs of one queue.
+
+    Attributes:
+      name: Name of the queue; run times are learned for it.
+      service: Service that runs its tasks.
+      priority: Lower values go first.
+      attempts: Failed runs of one task after which the job has failed.
+      stretch: Response time allowed, as a multiple of the job's longest chain
+        of run times.
+      latency: Seconds allowed on top of that.
+    """
+
+    name: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    latency: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JobRequest:
+    """A submission that may run again once its earlier runs have ended.
+
+    Attributes:
+      key: Submission key, opaque.
+      spec: What the executors are to run.
+      queue: Rules of its queue.
+      steps: Its tasks.
+      timeout: Seconds for which the caller waits.
+    """
+
+    key: str
+    spec: str
+    queue: QueueRules
+    steps: tuple[JobStep, ...]
+    timeout: float
+
+
+class TaskPhase(enum.Enum):
+    """What the owner knows of one task."""
+
+    WAITING = enum.auto()
+    PLACED = enum.auto()
+    DONE = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """One task of a job.
+
+    Attributes:
+      name: Name, unique in the installation.
+      job: Its job.
+      step: Number of its step.
+      phase: What is known of it.
+      attempt: Number of the newest run; 0 before the first.
+      failures: Runs that failed by their own fault.
+      slow_at: Agent at which a run was stopped for taking too long.
+    """
+
+    name: str
+    job: LeasedJob
+    step: int
+    phase: TaskPhase = TaskPhase.WAITING
+    attempt: int = 0
+    failures: int = 0
+    slow_at: str = ""
+
+    @property
+    def shape(self) -> JobStep:
+        """The step that it belongs to."""
+        return self.job.request.steps[self.step]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class PlacedRun:
+    """A run whose end is not yet proven.
+
+    Attributes:
+      task: Its task.
+      attempt: Number of the run.
+      view: What is known of the agent that was asked for it.
+      executor: Executor beside that agent at that time.
+      resources: What it takes.
+      order: Number of the order on the stream to the agent.
+      placed_at: Time of the order.
+      due_at: Time after which it is taken to stand still.
+      is_stopping: Whether it was told to stop.
+    """
+
+    task: Task
+    attempt: int
+    view: AgentView
+    executor: str
+    resources: Resources
+    order: int
+    placed_at: float
+    due_at: float
+    is_stopping: bool = False
+
+    @property
+    def agent(self) -> Member:
+        """Incarnation of the agent that was asked for it."""
+        return self.view.member
+
+
+class LeasedJob:
+    """State of one job from its admission to its answer."""
+
+    def __init__(
+        self, request: JobRequest, now: float, objective: float
+    ) -> None:
+        self.request = request
+        self.received_at = now
+        self.expires_at = now + request.timeout
+        self.objective = objective
+        self.has_started = False
+        self.tasks = [
+            Task(
+                name=f"{request.key}.0.{number}.{index}", job=self, step=number
+            )
+            for number, step in enumerate(request.steps)
+            for index in range(step.count)
+        ]
+        self._open_steps = [step.count for step in request.steps]
+
+    @property
+    def key(self) -> str:
+        """Submission key."""
+        return self.request.key
+
+    @property
+    def due_at(self) -> float:
+        """Time by which its answer is wanted."""
+        return self.received_at + self.objective
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Place among the waiting jobs; lower goes first."""
+        return self.request.queue.priority, self.due_at
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return not any(self._open_steps)
+
+    def finish(self, task: Task) -> None:
+        """Takes the success of a task."""
+        if task.phase is not TaskPhase.DONE:
+            task.phase = TaskPhase.DONE
+            self._open_steps[task.step] -= 1
+
+    def ready_tasks(self) -> Iterator[Task]:
+        """Yields the waiting tasks whose earlier steps are done."""
+        for task in self.tasks:
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            if not any(self._open_steps[step] for step in task.shape.after):
+                yield task
--- /dev/null
+++ b/gypsumline/core/leases/owner.py
@@ -0,0 +1,526 @@
+"""An entry's decisions on the leased jobs that it received."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from gypsumline.core.effects import Decision, Effect, Send
+from gypsumline.core.ejection import EjectionControl
+from gypsumline.core.estimate import RunTimeEstimates
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.backlog import Backlog
+from gypsumline.core.leases.effects import JobEnded, JobOutcome
+from gypsumline.core.leases.fleet import AgentView, Fleet
+from gypsumline.core.leases.job import (
+    JobRequest,
+    LeasedJob,
+    PlacedRun,
+    Task,
+    TaskPhase,
+)
+from gypsumline.core.leases.messages import (
+    ClaimRuns,
+    ContactPing,
+    ContactPong,
+    RunEnd,
+    RunOrder,
+    RunReport,
+    RunReports,
+    StartRuns,
+    StopRuns,
+    ZonesOut,
+)
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+from gypsumline.core.leases.placement import Choice, Placement
+from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.core.placement.settings import PlacementSettings
+
+# A run whose number the executor calls too low goes on at a number this much
+# higher: an earlier owner of the same submission may have used some.
+ATTEMPT_STEP = 8
+
+
+class LeasedOwner:
+    """Places the tasks of its jobs and answers their callers.
+
+    No task has two runs at a time: a task is placed again only after the end
+    of its earlier run was reported, or after the time from which that run
+    cannot go on.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        lease: LeaseSettings,
+        settings: LeasedOwnerSettings,
+    ) -> None:
+        self._lease = lease
+        self._settings = settings
+        self._estimates = RunTimeEstimates(settings.default_run_time)
+        self._placement = Placement(
+            settings, self._estimates, me.availability_zone
+        )
+        self._ejection = EjectionControl(PlacementSettings())
+        self._fleet = Fleet(settings.silence_limit)
+        self._jobs: dict[str, LeasedJob] = {}
+        self._waiting: dict[str, LeasedJob] = {}
+        self._runs: dict[str, PlacedRun] = {}
+        self._backlog = Backlog(settings, self._fleet, self._placement)
+        self._zones_out = ZonesOut(version=-1, zones=())
+
+    @property
+    def jobs(self) -> dict[str, LeasedJob]:
+        """Open jobs by key."""
+        return self._jobs
+
+    @property
+    def fleet(self) -> Fleet:
+        """The agents."""
+        return self._fleet
+
+    def usable_agents(self, now: float) -> int:
+        """Returns how many agents may be given runs."""
+        return sum(self._fleet.is_usable(view, now) for view in self._fleet)
+
+    def pending(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not started."""
+        return sum(
+            not job.has_started and job.request.queue.name == queue
+            for job in self._jobs.values()
+        )
+
+    # Inputs from callers and operators.
+
+    def submit(self, request: JobRequest, now: float) -> list[Effect]:
+        """Takes a job, attaches to the open one of its key, or refuses it."""
+        if request.key in self._jobs:
+            return []
+        job = LeasedJob(request, now, self._objective(request))
+        refusal = self._backlog.refusal(job, self._waiting.values(), now)
+        if refusal is not None:
+            return [refusal, _ended_line(refusal, job, now)]
+        self._jobs[job.key] = job
+        self._waiting[job.key] = job
+        return self.place(now)
+
+    def abandon(self, key: str, now: float) -> list[Effect]:
+        """Takes the loss of a job's last caller: its runs are stopped."""
+        job = self._jobs.get(key)
+        if job is None:
+            return []
+        line = Decision(
+            event="job_abandoned",
+            fields={"job": key, "age": round(now - job.received_at, 3)},
+        )
+        return [line, *self._drop(job), *self.place(now)]
+
+    def expire_all(self, reason: str, now: float) -> list[Effect]:
+        """Ends all jobs, for the end of a planned stop."""
+        effects: list[Effect] = []
+        for job in list(self._jobs.values()):
+            effects += self._end_unfinished(job, reason, now)
+        return effects
+
+    def set_zones_out(self, message: ZonesOut, now: float) -> list[Effect]:
+        """Takes the newest list of availability zones that are out."""
+        if message.version <= self._zones_out.version:
+            return []
+        self._zones_out = message
+        sends: list[Effect] = [
+            Send(to=view.member.member_id, message=message)
+            for view in self._fleet
+            if view.is_connected
+        ]
+        return sends + self.place(now)
+
+    # Inputs from agents.
+
+    def on_connected(self, agent: Member, now: float) -> list[Effect]:
+        """Takes a new stream: names the runs there and the zones out."""
+        view = self._fleet.connect(agent)
+        self._ejection.add(agent.member_id)
+        claimed = [run for run in self._runs.values() if run.agent == agent]
+        claims = ClaimRuns(
+            tasks=tuple([run.task.name for run in claimed]),
+            attempts=tuple([run.attempt for run in claimed]),
+        )
+        name = view.member.member_id
+        return [
+            Send(to=name, message=claims),
+            Send(to=name, message=self._zones_out),
+        ]
+
+    def on_disconnected(self, agent: Member) -> None:
+        """Takes the end of a stream; runs there may go on."""
+        view = self._fleet.find(agent)
+        if view is not None:
+            view.is_connected = False
+
+    def on_ping(
+        self, agent: Member, message: ContactPing, now: float
+    ) -> list[Effect]:
+        """Answers a ping."""
+        view = self._fleet.find(agent)
+        if view is None:
+            return []
+        view.stamp = message.stamp
+        view.answered_at = now
+        view.take(message.load, now)
+        pong = ContactPong(stamp=message.stamp, wants_room=bool(self._waiting))
+        return [Send(to=agent.member_id, message=pong), *self.place(now)]
+
+    def on_reports(
+        self, agent: Member, message: RunReports, now: float
+    ) -> list[Effect]:
+        """Takes the ends of runs."""
+        view = self._fleet.find(agent)
+        if view is None:
+            return []
+        view.take(message.load, now)
+        effects: list[Effect] = []
+        for report in message.reports:
+            run = self._runs.get(report.task)
+            is_known = run is not None and run.attempt == report.attempt
+            if run is None or not is_known or run.agent != agent:
+                continue
+            del self._runs[report.task]
+            effects += self._on_end(run, view, report, now)
+        return effects + self.place(now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Ends what is late, and gives up runs that cannot go on."""
+        effects: list[Effect] = []
+        for run in list(self._runs.values()):
+            effects += self._check_run(run, now)
+        for job in list(self._jobs.values()):
+            effects += self._check_job(job, now)
+        self._fleet.forget_silent(now, self._settings.forget_after)
+        return effects + self.place(now)
+
+    def place(self, now: float) -> list[Effect]:
+        """Places the waiting tasks that have room somewhere."""
+        if not self._waiting:
+            return []
+        chosen: dict[tuple[str, str], list[PlacedRun]] = {}
+        effects: list[Effect] = []
+        blocked: dict[str, int] = {}
+        for job in sorted(self._waiting.values(), key=lambda job: job.order):
+            effects += self._place_job(job, chosen, blocked, now)
+        return effects + self._send_starts(chosen)
+
+    # Placement.
+
+    def _place_job(
+        self,
+        job: LeasedJob,
+        chosen: dict[tuple[str, str], list[PlacedRun]],
+        blocked: dict[str, int],
+        now: float,
+    ) -> list[Effect]:
+        """Places what it can of one job; adds the runs to `chosen`."""
+        service = job.request.queue.service
+        agents = self._usable(service, now)
+        effects: list[Effect] = []
+        is_waiting = False
+        for task in job.ready_tasks():
+            if task.name in self._runs:
+                is_waiting = True
+                continue
+            needs = task.shape.resources.processor
+            # Nothing of this size or more has room; smaller tasks may have.
+            if needs >= blocked.get(service, math.inf) and not task.slow_at:
+                is_waiting = True
+                continue
+            choice = self._placement.choose(
+                task, self._apart(task, agents), now
+            )
+            if choice is None:
+                is_waiting = True
+                if not task.shape.label and not task.shape.apart:
+                    blocked[service] = min(needs, blocked.get(service, needs))
+                continue
+            run = self._place_task(task, choice, now)
+            name = choice.agent.member.member_id
+            chosen.setdefault((name, job.key), []).append(run)
+            effects.append(_placed_line(run, choice, now))
+        if not is_waiting:
+            del self._waiting[job.key]
+        return effects
+
+    def _usable(self, service: str, now: float) -> list[AgentView]:
+        zones = self._zones_out.zones
+        return [
+            view
+            for view in self._fleet.usable(service, now)
+            if view.member.availability_zone not in zones
+            and self._ejection.state(view.member.member_id) != "ejected"
+        ]
+
+    def _apart(self, task: Task, agents: list[AgentView]) -> list[AgentView]:
+        limit = task.shape.apart
+        if not limit:
+            return agents
+        counts: dict[str, int] = {}
+        for run in self._runs.values():
+            if run.task.job is task.job and run.task.step == task.step:
+                name = run.agent.member_id
+                counts[name] = counts.get(name, 0) + 1
+        return [
+            view
+            for view in agents
+            if counts.get(view.member.member_id, 0) < limit
+        ]
+
+    def _place_task(self, task: Task, choice: Choice, now: float) -> PlacedRun:
+        settings = self._settings
+        task.attempt += 1
+        task.phase = TaskPhase.PLACED
+        task.job.has_started = True
+        limit = settings.overdue_factor * choice.run_time
+        run = PlacedRun(
+            task=task,
+            attempt=task.attempt,
+            view=choice.agent,
+            executor=choice.agent.load.executor,
+            resources=task.shape.resources,
+            order=choice.agent.add_order(task.shape.resources),
+            placed_at=now,
+            due_at=now + limit + settings.overdue_extra,
+        )
+        self._runs[task.name] = run
+        return run
+
+    def _send_starts(
+        self, chosen: dict[tuple[str, str], list[PlacedRun]]
+    ) -> list[Effect]:
+        sends: list[Effect] = []
+        for (name, key), runs in chosen.items():
+            view = self._fleet.find(runs[0].agent)
+            if view is None:
+                continue
+            orders = tuple(
+                RunOrder(
+                    task=run.task.name,
+                    attempt=run.attempt,
+                    resources=run.resources,
+                )
+                for run in runs
+            )
+            message = StartRuns(
+                key=key,
+                stamp=view.stamp,
+                spec=runs[0].task.job.request.spec,
+                orders=orders,
+                wants_room=bool(self._waiting),
+            )
+            sends.append(Send(to=name, message=message))
+        return sends
+
+    # Ends of runs.
+
+    def _on_end(
+        self, run: PlacedRun, view: AgentView, report: RunReport, now: float
+    ) -> list[Effect]:
+        task, job = run.task, run.task.job
+        self._judge(run, view, report, now)
+        if report.end is RunEnd.DONE:
+            self._estimates.learn(
+                run.executor,
+                job.request.queue.service,
+                job.request.queue.name,
+                task.shape.run_time,
+                report.run_time,
+            )
+        if self._jobs.get(job.key) is not job:
+            self._wake(task.name)
+            return []
+        if report.end is RunEnd.DONE:
+            job.finish(task)
+            if job.is_done:
+                return self._end(job, JobOutcome.COMPLETED, "", now)
+            self._waiting[job.key] = job
+            return []
+        if report.end is RunEnd.FAILED:
+            task.failures += 1
+            if task.failures >= job.request.queue.attempts:
+                reason = "a task failed as often as it may"
+                return self._end(job, JobOutcome.FAILED, reason, now)
+        if report.end is RunEnd.OLD_ATTEMPT:
+            task.attempt += ATTEMPT_STEP
+        task.phase = TaskPhase.WAITING
+        self._waiting[job.key] = job
+        return [_run_ended_line(run, report, now)]
+
+    def _wake(self, name: str) -> None:
+        """Lets a job go on whose task waited for an earlier run's end."""
+        key = name.partition(".")[0]
+        job = self._jobs.get(key)
+        if job is not None:
+            self._waiting[key] = job
+
+    def _judge(
+        self, run: PlacedRun, view: AgentView, report: RunReport, now: float
+    ) -> None:
+        name = view.member.member_id
+        if report.end is RunEnd.DONE:
+            self._ejection.succeed(name, 1, now)
+        elif report.end is RunEnd.FAILED:
+            self._ejection.fail(name, run.task.job.key, now)
+        elif report.end is RunEnd.REFUSED:
+            pause = self._settings.refusal_pause
+            view.paused_until = max(view.paused_until, now + pause)
+
+    def _check_run(self, run: PlacedRun, now: float) -> list[Effect]:
+        last_contact = max(run.view.answered_at, run.placed_at)
+        if now > last_contact + self._lease.rerun_wait:
+            del self._runs[run.task.name]
+            report = RunReport(
+                task=run.task.name, attempt=run.attempt, end=RunEnd.LOST
+            )
+            return self._on_lost(run, report, now)
+        if now < run.due_at or run.is_stopping:
+            return []
+        run.task.slow_at = run.agent.member_id
+        self._ejection.fail(run.agent.member_id, run.task.job.key, now)
+        return [
+            Decision(
+                event="run_overdue",
+                fields={
+                    "task": run.task.name,
+                    "attempt": run.attempt,
+                    "agent": run.agent.member_id,
+                    "age": round(now - run.placed_at, 3),
+                },
+            ),
+            *_stop_runs([run]),
+        ]
+
+    def _on_lost(
+        self, run: PlacedRun, report: RunReport, now: float
+    ) -> list[Effect]:
+        job = run.task.job
+        if self._jobs.get(job.key) is job:
+            run.task.phase = TaskPhase.WAITING
+            self._waiting[job.key] = job
+        else:
+            self._wake(run.task.name)
+        return [_run_ended_line(run, report, now)]
+
+    # Ends of jobs.
+
+    def _check_job(self, job: LeasedJob, now: float) -> list[Effect]:
+        if now >= job.expires_at:
+            return self._end_unfinished(job, "time limit reached", now)
+        if job.has_started or job.key not in self._waiting:
+            return []
+        if not self._backlog.is_hopeless(job, now):
+            return []
+        return self._end_unfinished(job, "no room in time", now)
+
+    def _end_unfinished(
+        self, job: LeasedJob, reason: str, now: float
+    ) -> list[Effect]:
+        outcome = JobOutcome.EXPIRED if job.has_started else JobOutcome.NOT_RUN
+        return self._end(job, outcome, reason, now)
+
+    def _end(
+        self, job: LeasedJob, outcome: JobOutcome, reason: str, now: float
+    ) -> list[Effect]:
+        retry_after = 0.0
+        if outcome in (JobOutcome.NOT_RUN, JobOutcome.EXPIRED):
+            retry_after = self._backlog.retry_after(job, now)
+        ended = JobEnded(
+            key=job.key,
+            outcome=outcome,
+            reason=reason,
+            retry_after=retry_after,
+        )
+        return [ended, _ended_line(ended, job, now), *self._drop(job)]
+
+    def _drop(self, job: LeasedJob) -> list[Effect]:
+        self._jobs.pop(job.key, None)
+        self._waiting.pop(job.key, None)
+        left = [self._runs.get(task.name) for task in job.tasks]
+        return _stop_runs(
+            [r for r in left if r is not None and r.task.job is job]
+        )
+
+    def _objective(self, request: JobRequest) -> float:
+        """Returns the response time that the queue's rules allow."""
+        queue = request.queue
+        ends: list[float] = []
+        for step in request.steps:
+            begin = max((ends[number] for number in step.after), default=0.0)
+            work = self._estimates.work(
+                queue.service, queue.name, step.run_time
+            )
+            ends.append(begin + work)
+        return queue.stretch * max(ends, default=0.0) + queue.latency
+
+
+def _stop_runs(runs: Iterable[PlacedRun]) -> list[Effect]:
+    """Returns the messages that stop runs, one for each agent."""
+    by_agent: dict[str, list[PlacedRun]] = {}
+    for run in runs:
+        if not run.is_stopping:
+            run.is_stopping = True
+            by_agent.setdefault(run.agent.member_id, []).append(run)
+    return [
+        Send(
+            to=name,
+            message=StopRuns(
+                tasks=tuple([run.task.name for run in stopped]),
+                attempts=tuple([run.attempt for run in stopped]),
+            ),
+        )
+        for name, stopped in by_agent.items()
+    ]
+
+
+def _placed_line(run: PlacedRun, choice: Choice, now: float) -> Decision:
+    job = run.task.job
+    return Decision(
+        event="run_placed",
+        fields={
+            "task": run.task.name,
+            "attempt": run.attempt,
+            "agent": run.agent.member_id,
+            "availability_zone": run.agent.availability_zone,
+            "executor": run.executor,
+            "candidates": choice.candidates,
+            "in_time": choice.in_time,
+            "expected": round(choice.run_time, 3),
+            "slack": round(job.due_at - now, 3),
+            "load_age": round(now - choice.agent.heard_at, 3),
+        },
+    )
+
+
+def _run_ended_line(run: PlacedRun, report: RunReport, now: float) -> Decision:
+    return Decision(
+        event="run_ended",
+        fields={
+            "task": report.task,
+            "attempt": report.attempt,
+            "agent": run.agent.member_id,
+            "end": report.end.value,
+            "age": round(now - run.placed_at, 3),
+        },
+    )
+
+
+def _ended_line(ended: JobEnded, job: LeasedJob, now: float) -> Decision:
+    return Decision(
+        event="job_ended",
+        fields={
+            "job": ended.key,
+            "queue": job.request.queue.name,
+            "outcome": ended.outcome.value,
+            "reason": ended.reason,
+            "age": round(now - job.received_at, 3),
+            "objective": round(job.objective, 3),
+            "tasks": len(job.tasks),
+            "started": job.has_started,
+        },
+    )
--- /dev/null
+++ b/gypsumline/core/leases/placement.py
@@ -0,0 +1,110 @@
+"""Which agent gets which task of a leased job."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from gypsumline.core.estimate import RunTimeEstimates
+from gypsumline.core.leases.fleet import AgentView
+from gypsumline.core.leases.job import JobStep, Task
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """The agent for a task.
+
+    Attributes:
+      agent: The agent.
+      run_time: Expected run time there, in seconds.
+      candidates: Agents with room that were weighed.
+      in_time: Whether the job's objective is expected to be met.
+    """
+
+    agent: AgentView
+    run_time: float
+    candidates: int
+    in_time: bool
+
+
+class Placement:
+    """Chooses agents by expected run time, room and speed."""
+
+    def __init__(
+        self,
+        settings: LeasedOwnerSettings,
+        estimates: RunTimeEstimates,
+        availability_zone: str,
+    ) -> None:
+        self._settings = settings
+        self._estimates = estimates
+        self._availability_zone = availability_zone
+
+    def work(self, task: Task) -> float:
+        """Returns the expected run time of a task at speed 1."""
+        queue = task.job.request.queue
+        declared = task.shape.run_time
+        return self._estimates.work(queue.service, queue.name, declared)
+
+    def speed(self, agent: AgentView) -> float:
+        """Returns the learned speed of an agent's executor."""
+        return self._estimates.speed(agent.load.executor)
+
+    def run_time(self, task: Task, agent: AgentView, work: float) -> float:
+        """Returns the expected run time of a task at an agent."""
+        time = work / self.speed(agent)
+        if task.shape.near and task.shape.near not in agent.load.labels:
+            time *= self._settings.remote_factor
+        return time
+
+    def choose(
+        self, task: Task, agents: list[AgentView], now: float
+    ) -> Choice | None:
+        """Returns the best agent with room, or None.
+
+        Among the agents that are expected to be in time, one with much room
+        and low speed is best, which leaves the fast ones to the tasks that
+        need them. If none is in time, the fastest one is best.
+        """
+        work = self.work(task)
+        slack = task.job.due_at - now
+        best: AgentView | None = None
+        best_rank = (2, math.inf)
+        best_time = 0.0
+        candidates = 0
+        for agent in agents:
+            if not can_take(agent, task.shape):
+                continue
+            if agent.member.member_id == task.slow_at:
+                continue
+            candidates += 1
+            time = self.run_time(task, agent, work)
+            rank = self._rank(task, agent, time, slack)
+            if rank < best_rank:
+                best, best_rank, best_time = agent, rank, time
+        if best is None:
+            return None
+        return Choice(
+            agent=best,
+            run_time=best_time,
+            candidates=candidates,
+            in_time=best_rank[0] == 0,
+        )
+
+    def _rank(
+        self, task: Task, agent: AgentView, time: float, slack: float
+    ) -> tuple[int, float]:
+        if time > slack:
+            return 1, time
+        room = agent.free - task.shape.resources
+        used = 1.0 - room.processor / max(1, agent.load.capacity.processor)
+        reserve = self._settings.fast_reserve * math.log2(self.speed(agent))
+        return 0, used + reserve
+
+
+def can_take(agent: AgentView, shape: JobStep) -> bool:
+    """Returns whether an agent has the label and the room for a task."""
+    if shape.label and shape.label not in agent.load.labels:
+        return False
+    return shape.resources.fits(agent.free)
--- /dev/null
+++ b/gypsumline/core/leases/resources.py
@@ -0,0 +1,59 @@
+"""Amounts of processor, memory and accelerators."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Resources:
+    """An amount of each resource of an executor.
+
+    Attributes:
+      processor: Thousandths of a core.
+      memory: Megabytes.
+      accelerators: Whole accelerators.
+    """
+
+    processor: int = 0
+    memory: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            processor=self.processor + other.processor,
+            memory=self.memory + other.memory,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            processor=self.processor - other.processor,
+            memory=self.memory - other.memory,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: Resources) -> bool:
+        """Returns whether this amount fits into the room."""
+        return (
+            self.processor <= room.processor
+            and self.memory <= room.memory
+            and self.accelerators <= room.accelerators
+        )
+
+    def share_of(self, whole: Resources) -> float:
+        """Returns the largest share that this amount takes of any resource."""
+        return max(
+            _share(self.processor, whole.processor),
+            _share(self.memory, whole.memory),
+            _share(self.accelerators, whole.accelerators),
+        )
+
+
+NOTHING = Resources()
+
+
+def _share(part: int, whole: int) -> float:
+    if whole > 0:
+        return part / whole
+    return float("inf") if part > 0 else 0.0
--- /dev/null
+++ b/gypsumline/core/leases/run_table.py
@@ -0,0 +1,643 @@
+"""An agent's account of its executor: what runs, for whom, and its room."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+
+from gypsumline.core.effects import Decision, Effect, Send
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.contacts import Contacts
+from gypsumline.core.leases.effects import (
+    Announcement,
+    EndedRun,
+    HeldRuns,
+    OrderAnswer,
+    OrderHold,
+    OrderStart,
+    OrderStop,
+)
+from gypsumline.core.leases.executor_state import ExecutorState
+from gypsumline.core.leases.messages import (
+    ClaimRuns,
+    ContactPong,
+    ExecutorLoad,
+    RunEnd,
+    RunOrder,
+    RunReport,
+    RunReports,
+    StartRuns,
+    StopRuns,
+    ZonesOut,
+)
+from gypsumline.core.leases.resources import Resources
+from gypsumline.core.leases.settings import LeaseSettings
+
+# A token that an executor calls too low grows by this, doubled each time: an
+# earlier agent may have drawn its first token from a clock that ran ahead.
+_TOKEN_STEP = 10_000
+# A stop without an answer is sent again after this time, in seconds.
+STOP_RETRY_SECONDS = 0.1
+# Wait of a renewal while nothing runs, in seconds.
+IDLE_HOLD_SECONDS = 1.0
+
+_ENDS = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+}
+_START_REFUSALS = {
+    OrderAnswer.OLD: RunEnd.OLD_ATTEMPT,
+    OrderAnswer.LATE: RunEnd.NOT_TAKEN,
+    OrderAnswer.REFUSED: RunEnd.REFUSED,
+    OrderAnswer.OTHER_EXECUTOR: RunEnd.NOT_TAKEN,
+}
+
+
+class RunState(enum.Enum):
+    """How far a run has come at the executor."""
+
+    STARTING = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One run that takes room.
+
+    Attributes:
+      owner: Entry that asked for it.
+      order: What it asked for.
+      spec: What the executor is to run.
+      began_at: Time of the order.
+      state: How far it has come.
+      started_at: Time at which the executor confirmed the start.
+      stop_sent_at: Time of the newest stop without an answer.
+      stopped_at: Time at which the executor confirmed the stop.
+    """
+
+    owner: Member
+    order: RunOrder
+    spec: str
+    began_at: float
+    state: RunState = RunState.STARTING
+    started_at: float = math.inf
+    stop_sent_at: float = -math.inf
+    stopped_at: float = math.inf
+
+    @property
+    def name(self) -> tuple[str, int]:
+        """Task and attempt."""
+        return self.order.task, self.order.attempt
+
+
+class RunTable:
+    """Decides what the executor starts and stops; tells the owners.
+
+    Resources are taken from the order until the end is listed, so the executor
+    is never given more than it has.
+    """
+
+    def __init__(self, me: Member, settings: LeaseSettings, token: int) -> None:
+        self._me = me
+        self._settings = settings
+        self._token = token
+        self._token_step = _TOKEN_STEP
+        self._executor: ExecutorState | None = None
+        self._is_open = False
+        self._runs: dict[str, Run] = {}
+        self._used = Resources()
+        self._strangers: dict[tuple[str, int], float] = {}
+        self._contacts = Contacts(settings)
+        self._reports: dict[Member, list[RunReport]] = {}
+        self._zones_out = ZonesOut(version=-1, zones=())
+        self._is_stopping = False
+        self._must_note = False
+
+    @property
+    def runs(self) -> dict[str, Run]:
+        """All that takes room, by task."""
+        return self._runs
+
+    @property
+    def token(self) -> int:
+        """Newest fencing token."""
+        return self._token
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs and every end is taken note of."""
+        return not (self._runs or self._strangers or self._must_note)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no runs of earlier agents are left."""
+        return self._is_open and not self._strangers
+
+    @property
+    def is_taking(self) -> bool:
+        """Whether starts are taken now."""
+        executor = self._executor
+        if executor is None or executor.is_gone or self._is_stopping:
+            return False
+        if executor.announcement.leaving or not self._is_open:
+            return False
+        return self._me.availability_zone not in self._zones_out.zones
+
+    @property
+    def free(self) -> Resources:
+        """Resources that no run has."""
+        if self._executor is None:
+            return Resources()
+        return self._executor.announcement.capacity - self._used
+
+    def begin_stop(self) -> list[Effect]:
+        """Takes no more starts; what runs goes on."""
+        self._is_stopping = True
+        return self._send_loads()
+
+    # Inputs from owners.
+
+    def on_connected(self, owner: Member, now: float) -> list[Effect]:
+        """Takes a new stream to an owner; its claims come first."""
+        self._contacts.connect(owner)
+        return [self._ping(owner, now)]
+
+    def on_disconnected(self, owner: Member) -> None:
+        """Its runs go on until the contact limit."""
+        self._contacts.disconnect(owner)
+
+    def on_claims(
+        self, owner: Member, message: ClaimRuns, now: float
+    ) -> list[Effect]:
+        """Settles with an owner which runs it has here."""
+        claimed = set(zip(message.tasks, message.attempts, strict=True))
+        effects: list[Effect] = []
+        for run in list(self._runs.values()):
+            same = run.owner.member_id == owner.member_id
+            if same and (run.owner != owner or run.name not in claimed):
+                effects += self._stop(run, now, "not claimed")
+        held = {run.name for run in self._runs.values() if run.owner == owner}
+        self._reports.pop(owner, None)
+        for task, attempt in sorted(claimed - held):
+            self._report(owner, task, attempt, RunEnd.LOST, 0.0)
+        return effects + self._flush_reports()
+
+    def on_start(
+        self, owner: Member, message: StartRuns, now: float
+    ) -> list[Effect]:
+        """Starts runs, or waits for a sign of life of their owner first."""
+        self._contacts.set_wanting(owner, message.wants_room)
+        if now - message.stamp <= self._settings.contact_limit:
+            self._contacts.answer(owner, message.stamp)
+            return self._start(owner, message, now) + self._flush_reports()
+        if self._contacts.park(owner, message):
+            return [self._ping(owner, now)]
+        self._contacts.count_orders(owner, len(message.orders))
+        for order in message.orders:
+            end = RunEnd.NO_CONTACT
+            self._report(owner, order.task, order.attempt, end, 0.0)
+        return self._flush_reports()
+
+    def on_pong(
+        self, owner: Member, message: ContactPong, now: float
+    ) -> list[Effect]:
+        """Takes a sign of life; starts what waited for it."""
+        self._contacts.answer(owner, message.stamp)
+        self._contacts.set_wanting(owner, message.wants_room)
+        if not self._contacts.is_in_touch(owner, now):
+            return []
+        effects: list[Effect] = []
+        for parked in self._contacts.unpark(owner):
+            effects += self._start(owner, parked, now)
+        return effects + self._flush_reports()
+
+    def on_stop(
+        self, owner: Member, message: StopRuns, now: float
+    ) -> list[Effect]:
+        """Stops runs of an owner."""
+        effects: list[Effect] = []
+        names = list(zip(message.tasks, message.attempts, strict=True))
+        self._contacts.withdraw(owner, set(names))
+        for task, attempt in names:
+            run = self._runs.get(task)
+            if run is None or run.owner != owner or run.name[1] != attempt:
+                self._report(owner, task, attempt, RunEnd.STOPPED, 0.0)
+            else:
+                effects += self._stop(run, now, "owner")
+        return effects + self._flush_reports()
+
+    def on_zones_out(self, message: ZonesOut, now: float) -> list[Effect]:
+        """Takes a newer list of availability zones that are out."""
+        if message.version <= self._zones_out.version:
+            return []
+        changed = message.zones != self._zones_out.zones
+        self._zones_out = message
+        if not changed:
+            return []
+        line = Decision(
+            event="zones_out",
+            fields={"version": message.version, "zones": message.zones},
+        )
+        return [line, *self._send_loads()]
+
+    # Inputs from the executor.
+
+    def on_announcement(
+        self, announcement: Announcement, now: float
+    ) -> list[Effect]:
+        """Takes an executor's heartbeat; late ones of the past are ignored."""
+        current = self._executor
+        if current is None:
+            return self._begin_life(announcement, now)
+        known = current.announcement
+        if current.life == (announcement.executor, announcement.started_at):
+            if announcement.sequence <= known.sequence or current.is_gone:
+                return []
+            current.update(announcement, now)
+            if announcement.leaving != known.leaving:
+                line = _executor_line("executor_leaving", announcement)
+                return [line, *self._send_loads()]
+            return []
+        if announcement.started_at <= known.started_at:
+            return [_executor_line("announcement_ignored", announcement)]
+        return self._begin_life(announcement, now)
+
+    def on_leave(self, executor: str, now: float) -> list[Effect]:
+        """Takes the goodbye of an executor; its runs end with their lease."""
+        current = self._executor
+        if current is None or current.name != executor or current.is_gone:
+            return []
+        current.is_gone = True
+        current.on_unanswered()
+        line = _executor_line("executor_gone", current.announcement)
+        return [line, *self._send_loads()]
+
+    def next_hold(self, now: float) -> OrderHold | None:
+        """Returns the next request for the list of runs, if one is due."""
+        executor = self._executor
+        if executor is None or executor.is_gone:
+            return None
+        if self.is_idle and self._is_open:
+            return None
+        renews = executor.is_answering and bool(self._runs)
+        waits = self.is_settled and executor.is_answering and self._runs
+        return OrderHold(
+            executor=executor.name,
+            token=self._token,
+            last_seen=executor.last_seen,
+            lease_until=executor.renew(now) if renews else None,
+            wait=self._settings.hold_wait if waits else 0.0,
+        )
+
+    def on_held(
+        self, order: OrderHold, held: HeldRuns, sent_at: float, now: float
+    ) -> list[Effect]:
+        """Takes the executor's list of runs and ends."""
+        executor = self._executor
+        if executor is None or executor.name != order.executor:
+            return []
+        if held.started_at != executor.announcement.started_at:
+            announcement = dataclasses.replace(
+                executor.announcement,
+                started_at=held.started_at,
+                sequence=-1,
+                clock=held.clock,
+            )
+            if held.started_at > executor.announcement.started_at:
+                return self._begin_life(announcement, now)
+            return []
+        executor.on_answered()
+        executor.set_clock(held.clock, now)
+        self._must_note = bool(held.ended)
+        effects = self._take_ends(executor, held.ended, now)
+        effects += self._take_running(held, sent_at, now)
+        if order.token == self._token and not self._strangers:
+            self._token_step = _TOKEN_STEP
+            if not self._is_open:
+                self._is_open = True
+                effects.append(self._open_line(executor))
+                effects += self._send_loads()
+        return effects + self._flush_reports()
+
+    def on_hold_refused(
+        self, order: OrderHold, answer: OrderAnswer, now: float
+    ) -> list[Effect]:
+        """Takes a request for the list of runs that was not served."""
+        executor = self._executor
+        if executor is None or executor.name != order.executor:
+            return []
+        if answer is OrderAnswer.FENCED:
+            return self._on_fenced(order.token)
+        executor.on_unanswered()
+        return []
+
+    def on_start_answer(
+        self, order: OrderStart, answer: OrderAnswer, now: float
+    ) -> list[Effect]:
+        """Takes the executor's answer to a start."""
+        run = self._runs.get(order.task)
+        if run is None or run.order.attempt != order.attempt:
+            return []
+        if answer is OrderAnswer.DONE:
+            run.started_at = now
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            return []
+        if answer is OrderAnswer.UNANSWERED:
+            self._token += 1
+            return self._stop(run, now, "start unanswered")
+        if answer is OrderAnswer.FENCED:
+            effects = self._on_fenced(order.token)
+            if run.state is RunState.STARTING and self.is_taking:
+                return [*effects, self._order_start(run, now)]
+            return effects + self._never_started(run, RunEnd.NOT_TAKEN)
+        return self._never_started(run, _START_REFUSALS[answer])
+
+    def on_stop_answer(
+        self, order: OrderStop, answer: OrderAnswer, now: float
+    ) -> list[Effect]:
+        """Takes the executor's answer to a stop."""
+        if answer is OrderAnswer.UNANSWERED:
+            self._token += 1
+            return []
+        if answer is OrderAnswer.FENCED:
+            return self._on_fenced(order.token)
+        run = self._runs.get(order.task)
+        if run is not None and run.order.attempt == order.attempt:
+            run.stopped_at = min(run.stopped_at, now)
+        return []
+
+    def tick(self, now: float) -> list[Effect]:
+        """Stops what has no owner, repeats stops, pings, ends leases."""
+        effects: list[Effect] = []
+        executor = self._executor
+        if executor is not None and self._runs and executor.has_lapsed(now):
+            effects += self._lose_all("lease lapsed")
+        for run in list(self._runs.values()):
+            effects += self._check(run, now)
+        effects += self._stop_strangers(now)
+        busy = {run.owner for run in self._runs.values()}
+        self._contacts.prune(busy, now)
+        for owner in self._contacts.due(busy, now):
+            effects.append(self._ping(owner, now))
+        return effects + self._flush_reports()
+
+    # Runs.
+
+    def _start(
+        self, owner: Member, message: StartRuns, now: float
+    ) -> list[Effect]:
+        self._contacts.count_orders(owner, len(message.orders))
+        effects: list[Effect] = []
+        for order in message.orders:
+            refusal = self._refusal(order)
+            if refusal is None:
+                run = Run(owner, order, message.spec, now)
+                self._runs[order.task] = run
+                self._used = self._used + order.resources
+                effects.append(self._order_start(run, now))
+            else:
+                self._report(owner, order.task, order.attempt, refusal, 0.0)
+                effects.append(self._refusal_line(owner, order, refusal))
+        return effects
+
+    def _refusal(self, order: RunOrder) -> RunEnd | None:
+        if not self.is_taking or order.task in self._runs:
+            return RunEnd.NOT_TAKEN
+        if not order.resources.fits(self.free):
+            return RunEnd.NO_ROOM
+        return None
+
+    def _order_start(self, run: Run, now: float) -> OrderStart:
+        assert self._executor is not None
+        return OrderStart(
+            executor=self._executor.name,
+            task=run.order.task,
+            attempt=run.order.attempt,
+            spec=run.spec,
+            token=self._token,
+            lease_until=self._executor.renew(now),
+        )
+
+    def _stop(self, run: Run, now: float, reason: str) -> list[Effect]:
+        line = Decision(
+            event="run_stopping",
+            fields={
+                "task": run.order.task,
+                "attempt": run.order.attempt,
+                "owner": run.owner.member_id,
+                "reason": reason,
+                "contact_age": round(self._contacts.age(run.owner, now), 3),
+            },
+        )
+        if run.state is RunState.STOPPING:
+            return []
+        run.state = RunState.STOPPING
+        return [line, *self._order_stop(run, now)]
+
+    def _order_stop(self, run: Run, now: float) -> list[Effect]:
+        if self._executor is None:
+            return []
+        run.stop_sent_at = now
+        return [
+            OrderStop(
+                executor=self._executor.name,
+                task=run.order.task,
+                attempt=run.order.attempt,
+                token=self._token,
+            )
+        ]
+
+    def _check(self, run: Run, now: float) -> list[Effect]:
+        if run.state is not RunState.STOPPING:
+            if self._contacts.is_in_touch(run.owner, now):
+                return []
+            return self._stop(run, now, "owner out of contact")
+        if run.stopped_at < now or now < run.stop_sent_at + STOP_RETRY_SECONDS:
+            return []
+        return self._order_stop(run, now)
+
+    def _stop_strangers(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for (task, attempt), sent_at in list(self._strangers.items()):
+            if self._executor is None or now < sent_at + STOP_RETRY_SECONDS:
+                continue
+            self._strangers[task, attempt] = now
+            effects.append(
+                OrderStop(
+                    executor=self._executor.name,
+                    task=task,
+                    attempt=attempt,
+                    token=self._token,
+                )
+            )
+        return effects
+
+    def _take_ends(
+        self, executor: ExecutorState, ended: tuple[EndedRun, ...], now: float
+    ) -> list[Effect]:
+        for end in ended:
+            if end.number <= executor.last_seen:
+                continue
+            executor.last_seen = end.number
+            run = self._runs.get(end.task)
+            if run is not None and run.order.attempt == end.attempt:
+                how = _ENDS.get(end.how, RunEnd.LOST)
+                self._end(run, how, now - run.began_at)
+        return []
+
+    def _take_running(
+        self, held: HeldRuns, sent_at: float, now: float
+    ) -> list[Effect]:
+        for run in list(self._runs.values()):
+            if run.name in held.running:
+                continue
+            if run.stopped_at <= sent_at or run.started_at <= sent_at:
+                self._end(run, RunEnd.LOST, 0.0)
+        known = {run.name for run in self._runs.values()}
+        strangers = held.running - known
+        for name in list(self._strangers):
+            if name not in strangers:
+                del self._strangers[name]
+        for name in strangers:
+            self._strangers.setdefault(name, -math.inf)
+        if strangers:
+            self._is_open = False
+        return self._stop_strangers(now)
+
+    def _end(self, run: Run, end: RunEnd, run_time: float) -> None:
+        del self._runs[run.order.task]
+        self._used = self._used - run.order.resources
+        self._report(run.owner, *run.name, end, run_time)
+
+    def _never_started(self, run: Run, end: RunEnd) -> list[Effect]:
+        line = self._refusal_line(run.owner, run.order, end)
+        self._end(run, end, 0.0)
+        return [line, *self._flush_reports()]
+
+    def _lose_all(self, reason: str) -> list[Effect]:
+        lost = len(self._runs)
+        for run in list(self._runs.values()):
+            self._end(run, RunEnd.LOST, 0.0)
+        self._is_open = False
+        self._strangers.clear()
+        self._must_note = False
+        self._token += 1
+        fields: dict[str, object] = {"runs": lost, "reason": reason}
+        return [Decision(event="runs_lost", fields=fields)]
+
+    def _begin_life(
+        self, announcement: Announcement, now: float
+    ) -> list[Effect]:
+        effects = self._lose_all("executor started") if self._runs else []
+        self._executor = ExecutorState(announcement, self._settings, now)
+        self._is_open = False
+        self._strangers.clear()
+        self._must_note = False
+        # A late order to the earlier life carries a lower token than this.
+        self._token += 1
+        effects.append(_executor_line("executor_started", announcement))
+        return effects + self._flush_reports()
+
+    def _on_fenced(self, token: int) -> list[Effect]:
+        if token < self._token:
+            return []
+        self._token += self._token_step
+        self._token_step *= 2
+        fields: dict[str, object] = {"refused": token, "next": self._token}
+        return [Decision(event="token_raised", fields=fields)]
+
+    # Messages.
+
+    def _ping(self, owner: Member, now: float) -> Send:
+        return self._contacts.ping(owner, self._load(owner, now), now)
+
+    def _load(self, owner: Member, now: float) -> ExecutorLoad:
+        executor = self._executor
+        if executor is None:
+            return ExecutorLoad()
+        announcement = executor.announcement
+        return ExecutorLoad(
+            executor=announcement.executor,
+            service=announcement.service,
+            capacity=announcement.capacity,
+            free=self.free,
+            labels=announcement.labels,
+            taking=self.is_taking,
+            leaving_in=round(executor.leaving_in(now), 3),
+            orders_seen=self._contacts.orders_seen(owner),
+        )
+
+    def _report(
+        self, owner: Member, task: str, attempt: int, end: RunEnd, time: float
+    ) -> None:
+        report = RunReport(task=task, attempt=attempt, end=end, run_time=time)
+        self._reports.setdefault(owner, []).append(report)
+
+    def _flush_reports(self) -> list[Effect]:
+        """Sends the ends to their owners, and the load to who wants room."""
+        if not self._reports:
+            return []
+        told = {
+            owner: tuple(reports)
+            for owner, reports in self._reports.items()
+            if self._contacts.is_connected(owner)
+        }
+        # Reports to an owner without a stream are settled by its next claims.
+        self._reports.clear()
+        for owner in self._contacts.wanting:
+            told.setdefault(owner, ())
+        return [
+            Send(
+                to=owner.member_id,
+                message=RunReports(
+                    reports=reports, load=self._load(owner, -math.inf)
+                ),
+            )
+            for owner, reports in told.items()
+        ]
+
+    def _send_loads(self) -> list[Effect]:
+        return [
+            Send(
+                to=owner.member_id,
+                message=RunReports(reports=(), load=self._load(owner, 0.0)),
+            )
+            for owner in self._contacts.connected
+        ]
+
+    def _refusal_line(
+        self, owner: Member, order: RunOrder, end: RunEnd
+    ) -> Decision:
+        return Decision(
+            event="run_refused",
+            fields={
+                "task": order.task,
+                "attempt": order.attempt,
+                "owner": owner.member_id,
+                "reason": end.value,
+                "free_processor": self.free.processor,
+                "needs_processor": order.resources.processor,
+            },
+        )
+
+    def _open_line(self, executor: ExecutorState) -> Decision:
+        return Decision(
+            event="executor_opened",
+            fields={"executor": executor.name, "token": self._token},
+        )
+
+
+def _executor_line(event: str, announcement: Announcement) -> Decision:
+    return Decision(
+        event=event,
+        fields={
+            "executor": announcement.executor,
+            "started_at": announcement.started_at,
+            "sequence": announcement.sequence,
+            "leaving": announcement.leaving,
+        },
+    )
--- /dev/null
+++ b/gypsumline/core/leases/settings.py
@@ -0,0 +1,66 @@
+"""Settings of leased submissions, and the inequality between their times."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.errors import InvalidInputError
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseSettings:
+    """Times of the agents and owners; all in seconds.
+
+    The runs of a lost owner must have ended before its callers submit again
+    elsewhere; the derivation is in docs/platform.md.
+
+    Attributes:
+      contact_limit: Age of the newest answered ping at which an agent stops
+        the owner's runs.
+      lease: Time for which the executor keeps runs without a renewal.
+      clock_drift: Share by which two steady clocks may differ.
+      stop_time: Longest time that a stop takes at the executor.
+      resubmit_delay: Shortest time from the loss of a connection to the same
+        submission at another entry.
+      busy_ping_interval: Time between pings to an owner that has runs here.
+      idle_ping_interval: Time between pings to any other owner.
+      hold_wait: Time for which the executor may wait for an end before it
+        answers a renewal.
+      order_timeout: Time after which an order to the executor counts as
+        unanswered.
+    """
+
+    contact_limit: float = 0.4
+    lease: float = 0.6
+    clock_drift: float = 0.02
+    stop_time: float = 0.05
+    resubmit_delay: float = 1.3
+    busy_ping_interval: float = 0.12
+    idle_ping_interval: float = 0.8
+    hold_wait: float = 0.2
+    order_timeout: float = 0.25
+
+    def __post_init__(self) -> None:
+        if self.longest_run_on >= self.resubmit_delay:
+            raise InvalidInputError(
+                "contact_limit + lease + stop_time",
+                self.longest_run_on,
+                f"less than resubmit_delay ({self.resubmit_delay} s)",
+            )
+        if self.hold_wait + self.order_timeout >= self.lease:
+            raise InvalidInputError(
+                "hold_wait + order_timeout",
+                self.hold_wait + self.order_timeout,
+                f"less than lease ({self.lease} s)",
+            )
+
+    @property
+    def longest_run_on(self) -> float:
+        """Longest time that runs go on after their owner's last contact."""
+        lease = self.lease * (1.0 + self.clock_drift)
+        return self.contact_limit + lease + self.stop_time
+
+    @property
+    def rerun_wait(self) -> float:
+        """Time after the last contact from which a task may run elsewhere."""
+        return self.longest_run_on * (1.0 + self.clock_drift)
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -23,7 +23,6 @@
 from gypsumline.entry.http import entry_app
 from gypsumline.entry.node import EntryNode, MachineFactory, Machines
 from gypsumline.entry.table_task import TableTask
-from gypsumline.platform import open_table
 from gypsumline.runtime.clock import boot_time, new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import (
@@ -34,6 +33,7 @@
 from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import TimerService, running_timers
+from gypsumline.table import open_table
 from gypsumline.wire.hub import Hub, running_hub
 
 CONTROL_TICK_SECONDS = 0.1
--- a/gypsumline/entry/table_task.py
+++ b/gypsumline/entry/table_task.py
@@ -18,8 +18,8 @@
     WriteTable,
 )
 from gypsumline.core.errors import TableConflictError, TableUnavailableError
-from gypsumline.platform.table import Row, RowWrite, Table
 from gypsumline.runtime.clock import boot_time
+from gypsumline.table.table import Row, RowWrite, Table
 
 CONTROL_KEY = "control"
 CONFIGURATION_PREFIX = "configuration/"
--- a/gypsumline/platform/__init__.py
+++ b/gypsumline/platform/__init__.py
@@ -1,6 +1,1 @@
-"""Clients of the platform's table service and object store."""
-
-from gypsumline.platform.http_table import HttpTable
-from gypsumline.platform.table import Row, RowWrite, Table, open_table
-
-__all__ = ["HttpTable", "Row", "RowWrite", "Table", "open_table"]
+"""Adapter to the users' platform: translates between its words and ours."""
--- /dev/null
+++ b/gypsumline/platform/agent_daemon.py
@@ -0,0 +1,77 @@
+"""The agent on the users' platform."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from gypsumline.agent.leased_node import LeasedAgentNode
+from gypsumline.core.identity import Role
+from gypsumline.core.leases.run_table import RunTable
+from gypsumline.platform.daemon import Daemon, running_daemon, running_tasks
+from gypsumline.platform.entry_rows import ENTRIES_TABLE, EntryDirectory
+from gypsumline.platform.executor_calls import ExecutorCalls
+from gypsumline.platform.follower import TableFollower
+from gypsumline.platform.heartbeats import HeartbeatReceiver
+from gypsumline.platform.settings_file import ProcessSettings
+from gypsumline.platform.store import Store
+from gypsumline.runtime.light_http_server import (
+    HttpLimits,
+    running_light_server,
+)
+from gypsumline.wire.hub import running_hub
+
+TICK_SECONDS = 0.03
+# A new entry is found at the latest this much later if the connection to the
+# store has gone silent; each wait that ends is a call that the users pay.
+FEED_WAIT_SECONDS = 10.0
+# Share of the time from the stop signal to the kill in which runs may end.
+_ENDING_SHARE = 0.8
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def first_token() -> int:
+    """Returns a fencing token that is usually above all earlier ones."""
+    return time.time_ns() // 1_000_000
+
+
+async def _serve(daemon: Daemon) -> None:
+    settings = daemon.settings
+    table = RunTable(daemon.me, settings.lease, first_token())
+    executor = ExecutorCalls(
+        settings.executor_address, settings.lease.order_timeout
+    )
+    node = LeasedAgentNode(table, executor, daemon.decision_log)
+    store = Store(settings.store_address, FEED_WAIT_SECONDS)
+    receiver = HeartbeatReceiver(node, settings.service)
+    async with running_hub(daemon.me, node, daemon.rng) as hub:
+        node.attach(hub)
+        directory = EntryDirectory(hub.set_members)
+        follower = TableFollower(
+            store, ENTRIES_TABLE, directory.replace, directory.apply, daemon.rng
+        )
+        daemon.timers.subscribe(TICK_SECONDS, node.tick)
+        async with (
+            running_light_server(
+                settings.heartbeat_address, receiver, HttpLimits()
+            ),
+            running_tasks(follower.run(), node.keep_holding()),
+        ):
+            _LOGGER.info(
+                "listening", extra={"address": settings.heartbeat_address}
+            )
+            await daemon.signals.wait()
+            _LOGGER.info("stopping", extra={"runs": len(table.runs)})
+            node.begin_stop()
+            limit = _ENDING_SHARE * settings.stop_limit
+            if not await daemon.signals.drain(lambda: table.is_idle, limit):
+                _LOGGER.warning("runs are cut", extra={"runs": len(table.runs)})
+    executor.close()
+    store.close()
+
+
+async def run_agent(settings: ProcessSettings) -> None:
+    """Runs an agent until it is stopped."""
+    async with running_daemon(Role.AGENT, settings) as daemon:
+        await _serve(daemon)
--- /dev/null
+++ b/gypsumline/platform/daemon.py
@@ -0,0 +1,128 @@
+"""What both daemons share: logs, metrics, settings and the stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import random
+import signal
+import sys
+from collections.abc import AsyncIterator, Coroutine
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from gypsumline.core.errors import InvalidInputGroup
+from gypsumline.core.identity import Member, Role
+from gypsumline.platform.settings_file import (
+    ProcessSettings,
+    read_settings,
+    settings_path,
+)
+from gypsumline.runtime import logs
+from gypsumline.runtime.clock import new_incarnation
+from gypsumline.runtime.http_messages import HttpAnswer
+from gypsumline.runtime.light_http_server import (
+    Exchange,
+    HttpLimits,
+    running_light_server,
+)
+from gypsumline.runtime.randomness import make_random
+from gypsumline.runtime.stop import StopSignals
+from gypsumline.runtime.timers import TimerService, running_timers
+
+# Port of the metrics on every host; deploy/system.toml names it too.
+METRICS_PORT = 9464
+DECISION_LINES_PER_SECOND = 400
+_FLUSH_SECONDS = 0.5
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Daemon:
+    """The parts of a running daemon that its role builds on."""
+
+    settings: ProcessSettings
+    me: Member
+    rng: random.Random
+    timers: TimerService
+    signals: StopSignals
+    decision_log: logs.DecisionLog
+
+
+@contextlib.asynccontextmanager
+async def running_daemon(
+    role: Role, settings: ProcessSettings
+) -> AsyncIterator[Daemon]:
+    """Yields the shared parts of a daemon; serves its metrics meanwhile."""
+    logs.configure_logs(settings.member_id, "info", sys.stdout)
+    address = f"{settings.address}:{settings.stream_port}"
+    me = Member(
+        member_id=settings.member_id,
+        incarnation=new_incarnation(),
+        role=role,
+        availability_zone=settings.availability_zone,
+        address=address if role is Role.ENTRY else "",
+    )
+    _LOGGER.info(
+        "started", extra={"role": role.value, "incarnation": me.incarnation}
+    )
+    metrics_address = f"{settings.address}:{METRICS_PORT}"
+    try:
+        async with (
+            running_timers() as timers,
+            running_light_server(metrics_address, _show_metrics, HttpLimits()),
+        ):
+            timers.subscribe(_FLUSH_SECONDS, logs.flush_logs)
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGHUP, _reload, settings)
+            yield Daemon(
+                settings=settings,
+                me=me,
+                rng=make_random(0),
+                timers=timers,
+                signals=StopSignals(),
+                decision_log=logs.DecisionLog(DECISION_LINES_PER_SECOND),
+            )
+    finally:
+        _LOGGER.info("stopped")
+        logs.flush_logs()
+
+
+@contextlib.asynccontextmanager
+async def running_tasks(
+    *coroutines: Coroutine[object, object, None],
+) -> AsyncIterator[None]:
+    """Runs coroutines beside the body; the failure of one ends the daemon."""
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(coroutine) for coroutine in coroutines]
+        yield
+        for task in tasks:
+            task.cancel()
+
+
+def _reload(settings: ProcessSettings) -> None:
+    """Reads the settings again; what changed holds from the next start."""
+    try:
+        newest = read_settings(settings_path())
+    except (OSError, InvalidInputGroup) as error:
+        _LOGGER.error("settings not reloaded", extra={"detail": str(error)})
+        return
+    changed = [
+        field.name
+        for field in dataclasses.fields(newest)
+        if getattr(newest, field.name) != getattr(settings, field.name)
+    ]
+    _LOGGER.info("settings reloaded", extra={"changed_at_next_start": changed})
+
+
+def _show_metrics(exchange: Exchange) -> None:
+    exchange.answer(
+        HttpAnswer(
+            status=200,
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+            body=generate_latest(),
+        )
+    )
--- /dev/null
+++ b/gypsumline/platform/follower.py
@@ -0,0 +1,86 @@
+"""Keeps up with one table of the store by its feed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from gypsumline.platform.store import (
+    FeedGapError,
+    RowSet,
+    Store,
+    StoreUnavailableError,
+)
+
+_BACKOFF_FIRST_SECONDS = 0.05
+_BACKOFF_LAST_SECONDS = 1.0
+
+_LOGGER = logging.getLogger(__name__)
+
+OnRows = Callable[[RowSet], None]
+
+
+class TableFollower:
+    """Reads a table, follows its changes, and reads again after a gap."""
+
+    def __init__(
+        self,
+        store: Store,
+        table: str,
+        on_replaced: OnRows,
+        on_changed: OnRows,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._on_replaced = on_replaced
+        self._on_changed = on_changed
+        self._rng = rng
+        self._version: int | None = None
+        self._backoff = _BACKOFF_FIRST_SECONDS
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Follows the table until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except FeedGapError as error:
+                self._version = None
+                self._log("store feed has a gap", str(error))
+            except StoreUnavailableError as error:
+                if not self._is_lost:
+                    self._is_lost = True
+                    self._log("store lost", str(error))
+                await self._pause()
+            else:
+                self._backoff = _BACKOFF_FIRST_SECONDS
+                if self._is_lost:
+                    self._is_lost = False
+                    self._log("store regained", "")
+
+    async def _step(self) -> None:
+        if self._version is None:
+            rows = await self._store.read(self._table)
+            self._on_replaced(rows)
+        else:
+            rows = await self._store.follow(self._table, self._version)
+            if rows.rows:
+                self._on_changed(rows)
+        self._version = rows.version
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._backoff * self._rng.uniform(0.5, 1.5))
+        self._backoff = min(2.0 * self._backoff, _BACKOFF_LAST_SECONDS)
+
+    def _log(self, event: str, detail: str) -> None:
+        _LOGGER.info(
+            event,
+            extra={
+                "table": self._table,
+                "version": self._version,
+                "detail": detail,
+            },
+        )
--- /dev/null
+++ b/gypsumline/platform/routes.py
@@ -0,0 +1,173 @@
+"""The operator's configuration rows: queues, limits and zones out."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+
+import msgspec
+
+from gypsumline.core.leases.job import QueueRules
+from gypsumline.core.leases.messages import ZonesOut
+from gypsumline.platform.store import RowSet, StoredRow
+from gypsumline.runtime import metrics
+from gypsumline.runtime.light_http_server import HttpLimits
+
+OPERATOR_TABLE = "op"
+_CONFIGURATION_KEY = "config"
+_ZONE_OUT_PREFIX = "evacuate/"
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    # The latency objective on top of the stretched run time.
+    target_latency_ms: float = 0.0
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """A queue and where its requests arrive.
+
+    Attributes:
+      prefix: What its paths begin with.
+      queue: Its rules.
+    """
+
+    prefix: str
+    queue: QueueRules
+
+
+class Routes:
+    """The newest configuration that the operator wrote.
+
+    A row that cannot be read leaves the last good state in force.
+    """
+
+    def __init__(self) -> None:
+        self._version = -1
+        self._by_host: dict[str, list[Route]] = {}
+        self._zones_out: set[str] = set()
+        self._table_version = -1
+        self.limits = HttpLimits()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration; -1 before the first."""
+        return self._version
+
+    @property
+    def zones_out(self) -> ZonesOut:
+        """Availability zones that are out."""
+        return ZonesOut(
+            version=self._table_version, zones=tuple(sorted(self._zones_out))
+        )
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path."""
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def replace(self, rows: RowSet) -> None:
+        """Takes all rows of the operator's table."""
+        if rows.version < self._table_version:
+            return
+        self._zones_out = set()
+        self.apply(rows)
+
+    def apply(self, rows: RowSet) -> None:
+        """Takes changed rows of the operator's table."""
+        for row in rows.rows:
+            if row.key == _CONFIGURATION_KEY:
+                self._take_configuration(row)
+            elif row.key.startswith(_ZONE_OUT_PREFIX):
+                self._take_zone(row)
+        self._table_version = max(self._table_version, rows.version)
+
+    def _take_zone(self, row: StoredRow) -> None:
+        zone = row.key.removeprefix(_ZONE_OUT_PREFIX)
+        if row.is_removed:
+            self._zones_out.discard(zone)
+        else:
+            self._zones_out.add(zone)
+        _LOGGER.info(
+            "availability zone changed",
+            extra={
+                "zone": zone,
+                "out": not row.is_removed,
+                "row_version": row.version,
+            },
+        )
+
+    def _take_configuration(self, row: StoredRow) -> None:
+        try:
+            wire = msgspec.json.decode(
+                row.value or b"", type=_WireConfiguration
+            )
+        except (msgspec.DecodeError, RecursionError) as error:
+            metrics.REJECTED_INPUTS.labels("configuration").inc()
+            _LOGGER.error(
+                "configuration cannot be read; the last one stays in force",
+                extra={"row_version": row.version, "detail": str(error)},
+            )
+            return
+        if wire.version <= self._version:
+            return
+        self._version = wire.version
+        self._by_host = _index(wire.routes)
+        limits = wire.limits
+        self.limits.header_bytes = limits.max_header_bytes
+        self.limits.body_bytes = limits.max_body_bytes
+        self.limits.header_timeout = limits.header_timeout_ms / 1000.0
+        self.limits.idle_timeout = limits.idle_timeout_ms / 1000.0
+        metrics.CONFIGURATION_VERSION.set(wire.version)
+        _LOGGER.info(
+            "configuration in force",
+            extra={
+                "version": wire.version,
+                "row_version": row.version,
+                "queues": len(wire.routes),
+            },
+        )
+
+
+def _index(routes: list[_WireRoute]) -> dict[str, list[Route]]:
+    """Returns the routes by host, those with long prefixes first."""
+    by_host: dict[str, list[Route]] = {}
+    for wire in routes:
+        queue = QueueRules(
+            name=wire.name,
+            service=wire.service,
+            priority=wire.priority,
+            attempts=max(1, wire.max_attempts),
+            stretch=wire.stretch,
+            latency=wire.target_latency_ms / 1000.0,
+        )
+        route = Route(prefix=wire.path_prefix, queue=queue)
+        by_host.setdefault(wire.host.lower(), []).append(route)
+    for found in by_host.values():
+        found.sort(key=lambda route: -len(route.prefix))
+    return by_host
--- /dev/null
+++ b/gypsumline/platform/store.py
@@ -0,0 +1,224 @@
+"""Client of the platform's store: tables of versioned rows, and their feed."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import dataclasses
+import http
+import urllib.parse
+
+import msgspec
+
+from gypsumline.core.errors import GypsumlineError
+from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.http_messages import HttpAnswer, HttpError
+
+CALL_TIMEOUT_SECONDS = 1.0
+# The store may answer a feed this much later than the wait that it was given.
+FEED_SLACK_SECONDS = 1.0
+_ROWS_PER_READ = 500
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class StoreError(GypsumlineError):
+    """A call to the store failed."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not serve a call; a write may have taken effect."""
+
+
+class StoreConflictError(StoreError):
+    """A row had another version than the write expected; nothing was done."""
+
+
+class FeedGapError(StoreError):
+    """The store no longer has the history that a feed asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoredRow:
+    """A row, or the removal of one.
+
+    Attributes:
+      key: Its key.
+      value: Its value; None if it was removed or cannot be decoded.
+      version: Version of the transaction that wrote it; 0 if not given.
+      is_removed: Whether it was removed.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+    is_removed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RowSet:
+    """Rows as of one moment.
+
+    Attributes:
+      rows: The rows, by key.
+      version: Newest version that they take account of.
+      store_time: Seconds on the store's steady clock.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    store_time: float
+
+
+class _WireRow(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    removed: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    now_ms: float = 0.0
+    has_more: bool = False
+
+
+class Store:
+    """Reads, writes and follows rows that have no partition."""
+
+    def __init__(self, address: str, feed_wait: float) -> None:
+        self._calls = HttpClient(address, connections=2)
+        self._feeds = HttpClient(address, connections=2)
+        self._feed_wait = feed_wait
+
+    async def read(self, table: str) -> RowSet:
+        """Returns all rows of a table.
+
+        Raises:
+          StoreUnavailableError: The store did not answer with rows.
+        """
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(_ROWS_PER_READ)}
+            if start:
+                query["from"] = start
+            target = f"/v1/rows-get?{urllib.parse.urlencode(query)}"
+            answer = await self._get(self._calls, target, CALL_TIMEOUT_SECONDS)
+            page = _decode_rows(answer)
+            rows += [_row(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                break
+            # The range includes its first key, so it begins just after it.
+            start = page.rows[-1].key + "\0"
+        return _row_set(rows, page)
+
+    async def follow(self, table: str, after: int) -> RowSet:
+        """Returns the rows that changed after a version; may return none.
+
+        Raises:
+          FeedGapError: The history was dropped; read the table again.
+          StoreUnavailableError: The store did not answer.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(1000 * self._feed_wait)),
+        }
+        target = f"/v1/rows-feed?{urllib.parse.urlencode(query)}"
+        timeout = self._feed_wait + FEED_SLACK_SECONDS
+        page = _decode_rows(await self._get(self._feeds, target, timeout))
+        return _row_set([_row(row) for row in page.rows], page)
+
+    async def write(
+        self,
+        table: str,
+        puts: dict[str, bytes],
+        removals: dict[str, int] | None = None,
+    ) -> None:
+        """Writes rows, and removes rows that still have the given versions.
+
+        Raises:
+          StoreConflictError: A row to remove has another version.
+          StoreUnavailableError: The store did not confirm the write.
+        """
+        removals = removals or {}
+        body = {
+            "expected_rev": [
+                {"table": table, "part": "", "key": key, "ver": version}
+                for key, version in removals.items()
+            ],
+            "puts": [
+                {
+                    "table": table,
+                    "part": "",
+                    "key": key,
+                    "value": base64.b64encode(value).decode("ascii"),
+                }
+                for key, value in puts.items()
+            ],
+            "remove": [
+                {"table": table, "part": "", "key": key} for key in removals
+            ],
+        }
+        try:
+            answer = await self._calls.request(
+                "POST",
+                "/v1/rows-tx",
+                timeout=CALL_TIMEOUT_SECONDS,
+                headers=_JSON_HEADERS,
+                body=msgspec.json.encode(body),
+            )
+        except HttpError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
+            raise StoreConflictError(f"table {table!r}: a row has changed")
+        _check(answer)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._calls.close()
+        self._feeds.close()
+
+    async def _get(
+        self, client: HttpClient, target: str, timeout: float
+    ) -> HttpAnswer:
+        try:
+            answer = await client.request("GET", target, timeout=timeout)
+        except HttpError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status == http.HTTPStatus.GONE:
+            raise FeedGapError("the store dropped the history")
+        _check(answer)
+        return answer
+
+
+def _check(answer: HttpAnswer) -> None:
+    if not answer.is_success:
+        raise StoreUnavailableError(f"the store answered {answer.status}")
+
+
+def _decode_rows(answer: HttpAnswer) -> _WireRows:
+    try:
+        return msgspec.json.decode(answer.body, type=_WireRows)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise StoreUnavailableError(f"unreadable rows: {error}") from error
+
+
+def _row_set(rows: list[StoredRow], page: _WireRows) -> RowSet:
+    return RowSet(
+        rows=tuple(rows), version=page.ver, store_time=page.now_ms / 1000.0
+    )
+
+
+def _row(row: _WireRow) -> StoredRow:
+    value: bytes | None = None
+    if not row.removed:
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except (binascii.Error, ValueError):
+            # The reader of the key counts and logs what it cannot use.
+            value = None
+    return StoredRow(
+        key=row.key, value=value, version=row.ver, is_removed=row.removed
+    )
--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -48,14 +48,22 @@
         handler.flush()
 
 
-def configure_logs(member_id: str, level: str) -> None:
-    """Sends all logs to standard error as JSON lines."""
+def configure_logs(
+    member_id: str, level: str, stream: TextIO | None = None
+) -> None:
+    """Sends all logs to a stream as JSON lines.
+
+    Args:
+      member_id: Name of this process, in each line.
+      level: Lowest level that is written.
+      stream: Where to; standard error if None.
+    """
     formatter = MsgspecFormatter(
         _FORMAT,
         rename_fields={"asctime": "time", "levelname": "level"},
         static_fields={"member": member_id},
     )
-    handler = BatchingHandler(sys.stderr)
+    handler = BatchingHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -62,6 +62,16 @@
 TASK_RESULTS = Counter(
     "gypsumline_task_results_total", "Task results, by status.", ["status"]
 )
+ORDER_FAILURES = Counter(
+    "gypsumline_executor_order_failures_total",
+    "Orders that the executor did not carry out, by order and answer.",
+    ["order", "answer"],
+)
+REJECTED_INPUTS = Counter(
+    "gypsumline_rejected_inputs_total",
+    "Inputs that could not be read, by where they came from.",
+    ["source"],
+)
 TABLE_OPERATIONS = Counter(
     "gypsumline_table_operations_total",
     "Operations on the platform's table, by kind and result.",
--- a/gypsumline/platform/http_table.py
+++ b/gypsumline/table/http_table.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from gypsumline.core.errors import TableConflictError, TableUnavailableError
-from gypsumline.platform.table import Row, RowWrite, table_backend
 from gypsumline.runtime import metrics
+from gypsumline.table.table import Row, RowWrite, table_backend
 
 OPERATION_TIMEOUT_SECONDS = 1.0
 
--- /dev/null
+++ b/gypsumline/tests/core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leased submissions."""
--- a/gypsumline/tests/platform/__init__.py
+++ b/gypsumline/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Tests; the layout mirrors the modules."""
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/gypsumline/tests/table/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the layout mirrors the modules."""
