--- /dev/null
+++ b/gypsumline/tests/core/leases/builders.py
@@ -0,0 +1,200 @@
+"""Values that the tests of leased submissions share."""
+
+from gypsumline.core.effects import Send
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.leases.effects import (
+    Announcement,
+    EndedRun,
+    HeldRuns,
+    OrderStart,
+    OrderStop,
+)
+from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.messages import (
+    ContactPing,
+    ContactPong,
+    ExecutorLoad,
+    RunEnd,
+    RunOrder,
+    RunReport,
+    RunReports,
+    StartRuns,
+)
+from gypsumline.core.leases.owner import LeasedOwner
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+from gypsumline.core.leases.resources import Resources
+from gypsumline.core.leases.run_table import RunTable
+from gypsumline.core.leases.settings import LeaseSettings
+
+LEASE = LeaseSettings()
+ENTRY = Member(
+    member_id="entry-1",
+    incarnation=1,
+    role=Role.ENTRY,
+    availability_zone="north",
+    address="127.0.0.1:1",
+)
+ENTRY_2 = Member(
+    member_id="entry-2",
+    incarnation=1,
+    role=Role.ENTRY,
+    availability_zone="south",
+    address="127.0.0.1:2",
+)
+KEY = "00000000000000a1"
+
+
+def agent(number=1, incarnation=1, zone="north"):
+    return Member(
+        member_id=f"agent-{number}",
+        incarnation=incarnation,
+        role=Role.AGENT,
+        availability_zone=zone,
+    )
+
+
+def cores(count):
+    return Resources(processor=1000 * count, memory=64)
+
+
+def announcement(
+    sequence=1, executor="x-1", started_at=1000, leaving=False, clock=50_000
+):
+    return Announcement(
+        executor=executor,
+        started_at=started_at,
+        sequence=sequence,
+        service="ordering",
+        availability_zone="north",
+        capacity=Resources(processor=8000, memory=4096),
+        labels=("a", "r1"),
+        leaving=leaving,
+        leaving_in=0.0,
+        clock=clock,
+    )
+
+
+def order(task=f"{KEY}.0.0.0", attempt=1, count=2):
+    return RunOrder(task=task, attempt=attempt, resources=cores(count))
+
+
+def start(*orders, stamp=0.0, wants_room=False):
+    return StartRuns(
+        key=KEY, stamp=stamp, spec="s", orders=orders, wants_room=wants_room
+    )
+
+
+def held(running=(), ended=(), started_at=1000, clock=50_000):
+    return HeldRuns(
+        started_at=started_at,
+        clock=clock,
+        running=frozenset(running),
+        ended=tuple(
+            EndedRun(number=number, task=task, attempt=attempt, how=how)
+            for number, task, attempt, how in ended
+        ),
+    )
+
+
+def sends(effects, message_type):
+    return [
+        (effect.to, effect.message)
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, message_type)
+    ]
+
+
+def ends(effects):
+    """Returns (task, attempt, end) of all reports."""
+    return [
+        (report.task, report.attempt, report.end)
+        for _, message in sends(effects, RunReports)
+        for report in message.reports
+    ]
+
+
+def starts(effects):
+    return [effect for effect in effects if isinstance(effect, OrderStart)]
+
+
+def stops(effects):
+    return [effect for effect in effects if isinstance(effect, OrderStop)]
+
+
+def open_table(now=0.0, zone="north"):
+    """Returns a table whose executor is known and holds nothing."""
+    table = RunTable(agent(zone=zone), LEASE, token=100)
+    table.on_announcement(announcement(), now)
+    hold = table.next_hold(now)
+    table.on_held(hold, held(), now, now)
+    for entry in (ENTRY, ENTRY_2):
+        table.on_connected(entry, now)
+    return table
+
+
+def touch(table, now, entry=ENTRY):
+    """Lets an owner answer a ping that was sent now."""
+    return table.on_pong(entry, ContactPong(stamp=now), now)
+
+
+def load(
+    free=8000, executor="x-1", taking=True, seen=0, labels=(), capacity=8000
+):
+    return ExecutorLoad(
+        executor=executor,
+        service="ordering",
+        capacity=Resources(processor=capacity, memory=4096),
+        free=Resources(processor=free, memory=4096),
+        labels=labels,
+        taking=taking,
+        orders_seen=seen,
+    )
+
+
+def queue(name="cards", priority=0, attempts=2):
+    return QueueRules(
+        name=name,
+        service="ordering",
+        priority=priority,
+        attempts=attempts,
+        stretch=1.6,
+        latency=0.06,
+    )
+
+
+def request(key=KEY, count=1, rules=None, timeout=30.0, steps=None, size=2):
+    if steps is None:
+        shape = JobStep(count=count, resources=cores(size), run_time=0.2)
+        steps = (shape,)
+    return JobRequest(
+        key=key,
+        spec="s",
+        queue=rules or queue(),
+        steps=steps,
+        timeout=timeout,
+    )
+
+
+def owner(**settings):
+    return LeasedOwner(ENTRY, LEASE, LeasedOwnerSettings(**settings))
+
+
+def join(leased, member, now=0.0, **values):
+    """Connects an agent and takes its first ping."""
+    leased.on_connected(member, now)
+    ping = ContactPing(stamp=now, load=load(**values))
+    return leased.on_ping(member, ping, now)
+
+
+def reports(*items, now_load=None):
+    return RunReports(
+        reports=tuple(
+            RunReport(task=task, attempt=attempt, end=end, run_time=run_time)
+            for task, attempt, end, run_time in items
+        ),
+        load=now_load or load(),
+    )
+
+
+def done(task, attempt=1, run_time=0.2):
+    return task, attempt, RunEnd.DONE, run_time
--- /dev/null
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -0,0 +1,236 @@
+"""Tests of an entry's decisions on its leased jobs."""
+
+from gypsumline.core.leases.effects import JobEnded, JobOutcome
+from gypsumline.core.leases.job import JobStep
+from gypsumline.core.leases.messages import (
+    ClaimRuns,
+    ContactPing,
+    ContactPong,
+    RunEnd,
+    StartRuns,
+    StopRuns,
+    ZonesOut,
+)
+from gypsumline.tests.core.leases.builders import (
+    KEY,
+    LEASE,
+    agent,
+    cores,
+    done,
+    join,
+    load,
+    owner,
+    queue,
+    reports,
+    request,
+    sends,
+)
+
+TASK = f"{KEY}.0.0.0"
+
+
+def outcomes(effects):
+    return [
+        (effect.key, effect.outcome)
+        for effect in effects
+        if isinstance(effect, JobEnded)
+    ]
+
+
+def placed(effects):
+    """Returns (agent, task, attempt) of all starts."""
+    return [
+        (to, order.task, order.attempt)
+        for to, message in sends(effects, StartRuns)
+        for order in message.orders
+    ]
+
+
+def test_job_is_answered_when_all_its_tasks_are_done():
+    """Guards against a partial answer."""
+    leased = owner()
+    join(leased, agent())
+    assert len(placed(leased.submit(request(count=2), 0.0))) == 2
+    first = leased.on_reports(agent(), reports(done(TASK)), 0.2)
+    assert outcomes(first) == []
+    second = leased.on_reports(agent(), reports(done(f"{KEY}.0.0.1")), 0.2)
+    assert outcomes(second) == [(KEY, JobOutcome.COMPLETED)]
+
+
+def test_failed_run_is_repeated_until_the_attempts_are_used():
+    """Guards against failing a job for one bad run, or trying for ever."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    failed = reports((TASK, 1, RunEnd.FAILED, 0.1))
+    effects = leased.on_reports(agent(), failed, 0.1)
+    assert placed(effects) == [("agent-1", TASK, 2)]
+    failed = reports((TASK, 2, RunEnd.FAILED, 0.1))
+    effects = leased.on_reports(agent(), failed, 0.2)
+    assert outcomes(effects) == [(KEY, JobOutcome.FAILED)]
+
+
+def test_run_that_was_lost_does_not_count_as_an_attempt():
+    """Guards against failing a job for the loss of its executors."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    for attempt in range(1, 6):
+        lost = reports(
+            (TASK, attempt, RunEnd.LOST, 0.0), now_load=load(seen=attempt)
+        )
+        effects = leased.on_reports(agent(), lost, 0.1)
+        assert placed(effects) == [("agent-1", TASK, attempt + 1)]
+
+
+def test_repeated_submission_attaches_to_the_open_job():
+    """Guards against two runs for a caller that sends again."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    assert leased.submit(request(), 0.1) == []
+
+
+def test_new_job_of_an_abandoned_key_waits_for_the_end_of_its_run():
+    """Guards against two runs of a task after a caller came back."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    effects = leased.abandon(KEY, 0.1)
+    assert [to for to, _ in sends(effects, StopRuns)] == ["agent-1"]
+    assert placed(leased.submit(request(), 0.2)) == []
+    stopped = reports((TASK, 1, RunEnd.STOPPED, 0.1))
+    effects = leased.on_reports(agent(), stopped, 0.3)
+    assert [task for _, task, _ in placed(effects)] == [TASK]
+
+
+def test_task_of_a_lost_agent_waits_until_its_run_cannot_go_on():
+    """Guards against a second run while the lease may still hold."""
+    leased = owner()
+    join(leased, agent())
+    join(leased, agent(2), free=0)
+    leased.submit(request(), 0.0)
+    leased.on_disconnected(agent())
+    soon = LEASE.rerun_wait - 0.01
+    join(leased, agent(2), now=soon, executor="x-2")
+    assert placed(leased.tick(soon)) == []
+    late = LEASE.rerun_wait + 0.01
+    assert [name for name, _, _ in placed(leased.tick(late))] == ["agent-2"]
+
+
+def test_restarted_agent_does_not_shorten_that_wait():
+    """Guards against forgetting the contact with the earlier incarnation."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    pong = leased.on_ping(agent(), ContactPing(stamp=2.0, load=load()), 2.0)
+    assert sends(pong, ContactPong)
+    join(leased, agent(incarnation=2), now=2.1, executor="x-2")
+    assert placed(leased.tick(2.0 + LEASE.rerun_wait - 0.1)) == []
+
+
+def test_number_of_a_run_rises_after_one_that_is_too_low():
+    """Guards against a task that no executor takes any more."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    old = reports((TASK, 1, RunEnd.OLD_ATTEMPT, 0.0))
+    ((_, _, attempt),) = placed(leased.on_reports(agent(), old, 0.1))
+    assert attempt > 2
+
+
+def test_claims_name_the_runs_at_each_new_stream():
+    """Guards against reports that were lost with a stream."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    leased.on_disconnected(agent())
+    effects = leased.on_connected(agent(), 0.1)
+    ((_, claims),) = sends(effects, ClaimRuns)
+    assert claims.tasks == (TASK,)
+
+
+def test_later_step_starts_after_the_earlier_one():
+    """Guards against a task that starts before what it depends on."""
+    leased = owner()
+    join(leased, agent())
+    shape = JobStep(count=1, resources=cores(1), run_time=0.1)
+    later = JobStep(count=1, resources=cores(1), run_time=0.1, after=(0,))
+    effects = leased.submit(request(steps=(shape, later)), 0.0)
+    assert [task for _, task, _ in placed(effects)] == [TASK]
+    effects = leased.on_reports(agent(), reports(done(TASK)), 0.1)
+    assert [task for _, task, _ in placed(effects)] == [f"{KEY}.0.1.0"]
+
+
+def test_label_and_apart_bound_where_tasks_go():
+    """Guards against tasks on executors that may not have them."""
+    leased = owner()
+    join(leased, agent(1), labels=("a",))
+    join(leased, agent(2), labels=("b",), executor="x-2")
+    shape = JobStep(
+        count=3, resources=cores(1), run_time=0.1, label="b", apart=2
+    )
+    effects = leased.submit(request(steps=(shape,)), 0.0)
+    assert [name for name, _, _ in placed(effects)] == ["agent-2", "agent-2"]
+
+
+def test_nothing_goes_to_a_zone_that_is_out():
+    """Guards against starts in a zone that operators took out."""
+    leased = owner()
+    join(leased, agent())
+    leased.set_zones_out(ZonesOut(version=1, zones=("north",)), 0.0)
+    assert placed(leased.submit(request(), 0.0)) == []
+
+
+def test_job_without_any_executor_is_refused_at_once():
+    """Guards against a caller that waits for nothing."""
+    effects = owner().submit(request(), 0.0)
+    assert outcomes(effects) == [(KEY, JobOutcome.NOT_RUN)]
+
+
+def test_job_behind_a_long_backlog_is_refused_at_once():
+    """Guards against jobs that are held until they are too late."""
+    leased = owner()
+    join(leased, agent())
+    effects = []
+    for number in range(40):
+        effects += leased.submit(request(f"{number:016x}", count=8), 0.0)
+    refused = [outcome for _, outcome in outcomes(effects)]
+    assert refused
+    assert set(refused) == {JobOutcome.NOT_RUN}
+
+
+def test_caller_time_limit_ends_a_job():
+    """Guards against work for a caller that has stopped waiting."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(timeout=1.0), 0.0)
+    leased.on_ping(agent(), ContactPing(stamp=1.0, load=load()), 1.0)
+    effects = leased.tick(1.0)
+    assert outcomes(effects) == [(KEY, JobOutcome.EXPIRED)]
+    assert sends(effects, StopRuns)
+
+
+def test_run_that_stands_still_is_moved():
+    """Guards against a job that waits for an executor that hangs."""
+    leased = owner()
+    join(leased, agent(1))
+    leased.submit(request(), 0.0)
+    join(leased, agent(2), now=0.8, executor="x-2")
+    leased.on_ping(agent(1), ContactPing(stamp=0.9, load=load()), 0.9)
+    effects = leased.tick(0.95)
+    assert sends(effects, StopRuns)
+    stopped = reports((TASK, 1, RunEnd.STOPPED, 1.0))
+    effects = leased.on_reports(agent(1), stopped, 1.0)
+    assert [name for name, _, _ in placed(effects)] == ["agent-2"]
+
+
+def test_more_urgent_queue_goes_first():
+    """Guards against urgent jobs behind those that can wait."""
+    leased = owner()
+    join(leased, agent(), free=0)
+    low, high = queue("low", priority=2), queue("high", priority=0)
+    leased.submit(request("0" * 15 + "1", rules=low), 0.0)
+    leased.submit(request("0" * 15 + "2", rules=high), 0.1)
+    effects = leased.on_reports(agent(), reports(now_load=load(free=2000)), 0.2)
+    assert [task[15] for _, task, _ in placed(effects)] == ["2"]
--- /dev/null
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -0,0 +1,294 @@
+"""Tests of an agent's account of its executor."""
+
+import pytest
+
+from gypsumline.core.errors import InvalidInputError
+from gypsumline.core.leases.effects import OrderAnswer
+from gypsumline.core.leases.messages import (
+    ClaimRuns,
+    ContactPing,
+    RunEnd,
+    StopRuns,
+    ZonesOut,
+)
+from gypsumline.core.leases.resources import Resources
+from gypsumline.core.leases.run_table import RunTable
+from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.tests.core.leases.builders import (
+    ENTRY,
+    ENTRY_2,
+    KEY,
+    LEASE,
+    agent,
+    announcement,
+    ends,
+    held,
+    open_table,
+    order,
+    sends,
+    start,
+    starts,
+    stops,
+    touch,
+)
+
+TASK = f"{KEY}.0.0.0"
+
+
+def run_one(table, now=0.0):
+    """Starts one run that the executor confirms."""
+    touch(table, now)
+    (begun,) = starts(table.on_start(ENTRY, start(order(), stamp=now), now))
+    table.on_start_answer(begun, OrderAnswer.DONE, now)
+    return begun
+
+
+def test_times_that_let_two_runs_overlap_are_refused():
+    """Guards against a lease that outlives the caller's next submission."""
+    with pytest.raises(InvalidInputError, match="less than resubmit_delay"):
+        LeaseSettings(contact_limit=0.7, lease=0.6, resubmit_delay=1.3)
+
+
+def test_nothing_starts_before_the_first_list_of_runs():
+    """Guards against filling up an executor that an earlier agent filled."""
+    table = RunTable(agent(), LEASE, token=100)
+    table.on_announcement(announcement(), 0.0)
+    table.on_connected(ENTRY, 0.0)
+    touch(table, 0.0)
+    effects = table.on_start(ENTRY, start(order()), 0.0)
+    assert starts(effects) == []
+    assert ends(effects) == [(TASK, 1, RunEnd.NOT_TAKEN)]
+
+
+def test_runs_of_an_earlier_agent_are_stopped_before_the_first_start():
+    """Guards against runs that nobody accounts for."""
+    table = RunTable(agent(), LEASE, token=100)
+    table.on_announcement(announcement(), 0.0)
+    hold = table.next_hold(0.0)
+    effects = table.on_held(hold, held(running=[("old", 3)]), 0.0, 0.0)
+    assert [(s.task, s.attempt) for s in stops(effects)] == [("old", 3)]
+    assert not table.is_taking
+    table.on_held(table.next_hold(0.1), held(), 0.1, 0.1)
+    assert table.is_taking
+
+
+def test_room_is_taken_from_the_order_until_the_end_is_listed():
+    """Guards against more runs than the executor has room for."""
+    table = open_table()
+    begun = run_one(table)
+    assert table.free == Resources(processor=6000, memory=4032)
+    table.on_stop(ENTRY, StopRuns(tasks=(TASK,), attempts=(1,)), 0.1)
+    (stop,) = stops(table.tick(0.25)) or [begun]
+    table.on_stop_answer(stop, OrderAnswer.DONE, 0.26)
+    assert table.free.processor == 6000
+    hold = table.next_hold(0.3)
+    ended = [(1, TASK, 1, "stopped")]
+    effects = table.on_held(hold, held(ended=ended), 0.3, 0.31)
+    assert ends(effects) == [(TASK, 1, RunEnd.STOPPED)]
+    assert table.free.processor == 8000
+
+
+def test_start_without_room_is_refused():
+    """Guards against an order over the capacity."""
+    table = open_table()
+    touch(table, 0.0)
+    message = start(order(count=5), order("b.0.0.0", count=4))
+    effects = table.on_start(ENTRY, message, 0.0)
+    assert len(starts(effects)) == 1
+    assert ends(effects) == [("b.0.0.0", 1, RunEnd.NO_ROOM)]
+
+
+def test_start_of_a_task_that_runs_here_is_refused():
+    """Guards against a second run for a repeated submission."""
+    table = open_table()
+    run_one(table)
+    touch(table, 0.0, ENTRY_2)
+    effects = table.on_start(ENTRY_2, start(order(attempt=2)), 0.0)
+    assert starts(effects) == []
+    assert ends(effects) == [(TASK, 2, RunEnd.NOT_TAKEN)]
+
+
+def test_runs_of_an_owner_out_of_contact_are_stopped():
+    """Guards against runs that go on after their owner is lost."""
+    table = open_table()
+    run_one(table)
+    assert stops(table.tick(0.39)) == []
+    assert [stop.task for stop in stops(table.tick(0.41))] == [TASK]
+
+
+def test_start_with_an_old_stamp_waits_for_a_sign_of_life():
+    """Guards against a start of an owner that was frozen."""
+    table = open_table()
+    effects = table.on_start(ENTRY, start(order(), stamp=0.0), 1.0)
+    assert starts(effects) == []
+    assert [to for to, _ in sends(effects, ContactPing)] == ["entry-1"]
+    assert len(starts(touch(table, 1.0))) == 1
+
+
+def test_withdrawal_overtakes_a_start_that_waits():
+    """Guards against a run that its owner has given up already."""
+    table = open_table()
+    table.on_start(ENTRY, start(order(), stamp=0.0), 1.0)
+    table.on_stop(ENTRY, StopRuns(tasks=(TASK,), attempts=(1,)), 1.0)
+    assert starts(touch(table, 1.0)) == []
+
+
+def test_unanswered_start_is_fenced_and_keeps_its_room():
+    """Guards against an order that is carried out late."""
+    table = open_table()
+    touch(table, 0.0)
+    (begun,) = starts(table.on_start(ENTRY, start(order()), 0.0))
+    effects = table.on_start_answer(begun, OrderAnswer.UNANSWERED, 0.25)
+    (stop,) = stops(effects)
+    assert stop.token > begun.token
+    assert table.free.processor == 6000
+    early = table.next_hold(0.26)
+    table.on_stop_answer(stop, OrderAnswer.DONE, 0.3)
+    assert ends(table.on_held(early, held(), 0.26, 0.31)) == []
+    hold = table.next_hold(0.32)
+    assert hold.token > begun.token
+    effects = table.on_held(hold, held(), 0.32, 0.33)
+    assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
+    assert table.free.processor == 8000
+
+
+def test_start_that_a_higher_token_fenced_is_ordered_again():
+    """Guards against runs lost because another order went unanswered."""
+    table = open_table()
+    touch(table, 0.0)
+    first, second = starts(
+        table.on_start(ENTRY, start(order(), order("b.0.0.0")), 0.0)
+    )
+    table.on_start_answer(first, OrderAnswer.UNANSWERED, 0.25)
+    effects = table.on_start_answer(second, OrderAnswer.FENCED, 0.25)
+    (again,) = starts(effects)
+    assert again.task == "b.0.0.0"
+    assert again.token > second.token
+
+
+def test_token_rises_above_that_of_an_earlier_agent():
+    """Guards against an agent whose clock went back and is fenced for good."""
+    table = RunTable(agent(), LEASE, token=100)
+    table.on_announcement(announcement(), 0.0)
+    tokens = []
+    for _ in range(3):
+        hold = table.next_hold(0.0)
+        tokens.append(hold.token)
+        table.on_hold_refused(hold, OrderAnswer.FENCED, 0.0)
+    assert tokens[2] - tokens[1] == 2 * (tokens[1] - tokens[0]) > 0
+
+
+def test_silent_executor_loses_its_runs_with_the_lease():
+    """Guards against an owner that waits for a dead executor for ever."""
+    table = open_table()
+    run_one(table)
+    hold = table.next_hold(0.1)
+    table.on_hold_refused(hold, OrderAnswer.UNANSWERED, 0.5)
+    assert table.next_hold(0.5).lease_until is None
+    touch(table, 0.7)
+    assert ends(table.tick(0.75)) == []
+    assert ends(table.tick(0.78)) == [(TASK, 1, RunEnd.LOST)]
+    assert not table.is_taking
+
+
+def test_restarted_executor_loses_its_runs_at_once():
+    """Guards against waiting for runs of an executor's earlier life."""
+    table = open_table()
+    begun = run_one(table)
+    effects = table.on_announcement(announcement(started_at=2000), 0.1)
+    assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
+    assert table.next_hold(0.1).token > begun.token
+
+
+def test_restart_under_the_same_name_shows_in_the_list_of_runs():
+    """Guards against a restart whose heartbeat has not come yet."""
+    table = open_table()
+    run_one(table)
+    hold = table.next_hold(0.1)
+    effects = table.on_held(hold, held(started_at=3000), 0.1, 0.1)
+    assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
+
+
+def test_delayed_heartbeat_of_an_earlier_executor_is_ignored():
+    """Guards against a heartbeat that a cut link held back."""
+    table = open_table()
+    late = announcement(executor="x-0", started_at=500, sequence=90)
+    table.on_announcement(late, 1.0)
+    assert table.is_taking
+    table.on_announcement(announcement(sequence=0, leaving=True), 1.0)
+    assert table.is_taking
+
+
+def test_leaving_executor_takes_no_starts_but_keeps_its_runs():
+    """Guards against starts on an executor that drains."""
+    table = open_table()
+    run_one(table)
+    table.on_announcement(announcement(sequence=2, leaving=True), 0.1)
+    touch(table, 0.1)
+    effects = table.on_start(ENTRY, start(order("b.0.0.0"), stamp=0.1), 0.1)
+    assert ends(effects) == [("b.0.0.0", 1, RunEnd.NOT_TAKEN)]
+    assert list(table.runs) == [TASK]
+
+
+def test_zone_that_is_out_takes_no_starts():
+    """Guards against an older list of zones that comes later."""
+    table = open_table()
+    table.on_zones_out(ZonesOut(version=7, zones=("north",)), 0.0)
+    table.on_zones_out(ZonesOut(version=6, zones=()), 0.0)
+    touch(table, 0.0)
+    effects = table.on_start(ENTRY, start(order()), 0.0)
+    assert ends(effects) == [(TASK, 1, RunEnd.NOT_TAKEN)]
+
+
+def test_claims_settle_what_a_broken_stream_lost():
+    """Guards against runs that one side believes in and the other does not."""
+    table = open_table()
+    run_one(table)
+    table.on_disconnected(ENTRY)
+    table.on_connected(ENTRY, 0.1)
+    claims = ClaimRuns(tasks=("b.0.0.0",), attempts=(1,))
+    effects = table.on_claims(ENTRY, claims, 0.1)
+    assert [stop.task for stop in stops(effects)] == [TASK]
+    assert ends(effects) == [("b.0.0.0", 1, RunEnd.LOST)]
+
+
+def test_new_incarnation_of_an_owner_ends_the_runs_of_the_old_one():
+    """Guards against runs of a process that was restarted."""
+    table = open_table()
+    run_one(table)
+    newer = ENTRY.__class__(
+        member_id=ENTRY.member_id,
+        incarnation=2,
+        role=ENTRY.role,
+        availability_zone=ENTRY.availability_zone,
+        address=ENTRY.address,
+    )
+    table.on_connected(newer, 0.1)
+    effects = table.on_claims(newer, ClaimRuns(tasks=(), attempts=()), 0.1)
+    assert [stop.task for stop in stops(effects)] == [TASK]
+
+
+def test_every_end_is_taken_note_of_even_if_nothing_runs():
+    """Guards against ends that the executor lists for ever."""
+    table = open_table()
+    run_one(table)
+    hold = table.next_hold(0.1)
+    ended = [(1, TASK, 1, "done")]
+    table.on_held(hold, held(ended=ended), 0.1, 0.2)
+    assert not table.is_idle
+    assert table.next_hold(0.2).last_seen == 1
+    table.on_held(table.next_hold(0.2), held(), 0.2, 0.2)
+    assert table.next_hold(0.2) is None
+
+
+def test_owner_that_waits_for_room_is_told_of_every_end():
+    """Guards against room that stands empty while another owner waits."""
+    table = open_table()
+    run_one(table)
+    touch(table, 0.0, ENTRY_2)
+    table.on_start(ENTRY_2, start(wants_room=True), 0.0)
+    hold = table.next_hold(0.1)
+    ended = [(1, TASK, 1, "done")]
+    effects = table.on_held(hold, held(ended=ended), 0.1, 0.2)
+    told = {effect.to for effect in effects if hasattr(effect, "to")}
+    assert told == {"entry-1", "entry-2"}
