Test the light HTTP parts and the platform's adapter

Cause: the adapter's decoding and the HTTP parts had no test. Change: tests of settings, configuration rows, callers' requests, and client against server.

--- /dev/null
+++ b/gypsumline/tests/platform/test_routes.py
@@ -0,0 +1,84 @@
+"""Tests of the operator's configuration rows."""
+
+import msgspec
+
+from gypsumline.platform.routes import Routes
+from gypsumline.platform.store import RowSet, StoredRow
+
+
+def row(key, value, version=1, is_removed=False):
+    data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return StoredRow(
+        key=key,
+        value=None if is_removed else data,
+        version=version,
+        is_removed=is_removed,
+    )
+
+
+def rows(*items, version=1):
+    return RowSet(rows=items, version=version, store_time=0.0)
+
+
+def configuration(version, *routes):
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": host,
+                "path_prefix": prefix,
+                "service": "s",
+                "priority": 1,
+                "max_attempts": 4,
+                "stretch": 1.6,
+                "target_latency_ms": 60,
+            }
+            for name, host, prefix in routes
+        ],
+    }
+
+
+def test_longest_prefix_of_a_host_wins():
+    routes = Routes()
+    content = configuration(
+        1, ("r1", "h.example", "/"), ("r2", "h.example", "/a/")
+    )
+    routes.replace(rows(row("config", content)))
+    assert routes.find("H.example:80", "/a/1").queue.name == "r2"
+    assert routes.find("h.example", "/b/1").queue.name == "r1"
+    assert routes.find("g.example", "/a/1") is None
+    queue = routes.find("h.example", "/a/1").queue
+    assert (queue.attempts, queue.latency) == (4, 0.06)
+
+
+def test_older_configuration_never_replaces_a_newer_one():
+    """Guards against a configuration that reverts."""
+    routes = Routes()
+    routes.replace(rows(row("config", configuration(5, ("r5", "h", "/")))))
+    routes.apply(rows(row("config", configuration(4, ("r4", "h", "/")))))
+    assert routes.version == 5
+    assert routes.find("h", "/").queue.name == "r5"
+
+
+def test_unreadable_configuration_leaves_the_last_one_in_force():
+    routes = Routes()
+    routes.replace(rows(row("config", configuration(5, ("r5", "h", "/")))))
+    for broken in (b"{", b'{"version": "x"}', b"[]"):
+        routes.apply(rows(row("config", broken), version=2))
+    assert routes.version == 5
+
+
+def test_zones_come_and_go_with_their_rows():
+    routes = Routes()
+    routes.replace(rows(row("evacuate/a", {}), version=3))
+    assert routes.zones_out.zones == ("a",)
+    routes.apply(rows(row("evacuate/a", {}, is_removed=True), version=4))
+    assert (routes.zones_out.zones, routes.zones_out.version) == ((), 4)
+
+
+def test_zone_taken_back_during_a_gap_of_the_feed_is_noticed():
+    routes = Routes()
+    routes.replace(rows(row("evacuate/a", {}), version=3))
+    routes.replace(rows(version=9))
+    assert routes.zones_out.zones == ()
--- /dev/null
+++ b/gypsumline/tests/platform/test_settings_file.py
@@ -0,0 +1,48 @@
+"""Tests of the platform's settings file."""
+
+import pytest
+
+from gypsumline.core.errors import InvalidInputGroup
+from gypsumline.platform.settings_file import parse_settings
+
+TEXT = """
+node=front-a-1
+zone=a
+ip=10.1.0.13
+listen.front=10.1.0.13:8161
+listen.ready=10.1.0.13:8167
+port_range=7720,7735
+platform.address=10.200.1.7:8169
+bounds.grace_s=6
+bounds.hold_max_ms=1000
+bounds.stop_ms=50
+bounds.retransmit_ms=1300
+some.new.field=whatever
+"""
+
+
+def test_fields_become_settings_and_unknown_ones_are_ignored():
+    settings = parse_settings(TEXT)
+    assert settings.member_id == "front-a-1"
+    assert settings.stream_port == 7720
+    assert settings.stop_limit == 6.0
+    assert settings.executor_address == ""
+
+
+def test_times_of_the_lease_follow_from_the_bounds():
+    """Guards against an installation whose bounds differ."""
+    text = TEXT.replace("retransmit_ms=1300", "retransmit_ms=2600")
+    short, long = parse_settings(TEXT).lease, parse_settings(text).lease
+    assert short.longest_run_on < 1.3
+    assert long.longest_run_on < 2.6
+    assert long.lease <= 1.0
+    assert long.contact_limit > short.contact_limit
+
+
+def test_all_faults_are_named_at_once():
+    text = TEXT.replace("node=front-a-1", "").replace("7720,", "x,")
+    text = text.replace("grace_s=6", "grace_s=soon")
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_settings(text)
+    fields = {error.field for error in caught.value.exceptions}
+    assert fields == {"node", "port_range", "bounds.grace_s"}
--- /dev/null
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -0,0 +1,141 @@
+"""Tests of the light HTTP client and server, against each other."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.http_messages import (
+    HttpAnswer,
+    HttpUnansweredError,
+    HttpUnsentError,
+)
+from gypsumline.runtime.light_http_server import (
+    HttpLimits,
+    running_light_server,
+)
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def echo(exchange):
+    exchange.answer(HttpAnswer(status=200, body=exchange.request.body))
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, limits=None, connections=2):
+    address = free_address()
+    async with running_light_server(
+        address, handler, limits or HttpLimits()
+    ) as server:
+        client = HttpClient(address, connections)
+        yield server, client
+        client.close()
+
+
+async def test_requests_share_a_kept_connection():
+    async with serving(echo) as (server, client):
+        for body in (b"one", b"two"):
+            answer = await client.request("POST", "/", timeout=1.0, body=body)
+            assert (answer.status, answer.body) == (200, body)
+        assert len(server.connections) == 1
+
+
+async def test_late_answer_is_an_error_and_never_read_for_another_request():
+    """Guards against taking a late answer for that of the next request."""
+    held = asyncio.Queue()
+    async with serving(held.put_nowait) as (_, client):
+        with pytest.raises(HttpUnansweredError):
+            await client.request("GET", "/first", timeout=0.05)
+        second = asyncio.create_task(
+            client.request("GET", "/second", timeout=1.0)
+        )
+        late, right = await held.get(), await held.get()
+        late.answer(HttpAnswer(status=200, body=b"late"))
+        right.answer(HttpAnswer(status=200, body=b"right"))
+        assert (await second).body == b"right"
+
+
+async def test_no_server_is_told_apart_from_no_answer():
+    """Guards against counting an unsent order as perhaps carried out."""
+    client = HttpClient(free_address(), 1)
+    with pytest.raises(HttpUnsentError):
+        await client.request("GET", "/", timeout=1.0)
+
+
+async def test_client_that_leaves_is_noticed():
+    """Guards against work for a caller that is gone."""
+    left = asyncio.Event()
+
+    def handler(exchange):
+        exchange.on_closed = left.set
+
+    async with serving(handler) as (_, client):
+        with pytest.raises(HttpUnansweredError):
+            await client.request("GET", "/", timeout=0.05)
+        await asyncio.wait_for(left.wait(), 1.0)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nA: " + b"b" * 200 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n" + b"c" * 99, b"413"),
+        (b"nonsense\r\n\r\n", b"400"),
+    ],
+)
+async def test_oversize_and_broken_requests_are_refused(data, status):
+    limits = HttpLimits(header_bytes=100, body_bytes=50)
+    async with serving(echo, limits) as (_, client):
+        host, port = client.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(), 1.0)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        writer.close()
+
+
+async def test_slow_request_is_cut_and_idle_connection_closed():
+    """Guards against clients that hold connections without using them."""
+    limits = HttpLimits(header_timeout=0.1, idle_timeout=0.1)
+    async with serving(echo, limits) as (_, client):
+        host, port = client.address.split(":")
+        for data in (b"GET / HT", b""):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 3.0) == b""
+            writer.close()
+
+
+async def test_draining_closes_connections_after_their_answer():
+    """Guards against a planned stop that cuts a request in progress."""
+    held = asyncio.Queue()
+    async with serving(held.put_nowait) as (server, client):
+        request = asyncio.create_task(client.request("GET", "/", timeout=1.0))
+        exchange = await held.get()
+        server.drain()
+        exchange.answer(HttpAnswer(status=200))
+        answer = await request
+        assert answer.headers["connection"] == "close"
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    held = asyncio.Queue()
+    async with serving(held.put_nowait) as (_, client):
+        host, port = client.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        first = await held.get()
+        assert first.request.target == "/1"
+        assert held.empty()
+        first.answer(HttpAnswer(status=200))
+        (await held.get()).answer(HttpAnswer(status=204))
+        await reader.readuntil(b"204")
+        writer.close()
