Walk leased runs under faults, and mend two overlaps that it found

Cause: (seed 20) an owner that gave a run up after rerun_wait sent no stop, so an order held back by a cut link started at an agent that had just seen a sign of life. (seed 12) An executor that restarts under its name can take an order before its first heartbeat; the agent then called that run lost. Change: a given-up run is withdrawn on its stream; after a restart under the same name the list of runs decides. properties/lease_walk plays owners, agents and executors with kills, freezes, cuts, late orders and restarts.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 fuzz: setup
 	$(PYTHON) -m properties.control_walk --seed $(SEED) --walks $(WALKS)
 	$(PYTHON) -m properties.submission_walk --seed $(SEED) --walks $(WALKS)
+	$(PYTHON) -m properties.lease_walk --seed $(SEED) --walks $(WALKS)
 
 binary-check: binary
 	$(PYTHON) -m benchmarks.binary_check
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -378,7 +378,8 @@
             report = RunReport(
                 task=run.task.name, attempt=run.attempt, end=RunEnd.LOST
             )
-            return self._on_lost(run, report, now)
+            # The order may still be on its way over a link that was cut.
+            return [_stop_message([run]), *self._on_lost(run, report, now)]
         if now < run.due_at or run.is_stopping:
             return []
         run.task.slow_at = run.agent.member_id
@@ -466,16 +467,18 @@
         if not run.is_stopping:
             run.is_stopping = True
             by_agent.setdefault(run.agent.member_id, []).append(run)
-    return [
-        Send(
-            to=name,
-            message=StopRuns(
-                tasks=tuple([run.task.name for run in stopped]),
-                attempts=tuple([run.attempt for run in stopped]),
-            ),
-        )
-        for name, stopped in by_agent.items()
-    ]
+    return [_stop_message(stopped) for stopped in by_agent.values()]
+
+
+def _stop_message(runs: list[PlacedRun]) -> Send:
+    """Returns the message that stops runs at one agent."""
+    return Send(
+        to=runs[0].agent.member_id,
+        message=StopRuns(
+            tasks=tuple([run.task.name for run in runs]),
+            attempts=tuple([run.attempt for run in runs]),
+        ),
+    )
 
 
 def _placed_line(run: PlacedRun, choice: Choice, now: float) -> Decision:
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -532,7 +532,15 @@
     def _begin_life(
         self, announcement: Announcement, now: float
     ) -> list[Effect]:
-        effects = self._lose_all("executor started") if self._runs else []
+        earlier = self._executor
+        effects: list[Effect] = []
+        # Under the same name an order may have reached the new life before its
+        # first heartbeat came, so the list of runs decides what is lost.
+        has_same_name = (
+            earlier is not None and earlier.name == announcement.executor
+        )
+        if self._runs and not has_same_name:
+            effects += self._lose_all("another executor started")
         self._executor = ExecutorState(announcement, self._settings, now)
         self._is_open = False
         self._strangers.clear()
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -118,6 +118,20 @@
     assert [name for name, _, _ in placed(leased.tick(late))] == ["agent-2"]
 
 
+def test_run_that_is_given_up_is_withdrawn_on_its_stream():
+    """Guards against an order that a cut link delivers late.
+
+    Found by `properties.lease_walk`, seed 20: the agent waited for a sign of
+    life of the owner, which had placed the task elsewhere.
+    """
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    effects = leased.tick(LEASE.rerun_wait + 0.01)
+    ((to, message),) = sends(effects, StopRuns)
+    assert (to, message.tasks, message.attempts) == ("agent-1", (TASK,), (1,))
+
+
 def test_restarted_agent_does_not_shorten_that_wait():
     """Guards against forgetting the contact with the earlier incarnation."""
     leased = owner()
--- /dev/null
+++ b/properties/lease_executor.py
@@ -0,0 +1,234 @@
+"""An executor as the platform's pages describe it, with its own faults."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.leases.effects import (
+    Announcement,
+    EndedRun,
+    HeldRuns,
+    OrderAnswer,
+    OrderStart,
+)
+from gypsumline.core.leases.resources import Resources
+
+CAPACITY = Resources(processor=8000, memory=4096)
+HOLD_MAX = 1000
+STOP_SECONDS = 0.05
+HEARTBEAT_SECONDS = 1.5
+POLL_SECONDS = 0.01
+
+
+@dataclasses.dataclass
+class _Run:
+    task: str
+    attempt: int
+    ends_at: float
+    how: str
+    stopping: bool = False
+
+
+class Executor:
+    """Keeps leases, fences and lists; tells the oracle what overlaps."""
+
+    def __init__(self, world, name, zone):
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.up = True
+        self.leaving = False
+        self.late_until = -1.0  # orders go unanswered until then
+        self.hangs_until = -1.0
+        # 2% slower than the agents' clocks at the most.
+        self.speed = world.rng.choice((1.0, 0.98))
+        self.sequence = 0
+        self._begin()
+
+    def _begin(self):
+        self.started_at = int(1000 * self.world.now) + 1
+        self.token = 0
+        self.lease_until = 0.0
+        self.runs = {}
+        self.highest = {}
+        self.ended = []
+        self.end_number = 0
+        self.sequence = 0
+        self.leaving = False
+        self.world.at(POLL_SECONDS, self._poll, self.started_at)
+
+    @property
+    def clock(self):
+        return int(1000 * self.world.now * self.speed)
+
+    def announce(self):
+        """Sends a heartbeat, and the next one later."""
+        self.world.at(HEARTBEAT_SECONDS, self.announce)
+        self.announce_once()
+
+    def announce_once(self):
+        """Sends a heartbeat to the agent, if both are up."""
+        node = self.world.agents[self.name]
+        if not self.up or not node.alive:
+            return
+        self.sequence += 1
+        announcement = Announcement(
+            executor=self.name,
+            started_at=self.started_at,
+            sequence=self.sequence,
+            service="ordering",
+            availability_zone=self.zone,
+            capacity=CAPACITY,
+            labels=("a",),
+            leaving=self.leaving,
+            leaving_in=2.0,
+            clock=self.clock,
+        )
+        self.world.when_awake(node, self._announced, node, announcement)
+
+    def _announced(self, node, announcement):
+        effects = node.machine.on_announcement(announcement, self.world.now)
+        self.world.run(node, effects)
+
+    def restart(self, away):
+        """Crashes; comes back under the same name."""
+        if self.up:
+            self.up = False
+            self.runs.clear()
+            self.world.at(away, self._come_back)
+
+    def _come_back(self):
+        self.up = True
+        self._begin()
+        # Its first heartbeat follows soon.
+        self.world.at(0.05, self.announce_once)
+
+    # Orders.
+
+    def take(self, order, node, answer):
+        """Carries out a start or a stop, now or late."""
+        world = self.world
+        if world.now < self.late_until and world.rng.random() < 0.5:
+            world.at(world.rng.uniform(2.0, 12.0), self._apply, order)
+            return
+        if not self.up:
+            answer(OrderAnswer.REFUSED)
+            return
+        result = self._apply(order)
+        if world.now < self.late_until and world.rng.random() < 0.2:
+            return  # the answer is lost
+        world.at(0.001, answer, result)
+
+    def _apply(self, order):
+        if not self.up:
+            return OrderAnswer.REFUSED
+        if order.token < self.token:
+            return OrderAnswer.FENCED
+        self.token = order.token
+        if isinstance(order, OrderStart):
+            return self._start(order)
+        return self._stop(order)
+
+    def _start(self, order):
+        self._extend(order.lease_until)
+        run = self.runs.get(order.task)
+        if run is not None and run.attempt == order.attempt:
+            return OrderAnswer.DONE
+        if order.attempt <= self.highest.get(order.task, 0):
+            return OrderAnswer.OLD
+        if order.lease_until <= self.clock:
+            return OrderAnswer.LATE
+        self._check_start(order)
+        world = self.world
+        time = world.rng.choice((0.05, 0.2, 1.0))
+        if world.now < self.hangs_until:
+            time = 1000.0
+        how = "failed" if world.rng.random() < 0.05 else "done"
+        self.highest[order.task] = order.attempt
+        self.runs[order.task] = _Run(
+            order.task, order.attempt, world.now + time, how
+        )
+        return OrderAnswer.DONE
+
+    def _check_start(self, order):
+        world, oracle = self.world, self.world.oracle
+        oracle.starts += 1
+        for other in world.executors.values():
+            if other.up and order.task in other.runs:
+                oracle.fail(f"{world.now:.3f} twice: {order.task}")
+        if order.task.partition(".")[0] in oracle.refused:
+            oracle.fail(f"{world.now:.3f} refused, then run: {order.task}")
+        size = self._size(order.task)
+        used = sum(self._size(task) for task in self.runs)
+        if used + size > CAPACITY.processor:
+            oracle.fail(f"{world.now:.3f} over capacity: {self.name}")
+
+    def _size(self, task):
+        return self.world.sizes.get(task.partition(".")[0], 0)
+
+    def _stop(self, order):
+        run = self.runs.get(order.task)
+        highest = self.highest.get(order.task, 0)
+        self.highest[order.task] = max(highest, order.attempt)
+        is_meant = run is not None and run.attempt == order.attempt
+        if is_meant and not run.stopping:
+            run.stopping = True
+            run.how = "stopped"
+            run.ends_at = self.world.now + STOP_SECONDS
+        return OrderAnswer.DONE
+
+    def hold(self, order, node, answer):
+        """Renews the lease and lists runs, after an end or the wait."""
+        world = self.world
+        if not self.up:
+            answer(OrderAnswer.REFUSED)
+            return
+        if world.now < self.late_until and world.rng.random() < 0.1:
+            return
+        if order.token < self.token:
+            answer(OrderAnswer.FENCED)
+            return
+        self.token = order.token
+        if order.lease_until is not None:
+            self._extend(order.lease_until)
+        self.ended = [end for end in self.ended if end.number > order.last_seen]
+        self._list(order, answer, world.now + order.wait)
+
+    def _list(self, order, answer, until):
+        if self.ended or self.world.now >= until or not self.up:
+            listed = HeldRuns(
+                started_at=self.started_at,
+                clock=self.clock,
+                running=frozenset(
+                    (run.task, run.attempt) for run in self.runs.values()
+                ),
+                ended=tuple(self.ended),
+            )
+            if self.up:
+                self.world.at(0.001, answer, listed)
+            return
+        self.world.at(POLL_SECONDS, self._list, order, answer, until)
+
+    def _extend(self, until):
+        longest = self.clock + HOLD_MAX
+        self.lease_until = max(self.lease_until, min(until, longest))
+
+    def _poll(self, life):
+        """Ends runs, and kills all when the lease lapses."""
+        if life != self.started_at or not self.up:
+            return
+        self.world.at(POLL_SECONDS, self._poll, life)
+        lapsed = self.clock > self.lease_until
+        for run in list(self.runs.values()):
+            if lapsed or self.world.now >= run.ends_at:
+                del self.runs[run.task]
+                self.end_number += 1
+                how = "lapsed" if lapsed else run.how
+                self.ended.append(
+                    EndedRun(
+                        number=self.end_number,
+                        task=run.task,
+                        attempt=run.attempt,
+                        how=how,
+                    )
+                )
--- /dev/null
+++ b/properties/lease_walk.py
@@ -0,0 +1,154 @@
+"""Random walks of leased submissions under faults, in virtual time.
+
+Run `python -m properties.lease_walk --seed 1 --walks 1000`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+
+from properties.lease_world import ZONES, LeaseWorld
+
+STEP = 0.25  # seconds of virtual time between actions
+STEPS = 60
+# Late orders come up to 12 s after they were sent.
+HEAL_SECONDS = 16.0
+
+
+def submit(world, rng):
+    for _ in range(rng.randint(1, 4)):
+        world.submit_new()
+
+
+def leave(world, rng):
+    node = rng.choice(list(world.entries.values()))
+    if node.alive and node.callers:
+        world.leave(node, rng.choice(sorted(node.callers)))
+
+
+def kill_entry(world, rng):
+    world.kill(rng.choice(list(world.entries.values())))
+
+
+def kill_agent(world, rng):
+    world.kill(rng.choice(list(world.agents.values())))
+
+
+def freeze(world, rng):
+    nodes = [*world.entries.values(), *world.agents.values()]
+    node = rng.choice(nodes)
+    node.frozen_until = world.now + rng.choice((0.3, 0.7, 1.2, 4.0))
+
+
+def cut(world, rng):
+    agent = rng.choice(list(world.agents))
+    entry = rng.choice(list(world.entries))
+    until = world.now + rng.choice((0.3, 0.8, 1.5, 5.0))
+    pairs = [(agent, entry), (entry, agent)]
+    for pair in rng.choice((pairs, pairs[:1], pairs[1:])):
+        world.cuts[pair] = until
+
+
+def reset(world, rng):
+    agent = rng.choice(list(world.agents))
+    world.reset((agent, rng.choice(list(world.entries))))
+
+
+def restart_executor(world, rng):
+    executor = rng.choice(list(world.executors.values()))
+    executor.restart(rng.choice((0.05, 0.5, 2.0)))
+
+
+def late_orders(world, rng):
+    executor = rng.choice(list(world.executors.values()))
+    executor.late_until = world.now + 2.0
+
+
+def hang(world, rng):
+    executor = rng.choice(list(world.executors.values()))
+    executor.hangs_until = world.now + 2.0
+
+
+def drain(world, rng):
+    executor = rng.choice(list(world.executors.values()))
+    if executor.up and not executor.leaving:
+        executor.leaving = True
+        world.at(3.0, executor.restart, 0.5)
+
+
+def change_zones(world, rng):
+    world.set_zones(rng.choice(((), (), (rng.choice(ZONES),))))
+
+
+ACTIONS = (
+    submit,
+    submit,
+    submit,
+    leave,
+    kill_entry,
+    kill_agent,
+    freeze,
+    cut,
+    cut,
+    reset,
+    restart_executor,
+    late_orders,
+    hang,
+    drain,
+    change_zones,
+)
+
+
+def walk(seed, steps=STEPS):
+    """Returns the world after one walk."""
+    rng = random.Random(seed)
+    world = LeaseWorld(seed, entries=rng.choice((2, 3)), agents=3)
+    world.run_until(1.0)
+    for _ in range(steps):
+        rng.choice(ACTIONS)(world, rng)
+        world.run_until(world.now + rng.uniform(0.0, 2.0 * STEP))
+        if world.oracle.violations:
+            return world
+    world.set_zones(())
+    world.run_until(world.now + HEAL_SECONDS)
+    heal_check(world)
+    return world
+
+
+def heal_check(world):
+    """After the faults a new job must be answered, and nothing be left."""
+    before = world.oracle.completed
+    world.submit_new()
+    world.run_until(world.now + HEAL_SECONDS)
+    if world.oracle.completed == before:
+        world.oracle.fail("no job is completed after the faults")
+    for name, executor in world.executors.items():
+        if executor.runs:
+            world.oracle.fail(f"runs are left at {name}")
+    for node in world.entries.values():
+        if node.machine.jobs:
+            world.oracle.fail(f"jobs are left at {node.member.member_id}")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--walks", type=int, default=100)
+    options = parser.parse_args()
+    starts = completed = 0
+    for seed in range(options.seed, options.seed + options.walks):
+        world = walk(seed)
+        starts += world.oracle.starts
+        completed += world.oracle.completed
+        if world.oracle.violations:
+            sys.exit(f"seed {seed}: {world.oracle.violations[:3]}")
+    sys.stdout.write(
+        f"{options.walks} walks, {starts} starts, {completed} jobs completed, "
+        "0 violations\n"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/properties/test_leases.py
@@ -0,0 +1,82 @@
+"""Walks of leased submissions, and what they must notice."""
+
+import pytest
+
+from gypsumline.core.leases.owner import LeasedOwner
+from gypsumline.core.leases.run_table import RunTable
+from gypsumline.core.leases.settings import LeaseSettings
+from properties import lease_walk
+
+WALKS = 15
+MUTANT_WALKS = 120
+
+
+@pytest.mark.parametrize("seed", range(1, WALKS + 1))
+def test_walk_keeps_the_promises(seed):
+    """No task twice at a time, nothing over capacity, refusals are true."""
+    assert lease_walk.walk(seed).oracle.violations == []
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # An order that a cut link delivered after its owner had given it up.
+        20,
+        # A restart under the same name took an order before its heartbeat.
+        12,
+    ],
+)
+def test_seeds_that_once_failed(seed):
+    assert lease_walk.walk(seed).oracle.violations == []
+
+
+def ignore_contact(monkeypatch):
+    """Starts are taken whatever the age of their stamp."""
+    monkeypatch.setattr(
+        "gypsumline.core.leases.contacts.Contacts.is_in_touch",
+        lambda self, owner, now: True,
+    )
+
+
+def rerun_at_once(monkeypatch):
+    """A task is placed elsewhere as soon as its agent is out of contact."""
+    monkeypatch.setattr(LeaseSettings, "rerun_wait", 0.2)
+
+
+def ignore_the_last_caller(monkeypatch):
+    """Runs go on after their caller has left."""
+    monkeypatch.setattr(LeasedOwner, "_drop", _drop_without_stop)
+
+
+def _drop_without_stop(self, job):
+    self._jobs.pop(job.key, None)
+    self._waiting.pop(job.key, None)
+    return []
+
+
+def never_fence(monkeypatch):
+    """The token stays the same after an unanswered order."""
+    monkeypatch.setattr(RunTable, "_token", _ConstantToken(), raising=False)
+
+
+class _ConstantToken:
+    """A token that cannot be raised."""
+
+    def __get__(self, instance, owner=None):
+        return 1
+
+    def __set__(self, instance, value):
+        return
+
+
+@pytest.mark.parametrize(
+    "break_it",
+    [ignore_contact, rerun_at_once, ignore_the_last_caller, never_fence],
+)
+def test_oracle_notices_a_missing_mechanism(break_it, monkeypatch):
+    """Guards against walks that could not find anything."""
+    break_it(monkeypatch)
+    for seed in range(1, MUTANT_WALKS + 1):
+        if lease_walk.walk(seed).oracle.violations:
+            return
+    pytest.fail(f"no walk of {MUTANT_WALKS} found it")
