Place jobs that can be in time before those that cannot

Cause: under overload the waiting jobs went by due time alone, so all became a little late; and admission counted on the whole fleet although the other owners use their part of it. Change: within a priority, jobs that can still be in time go first; admission counts the room that the others leave. properties/lease_load plays load patterns in virtual time.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -35,28 +35,29 @@
         agents = self._fleet.usable(queue.service, now)
         if not agents:
             return self._refuse(job, "no executor takes runs", 1.0)
+        fastest = self.fastest()
+        place = job.order(now, fastest)
         ahead = sum(
             self._unplaced(other)
             for other in waiting
             if other.request.queue.service == queue.service
-            and other.order <= job.order
+            and other.order(now, fastest) <= place
         )
         wait = ahead / self._capacity(agents)
         if wait <= 0.0:
             return None
-        fastest = max(self._placement.speed(agent) for agent in agents)
-        longest = max(self._placement.work(task) for task in job.tasks)
-        if wait + longest / fastest <= job.objective:
+        if wait + job.longest_work / fastest <= job.objective:
             return None
         return self._refuse(job, "backlog", wait)
 
     def is_hopeless(self, job: LeasedJob, now: float) -> bool:
         """Returns whether a job that has not started would end too late."""
-        agents = self._fleet.usable(job.request.queue.service, now)
-        fastest = max(map(self._placement.speed, agents), default=1.0)
-        longest = max(self._placement.work(task) for task in job.tasks)
         late_at = job.received_at + self._settings.late_factor * job.objective
-        return now + longest / fastest > late_at
+        return now + job.longest_work / self.fastest() > late_at
+
+    def fastest(self) -> float:
+        """Returns the highest learned speed of an executor."""
+        return max(map(self._placement.speed, self._fleet), default=1.0)
 
     def retry_after(self, job: LeasedJob, now: float) -> float:
         """Returns seconds after which another try may succeed."""
@@ -85,9 +86,14 @@
         )
 
     def _capacity(self, agents: list[AgentView]) -> float:
-        """Returns processor seconds per second that this owner counts on."""
-        total = sum(
-            self._placement.speed(agent) * agent.load.capacity.processor
-            for agent in agents
-        )
+        """Returns processor seconds per second that this owner counts on.
+
+        The other owners go on using what they use now.
+        """
+        total = 0.0
+        for agent in agents:
+            load = agent.load
+            others = load.capacity.processor - load.free.processor - load.yours
+            room = load.capacity.processor - max(0, others)
+            total += self._placement.speed(agent) * room
         return max(total, 1.0)
--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -144,12 +144,27 @@
 
 
 class LeasedJob:
-    """State of one job from its admission to its answer."""
+    """State of one job from its admission to its answer.
+
+    Attributes:
+      request: The submission.
+      longest_work: Expected run time of its longest task at speed 1.
+      received_at: Time of the submission.
+      expires_at: Time until which its caller waits.
+      objective: Response time that its queue allows, in seconds.
+      has_started: Whether a run was asked for.
+      tasks: All its tasks.
+    """
 
     def __init__(
-        self, request: JobRequest, now: float, objective: float
+        self,
+        request: JobRequest,
+        now: float,
+        objective: float,
+        longest_work: float,
     ) -> None:
         self.request = request
+        self.longest_work = longest_work
         self.received_at = now
         self.expires_at = now + request.timeout
         self.objective = objective
@@ -173,10 +188,18 @@
         """Time by which its answer is wanted."""
         return self.received_at + self.objective
 
-    @property
-    def order(self) -> tuple[int, float]:
-        """Place among the waiting jobs; lower goes first."""
-        return self.request.queue.priority, self.due_at
+    def order(self, now: float, fastest: float) -> tuple[int, bool, float]:
+        """Returns the place among the waiting jobs; lower goes first.
+
+        Behind the jobs of its priority that can be in time come those that
+        cannot, so that under overload not every job is a little late.
+
+        Args:
+          now: Present time.
+          fastest: Highest speed of an executor.
+        """
+        is_late = now + self.longest_work / fastest > self.due_at
+        return self.request.queue.priority, is_late, self.due_at
 
     @property
     def is_done(self) -> bool:
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -87,6 +87,7 @@
       taking: Whether it takes starts.
       leaving_in: Seconds until it leaves; negative unless it leaves.
       orders_seen: Run orders of the receiver that this load takes account of.
+      yours: Processor that runs of the receiver have, in thousandths.
     """
 
     executor: str = ""
@@ -97,6 +98,7 @@
     taking: bool = False
     leaving_in: float = -1.0
     orders_seen: int = 0
+    yours: int = 0
 
 
 @message("contact_ping")
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -96,7 +96,7 @@
         """Takes a job, attaches to the open one of its key, or refuses it."""
         if request.key in self._jobs:
             return []
-        job = LeasedJob(request, now, self._objective(request))
+        job = self._new_job(request, now)
         refusal = self._backlog.refusal(job, self._waiting.values(), now)
         if refusal is not None:
             return [refusal, _ended_line(refusal, job, now)]
@@ -205,12 +205,19 @@
         chosen: dict[tuple[str, str], list[PlacedRun]] = {}
         effects: list[Effect] = []
         blocked: dict[str, int] = {}
-        for job in sorted(self._waiting.values(), key=lambda job: job.order):
+        for job in self._in_order(now):
             effects += self._place_job(job, chosen, blocked, now)
         return effects + self._send_starts(chosen)
 
     # Placement.
 
+    def _in_order(self, now: float) -> list[LeasedJob]:
+        """Returns the waiting jobs, the one to be placed first in front."""
+        fastest = self._backlog.fastest()
+        return sorted(
+            self._waiting.values(), key=lambda job: job.order(now, fastest)
+        )
+
     def _place_job(
         self,
         job: LeasedJob,
@@ -447,17 +454,20 @@
             [r for r in left if r is not None and r.task.job is job]
         )
 
-    def _objective(self, request: JobRequest) -> float:
-        """Returns the response time that the queue's rules allow."""
+    def _new_job(self, request: JobRequest, now: float) -> LeasedJob:
+        """Returns a job with the response time that its queue allows."""
         queue = request.queue
         ends: list[float] = []
+        longest = 0.0
         for step in request.steps:
             begin = max((ends[number] for number in step.after), default=0.0)
             work = self._estimates.work(
                 queue.service, queue.name, step.run_time
             )
+            longest = max(longest, work)
             ends.append(begin + work)
-        return queue.stretch * max(ends, default=0.0) + queue.latency
+        objective = queue.stretch * max(ends, default=0.0) + queue.latency
+        return LeasedJob(request, now, objective, longest)
 
 
 def _stop_runs(runs: Iterable[PlacedRun]) -> list[Effect]:
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -109,6 +109,7 @@
         self._is_open = False
         self._runs: dict[str, Run] = {}
         self._used = Resources()
+        self._used_by: dict[Member, int] = {}
         self._strangers: dict[tuple[str, int], float] = {}
         self._contacts = Contacts(settings)
         self._reports: dict[Member, list[RunReport]] = {}
@@ -397,7 +398,7 @@
             if refusal is None:
                 run = Run(owner, order, message.spec, now)
                 self._runs[order.task] = run
-                self._used = self._used + order.resources
+                self._take(owner, order.resources)
                 effects.append(self._order_start(run, now))
             else:
                 self._report(owner, order.task, order.attempt, refusal, 0.0)
@@ -510,9 +511,20 @@
 
     def _end(self, run: Run, end: RunEnd, run_time: float) -> None:
         del self._runs[run.order.task]
-        self._used = self._used - run.order.resources
+        self._give_back(run.owner, run.order.resources)
         self._report(run.owner, *run.name, end, run_time)
 
+    def _take(self, owner: Member, resources: Resources) -> None:
+        self._used = self._used + resources
+        taken = self._used_by.get(owner, 0) + resources.processor
+        self._used_by[owner] = taken
+
+    def _give_back(self, owner: Member, resources: Resources) -> None:
+        self._used = self._used - resources
+        self._used_by[owner] -= resources.processor
+        if not self._used_by[owner]:
+            del self._used_by[owner]
+
     def _never_started(self, run: Run, end: RunEnd) -> list[Effect]:
         line = self._refusal_line(run.owner, run.order, end)
         self._end(run, end, 0.0)
@@ -577,6 +589,7 @@
             taking=self.is_taking,
             leaving_in=round(executor.leaving_in(now), 3),
             orders_seen=self._contacts.orders_seen(owner),
+            yours=self._used_by.get(owner, 0),
         )
 
     def _report(
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -17,7 +17,6 @@
 HOLD_MAX = 1000
 STOP_SECONDS = 0.05
 HEARTBEAT_SECONDS = 1.5
-POLL_SECONDS = 0.01
 
 
 @dataclasses.dataclass
@@ -30,7 +29,15 @@
 
 
 class Executor:
-    """Keeps leases, fences and lists; tells the oracle what overlaps."""
+    """Keeps leases, fences and lists; tells the oracle what overlaps.
+
+    Attributes:
+      poll: Seconds between looks at the lease and the ends.
+      capacity: Resources for runs.
+    """
+
+    poll = 0.01
+    capacity = CAPACITY
 
     def __init__(self, world, name, zone):
         self.world = world
@@ -55,7 +62,7 @@
         self.end_number = 0
         self.sequence = 0
         self.leaving = False
-        self.world.at(POLL_SECONDS, self._poll, self.started_at)
+        self.world.at(self.poll, self._poll, self.started_at)
 
     @property
     def clock(self):
@@ -78,7 +85,7 @@
             sequence=self.sequence,
             service="ordering",
             availability_zone=self.zone,
-            capacity=CAPACITY,
+            capacity=self.capacity,
             labels=("a",),
             leaving=self.leaving,
             leaving_in=2.0,
@@ -160,7 +167,7 @@
             oracle.fail(f"{world.now:.3f} refused, then run: {order.task}")
         size = self._size(order.task)
         used = sum(self._size(task) for task in self.runs)
-        if used + size > CAPACITY.processor:
+        if used + size > self.capacity.processor:
             oracle.fail(f"{world.now:.3f} over capacity: {self.name}")
 
     def _size(self, task):
@@ -207,7 +214,7 @@
             if self.up:
                 self.world.at(0.001, answer, listed)
             return
-        self.world.at(POLL_SECONDS, self._list, order, answer, until)
+        self.world.at(self.poll, self._list, order, answer, until)
 
     def _extend(self, until):
         longest = self.clock + HOLD_MAX
@@ -217,7 +224,7 @@
         """Ends runs, and kills all when the lease lapses."""
         if life != self.started_at or not self.up:
             return
-        self.world.at(POLL_SECONDS, self._poll, life)
+        self.world.at(self.poll, self._poll, life)
         lapsed = self.clock > self.lease_until
         for run in list(self.runs.values()):
             if lapsed or self.world.now >= run.ends_at:
--- /dev/null
+++ b/properties/lease_load.py
@@ -0,0 +1,282 @@
+"""Load patterns for leased submissions, in virtual time and without a network.
+
+Run `python -m properties.lease_load --pattern burst_of_large_jobs --seed 1`.
+The figures of a sheet are arguments here; none of them is in the product.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import math
+import random
+import sys
+from collections.abc import Callable
+
+from gypsumline.core.leases.effects import JobOutcome
+from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.resources import Resources
+from properties.lease_executor import CAPACITY, Executor
+from properties.lease_world import LeaseWorld
+
+# Speed and size of the executors, in turn.
+EXECUTORS = ((0.6, 1.0), (1.0, 1.0), (1.6, 1.5))
+# Spread of the run times within a job, as the deviation of their logarithm.
+UNEVEN = 0.15
+PATTERNS: dict[str, Callable[[LoadWorld, float], float]] = {}
+
+
+@dataclasses.dataclass(frozen=True)
+class JobClass:
+    """Jobs of one queue.
+
+    Attributes:
+      queue: Rules of the queue.
+      work: Mean run time of a task at speed 1, in seconds.
+      width: Mean number of tasks.
+      worth: Value of an answer in time.
+      share: Part of all jobs.
+    """
+
+    queue: QueueRules
+    work: float
+    width: int
+    worth: float
+    share: float
+
+
+def _queue(name, priority):
+    return QueueRules(
+        name=name,
+        service="ordering",
+        priority=priority,
+        attempts=3,
+        stretch=1.6,
+        latency=0.06,
+    )
+
+
+CLASSES = (
+    JobClass(_queue("previews", 0), 0.12, 8, 0.0291, 0.245),
+    JobClass(_queue("orders", 2), 1.8, 4, 0.16, 0.044),
+    JobClass(_queue("labels", 1), 0.4, 2, 0.01, 0.711),
+)
+
+
+def unevenness(task):
+    """Returns the factor on the run time of one task of a job."""
+    return random.Random(task).lognormvariate(0.0, UNEVEN)
+
+
+class LoadExecutor(Executor):
+    """Runs tasks at its own speed, for as long as their work takes."""
+
+    poll = 0.003
+    pace = 1.0
+
+    def _start(self, order):
+        answer = super()._start(order)
+        run = self.runs.get(order.task)
+        if run is not None and run.attempt == order.attempt:
+            work = self.world.work.get(order.task.partition(".")[0], 0.2)
+            time = work * unevenness(order.task) / self.pace
+            run.ends_at = self.world.now + time
+            run.how = "done"
+        return answer
+
+
+@dataclasses.dataclass
+class Score:
+    """What the callers of one queue got."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    owed: float = 0.0
+    earned: float = 0.0
+
+
+class LoadWorld(LeaseWorld):
+    """Owners and agents under a steady load with a pattern on top."""
+
+    delays = (0.001,)
+    hold_pause = 0.001
+
+    def __init__(self, seed, entries=3, agents=11, rate=60.0):
+        super().__init__(seed, entries=entries, agents=agents)
+        self.rate = rate
+        # Of their own, so that a change of policy meets the same jobs.
+        self.arrivals = random.Random(seed)
+        self.work = {}
+        self.scores = {job_class.queue.name: Score() for job_class in CLASSES}
+        self.by_entry = {name: Score() for name in self.entries}
+        self.open = {}
+        self.pattern = None
+        self.entry_weights = [1.0] * entries
+        self.ends_at = math.inf
+        self.classes = CLASSES
+
+    def make_executor(self, name, zone):
+        executor = LoadExecutor(self, name, zone)
+        executor.pace, size = EXECUTORS[len(self.executors) % len(EXECUTORS)]
+        executor.capacity = Resources(
+            processor=int(size * CAPACITY.processor), memory=CAPACITY.memory
+        )
+        return executor
+
+    def begin(self):
+        """Begins the arrivals."""
+        self.at(0.0, self._arrival)
+
+    def _arrival(self):
+        if self.now >= self.ends_at:
+            return
+        factor = self.pattern(self, self.now) if self.pattern else 1.0
+        self.at(self.arrivals.expovariate(self.rate * factor), self._arrival)
+        shares = [c.share for c in self.classes]
+        (job_class,) = self.arrivals.choices(self.classes, shares)
+        self.submit_class(job_class)
+
+    def submit_class(self, job_class):
+        """Submits a job of a class to an entry."""
+        rng = self.arrivals
+        key = f"{next(self._key):016x}"
+        work = job_class.work * rng.lognormvariate(0.0, 0.4)
+        count = max(1, round(job_class.width * rng.lognormvariate(-0.08, 0.4)))
+        self.work[key] = work
+        self.sizes[key] = int(775 * rng.uniform(0.8, 1.2))
+        step = JobStep(
+            count=count,
+            resources=Resources(processor=self.sizes[key], memory=8),
+            run_time=work * rng.lognormvariate(0.0, 0.4),
+        )
+        request = JobRequest(
+            key=key,
+            spec="s",
+            queue=job_class.queue,
+            steps=(step,),
+            timeout=10.0,
+        )
+        names = sorted(self.entries)
+        (name,) = rng.choices(names, self.entry_weights)
+        node = self.entries[name]
+        size = 0.3 + 0.7 * min(4.0, work * count / job_class.work / 4.0)
+        worth = job_class.worth * size
+        longest = max(unevenness(f"{key}.0.0.{n}") for n in range(count))
+        rules = job_class.queue
+        objective = rules.stretch * work * longest + rules.latency
+        for score in (self.scores[job_class.queue.name], self.by_entry[name]):
+            score.asked += 1
+            score.owed += worth
+        self.open[key] = (job_class, name, self.now, objective, worth)
+        node.callers[key] = (step, 0.0)
+        self._submit(node, request)
+
+    def _answer(self, node, ended):
+        node.callers.pop(ended.key, None)
+        found = self.open.pop(ended.key, None)
+        if found is None:
+            return
+        job_class, name, begun, objective, worth = found
+        took = self.now - begun
+        for score in (self.scores[job_class.queue.name], self.by_entry[name]):
+            if ended.outcome is not JobOutcome.COMPLETED:
+                score.refused += 1
+            elif took <= objective:
+                score.in_time += 1
+                score.earned += worth
+            elif took <= 3.0 * objective:
+                score.late += 1
+                score.earned += 0.2 * worth
+
+    @property
+    def worth(self):
+        """Share of the value owed that was earned."""
+        scores = self.scores.values()
+        return sum(s.earned for s in scores) / sum(s.owed for s in scores)
+
+
+def pattern(function):
+    """Registers a load pattern under its function's name."""
+    PATTERNS[function.__name__] = function
+    return function
+
+
+@pattern
+def steady(world, now):
+    """The same load all the time."""
+    return 1.0
+
+
+@pattern
+def burst_of_large_jobs(world, now):
+    """For 4 s the longest jobs come four times as often."""
+    is_burst = 5.0 <= now % 20.0 < 9.0
+    orders = dataclasses.replace(
+        CLASSES[1], share=CLASSES[1].share * (4.0 if is_burst else 1.0)
+    )
+    world.classes = (CLASSES[0], orders, CLASSES[2])
+    return sum(c.share for c in world.classes)
+
+
+@pattern
+def burst_of_all(world, now):
+    """For 4 s all jobs come 1.6 times as often."""
+    return 1.6 if 5.0 <= now % 20.0 < 9.0 else 1.0
+
+
+@pattern
+def one_entry_gets_most(world, now):
+    """The balancer sends most callers to one entry, at high load."""
+    world.entry_weights = [4.0] + [1.0] * (len(world.entries) - 1)
+    return 1.25
+
+
+@pattern
+def zone_leaves(world, now):
+    """A third of the agents is out from second 5 to second 15."""
+    zones = ("south",) if 5.0 <= now < 15.0 else ()
+    if zones != getattr(world, "zones", ()):
+        world.zones = zones
+        world.set_zones(zones)
+    return 1.0
+
+
+def play(name, seed, seconds=20.0, rate=60.0):
+    """Returns the world after a pattern was played."""
+    world = LoadWorld(seed, rate=rate)
+    world.run_until(2.5)
+    world.pattern = PATTERNS[name]
+    world.ends_at = seconds
+    world.begin()
+    # Long enough for the last answers that are of any use.
+    world.run_until(seconds + 10.0)
+    return world
+
+
+def report(world):
+    """Returns the figures of a world as lines."""
+    lines = [f"worth {world.worth:.3f}"]
+    for name, score in [*world.scores.items(), *world.by_entry.items()]:
+        lines.append(
+            f"{name:10} asked {score.asked:5} in time {score.in_time:5} late "
+            f"{score.late:4} refused {score.refused:4} "
+            f"worth {score.earned / max(score.owed, math.ulp(1.0)):.3f}"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--pattern", choices=sorted(PATTERNS), default="steady")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rate", type=float, default=60.0)
+    options = parser.parse_args()
+    world = play(options.pattern, options.seed, rate=options.rate)
+    sys.stdout.write(report(world))
+    sys.exit(f"{world.oracle.violations[:3]}" if world.oracle.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -81,7 +81,15 @@
 
 
 class LeaseWorld:
-    """Runs processes, links, executors and callers by one event queue."""
+    """Runs processes, links, executors and callers by one event queue.
+
+    Attributes:
+      delays: Seconds that a message takes, one drawn for each.
+      hold_pause: Seconds between an agent's requests for the runs.
+    """
+
+    delays = (0.001, 0.002, 0.01, 0.05)
+    hold_pause = 0.005
 
     def __init__(self, seed, entries=2, agents=3):
         self.rng = random.Random(seed)
@@ -101,7 +109,7 @@
         for number in range(agents):
             zone = ZONES[number % len(ZONES)]
             name = f"agent-{number}"
-            self.executors[name] = Executor(self, name, zone)
+            self.executors[name] = self.make_executor(name, zone)
             self.start_agent(name, zone, 1)
         for number in range(entries):
             zone = ZONES[number % len(ZONES)]
@@ -109,6 +117,9 @@
         for executor in self.executors.values():
             self.at(0.01, executor.announce)
 
+    def make_executor(self, name, zone):
+        return Executor(self, name, zone)
+
     # Time.
 
     def at(self, delay, action, *arguments):
@@ -248,7 +259,7 @@
             # Bytes wait for the end of the cut, or die with the stream.
             delay = self.cuts[name, to] - self.now + 0.01
         else:
-            delay = self.rng.choice((0.001, 0.002, 0.01, 0.05))
+            delay = self.rng.choice(self.delays)
         arrival = max(self.now + delay, self._last_arrival.get((link, to), 0.0))
         self._last_arrival[link, to] = arrival
         self.at(
@@ -356,7 +367,7 @@
         else:
             effects = machine.on_hold_refused(order, result, now)
         self.run_without_hold(node, effects)
-        self.at(0.005, self._release_hold, node)
+        self.at(self.hold_pause, self._release_hold, node)
 
     def run_without_hold(self, node, effects):
         node.hold_in_flight = True
