Refuse at once behind jobs that have waited too long

Cause: admission counted this owner's own backlog alone; in a burst that all owners share, jobs were admitted, waited, and were refused late. Change: the longest wait of the jobs ahead counts as the expected wait too.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -37,13 +37,17 @@
             return self._refuse(job, "no executor takes runs", 1.0)
         fastest = self.fastest()
         place = job.order(now, fastest)
-        ahead = sum(
-            self._unplaced(other)
+        ahead = [
+            other
             for other in waiting
             if other.request.queue.service == queue.service
             and other.order(now, fastest) <= place
-        )
-        wait = ahead / self._capacity(agents)
+        ]
+        wait = sum(map(self._unplaced, ahead)) / self._capacity(agents)
+        # Other owners' jobs wait too; how long the ones here have waited shows
+        # more of them than this owner's own backlog.
+        oldest = min((other.received_at for other in ahead), default=now)
+        wait = max(wait, now - oldest)
         if wait <= 0.0:
             return None
         if wait + job.longest_work / fastest <= job.objective:
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -248,3 +248,17 @@
     leased.submit(request("0" * 15 + "2", rules=high), 0.1)
     effects = leased.on_reports(agent(), reports(now_load=load(free=2000)), 0.2)
     assert [task[15] for _, task, _ in placed(effects)] == ["2"]
+
+
+def test_job_behind_one_that_has_waited_too_long_is_refused_at_once():
+    """Load pattern: a burst that several owners share.
+
+    Guards against counting only this owner's backlog: the jobs of the others
+    take the room as well, which shows in how long the jobs here have waited.
+    """
+    leased = owner()
+    join(leased, agent(), free=0)
+    assert outcomes(leased.submit(request("0" * 15 + "1"), 0.0)) == []
+    assert outcomes(leased.submit(request("0" * 15 + "2"), 0.05)) == []
+    effects = leased.submit(request("0" * 15 + "3"), 0.3)
+    assert outcomes(effects) == [("0" * 15 + "3", JobOutcome.NOT_RUN)]
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -23,6 +23,8 @@
 EXECUTORS = ((0.6, 1.0), (1.0, 1.0), (1.6, 1.5))
 # Spread of the run times within a job, as the deviation of their logarithm.
 UNEVEN = 0.15
+# Part of the objective within which a refusal still helps the caller.
+QUICK_REFUSAL = 0.25
 PATTERNS: dict[str, Callable[[LoadWorld, float], float]] = {}
 
 
@@ -93,6 +95,7 @@
     in_time: int = 0
     late: int = 0
     refused: int = 0
+    refused_late: float = 0.0
     owed: float = 0.0
     earned: float = 0.0
 
@@ -183,6 +186,8 @@
         for score in (self.scores[job_class.queue.name], self.by_entry[name]):
             if ended.outcome is not JobOutcome.COMPLETED:
                 score.refused += 1
+                if took > QUICK_REFUSAL * objective:
+                    score.refused_late += worth
             elif took <= objective:
                 score.in_time += 1
                 score.earned += worth
@@ -196,6 +201,13 @@
         scores = self.scores.values()
         return sum(s.earned for s in scores) / sum(s.owed for s in scores)
 
+    @property
+    def refused_late(self):
+        """Share of the value owed whose callers waited for a refusal."""
+        scores = self.scores.values()
+        late = sum(s.refused_late for s in scores)
+        return late / sum(s.owed for s in scores)
+
 
 def pattern(function):
     """Registers a load pattern under its function's name."""
@@ -257,7 +269,7 @@
 
 def report(world):
     """Returns the figures of a world as lines."""
-    lines = [f"worth {world.worth:.3f}"]
+    lines = [f"worth {world.worth:.3f} late refusals {world.refused_late:.3f}"]
     for name, score in [*world.scores.items(), *world.by_entry.items()]:
         lines.append(
             f"{name:10} asked {score.asked:5} in time {score.in_time:5} late "
