Count on an equal part of the executors at the least

Cause: an owner whose peers fill all executors counted on no room at all and refused whatever came behind its first waiting job. Change: loads tell how many owners share an agent; a part of the capacity is the floor.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -92,12 +92,14 @@
     def _capacity(self, agents: list[AgentView]) -> float:
         """Returns processor seconds per second that this owner counts on.
 
-        The other owners go on using what they use now.
+        The other owners go on using what they use now, but this one gets its
+        equal part at the least.
         """
         total = 0.0
         for agent in agents:
             load = agent.load
-            others = load.capacity.processor - load.free.processor - load.yours
-            room = load.capacity.processor - max(0, others)
+            whole = load.capacity.processor
+            others = whole - load.free.processor - load.yours
+            room = max(whole - others, whole / max(1, load.owners))
             total += self._placement.speed(agent) * room
         return max(total, 1.0)
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -88,6 +88,7 @@
       leaving_in: Seconds until it leaves; negative unless it leaves.
       orders_seen: Run orders of the receiver that this load takes account of.
       yours: Processor that runs of the receiver have, in thousandths.
+      owners: Owners that are connected to the agent.
     """
 
     executor: str = ""
@@ -99,6 +100,7 @@
     leaving_in: float = -1.0
     orders_seen: int = 0
     yours: int = 0
+    owners: int = 1
 
 
 @message("contact_ping")
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -590,6 +590,7 @@
             leaving_in=round(executor.leaving_in(now), 3),
             orders_seen=self._contacts.orders_seen(owner),
             yours=self._used_by.get(owner, 0),
+            owners=len(self._contacts.connected),
         )
 
     def _report(
