Offer room to the most urgent owner that waits

Change: owners tell their most urgent waiting job; an agent keeps freed room for 20 ms for the most urgent one, then asks the next.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -79,7 +79,7 @@
 
     def begin_stop(self) -> None:
         """Takes no more starts."""
-        self._run(self._table.begin_stop())
+        self._run(self._table.begin_stop(boot_time()))
 
     def on_announcement(self, announcement: Announcement) -> None:
         """Takes a heartbeat of the executor."""
--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -10,6 +10,7 @@
 from gypsumline.core.leases.messages import (
     ContactPing,
     ExecutorLoad,
+    RoomWish,
     StartRuns,
 )
 from gypsumline.core.leases.settings import LeaseSettings
@@ -28,7 +29,8 @@
       answered: Stamp of the newest ping that it answered.
       pinged_at: Time of the newest ping.
       is_connected: Whether a stream to it is open.
-      wants_room: Whether it has tasks that wait for room.
+      wish: Its most urgent job that waits for room.
+      wished_at: Time at which it told so.
       orders_seen: Run orders taken from its stream.
       parked: Starts that wait for a sign of life.
     """
@@ -36,7 +38,8 @@
     answered: float = -math.inf
     pinged_at: float = -math.inf
     is_connected: bool = False
-    wants_room: bool = False
+    wish: RoomWish | None = None
+    wished_at: float = -math.inf
     orders_seen: int = 0
     parked: list[StartRuns] = dataclasses.field(default_factory=list)
 
@@ -54,14 +57,20 @@
         found = self._contacts.items()
         return [owner for owner, contact in found if contact.is_connected]
 
-    @property
-    def wanting(self) -> list[Member]:
-        """Connected owners that wait for room."""
-        return [
-            owner
-            for owner, contact in self._contacts.items()
-            if contact.is_connected and contact.wants_room
-        ]
+    def wishes(self, now: float) -> list[tuple[Member, RoomWish]]:
+        """Returns what connected owners wait for, the most urgent first.
+
+        Of one priority, jobs that can still be in time come first.
+        """
+        found = []
+        for owner, contact in self._contacts.items():
+            wish = contact.wish
+            if contact.is_connected and wish is not None:
+                slack = wish.slack - (now - contact.wished_at)
+                urgency = (wish.priority, slack < 0.0, slack)
+                found.append((urgency, owner, wish))
+        found.sort(key=lambda item: item[:2])
+        return [(owner, wish) for _, owner, wish in found]
 
     def connect(self, owner: Member) -> None:
         """Takes a new stream; orders are counted from its start."""
@@ -75,7 +84,7 @@
         contact = self._contacts.get(owner)
         if contact is not None:
             contact.is_connected = False
-            contact.wants_room = False
+            contact.wish = None
             contact.parked.clear()
 
     def is_connected(self, owner: Member) -> bool:
@@ -98,11 +107,14 @@
         """Returns whether the owner's runs may go on."""
         return self.age(owner, now) <= self._settings.contact_limit
 
-    def set_wanting(self, owner: Member, wants_room: bool) -> None:
-        """Notes whether the owner has tasks that wait for room."""
+    def set_wish(
+        self, owner: Member, wish: RoomWish | None, now: float
+    ) -> None:
+        """Notes what the owner waits for."""
         contact = self._contacts.get(owner)
         if contact is not None:
-            contact.wants_room = wants_room
+            contact.wish = wish
+            contact.wished_at = now
 
     def count_orders(self, owner: Member, count: int) -> None:
         """Counts run orders that were decided on."""
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -74,6 +74,21 @@
     run_time: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoomWish:
+    """The most urgent job of an owner that waits for room.
+
+    Attributes:
+      priority: Priority of its queue; lower values go first.
+      slack: Seconds until its answer is due; negative once that has passed.
+      processor: What its waiting tasks take, in thousandths of a core.
+    """
+
+    priority: int
+    slack: float
+    processor: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExecutorLoad:
     """What an agent tells about its executor.
@@ -82,13 +97,14 @@
       executor: Name and start of the executor; "" if there is none.
       service: Service that it runs.
       capacity: Its resources.
-      free: Resources that no run has.
+      free: Resources that no run has and no other owner is offered.
       labels: Its kind and its rack.
       taking: Whether it takes starts.
       leaving_in: Seconds until it leaves; negative unless it leaves.
       orders_seen: Run orders of the receiver that this load takes account of.
       yours: Processor that runs of the receiver have, in thousandths.
       owners: Owners that are connected to the agent.
+      offered: Whether the receiver is asked to take room or to pass.
     """
 
     executor: str = ""
@@ -101,6 +117,7 @@
     orders_seen: int = 0
     yours: int = 0
     owners: int = 1
+    offered: bool = False
 
 
 @message("contact_ping")
@@ -122,11 +139,11 @@
 
     Attributes:
       stamp: The ping's stamp.
-      wants_room: Whether the owner has tasks that wait for room.
+      wish: The owner's most urgent job that waits for room.
     """
 
     stamp: float
-    wants_room: bool = False
+    wish: RoomWish | None = None
 
 
 @message("zones_out")
@@ -151,14 +168,14 @@
       stamp: Newest stamp of this agent that the owner has seen.
       spec: What the executor is to run.
       orders: The runs.
-      wants_room: Whether the owner has further tasks that wait for room.
+      wish: The owner's most urgent job that still waits for room.
     """
 
     key: str
     stamp: float
     spec: str
     orders: tuple[RunOrder, ...]
-    wants_room: bool = False
+    wish: RoomWish | None = None
 
 
 @message("stop_runs")
--- /dev/null
+++ b/gypsumline/core/leases/offers.py
@@ -0,0 +1,78 @@
+"""Which owner is asked first when an executor has room again."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from gypsumline.core.identity import Member
+from gypsumline.core.leases.messages import RoomWish
+
+# Time for which room is kept for the owner that was asked: some round trips
+# between availability zones.
+OFFER_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    processor: int
+    until: float
+
+
+class Offers:
+    """Room that is kept for the most urgent owners for a short time.
+
+    Without it all owners that wait for room ask for the same room at once: the
+    nearest one wins, whatever the others' priorities, and each lost race costs
+    a round trip.
+    """
+
+    def __init__(self) -> None:
+        self._offers: dict[Member, _Offer] = {}
+        self._passed: set[Member] = set()
+
+    def kept_from(self, owner: Member, now: float) -> int:
+        """Returns the processor that is offered to owners other than this."""
+        return sum(
+            offer.processor
+            for other, offer in self._offers.items()
+            if other != owner and offer.until > now
+        )
+
+    def is_open(self, owner: Member, now: float) -> bool:
+        """Returns whether the owner has been asked and has not answered."""
+        offer = self._offers.get(owner)
+        return offer is not None and offer.until > now
+
+    def take_answer(self, owner: Member) -> None:
+        """Takes a message of an owner that was asked.
+
+        It is not asked again before more room comes up.
+        """
+        if self._offers.pop(owner, None) is not None:
+            self._passed.add(owner)
+
+    def reopen(self) -> None:
+        """Takes note of more room: all owners may be asked again."""
+        self._passed.clear()
+
+    def make(
+        self, wishes: Iterable[tuple[Member, RoomWish]], free: int, now: float
+    ) -> list[Member]:
+        """Offers the room in the order of the wishes; returns who is asked."""
+        for owner, offer in list(self._offers.items()):
+            if offer.until <= now:
+                del self._offers[owner]
+                self._passed.add(owner)
+        left = free - sum(offer.processor for offer in self._offers.values())
+        asked = []
+        for owner, wish in wishes:
+            if left <= 0:
+                break
+            if owner in self._offers or owner in self._passed:
+                continue
+            processor = min(wish.processor, left)
+            self._offers[owner] = _Offer(processor, now + OFFER_SECONDS)
+            left -= processor
+            asked.append(owner)
+        return asked
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -23,6 +23,7 @@
     ClaimRuns,
     ContactPing,
     ContactPong,
+    RoomWish,
     RunEnd,
     RunOrder,
     RunReport,
@@ -167,8 +168,7 @@
         view.stamp = message.stamp
         view.answered_at = now
         view.take(message.load, now)
-        pong = ContactPong(stamp=message.stamp, wants_room=bool(self._waiting))
-        return [Send(to=agent.member_id, message=pong), *self.place(now)]
+        return [self._pong(view, now), *self.place(now)]
 
     def on_reports(
         self, agent: Member, message: RunReports, now: float
@@ -186,7 +186,11 @@
                 continue
             del self._runs[report.task]
             effects += self._on_end(run, view, report, now)
-        return effects + self.place(now)
+        effects += self.place(now)
+        if message.load.offered and not _starts_at(effects, agent):
+            # Passes, so that the room goes to another owner.
+            effects.append(self._pong(view, now))
+        return effects
 
     def tick(self, now: float) -> list[Effect]:
         """Ends what is late, and gives up runs that cannot go on."""
@@ -207,7 +211,7 @@
         blocked: dict[str, int] = {}
         for job in self._in_order(now):
             effects += self._place_job(job, chosen, blocked, now)
-        return effects + self._send_starts(chosen)
+        return effects + self._send_starts(chosen, now)
 
     # Placement.
 
@@ -299,9 +303,10 @@
         return run
 
     def _send_starts(
-        self, chosen: dict[tuple[str, str], list[PlacedRun]]
+        self, chosen: dict[tuple[str, str], list[PlacedRun]], now: float
     ) -> list[Effect]:
         sends: list[Effect] = []
+        wish = self._wish(now)
         for (name, key), runs in chosen.items():
             view = self._fleet.find(runs[0].agent)
             if view is None:
@@ -319,11 +324,31 @@
                 stamp=view.stamp,
                 spec=runs[0].task.job.request.spec,
                 orders=orders,
-                wants_room=bool(self._waiting),
+                wish=wish,
             )
             sends.append(Send(to=name, message=message))
         return sends
 
+    def _pong(self, view: AgentView, now: float) -> Send:
+        pong = ContactPong(stamp=view.stamp, wish=self._wish(now))
+        return Send(to=view.member.member_id, message=pong)
+
+    def _wish(self, now: float) -> RoomWish | None:
+        """Returns the most urgent job that waits for room, if any."""
+        for job in self._in_order(now):
+            processor = sum(
+                task.shape.resources.processor
+                for task in job.ready_tasks()
+                if task.name not in self._runs
+            )
+            if processor:
+                return RoomWish(
+                    priority=job.request.queue.priority,
+                    slack=job.due_at - now - job.longest_work,
+                    processor=processor,
+                )
+        return None
+
     # Ends of runs.
 
     def _on_end(
@@ -491,6 +516,16 @@
     )
 
 
+def _starts_at(effects: Iterable[Effect], agent: Member) -> bool:
+    """Returns whether runs are asked for at an agent."""
+    return any(
+        isinstance(effect, Send)
+        and effect.to == agent.member_id
+        and isinstance(effect.message, StartRuns)
+        for effect in effects
+    )
+
+
 def _placed_line(run: PlacedRun, choice: Choice, now: float) -> Decision:
     job = run.task.job
     return Decision(
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -31,6 +31,7 @@
     StopRuns,
     ZonesOut,
 )
+from gypsumline.core.leases.offers import Offers
 from gypsumline.core.leases.resources import Resources
 from gypsumline.core.leases.settings import LeaseSettings
 
@@ -112,6 +113,7 @@
         self._used_by: dict[Member, int] = {}
         self._strangers: dict[tuple[str, int], float] = {}
         self._contacts = Contacts(settings)
+        self._offers = Offers()
         self._reports: dict[Member, list[RunReport]] = {}
         self._zones_out = ZonesOut(version=-1, zones=())
         self._is_stopping = False
@@ -154,10 +156,10 @@
             return Resources()
         return self._executor.announcement.capacity - self._used
 
-    def begin_stop(self) -> list[Effect]:
+    def begin_stop(self, now: float) -> list[Effect]:
         """Takes no more starts; what runs goes on."""
         self._is_stopping = True
-        return self._send_loads()
+        return self._send_loads(now)
 
     # Inputs from owners.
 
@@ -184,36 +186,38 @@
         self._reports.pop(owner, None)
         for task, attempt in sorted(claimed - held):
             self._report(owner, task, attempt, RunEnd.LOST, 0.0)
-        return effects + self._flush_reports()
+        return effects + self._flush_reports(now)
 
     def on_start(
         self, owner: Member, message: StartRuns, now: float
     ) -> list[Effect]:
         """Starts runs, or waits for a sign of life of their owner first."""
-        self._contacts.set_wanting(owner, message.wants_room)
+        self._contacts.set_wish(owner, message.wish, now)
         if now - message.stamp <= self._settings.contact_limit:
             self._contacts.answer(owner, message.stamp)
-            return self._start(owner, message, now) + self._flush_reports()
+            effects = self._start(owner, message, now)
+            self._offers.take_answer(owner)
+            return effects + self._flush_reports(now)
         if self._contacts.park(owner, message):
             return [self._ping(owner, now)]
         self._contacts.count_orders(owner, len(message.orders))
         for order in message.orders:
             end = RunEnd.NO_CONTACT
             self._report(owner, order.task, order.attempt, end, 0.0)
-        return self._flush_reports()
+        return self._flush_reports(now)
 
     def on_pong(
         self, owner: Member, message: ContactPong, now: float
     ) -> list[Effect]:
         """Takes a sign of life; starts what waited for it."""
         self._contacts.answer(owner, message.stamp)
-        self._contacts.set_wanting(owner, message.wants_room)
-        if not self._contacts.is_in_touch(owner, now):
-            return []
+        self._contacts.set_wish(owner, message.wish, now)
+        self._offers.take_answer(owner)
         effects: list[Effect] = []
-        for parked in self._contacts.unpark(owner):
-            effects += self._start(owner, parked, now)
-        return effects + self._flush_reports()
+        if self._contacts.is_in_touch(owner, now):
+            for parked in self._contacts.unpark(owner):
+                effects += self._start(owner, parked, now)
+        return effects + self._flush_reports(now)
 
     def on_stop(
         self, owner: Member, message: StopRuns, now: float
@@ -228,7 +232,7 @@
                 self._report(owner, task, attempt, RunEnd.STOPPED, 0.0)
             else:
                 effects += self._stop(run, now, "owner")
-        return effects + self._flush_reports()
+        return effects + self._flush_reports(now)
 
     def on_zones_out(self, message: ZonesOut, now: float) -> list[Effect]:
         """Takes a newer list of availability zones that are out."""
@@ -242,7 +246,7 @@
             event="zones_out",
             fields={"version": message.version, "zones": message.zones},
         )
-        return [line, *self._send_loads()]
+        return [line, *self._send_loads(now)]
 
     # Inputs from the executor.
 
@@ -260,7 +264,7 @@
             current.update(announcement, now)
             if announcement.leaving != known.leaving:
                 line = _executor_line("executor_leaving", announcement)
-                return [line, *self._send_loads()]
+                return [line, *self._send_loads(now)]
             return []
         if announcement.started_at <= known.started_at:
             return [_executor_line("announcement_ignored", announcement)]
@@ -274,7 +278,7 @@
         current.is_gone = True
         current.on_unanswered()
         line = _executor_line("executor_gone", current.announcement)
-        return [line, *self._send_loads()]
+        return [line, *self._send_loads(now)]
 
     def next_hold(self, now: float) -> OrderHold | None:
         """Returns the next request for the list of runs, if one is due."""
@@ -320,8 +324,8 @@
             if not self._is_open:
                 self._is_open = True
                 effects.append(self._open_line(executor))
-                effects += self._send_loads()
-        return effects + self._flush_reports()
+                effects += self._send_loads(now)
+        return effects + self._flush_reports(now)
 
     def on_hold_refused(
         self, order: OrderHold, answer: OrderAnswer, now: float
@@ -354,8 +358,8 @@
             effects = self._on_fenced(order.token)
             if run.state is RunState.STARTING and self.is_taking:
                 return [*effects, self._order_start(run, now)]
-            return effects + self._never_started(run, RunEnd.NOT_TAKEN)
-        return self._never_started(run, _START_REFUSALS[answer])
+            return effects + self._never_started(run, RunEnd.NOT_TAKEN, now)
+        return self._never_started(run, _START_REFUSALS[answer], now)
 
     def on_stop_answer(
         self, order: OrderStop, answer: OrderAnswer, now: float
@@ -384,7 +388,7 @@
         self._contacts.prune(busy, now)
         for owner in self._contacts.due(busy, now):
             effects.append(self._ping(owner, now))
-        return effects + self._flush_reports()
+        return effects + self._flush_reports(now)
 
     # Runs.
 
@@ -394,7 +398,7 @@
         self._contacts.count_orders(owner, len(message.orders))
         effects: list[Effect] = []
         for order in message.orders:
-            refusal = self._refusal(order)
+            refusal = self._refusal(owner, order, now)
             if refusal is None:
                 run = Run(owner, order, message.spec, now)
                 self._runs[order.task] = run
@@ -405,10 +409,12 @@
                 effects.append(self._refusal_line(owner, order, refusal))
         return effects
 
-    def _refusal(self, order: RunOrder) -> RunEnd | None:
+    def _refusal(
+        self, owner: Member, order: RunOrder, now: float
+    ) -> RunEnd | None:
         if not self.is_taking or order.task in self._runs:
             return RunEnd.NOT_TAKEN
-        if not order.resources.fits(self.free):
+        if not order.resources.fits(self._room_for(owner, now)):
             return RunEnd.NO_ROOM
         return None
 
@@ -512,8 +518,14 @@
     def _end(self, run: Run, end: RunEnd, run_time: float) -> None:
         del self._runs[run.order.task]
         self._give_back(run.owner, run.order.resources)
+        self._offers.reopen()
         self._report(run.owner, *run.name, end, run_time)
 
+    def _room_for(self, owner: Member, now: float) -> Resources:
+        """Returns the room that is not kept for other owners."""
+        kept = self._offers.kept_from(owner, now)
+        return self.free - Resources(processor=kept) if kept else self.free
+
     def _take(self, owner: Member, resources: Resources) -> None:
         self._used = self._used + resources
         taken = self._used_by.get(owner, 0) + resources.processor
@@ -525,10 +537,10 @@
         if not self._used_by[owner]:
             del self._used_by[owner]
 
-    def _never_started(self, run: Run, end: RunEnd) -> list[Effect]:
+    def _never_started(self, run: Run, end: RunEnd, now: float) -> list[Effect]:
         line = self._refusal_line(run.owner, run.order, end)
         self._end(run, end, 0.0)
-        return [line, *self._flush_reports()]
+        return [line, *self._flush_reports(now)]
 
     def _lose_all(self, reason: str) -> list[Effect]:
         lost = len(self._runs)
@@ -560,7 +572,7 @@
         # A late order to the earlier life carries a lower token than this.
         self._token += 1
         effects.append(_executor_line("executor_started", announcement))
-        return effects + self._flush_reports()
+        return effects + self._flush_reports(now)
 
     def _on_fenced(self, token: int) -> list[Effect]:
         if token < self._token:
@@ -584,13 +596,14 @@
             executor=announcement.executor,
             service=announcement.service,
             capacity=announcement.capacity,
-            free=self.free,
+            free=self._room_for(owner, now),
             labels=announcement.labels,
             taking=self.is_taking,
             leaving_in=round(executor.leaving_in(now), 3),
             orders_seen=self._contacts.orders_seen(owner),
             yours=self._used_by.get(owner, 0),
             owners=len(self._contacts.connected),
+            offered=self._offers.is_open(owner, now),
         )
 
     def _report(
@@ -599,10 +612,12 @@
         report = RunReport(task=task, attempt=attempt, end=end, run_time=time)
         self._reports.setdefault(owner, []).append(report)
 
-    def _flush_reports(self) -> list[Effect]:
-        """Sends the ends to their owners, and the load to who wants room."""
-        if not self._reports:
-            return []
+    def _flush_reports(self, now: float) -> list[Effect]:
+        """Sends the ends to their owners, and offers room to who waits."""
+        asked: list[Member] = []
+        if self.is_taking:
+            wishes = self._contacts.wishes(now)
+            asked = self._offers.make(wishes, self.free.processor, now)
         told = {
             owner: tuple(reports)
             for owner, reports in self._reports.items()
@@ -610,23 +625,23 @@
         }
         # Reports to an owner without a stream are settled by its next claims.
         self._reports.clear()
-        for owner in self._contacts.wanting:
+        for owner in asked:
             told.setdefault(owner, ())
         return [
             Send(
                 to=owner.member_id,
                 message=RunReports(
-                    reports=reports, load=self._load(owner, -math.inf)
+                    reports=reports, load=self._load(owner, now)
                 ),
             )
             for owner, reports in told.items()
         ]
 
-    def _send_loads(self) -> list[Effect]:
+    def _send_loads(self, now: float) -> list[Effect]:
         return [
             Send(
                 to=owner.member_id,
-                message=RunReports(reports=(), load=self._load(owner, 0.0)),
+                message=RunReports(reports=(), load=self._load(owner, now)),
             )
             for owner in self._contacts.connected
         ]
