Log what decided a refusal and the last failed run

Cause: the line of a refused job did not say what the decision was based on, and the run that failed a job for good left no line.

--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -100,7 +100,8 @@
         job = self._new_job(request, now)
         refusal = self._backlog.refusal(job, self._waiting.values(), now)
         if refusal is not None:
-            return [refusal, _ended_line(refusal, job, now)]
+            line = _refused_line(refusal, job, len(self._waiting))
+            return [refusal, line]
         self._jobs[job.key] = job
         self._waiting[job.key] = job
         return self.place(now)
@@ -377,7 +378,8 @@
             task.failures += 1
             if task.failures >= job.request.queue.attempts:
                 reason = "a task failed as often as it may"
-                return self._end(job, JobOutcome.FAILED, reason, now)
+                line = _run_ended_line(run, report, now)
+                return [line, *self._end(job, JobOutcome.FAILED, reason, now)]
         if report.end is RunEnd.OLD_ATTEMPT:
             task.attempt += ATTEMPT_STEP
         task.phase = TaskPhase.WAITING
@@ -558,6 +560,21 @@
     )
 
 
+def _refused_line(refusal: JobEnded, job: LeasedJob, waiting: int) -> Decision:
+    return Decision(
+        event="job_refused",
+        fields={
+            "job": refusal.key,
+            "queue": job.request.queue.name,
+            "reason": refusal.reason,
+            "wait": round(refusal.retry_after, 3),
+            "waiting_jobs": waiting,
+            "longest_work": round(job.longest_work, 3),
+            "objective": round(job.objective, 3),
+        },
+    )
+
+
 def _ended_line(ended: JobEnded, job: LeasedJob, now: float) -> Decision:
     return Decision(
         event="job_ended",
@@ -570,5 +587,7 @@
             "objective": round(job.objective, 3),
             "tasks": len(job.tasks),
             "started": job.has_started,
+            "failures": max(task.failures for task in job.tasks),
+            "retry_after": round(ended.retry_after, 3),
         },
     )
