Soak the real programs under faults from outside

Change: soak/ starts entries and agents as processes beside stand-ins for store, executors and callers, holds, resets and delays their streams, pauses, kills and restarts them, and checks what callers and executors see. Clocks are not moved: a process cannot be given another clock from outside without preloading.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 PYTHON := $(VENV)/bin/python
 SEED ?= 1
 WALKS ?= 300
+SEEDS ?= 1
+SECONDS ?= 30
 
-.PHONY: setup lint format types unit properties test run bench faults mutants binary binary-check fuzz
+.PHONY: setup lint format types unit properties test run bench faults mutants binary binary-check fuzz soak
 
 setup: $(VENV)/.ready
 
@@ -45,6 +47,9 @@
 	$(PYTHON) -m properties.submission_walk --seed $(SEED) --walks $(WALKS)
 	$(PYTHON) -m properties.lease_walk --seed $(SEED) --walks $(WALKS)
 
+soak: setup
+	$(PYTHON) -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 binary-check: binary
 	$(PYTHON) -m benchmarks.binary_check
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs as processes, with faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,33 @@
+"""Runs a soak: `python -m soak --seed 1 --seconds 60`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+
+from soak.run import run_soak
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--agents", type=int, default=3)
+    options = parser.parse_args()
+    failed = []
+    for seed in range(options.seed, options.seed + options.seeds):
+        result = asyncio.run(
+            run_soak(seed, options.seconds, options.entries, options.agents)
+        )
+        sys.stdout.write(f"{result}\n")
+        sys.stdout.flush()
+        if result.violations:
+            failed.append(seed)
+    sys.exit(f"failed seeds: {failed}" if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/executor.py
@@ -0,0 +1,140 @@
+"""Executors that answer real calls; they share the rules of the walks'."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+from gypsumline.core.leases.effects import (
+    HeldRuns,
+    OrderAnswer,
+    OrderHold,
+    OrderStart,
+    OrderStop,
+)
+from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.http_messages import HttpAnswer, HttpError
+from gypsumline.runtime.light_http_server import (
+    HttpLimits,
+    running_light_server,
+)
+from properties.lease_executor import Executor
+
+HEARTBEAT_TIMEOUT_SECONDS = 1.0
+_STATUS = {
+    OrderAnswer.DONE: (200, ""),
+    OrderAnswer.FENCED: (409, "fence"),
+    OrderAnswer.OLD: (409, "old"),
+    OrderAnswer.LATE: (409, "late"),
+    OrderAnswer.REFUSED: (503, ""),
+}
+
+
+class SoakExecutor(Executor):
+    """An executor behind HTTP; tells the world what is done."""
+
+    def __init__(self, world, name, zone, heartbeat_address):
+        self._client = HttpClient(heartbeat_address, connections=2)
+        self._calls = set()
+        super().__init__(world, name, zone)
+
+    def announce_once(self):
+        """Sends a heartbeat over HTTP."""
+        if not self.up:
+            return
+        self.sequence += 1
+        body = {
+            "service": "ordering",
+            "zone": self.zone,
+            "state": "draining" if self.leaving else "ready",
+            "remaining_ms": 2000,
+            "seq_no": self.sequence,
+            "capacity": {
+                "cpu": self.capacity.processor,
+                "mem_mb": self.capacity.memory,
+            },
+            "labels": ["a"],
+            "clock_ms": self.clock,
+            "born": self.started_at,
+        }
+        task = asyncio.create_task(self._put(json.dumps(body).encode()))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _put(self, body):
+        # An agent that is down or paused misses the heartbeat.
+        with contextlib.suppress(HttpError):
+            await self._client.request(
+                "PUT",
+                f"/v1/instances/{self.name}",
+                timeout=HEARTBEAT_TIMEOUT_SECONDS,
+                body=body,
+            )
+
+    def __call__(self, exchange):
+        """Handles a call of the agent."""
+        body = json.loads(exchange.request.body)
+        name = exchange.request.target.rpartition("/")[2]
+        if name == "hold":
+            self.hold(self._hold_order(body), None, self._answers(exchange))
+            return
+        order_type = OrderStart if name == "run-start" else OrderStop
+        fields = {
+            "executor": self.name,
+            "task": body["task"],
+            "attempt": body["attempt"],
+            "token": body["fencing_token"],
+        }
+        if order_type is OrderStart:
+            fields |= {"spec": body["spec"], "lease_until": body["deadline_ms"]}
+        self.take(order_type(**fields), None, self._answers(exchange))
+
+    def _hold_order(self, body):
+        return OrderHold(
+            executor=self.name,
+            token=body["fencing_token"],
+            last_seen=body["last_seen"],
+            lease_until=body.get("deadline_ms"),
+            wait=body.get("wait_ms", 0) / 1000.0,
+        )
+
+    def _answers(self, exchange):
+        def answer(result):
+            status, content = 200, {"clock_ms": self.clock}
+            if isinstance(result, HeldRuns):
+                content |= {
+                    "born": result.started_at,
+                    "running": [[t, a, "", 100] for t, a in result.running],
+                    "ended": [
+                        [end.number, end.task, end.attempt, end.how, ""]
+                        for end in result.ended
+                    ],
+                }
+            else:
+                status, reason = _STATUS[result]
+                content |= {"reason": reason}
+            body = json.dumps(content).encode()
+            exchange.answer(HttpAnswer(status=status, body=body))
+
+        return answer
+
+    def _check_start(self, order):
+        super()._check_start(order)
+        self.world.check_zone(self)
+
+    def _poll(self, life):
+        before = len(self.ended)
+        super()._poll(life)
+        for end in self.ended[before:]:
+            if end.how == "done":
+                self.world.done.add(end.task)
+
+
+@contextlib.asynccontextmanager
+async def running_executor(world, name, zone, address, heartbeat_address):
+    """Yields an executor that serves calls at an address."""
+    executor = SoakExecutor(world, name, zone, heartbeat_address)
+    limits = HttpLimits(idle_timeout=3600.0)
+    async with running_light_server(address, executor, limits):
+        yield executor
--- /dev/null
+++ b/soak/programs.py
@@ -0,0 +1,102 @@
+"""The real programs as processes that the soak starts, signals and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+
+STOP_LIMIT_SECONDS = 10.0
+
+
+class Program:
+    """One process, started again after each end until the soak is over.
+
+    Attributes:
+      faulted_at: Time of the newest signal that it was sent.
+    """
+
+    def __init__(self, role, name, settings, directory):
+        self.role = role
+        self.name = name
+        self._settings = pathlib.Path(directory) / f"{name}.conf"
+        self._settings.write_text(settings)
+        self._log = pathlib.Path(directory) / f"{name}.log"
+        self._process = None
+        self._paused = False
+        self.faulted_at = 0.0
+        self.exits = []
+
+    async def start(self):
+        """Starts the process; its output is added to the log."""
+        environment = os.environ | {"GYPSUMLINE_NODE_FILE": str(self._settings)}
+        with self._log.open("ab") as output:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "gypsumline.platform",
+                self.role,
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+        self._paused = False
+
+    @property
+    def is_running(self):
+        process = self._process
+        return process is not None and process.returncode is None
+
+    def _signal(self, number):
+        if self.is_running:
+            self._process.send_signal(number)
+
+    async def kill(self, away):
+        """Kills the process and starts it again later."""
+        self._signal(signal.SIGKILL)
+        await self._process.wait()
+        await asyncio.sleep(away)
+        await self.start()
+
+    async def restart(self):
+        """Stops the process as planned and starts it again."""
+        self.exits.append(await self.stop())
+        await self.start()
+
+    async def pause(self, seconds):
+        """Pauses the process."""
+        if not self._paused:
+            self._paused = True
+            self._signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            self._signal(signal.SIGCONT)
+            self._paused = False
+
+    async def stop(self):
+        """Stops the process as planned; returns its exit status."""
+        self._signal(signal.SIGCONT)
+        self._signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_LIMIT_SECONDS):
+                return await self._process.wait()
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+            await self._process.wait()
+            return "not within the limit"
+
+
+@contextlib.asynccontextmanager
+async def running_programs(programs):
+    """Starts programs; ends those that still run at the end."""
+    try:
+        for program in programs:
+            await program.start()
+        yield
+    finally:
+        for program in programs:
+            if program.is_running:
+                program._signal(signal.SIGKILL)
+                await program._process.wait()
--- /dev/null
+++ b/soak/store.py
@@ -0,0 +1,171 @@
+"""A stand-in for the platform's store, with a door of its own per process."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import urllib.parse
+
+from gypsumline.runtime.http_messages import HttpAnswer
+from gypsumline.runtime.light_http_server import (
+    HttpLimits,
+    running_light_server,
+)
+
+
+def _answer(body, status=200):
+    return HttpAnswer(status=status, body=json.dumps(body).encode())
+
+
+class Rows:
+    """All rows, their history, and who waits for a change."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.rows = {}  # (table, key) -> (value, version)
+        self.version = 0
+        self.history = []
+        self.oldest = 0  # versions up to this are no longer in the history
+        self.changed = asyncio.Event()
+
+    @property
+    def now_ms(self):
+        return 1000.0 * self._loop.time()
+
+    def write(self, puts, removals=()):
+        """Writes rows in one transaction."""
+        self.version += 1
+        for table, key, value in puts:
+            self.rows[table, key] = (value, self.version)
+            self.history.append((self.version, table, key, value))
+        for table, key in removals:
+            if self.rows.pop((table, key), None) is not None:
+                self.history.append((self.version, table, key, None))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        """Drops the history, as the platform may do at any time."""
+        self.history.clear()
+        self.oldest = self.version
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class StoreDoor:
+    """The store as one process sees it.
+
+    Attributes:
+      fault: "", "busy", "silent", "slow", "lost" or "late".
+    """
+
+    def __init__(self, rows, translate, rng):
+        self._rows = rows
+        self._translate = translate
+        self._rng = rng
+        self._tasks = set()
+        self.fault = ""
+
+    def __call__(self, exchange):
+        task = asyncio.create_task(self._serve(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, exchange):
+        fault = self.fault
+        if fault == "busy":
+            exchange.answer(HttpAnswer(status=503))
+            return
+        if fault == "silent":
+            return
+        if fault == "slow":
+            await asyncio.sleep(self._rng.uniform(0.1, 0.6))
+        path, _, query = exchange.request.target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        if path == "/v1/rows-get":
+            exchange.answer(self._get(fields))
+        elif path == "/v1/rows-feed":
+            exchange.answer(await self._feed(fields))
+        elif path == "/v1/rows-tx":
+            await self._write(exchange, fault)
+        else:
+            exchange.answer(HttpAnswer(status=404))
+
+    def _get(self, fields):
+        rows = [
+            self._row(table, key, value, version)
+            for (table, key), (value, version) in sorted(
+                self._rows.rows.items()
+            )
+            if table == fields["table"]
+        ]
+        return _answer(
+            {
+                "rows": rows,
+                "has_more": False,
+                "ver": self._rows.version,
+                "now_ms": self._rows.now_ms,
+            }
+        )
+
+    async def _feed(self, fields):
+        after, table = int(fields["after"]), fields["table"]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(fields["wait_ms"]) / 1000.0):
+                while not self._changes(table, after):
+                    if after < self._rows.oldest:
+                        break
+                    await self._rows.changed.wait()
+        if after < self._rows.oldest:
+            return HttpAnswer(status=410)
+        return _answer(
+            {
+                "rows": self._changes(table, after),
+                "ver": self._rows.version,
+                "now_ms": self._rows.now_ms,
+            }
+        )
+
+    def _changes(self, table, after):
+        return [
+            self._row(table, key, value, version)
+            for version, name, key, value in self._rows.history
+            if name == table and version > after
+        ]
+
+    async def _write(self, exchange, fault):
+        body = json.loads(exchange.request.body)
+        if fault == "late":
+            await asyncio.sleep(self._rng.uniform(1.0, 4.0))
+        for row in body["expected_rev"]:
+            found = self._rows.rows.get((row["table"], row["key"]), ("", 0))
+            if found[1] != row["ver"]:
+                exchange.answer(_answer({"rows": []}, status=412))
+                return
+        self._rows.write(
+            [
+                (r["table"], r["key"], base64.b64decode(r["value"]))
+                for r in body["puts"]
+            ],
+            [(r["table"], r["key"]) for r in body["remove"]],
+        )
+        if fault not in ("lost", "late"):
+            exchange.answer(_answer({"ver": self._rows.version}))
+
+    def _row(self, table, key, value, version):
+        if value is None:
+            return {"table": table, "key": key, "ver": version, "removed": True}
+        value = self._translate(table, key, value)
+        text = base64.b64encode(value).decode()
+        return {"table": table, "key": key, "ver": version, "value": text}
+
+
+@contextlib.asynccontextmanager
+async def running_door(address, rows, translate, rng):
+    """Yields the store as one process sees it, at an address of its own."""
+    door = StoreDoor(rows, translate, rng)
+    limits = HttpLimits(idle_timeout=3600.0)
+    async with running_light_server(address, door, limits):
+        yield door
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,256 @@
+"""The world of a soak: addresses, callers, and what must never happen."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+
+from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.http_messages import HttpError
+from properties.lease_world import LeaseOracle
+from soak.executor import running_executor
+from soak.programs import Program
+from soak.proxy import Proxy
+from soak.store import Rows, running_door
+
+ZONES = ("north", "south", "west")
+CALLER_PORT, READY_PORT, CONTROL_PORT, APP_PORT = 8161, 8167, 8166, 8165
+STREAM_PORT, STORE_PORT, PROXY_PORT = 7720, 8169, 9000
+RESUBMIT_SECONDS = 1.3
+EVACUATE_SECONDS = 5.0
+CONTACT_SECONDS = 3.0
+CALLER_TIMEOUT_SECONDS = 6.0
+ENTRIES_TABLE = "gypsumline-entries"
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "cards",
+            "host": "cards.example",
+            "path_prefix": "/cards/",
+            "service": "ordering",
+            "priority": 0,
+            "max_attempts": 4,
+            "stretch": 1.6,
+            "target_latency_ms": 60,
+        }
+    ],
+}
+
+
+class SoakWorld:
+    """What the executors' rules need, and the callers."""
+
+    def __init__(self, seed, entries, agents, directory):
+        self.rng = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        self.oracle = LeaseOracle()
+        self.executors = {}
+        self.sizes = {}
+        self.done = set()
+        self.agents = {}
+        self.entries = {}
+        self.doors = {}
+        self.proxies = {}
+        self.rows = Rows(self._loop)
+        self.zones_out = {}
+        self.store_faulted_at = 0.0
+        self.answers = {}
+        self._directory = pathlib.Path(directory)
+        self._directory.mkdir(parents=True, exist_ok=True)
+        self._key = 0
+        self._callers = set()
+        # Addresses of one soak do not meet those of another one.
+        self._net = 10 + seed % 200
+        for number in range(entries):
+            name = f"entry-{number}"
+            self.entries[name] = self._program("entry", name, number)
+        for number in range(agents):
+            name = f"agent-{number}"
+            self.agents[name] = self._program("agent", name, 100 + number)
+
+    @property
+    def now(self):
+        return self._loop.time()
+
+    def at(self, delay, action, *arguments):
+        """Calls an action after a delay."""
+        self._loop.call_later(delay, action, *arguments)
+
+    def host(self, name):
+        """Returns the loopback address of a program."""
+        kind, _, number = name.partition("-")
+        last = int(number) + (1 if kind == "entry" else 101)
+        return f"127.{self._net}.0.{last}"
+
+    def zone(self, name):
+        """Returns the availability zone of a program."""
+        return ZONES[int(name.partition("-")[2]) % len(ZONES)]
+
+    @property
+    def programs(self):
+        return [*self.entries.values(), *self.agents.values()]
+
+    def _program(self, role, name, number):
+        host = self.host(name)
+        lines = [
+            f"node={name}",
+            f"zone={self.zone(name)}",
+            f"ip={host}",
+            f"port_range={STREAM_PORT},{STREAM_PORT + 10}",
+            f"platform.address=127.{self._net}.1.{number + 1}:{STORE_PORT}",
+            "bounds.grace_s=6",
+        ]
+        if role == "entry":
+            lines += [
+                f"listen.front={host}:{CALLER_PORT}",
+                f"listen.ready={host}:{READY_PORT}",
+            ]
+        else:
+            lines += [
+                f"listen.control={host}:{CONTROL_PORT}",
+                f"app={host}:{APP_PORT}",
+                "service=ordering",
+            ]
+        return Program(role, name, "\n".join(lines) + "\n", self._directory)
+
+    # Parts around the programs.
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Runs the store, the executors and the proxies."""
+        self.rows.write([("op", "config", json.dumps(CONFIGURATION).encode())])
+        async with contextlib.AsyncExitStack() as stack:
+            for number, name in enumerate([*self.entries, *self.agents]):
+                offset = 0 if name in self.entries else 100 - len(self.entries)
+                address = (
+                    f"127.{self._net}.1.{number + offset + 1}:{STORE_PORT}"
+                )
+                door = running_door(
+                    address, self.rows, self._translator(name), self.rng
+                )
+                self.doors[name] = await stack.enter_async_context(door)
+            for name in self.agents:
+                host = self.host(name)
+                executor = running_executor(
+                    self,
+                    name,
+                    self.zone(name),
+                    f"{host}:{APP_PORT}",
+                    f"{host}:{CONTROL_PORT}",
+                )
+                found = await stack.enter_async_context(executor)
+                self.executors[name] = found
+                found.announce()
+                for number, entry in enumerate(self.entries):
+                    proxy = Proxy(f"{self.host(entry)}:{STREAM_PORT}")
+                    server = await asyncio.start_server(
+                        proxy.accept, host, PROXY_PORT + number
+                    )
+                    stack.callback(server.close)
+                    self.proxies[name, entry] = proxy
+            yield
+            for task in list(self._callers):
+                task.cancel()
+            await asyncio.gather(*self._callers, return_exceptions=True)
+
+    def _translator(self, reader):
+        """Lets agents find the entries behind their proxies."""
+
+        def translate(table, key, value):
+            if table != ENTRIES_TABLE or reader not in self.agents:
+                return value
+            row = json.loads(value)
+            port = PROXY_PORT + list(self.entries).index(key)
+            row["address"] = f"{self.host(reader)}:{port}"
+            return json.dumps(row).encode()
+
+        return translate
+
+    # Zones.
+
+    def set_zone_out(self, zone):
+        """Takes a zone out, and the others back."""
+        rows = [("op", f"evacuate/{zone}", b"{}")] if zone else []
+        back = [("op", f"evacuate/{other}") for other in self.zones_out]
+        self.rows.write(rows, [name for name in back if zone not in name[1]])
+        self.zones_out = {zone: self.now} if zone else {}
+
+    def check_zone(self, executor):
+        """A calm agent starts nothing in a zone that is out for long."""
+        since = self.zones_out.get(executor.zone)
+        if since is None:
+            return
+        faulted = max(
+            [program.faulted_at for program in self.programs]
+            + [self.store_faulted_at]
+        )
+        calm = self.now - faulted > CONTACT_SECONDS + EVACUATE_SECONDS
+        if calm and self.now - since > EVACUATE_SECONDS:
+            self.oracle.fail(f"start in {executor.zone}, which is out")
+
+    # Callers.
+
+    def submit(self, timeout=CALLER_TIMEOUT_SECONDS):
+        """Lets a caller submit a job; returns its task and key."""
+        self._key += 1
+        key = f"{self._key:016x}"
+        task = asyncio.create_task(self._call(key, timeout))
+        self._callers.add(task)
+        task.add_done_callback(self._callers.discard)
+        return task
+
+    async def _call(self, key, timeout):
+        count = self.rng.choice((1, 2, 4))
+        self.sizes[key] = self.rng.choice((500, 2000, 3000))
+        step = {
+            "count": count,
+            "cpu": self.sizes[key],
+            "mem_mb": 64,
+            "estimate_ms": 200,
+        }
+        body = {"spec": "s", "steps": [step], "best_effort": True}
+        end = self.now + 3 * timeout
+        while self.now < end:
+            status, answer = await self._try(key, body, timeout)
+            if status == 503:
+                self.oracle.refused.add(key)
+                return "refused"
+            if status == 200:
+                return self._check_answer(key, count, answer)
+            await asyncio.sleep(RESUBMIT_SECONDS)
+        return "given up"
+
+    async def _try(self, key, body, timeout):
+        name = self.rng.choice(list(self.entries))
+        client = HttpClient(f"{self.host(name)}:{CALLER_PORT}", 1)
+        try:
+            answer = await client.request(
+                "POST",
+                f"/cards/{key}",
+                timeout=timeout,
+                headers={
+                    "Host": "cards.example",
+                    "X-Gypsumline-Timeout-Remaining": str(int(1000 * timeout)),
+                },
+                body=json.dumps(body).encode(),
+            )
+        except HttpError:
+            # A caller whose connection broke asks again; nothing is known.
+            return 0, b""
+        finally:
+            client.close()
+        return answer.status, answer.body
+
+    def _check_answer(self, key, count, body):
+        state = json.loads(body)["state"]
+        if state == "completed":
+            names = {f"{key}.0.0.{index}" for index in range(count)}
+            if not names <= self.done:
+                self.oracle.fail(f"{key} completed with {names - self.done}")
+            self.oracle.completed += 1
+        return state
