Probe ejected executors, and use the only agent again after a hang

Change: core/leases/health wraps ejection, probes and ramps by executor; the agent of a hang is left out only where there are others. The world keeps the longer freeze; the soak serializes what it does to one program.

--- /dev/null
+++ b/gypsumline/core/leases/health.py
@@ -0,0 +1,74 @@
+"""Which executors get runs: ejection, probes and ramps of one owner."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gypsumline.core.ejection import EjectionControl
+from gypsumline.core.placement.settings import PlacementSettings
+
+# Runs at once from which an executor that came back counts as healthy.
+RAMP_PLACES = 8
+
+
+class ExecutorHealth:
+    """Health of the executors, by the ends of this owner's runs.
+
+    An executor whose failures stand out gets no runs; after a while it gets a
+    single one, and after that one succeeded one more with each success.
+    """
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self._ejection = EjectionControl(settings)
+        self._known: set[str] = set()
+
+    def keep(self, executors: Iterable[str]) -> None:
+        """Knows just these executors; new ones start healthy."""
+        current = {name for name in executors if name}
+        if current == self._known:
+            return
+        self._ejection.keep(current)
+        for name in current - self._known:
+            self._ejection.add(name)
+        self._known = current
+
+    def may_take(self, executor: str, runs: int, now: float) -> bool:
+        """Returns whether an executor may get one more run.
+
+        Args:
+          executor: Name of the executor.
+          runs: Runs of this owner that it has.
+          now: Present time.
+        """
+        if executor not in self._known:
+            return False
+        state = self._ejection.state(executor)
+        if state == "ejected":
+            return runs == 0 and now >= self._ejection.probe_at(executor)
+        if state == "healthy":
+            return True
+        return runs < self._ejection.place_limit(executor, RAMP_PLACES)
+
+    def on_placed(self, executor: str) -> None:
+        """Takes note of a run; an ejected executor is probed by it."""
+        if executor not in self._known:
+            return
+        if self._ejection.state(executor) == "ejected":
+            self._ejection.begin_probe(executor)
+
+    def succeed(self, executor: str, now: float) -> None:
+        """Takes a run that was done."""
+        if executor in self._known:
+            self._ejection.succeed(executor, RAMP_PLACES, now)
+
+    def fail(self, executor: str, key: str, now: float) -> None:
+        """Takes a run that failed or stood still."""
+        if executor in self._known:
+            self._ejection.fail(executor, key, now)
+
+    def end_unknown(self, executor: str, key: str, now: float) -> None:
+        """Takes a run that ended without a verdict; a probe is repeated."""
+        if executor not in self._known:
+            return
+        if self._ejection.state(executor) == "probing":
+            self._ejection.fail(executor, key, now)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from collections.abc import Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
-from gypsumline.core.ejection import EjectionControl
 from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.backlog import Backlog
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
+from gypsumline.core.leases.health import ExecutorHealth
 from gypsumline.core.leases.job import (
     JobRequest,
     LeasedJob,
@@ -62,7 +63,8 @@
         self._placement = Placement(
             settings, self._estimates, me.availability_zone
         )
-        self._ejection = EjectionControl(PlacementSettings())
+        self._health = ExecutorHealth(PlacementSettings())
+        self._runs_at: collections.Counter[str] = collections.Counter()
         self._fleet = Fleet(settings.silence_limit)
         self._jobs: dict[str, LeasedJob] = {}
         self._waiting: dict[str, LeasedJob] = {}
@@ -141,7 +143,6 @@
     def on_connected(self, agent: Member, now: float) -> list[Effect]:
         """Takes a new stream: names the runs there and the zones out."""
         view = self._fleet.connect(agent)
-        self._ejection.add(agent.member_id)
         claimed = [run for run in self._runs.values() if run.agent == agent]
         claims = ClaimRuns(
             tasks=tuple([run.task.name for run in claimed]),
@@ -169,6 +170,7 @@
         view.stamp = message.stamp
         view.answered_at = now
         view.take(message.load, now)
+        self._keep_health()
         return [self._pong(view, now), *self.place(now)]
 
     def on_reports(
@@ -185,7 +187,7 @@
             is_known = run is not None and run.attempt == report.attempt
             if run is None or not is_known or run.agent != agent:
                 continue
-            del self._runs[report.task]
+            self._remove_run(run)
             effects += self._on_end(run, view, report, now)
         effects += self.place(now)
         if message.load.offered and not _starts_at(effects, agent):
@@ -201,6 +203,7 @@
         for job in list(self._jobs.values()):
             effects += self._check_job(job, now)
         self._fleet.forget_silent(now, self._settings.forget_after)
+        self._keep_health()
         return effects + self.place(now)
 
     def place(self, now: float) -> list[Effect]:
@@ -253,6 +256,8 @@
                     blocked[service] = min(needs, blocked.get(service, needs))
                 continue
             run = self._place_task(task, choice, now)
+            if not self._may_take(choice.agent, now):
+                agents = [view for view in agents if view is not choice.agent]
             name = choice.agent.member.member_id
             chosen.setdefault((name, job.key), []).append(run)
             effects.append(_placed_line(run, choice, now))
@@ -266,9 +271,27 @@
             view
             for view in self._fleet.usable(service, now)
             if view.member.availability_zone not in zones
-            and self._ejection.state(view.member.member_id) != "ejected"
+            and self._may_take(view, now)
         ]
 
+    def _keep_health(self) -> None:
+        self._health.keep(view.load.executor for view in self._fleet)
+
+    def _may_take(self, view: AgentView, now: float) -> bool:
+        name = view.load.executor
+        return self._health.may_take(name, self._runs_at[name], now)
+
+    def _add_run(self, run: PlacedRun) -> None:
+        self._runs[run.task.name] = run
+        self._runs_at[run.executor] += 1
+        self._health.on_placed(run.executor)
+
+    def _remove_run(self, run: PlacedRun) -> None:
+        del self._runs[run.task.name]
+        self._runs_at[run.executor] -= 1
+        if not self._runs_at[run.executor]:
+            del self._runs_at[run.executor]
+
     def _apart(self, task: Task, agents: list[AgentView]) -> list[AgentView]:
         limit = task.shape.apart
         if not limit:
@@ -300,7 +323,7 @@
             placed_at=now,
             due_at=now + limit + settings.overdue_extra,
         )
-        self._runs[task.name] = run
+        self._add_run(run)
         return run
 
     def _send_starts(
@@ -396,19 +419,21 @@
     def _judge(
         self, run: PlacedRun, view: AgentView, report: RunReport, now: float
     ) -> None:
-        name = view.member.member_id
+        key = run.task.job.key
         if report.end is RunEnd.DONE:
-            self._ejection.succeed(name, 1, now)
+            self._health.succeed(run.executor, now)
         elif report.end is RunEnd.FAILED:
-            self._ejection.fail(name, run.task.job.key, now)
-        elif report.end is RunEnd.REFUSED:
+            self._health.fail(run.executor, key, now)
+        else:
+            self._health.end_unknown(run.executor, key, now)
+        if report.end is RunEnd.REFUSED:
             pause = self._settings.refusal_pause
             view.paused_until = max(view.paused_until, now + pause)
 
     def _check_run(self, run: PlacedRun, now: float) -> list[Effect]:
         last_contact = max(run.view.answered_at, run.placed_at)
         if now > last_contact + self._lease.rerun_wait:
-            del self._runs[run.task.name]
+            self._remove_run(run)
             report = RunReport(
                 task=run.task.name, attempt=run.attempt, end=RunEnd.LOST
             )
@@ -417,7 +442,7 @@
         if now < run.due_at or run.is_stopping:
             return []
         run.task.slow_at = run.agent.member_id
-        self._ejection.fail(run.agent.member_id, run.task.job.key, now)
+        self._health.fail(run.executor, run.task.job.key, now)
         return [
             Decision(
                 event="run_overdue",
--- a/gypsumline/core/leases/placement.py
+++ b/gypsumline/core/leases/placement.py
@@ -73,11 +73,9 @@
         best_rank = (2, math.inf)
         best_time = 0.0
         candidates = 0
-        for agent in agents:
+        for agent in _without_slow(task, agents):
             if not can_take(agent, task.shape):
                 continue
-            if agent.member.member_id == task.slow_at:
-                continue
             candidates += 1
             time = self.run_time(task, agent, work)
             rank = self._rank(task, agent, time, slack)
@@ -103,6 +101,12 @@
         return 0, used + reserve
 
 
+def _without_slow(task: Task, agents: list[AgentView]) -> list[AgentView]:
+    """Leaves out the agent where a run stood still, if there are others."""
+    others = [a for a in agents if a.member.member_id != task.slow_at]
+    return others or agents
+
+
 def can_take(agent: AgentView, shape: JobStep) -> bool:
     """Returns whether an agent has the label and the room for a task."""
     if shape.label and shape.label not in agent.load.labels:
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -240,6 +240,61 @@
     assert [name for name, _, _ in placed(effects)] == ["agent-2"]
 
 
+def test_run_that_stood_still_goes_back_to_the_only_agent():
+    """Guards against a task that no agent may have any more.
+
+    Found by the soak, seed 34: the job waited until its caller left.
+    """
+    leased = owner()
+    join(leased, agent(1))
+    leased.submit(request(), 0.0)
+    leased.on_ping(agent(1), ContactPing(stamp=0.9, load=load()), 0.9)
+    assert sends(leased.tick(0.95), StopRuns)
+    stopped = reports((TASK, 1, RunEnd.STOPPED, 1.0), now_load=load(seen=1))
+    effects = leased.on_reports(agent(1), stopped, 1.0)
+    assert placed(effects) == [("agent-1", TASK, 2)]
+
+
+def eject(leased, now):
+    """Lets all runs at the executor of agent 1 fail until it gets no more."""
+    for number in range(100, 110):
+        effects = leased.submit(request(f"{number:016x}"), now)
+        for name, task, attempt in placed(effects):
+            end = RunEnd.FAILED if name == "agent-1" else RunEnd.DONE
+            seen = load(seen=99, executor=f"x-{name[-1]}")
+            item = (task, attempt, end, 0.2)
+            member = agent(int(name[-1]))
+            again = leased.on_reports(member, reports(item, now_load=seen), now)
+            for other, retried, run in placed(again):
+                item = (retried, run, RunEnd.DONE, 0.2)
+                seen = load(seen=99, executor=f"x-{other[-1]}")
+                done_there = reports(item, now_load=seen)
+                leased.on_reports(agent(int(other[-1])), done_there, now)
+
+
+def test_ejected_executor_is_probed_and_comes_back():
+    """Load pattern: an executor fails all for some seconds, then recovers.
+
+    Found by the soak, seeds 16, 30 and 34: an executor that was ejected once
+    got no run ever again.
+    """
+    leased = owner()
+    for number in (1, 2, 3):
+        join(leased, agent(number), executor=f"x-{number}")
+    eject(leased, 0.1)
+    for number in (2, 3):
+        ping = ContactPing(stamp=0.5, load=load(0, executor=f"x-{number}"))
+        leased.on_ping(agent(number), ping, 0.5)
+    leased.on_ping(agent(1), ContactPing(stamp=0.5, load=load()), 0.5)
+    assert placed(leased.submit(request(count=3), 0.5)) == []
+    ping = ContactPing(stamp=3.0, load=load())
+    (probe,) = placed(leased.on_ping(agent(1), ping, 3.0))
+    seen = load(seen=99)
+    item = (probe[1], probe[2], RunEnd.DONE, 0.2)
+    ramped = leased.on_reports(agent(1), reports(item, now_load=seen), 3.2)
+    assert [name for name, _, _ in placed(ramped)] == ["agent-1"]
+
+
 def test_more_urgent_queue_goes_first():
     """Guards against urgent jobs behind those that can wait."""
     leased = owner()
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -39,7 +39,10 @@
 def freeze(world, rng):
     nodes = [*world.entries.values(), *world.agents.values()]
     node = rng.choice(nodes)
-    node.frozen_until = world.now + rng.choice((0.3, 0.7, 1.2, 4.0))
+    until = world.now + rng.choice((0.3, 0.7, 1.2, 4.0))
+    # A freeze within another one must not end it: what came meanwhile waits
+    # for the end that was known then, and would be overtaken.
+    node.frozen_until = max(node.frozen_until, until)
 
 
 def cut(world, rng):
@@ -48,7 +51,7 @@
     until = world.now + rng.choice((0.3, 0.8, 1.5, 5.0))
     pairs = [(agent, entry), (entry, agent)]
     for pair in rng.choice((pairs, pairs[:1], pairs[1:])):
-        world.cuts[pair] = until
+        world.cuts[pair] = max(world.cuts.get(pair, 0.0), until)
 
 
 def reset(world, rng):
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -26,7 +26,8 @@
         self._settings.write_text(settings)
         self._log = pathlib.Path(directory) / f"{name}.log"
         self._process = None
-        self._paused = False
+        self._begins_at = 0
+        self._lock = asyncio.Lock()
         self.faulted_at = 0.0
         self.exits = []
 
@@ -34,6 +35,7 @@
         """Starts the process; its output is added to the log."""
         environment = os.environ | {"GYPSUMLINE_NODE_FILE": str(self._settings)}
         with self._log.open("ab") as output:
+            self._begins_at = output.tell()
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -43,7 +45,6 @@
                 stderr=output,
                 env=environment,
             )
-        self._paused = False
 
     @property
     def is_running(self):
@@ -57,35 +58,45 @@
     async def kill(self, away):
         """Kills the process and starts it again later."""
         self._signal(signal.SIGKILL)
-        await self._process.wait()
-        await asyncio.sleep(away)
-        await self.start()
+        async with self._lock:
+            self._signal(signal.SIGKILL)
+            await self._process.wait()
+            await asyncio.sleep(away)
+            await self.start()
 
     async def restart(self):
         """Stops the process as planned and starts it again."""
-        self.exits.append(await self.stop())
-        await self.start()
+        async with self._lock:
+            self.exits.append(await self.stop())
+            await self.start()
 
     async def pause(self, seconds):
         """Pauses the process."""
-        if not self._paused:
-            self._paused = True
+        async with self._lock:
             self._signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             self._signal(signal.SIGCONT)
-            self._paused = False
 
     async def stop(self):
         """Stops the process as planned; returns its exit status."""
-        self._signal(signal.SIGCONT)
+        has_begun = self._has_begun()
         self._signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_LIMIT_SECONDS):
-                return await self._process.wait()
+                status = await self._process.wait()
         except TimeoutError:
             self._signal(signal.SIGKILL)
             await self._process.wait()
             return "not within the limit"
+        # Until it has installed its handlers it has nothing to stop.
+        is_early = status == -signal.SIGTERM and not has_begun
+        return 0 if is_early else status
+
+    def _has_begun(self):
+        """Returns whether the process has logged its start."""
+        with self._log.open("rb") as log:
+            log.seek(self._begins_at)
+            return b'"message":"started"' in log.read()
 
 
 @contextlib.asynccontextmanager
