Name the newest noted end in the product's words

Cause: core/leases used the platform's name of a field. Change: a rename; only the adapter and the stand-ins keep the wire's name.

--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -78,14 +78,14 @@
     Attributes:
       executor: Name of the executor that is meant.
       token: Fencing token.
-      last_seen: Number of the newest end that is taken note of.
+      noted_end: Number of the newest end that is taken note of.
       lease_until: Milliseconds on the executor's clock; None to renew nothing.
       wait: Seconds to wait for an end.
     """
 
     executor: str
     token: int
-    last_seen: int
+    noted_end: int
     lease_until: int | None
     wait: float
 
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -21,7 +21,7 @@
         self, announcement: Announcement, settings: LeaseSettings, now: float
     ) -> None:
         self.announcement = announcement
-        self.last_seen = 0
+        self.noted_end = 0
         self.is_gone = False
         self._settings = settings
         self._clock = announcement.clock
@@ -122,7 +122,7 @@
         return OrderHold(
             executor=self.name,
             token=token,
-            last_seen=self.last_seen,
+            noted_end=self.noted_end,
             lease_until=self.renew(now) if renews else None,
             wait=self._settings.hold_wait if waits else 0.0,
         )
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -399,9 +399,9 @@
         self, executor: ExecutorState, ended: tuple[EndedRun, ...], now: float
     ) -> list[Effect]:
         for end in ended:
-            if end.number <= executor.last_seen:
+            if end.number <= executor.noted_end:
                 continue
-            executor.last_seen = end.number
+            executor.noted_end = end.number
             run = self._runs.get(end.task)
             if run is not None and run.order.attempt == end.attempt:
                 how = ENDS.get(end.how, RunEnd.LOST)
--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -107,7 +107,7 @@
         """Renews the lease and returns the runs."""
         body = _WireHold(
             fencing_token=order.token,
-            last_seen=order.last_seen,
+            last_seen=order.noted_end,
             deadline_ms=order.lease_until,
             wait_ms=int(1000.0 * order.wait) or None,
         )
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -222,7 +222,7 @@
     assert ends(effects) == []
     assert not table.is_taking
     hold = table.next_hold(0.2)
-    assert (hold.token > begun.token, hold.last_seen) == (True, 0)
+    assert (hold.token > begun.token, hold.noted_end) == (True, 0)
     listed = held(running=[("b.0.0.0", 1)], started_at=2000)
     effects = table.on_held(hold, listed, 0.2, 0.21)
     assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
@@ -326,7 +326,7 @@
     ended = [(1, TASK, 1, "done")]
     table.on_held(hold, held(ended=ended), 0.1, 0.2)
     assert not table.is_idle
-    assert table.next_hold(0.2).last_seen == 1
+    assert table.next_hold(0.2).noted_end == 1
     table.on_held(table.next_hold(0.2), held(), 0.2, 0.2)
     assert table.next_hold(0.2) is None
 
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -198,7 +198,7 @@
         self.token = order.token
         if order.lease_until is not None:
             self._extend(order.lease_until)
-        self.ended = [end for end in self.ended if end.number > order.last_seen]
+        self.ended = [end for end in self.ended if end.number > order.noted_end]
         self._list(order, answer, world.now + order.wait)
 
     def _list(self, order, answer, until):
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -94,7 +94,7 @@
         return OrderHold(
             executor=self.name,
             token=body["fencing_token"],
-            last_seen=body["last_seen"],
+            noted_end=body["last_seen"],
             lease_until=body.get("deadline_ms"),
             wait=body.get("wait_ms", 0) / 1000.0,
         )
