--- a/soak/programs.py
+++ b/soak/programs.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 
+# The programs are run from the repository, whatever the present directory.
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 STOP_LIMIT_SECONDS = 10.0
 
 
@@ -44,6 +46,7 @@
                 stdout=output,
                 stderr=output,
                 env=environment,
+                cwd=ROOT,
             )
 
     @property
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from soak.programs import running_programs
+from soak.programs import ROOT, running_programs
 from soak.proxy import DIRECTIONS
 from soak.world import ZONES, SoakWorld
 
@@ -148,8 +148,9 @@
 
 async def run_soak(seed, seconds, entries=2, agents=3):
     """Returns what a soak of so many seconds of faults saw."""
-    directory = f"build/soak/{seed}"
-    world = SoakWorld(seed, entries, agents, directory)
+    world = SoakWorld(
+        seed, entries, agents, ROOT / "build" / "soak" / str(seed)
+    )
     faults = 0
     async with world.running(), running_programs(world.programs):
         await asyncio.sleep(START_SECONDS)
