--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -61,16 +61,13 @@
 
     def __init__(
         self,
-        me: Member,
         lease: LeaseSettings,
         settings: LeasedOwnerSettings,
     ) -> None:
         self._lease = lease
         self._settings = settings
         self._estimates = RunTimeEstimates(settings.default_run_time)
-        self._placement = Placement(
-            settings, self._estimates, me.availability_zone
-        )
+        self._placement = Placement(settings, self._estimates)
         self._health = ExecutorHealth(PlacementSettings())
         self._fleet = Fleet(settings.silence_limit)
         self._jobs: dict[str, LeasedJob] = {}
--- a/gypsumline/core/leases/placement.py
+++ b/gypsumline/core/leases/placement.py
@@ -35,11 +35,9 @@
         self,
         settings: LeasedOwnerSettings,
         estimates: RunTimeEstimates,
-        availability_zone: str,
     ) -> None:
         self._settings = settings
         self._estimates = estimates
-        self._availability_zone = availability_zone
 
     def work(self, task: Task) -> float:
         """Returns the expected run time of a task at speed 1."""
--- a/gypsumline/core/leases/resources.py
+++ b/gypsumline/core/leases/resources.py
@@ -41,19 +41,5 @@
             and self.accelerators <= room.accelerators
         )
 
-    def share_of(self, whole: Resources) -> float:
-        """Returns the largest share that this amount takes of any resource."""
-        return max(
-            _share(self.processor, whole.processor),
-            _share(self.memory, whole.memory),
-            _share(self.accelerators, whole.accelerators),
-        )
-
 
 NOTHING = Resources()
-
-
-def _share(part: int, whole: int) -> float:
-    if whole > 0:
-        return part / whole
-    return float("inf") if part > 0 else 0.0
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -47,7 +47,6 @@
         settings = daemon.settings
         self._daemon = daemon
         owner = LeasedOwner(
-            daemon.me,
             settings.lease,
             LeasedOwnerSettings(remote_factor=settings.remote_factor),
         )
--- a/gypsumline/tests/core/leases/builders.py
+++ b/gypsumline/tests/core/leases/builders.py
@@ -186,7 +186,7 @@
 
 
 def owner(**settings):
-    return LeasedOwner(ENTRY, LEASE, LeasedOwnerSettings(**settings))
+    return LeasedOwner(LEASE, LeasedOwnerSettings(**settings))
 
 
 def join(leased, member, now=0.0, **values):
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -145,7 +145,7 @@
             availability_zone=zone,
             address=name,
         )
-        owner = LeasedOwner(member, LEASE, LeasedOwnerSettings())
+        owner = LeasedOwner(LEASE, LeasedOwnerSettings())
         node = Node(member, owner)
         node.callers = {}
         self.entries[name] = node
