Hold results without hiding free slots

Cause: an agent that gathers the results of a job frees slots that its owner does not see. A report with fewer busy slots than the owner has placed tasks was cut off at "no tasks of others", so the slots counted as busy until the results came.

Change: the difference counts as free; agents hold nothing back only when the waiting tasks exceed a quarter of the slots; results held for 0.1 s join the next message to their owner; held at most 0.3 s. The model now plays the agents' own outbox and the backlog flag instead of a rule of its own.

--- a/benchmarks/cluster_records.py
+++ b/benchmarks/cluster_records.py
@@ -26,8 +26,9 @@
       bounded_queue: Whether an agent refuses more than one waiting task per
         slot; the baseline policies need queues without a bound.
       hold_results: Longest time for which an agent holds a result while it has
-        further tasks of the job, so that they share an answer. A result that
-        frees the only free slot is sent at once.
+        further tasks of the job, so that they share an answer.
+      join_age: Time after which a held result goes with the next message to
+        its owner.
     """
 
     placement: PlacementSettings = dataclasses.field(
@@ -43,6 +44,7 @@
     record_delay: float = 0.3
     bounded_queue: bool = True
     hold_results: float = 0.0
+    join_age: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/benchmarks/placement_model.py
+++ b/benchmarks/placement_model.py
@@ -28,11 +28,11 @@
 )
 from benchmarks.virtual_cluster import VirtualCluster
 from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.slot_settings import SlotSettings
 
-# Suffix of a policy for agents that hold a result for up to 0.3 s while they
-# have a free slot and further tasks of its job.
+# Suffix of a policy for agents that hold results as the product's do, while
+# they have further tasks of the job and its owner has no backlog.
 HOLD = "+hold"
-HOLD_SECONDS = 0.3
 POLICIES = (
     "earliest_finish",
     "earliest_finish" + HOLD,
@@ -178,13 +178,16 @@
     policy: str = "earliest_finish", site: Site = EKFRASI
 ) -> ClusterSettings:
     """Returns the settings of a site; baselines get queues without bound."""
+    slots = SlotSettings()
+    holds = policy.endswith(HOLD)
     return ClusterSettings(
         placement=PlacementSettings(policy=policy.removesuffix(HOLD)),
         zones=site.zones,
         zone_delay=site.zone_delay,
         client_delay=site.client_delay,
         bounded_queue=policy.startswith("earliest_finish"),
-        hold_results=HOLD_SECONDS if policy.endswith(HOLD) else 0.0,
+        hold_results=slots.results_delay if holds else 0.0,
+        join_age=slots.results_join_age if holds else 0.0,
     )
 
 
--- a/benchmarks/submission_cost.py
+++ b/benchmarks/submission_cost.py
@@ -57,6 +57,9 @@
         found, self._waiting = self._waiting, []
         return found
 
+    def is_backlogged(self, waiting: int) -> bool:
+        return waiting > 0
+
     def withdrawals(self, now: float) -> list[object]:
         return []
 
--- a/benchmarks/virtual_cluster.py
+++ b/benchmarks/virtual_cluster.py
@@ -25,8 +25,10 @@
 from gypsumline.core.control import ControlRecord, RegisteredAgent
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import UpstreamState
+from gypsumline.core.outbox import Outbox
 from gypsumline.core.placement.scheduler import Scheduler
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
+from gypsumline.core.task_scheduler import Assignment
 
 # Run time of a task on an executor that fails everything.
 FAILURE_SECONDS = 0.005
@@ -147,6 +149,10 @@
             self._pairs.add((task.key, agent.executor.name))
             self.messages.pairs += 1
 
+    def owner_named(self, member_id: str) -> _Owner:
+        """Returns the owner with an id."""
+        return next(o for o in self.owners if o.member.member_id == member_id)
+
     def starts_in(self, zone: str) -> list[float]:
         """Returns the times at which tasks were started in a zone."""
         return self._starts.get(zone, [])
@@ -167,7 +173,10 @@
         self.is_out = False
         self.fails = False
         self.pace = 1.0
-        self._held: dict[str, list[TaskResult]] = {}
+        self._outbox = Outbox(
+            cluster.settings.hold_results, cluster.settings.join_age
+        )
+        self._backlogged: set[str] = set()
         self._here: collections.Counter[str] = collections.Counter()
         self.busy: list[tuple[float, float]] = []
         self.member = Member(
@@ -205,7 +214,11 @@
             self.queue.clear()
             self._refuse(refused, Reason.OUT)
 
-    def receive(self, tasks: list[_Task]) -> None:
+    def receive(self, owner: _Owner, tasks: list[_Task], backlog: bool) -> None:
+        if backlog:
+            self._backlogged.add(owner.member.member_id)
+        else:
+            self._backlogged.discard(owner.member.member_id)
         if self.is_out:
             self._refuse(tasks, Reason.OUT)
             return
@@ -273,21 +286,21 @@
                 self._run(queued)
         status = TaskStatus.FAILED if self.fails else TaskStatus.SUCCEEDED
         result = TaskResult(index=task.index, status=status, run_time=seconds)
-        held = self._held.setdefault(task.key, [])
-        held.append(result)
         self._here[task.key] -= 1
-        hold = self.cluster.settings.hold_results
-        urgent = self.free == 1 or not self._here[task.key]
-        if not hold or urgent:
-            self._flush(task)
-        elif len(held) == 1:
-            self.cluster.after(hold, self._flush, task)
-
-    def _flush(self, task: _Task) -> None:
-        held = self._held.pop(task.key, None)
-        if held:
-            owner = task.owner
-            self._tell(owner, owner.finished, task.key, tuple(held))
+        urgent = self.fails or not self._here[task.key]
+        to = task.owner.member.member_id
+        self._outbox.add(to, task.key, result, urgent, self.cluster.now)
+        self._send_results()
+        self.cluster.after(
+            self.cluster.settings.hold_results, self._send_results
+        )
+
+    def _send_results(self) -> None:
+        idle = self.free > 0 and not self.queue
+        told = self._backlogged if idle else frozenset[str]()
+        for to, key, parcel in self._outbox.take_due(told, self.cluster.now):
+            owner = self.cluster.owner_named(to)
+            self._tell(owner, owner.finished, key, tuple(parcel.results))
 
     def _count_work(self, seconds: float) -> None:
         """Adds the work of a run to the seconds in which it was done."""
@@ -326,6 +339,7 @@
         rng = random.Random(cluster.rng.random())
         self.scheduler = Scheduler(cluster.settings.placement, rng)
         self.left: dict[str, int] = {}
+        self._unplaced: dict[str, int] = {}
         self.return_delay: dict[str, float] = {}
 
     def set_record(self, record: ControlRecord) -> None:
@@ -353,7 +367,7 @@
             record.retry_after = admission.retry_after
             self._answer(job.key, "refused")
             return
-        self.left[job.key] = len(job.works)
+        self.left[job.key] = self._unplaced[job.key] = len(job.works)
         indexes = tuple(range(len(job.works)))
         self.scheduler.add_job(job.key, job.body, indexes, now)
         deadline = job.arrives_at + job.body.timeout
@@ -390,6 +404,8 @@
         reason: Reason,
     ) -> None:
         now = self.cluster.now
+        if key in self._unplaced:
+            self._unplaced[key] += len(indexes)
         for index in indexes:
             self.scheduler.return_task(
                 agent.executor.name, key, index, reason, now
@@ -408,8 +424,13 @@
 
     def act(self) -> None:
         now = self.cluster.now
-        for assignment in self.scheduler.assign(now):
-            self._start(assignment.agent_id, assignment.key, assignment.indexes)
+        assignments = self.scheduler.assign(now)
+        for assignment in assignments:
+            self._unplaced[assignment.key] -= len(assignment.indexes)
+        waiting = sum(self._unplaced.values())
+        backlog = self.scheduler.is_backlogged(waiting)
+        for assignment in assignments:
+            self._start(assignment, backlog)
         for withdrawal in self.scheduler.withdrawals(now):
             agent = self.cluster.agents[withdrawal.agent_id]
             self.cluster.send(
@@ -421,16 +442,19 @@
                 withdrawal.indexes,
             )
 
-    def _start(self, name: str, key: str, indexes: tuple[int, ...]) -> None:
-        agent = self.cluster.agents[name]
+    def _start(self, assignment: Assignment, backlog: bool) -> None:
+        agent = self.cluster.agents[assignment.agent_id]
+        key = assignment.key
         job = self.cluster.records[key].job
         deadline = job.arrives_at + job.body.timeout
         message = self.cluster.new_message()
         tasks = [
             _Task(key, index, job.works[index], self, message, deadline)
-            for index in indexes
+            for index in assignment.indexes
         ]
-        self.cluster.send(self.zone, agent.executor.zone, agent.receive, tasks)
+        self.cluster.send(
+            self.zone, agent.executor.zone, agent.receive, self, tasks, backlog
+        )
 
     def _expire(self, key: str) -> None:
         if key in self.left:
@@ -438,7 +462,7 @@
 
     def _end(self, key: str, outcome: str) -> None:
         self.scheduler.remove_job(key, self.cluster.now)
-        del self.left[key]
+        del self.left[key], self._unplaced[key]
         self._answer(key, outcome)
 
     def _answer(self, key: str, outcome: str) -> None:
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/job_runner.py
@@ -125,7 +125,7 @@
         effects: list[Effect] = []
         assignments = self._scheduler.assign(now)
         assigned = sum([len(each.indexes) for each in assignments])
-        backlog = self._unplaced > assigned
+        backlog = self._scheduler.is_backlogged(self._unplaced - assigned)
         for assignment in assignments:
             effects += self._assign(assignment, backlog, now)
         for withdrawal in self._scheduler.withdrawals(now):
--- a/gypsumline/core/outbox.py
+++ b/gypsumline/core/outbox.py
@@ -31,11 +31,20 @@
 
     A job needs all of its results, so those of one key are sent together when
     its last task here has ended. They are sent earlier if the receiver has
-    tasks that wait for a slot, because they tell of the slots that are free.
+    tasks that wait for a slot, because they tell of the slots that are free,
+    and those that were held for a while go with the next message.
     """
 
-    def __init__(self, delay: float) -> None:
+    def __init__(self, delay: float, join_age: float) -> None:
+        """Makes an empty outbox.
+
+        Args:
+          delay: Longest time that a result waits, in seconds.
+          join_age: Seconds after which a parcel joins the next message to its
+            receiver.
+        """
         self._delay = delay
+        self._join_age = join_age
         self._parcels: dict[tuple[str, str], Parcel] = {}
 
     def __len__(self) -> int:
@@ -62,12 +71,17 @@
         """
         if not self._parcels:
             return []
+        told = waiting_for_slots | {
+            to
+            for (to, _), parcel in self._parcels.items()
+            if parcel.urgent or now - parcel.since >= self._delay
+        }
         due = [
             (to, key, parcel)
             for (to, key), parcel in self._parcels.items()
-            if parcel.urgent
-            or now - parcel.since >= self._delay
-            or to in waiting_for_slots
+            if to in waiting_for_slots
+            or parcel.urgent
+            or (to in told and now - parcel.since >= self._join_age)
         ]
         for to, key, _ in due:
             del self._parcels[to, key]
--- a/gypsumline/core/placement/fleet.py
+++ b/gypsumline/core/placement/fleet.py
@@ -87,7 +87,8 @@
         arrived = sum(
             1 for task in self.placed.values() if task.placed_at <= horizon
         )
-        self.others = max(0, reported - arrived)
+        # Below zero if the agent holds results of tasks that have ended here.
+        self.others = reported - arrived
         if arrived > reported:
             self._forget(arrived - reported, jobs)
 
@@ -241,6 +242,10 @@
         """Returns the pools of a service."""
         return self._by_service.get(service, [])
 
+    def slots(self) -> int:
+        """Returns the slots of all usable agents."""
+        return sum(pool.slots for pool in self._pools.values())
+
     def wake_at(self, agent: AgentView, when: float) -> None:
         """Has an agent looked at again at a time."""
         heapq.heappush(self._wake, (when, next(self._numbers), agent))
@@ -401,7 +406,8 @@
         agent.class_index = index
         share = _Share(
             slots * agent.speed,
-            max(slots - agent.others, slots / self.owners) * agent.speed,
+            max(slots - max(0, agent.others), slots / self.owners)
+            * agent.speed,
             slots,
             len(agent.placed),
             pool.class_for(index),
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -328,6 +328,10 @@
             return False
         return self._fleet.is_reachable(agent, now)
 
+    def is_backlogged(self, waiting: int) -> bool:
+        """Returns whether waiting tasks need each slot as it gets free."""
+        return waiting > self._settings.backlog_part * self._fleet.slots()
+
     def _capacity(self, service: str) -> float:
         """Returns the work per second that this owner can count on."""
         pools = self._fleet.pools(service)
--- a/gypsumline/core/placement/settings.py
+++ b/gypsumline/core/placement/settings.py
@@ -24,6 +24,8 @@
         need is taken back.
       pass_interval: Time after which waiting tasks are weighed again although
         no better place came up.
+      backlog_part: Tasks that wait at the owner, as a part of the slots, from
+        which agents report each free slot at once.
       default_run_time: Expected run time of a kind that nothing is known of.
       ramp_time: Time for which an agent that appears or returns gets only this
         owner's part of its slots, so that the owners do not overfill it.
@@ -58,6 +60,7 @@
     withdraw_after: float = 0.2
     queue_full_backoff: float = 0.02
     pass_interval: float = 0.02
+    backlog_part: float = 0.25
     default_run_time: float = 0.3
     refusal_backoff: float = 0.1
     ramp_time: float = 1.0
--- a/gypsumline/core/slot_settings.py
+++ b/gypsumline/core/slot_settings.py
@@ -18,7 +18,9 @@
         a start that can't even be recorded as refused gets no reply.
       queue_per_slot: Tasks that may wait for each slot.
       results_delay: Seconds for which results of a key wait at most for the
-        last task of the key here, while the owner has no tasks that wait.
+        last task of the key here, while the owner has no backlog.
+      results_join_age: Seconds after which held results join the next message
+        to the same owner.
       report_bytes: Most bytes of results in one part of a journal report; well
         below the frame limit of 4 MiB.
       report_entries: Most entries in one part of a journal report.
@@ -30,7 +32,8 @@
     journal_bytes: int = 64 * 1024 * 1024
     tombstone_entries: int = 50_000
     queue_per_slot: int = 1
-    results_delay: float = 1.0
+    results_delay: float = 0.3
+    results_join_age: float = 0.1
     report_bytes: int = 1024 * 1024
     report_entries: int = 4096
 
--- a/gypsumline/core/slot_table.py
+++ b/gypsumline/core/slot_table.py
@@ -49,7 +49,7 @@
         self._settings = settings
         self._gate = SlotGate(me)
         self._journal = Journal(me.incarnation, settings)
-        self._outbox = Outbox(settings.results_delay)
+        self._outbox = Outbox(settings.results_delay, settings.results_join_age)
         self._tasks = SlotQueue()
         self._lines: list[Decision] = []
         self._fresh = False
--- a/gypsumline/core/task_scheduler.py
+++ b/gypsumline/core/task_scheduler.py
@@ -95,6 +95,10 @@
         """Returns the tasks to start now."""
         ...
 
+    def is_backlogged(self, waiting: int) -> bool:
+        """Returns whether waiting tasks need each slot as it gets free."""
+        ...
+
     def withdrawals(self, now: float) -> list[Withdrawal]:
         """Returns the tasks to take back now."""
         ...
--- a/gypsumline/tests/core/first_fit.py
+++ b/gypsumline/tests/core/first_fit.py
@@ -53,6 +53,9 @@
                     )
         return found
 
+    def is_backlogged(self, waiting):
+        return waiting > 0
+
     def withdrawals(self, now):
         wanted, self.to_withdraw = self.to_withdraw, []
         return [
--- a/gypsumline/tests/core/placement/test_scheduler.py
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -190,6 +190,31 @@
     assert [len(a.indexes) for a in scheduler.assign(0.0)] == [1]
 
 
+def test_slot_whose_result_is_held_back_counts_as_free():
+    """Guards against idle slots while an agent gathers the results of a job.
+
+    The report comes after both tasks arrived; one of them has ended.
+    """
+    scheduler = make_scheduler()
+    for now in (0.0, 0.9, 1.8):
+        report(scheduler, "a", now, slots=2, free=2)
+        scheduler.assign(now)
+    add(scheduler, "j", [0.1, 0.3], 1.8)
+    assert [len(a.indexes) for a in scheduler.assign(1.8)] == [2]
+    report(scheduler, "a", 1.95, slots=2, free=1)
+    add(scheduler, "k", [0.1, 0.1], 1.95)
+    assert [len(a.indexes) for a in scheduler.assign(1.95)] == [1]
+
+
+@pytest.mark.parametrize(("waiting", "expected"), [(1, False), (2, True)])
+def test_backlog_begins_at_a_part_of_the_slots(waiting, expected):
+    """Guards against single answers per task whenever one task waits."""
+    scheduler = make_scheduler(backlog_part=0.25)
+    report(scheduler, "a", slots=3, free=0)
+    report(scheduler, "b", slots=3, free=0)
+    assert scheduler.is_backlogged(waiting) is expected
+
+
 def test_restarted_agent_starts_with_a_clean_state():
     """Guards against slots counted as busy with tasks of a dead process."""
     scheduler = make_scheduler()
--- a/gypsumline/tests/core/test_result_sizes.py
+++ b/gypsumline/tests/core/test_result_sizes.py
@@ -68,12 +68,12 @@
 
 def test_results_of_an_agent_travel_in_parts():
     """Guards against results that are too long together to be sent."""
-    outbox = Outbox(0.0)
+    outbox = Outbox(0.0, 0.0)
     for index in range(8):
         outbox.add("e1", KEY, success(index, RESULT_BYTES_MAX), True, NOW)
     for index in range(8, 8 + COUNT):
         outbox.add("e1", KEY, success(index, LARGEST), True, NOW)
-    parts = outbox.take_due(True, NOW)
+    parts = outbox.take_due(frozenset(), NOW)
     for _, key, parcel in parts:
         results = tuple(parcel.results)
         encode_frame(TaskResults(key=key, results=results, free=1, queued=0))
