Refuse in time a job whose runs never started

Cause: a job counted as started from the first order for a run, also when each order was answered with a proof that nothing started (no room, an older attempt, no contact, not taken, refused).

Change: only runs that have begun or may have count. Runs that were lost or stopped go on to count: a test shows that these are never called 'not run'.

--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -153,7 +153,7 @@
       received_at: Time of the submission.
       expires_at: Time until which its caller waits.
       objective: Response time that its queue allows, in seconds.
-      has_started: Whether a run was asked for.
+      started_runs: Runs asked for that have begun or may have.
       tasks: All its tasks.
     """
 
@@ -169,7 +169,7 @@
         self.received_at = now
         self.expires_at = now + request.timeout
         self.objective = objective
-        self.has_started = False
+        self.started_runs = 0
         self.tasks = [
             Task(
                 name=f"{request.key}.0.{number}.{index}", job=self, step=number
@@ -185,6 +185,11 @@
         """Submission key."""
         return self.request.key
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a run has begun or may have."""
+        return self.started_runs > 0
+
     @property
     def due_at(self) -> float:
         """Time by which its answer is wanted."""
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -25,6 +25,22 @@
     NOT_TAKEN = "not_taken"
     REFUSED = "refused"
 
+    @property
+    def never_started(self) -> bool:
+        """Whether the run has not started and never will."""
+        return self in _NEVER_STARTED
+
+
+_NEVER_STARTED = frozenset(
+    {
+        RunEnd.NO_ROOM,
+        RunEnd.OLD_ATTEMPT,
+        RunEnd.NO_CONTACT,
+        RunEnd.NOT_TAKEN,
+        RunEnd.REFUSED,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunOrder:
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -312,7 +312,7 @@
         settings = self._settings
         task.attempt += 1
         task.job.set_phase(task, TaskPhase.PLACED)
-        task.job.has_started = True
+        task.job.started_runs += 1
         limit = settings.overdue_factor * choice.run_time
         run = PlacedRun(
             task=task,
@@ -380,6 +380,8 @@
         self, run: PlacedRun, view: AgentView, report: RunReport, now: float
     ) -> list[Effect]:
         task, job = run.task, run.task.job
+        if report.end.never_started:
+            job.started_runs -= 1
         self._judge(run, view, report, now)
         if report.end is RunEnd.DONE:
             self._estimates.learn(
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -1,5 +1,7 @@
 """Tests of an entry's decisions on its leased jobs."""
 
+import pytest
+
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.job import JobStep
 from gypsumline.core.leases.messages import (
@@ -384,3 +386,48 @@
     for number in range(2):
         effects = leased.submit(request(f"{number:016x}", size=1), 0.0)
         assert outcomes(effects) == []
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        RunEnd.NO_ROOM,
+        RunEnd.OLD_ATTEMPT,
+        RunEnd.NO_CONTACT,
+        RunEnd.NOT_TAKEN,
+        RunEnd.REFUSED,
+    ],
+)
+def test_job_whose_runs_never_started_is_refused_in_time(end):
+    """Load pattern: several owners ask for the last room at once.
+
+    Guards against keeping the losers until their callers give up, as if they
+    had run.
+    """
+    leased = owner()
+    join(leased, agent())
+    leased.tick(0.0)
+    leased.submit(request(), 0.0)
+    refused = reports((TASK, 1, end, 0.0), now_load=load(free=0))
+    assert outcomes(leased.on_reports(agent(), refused, 0.01)) == []
+    ended = []
+    for step in range(20):
+        now = 0.1 * (step + 1)
+        ping = ContactPing(stamp=now, load=load(free=0, seen=1))
+        ended += leased.on_ping(agent(), ping, now) + leased.tick(now)
+    assert outcomes(ended) == [(KEY, JobOutcome.NOT_RUN)]
+
+
+@pytest.mark.parametrize("end", [RunEnd.STOPPED, RunEnd.LOST])
+def test_job_whose_run_may_have_begun_is_never_called_not_run(end):
+    """Guards against a false promise after which a caller starts it again."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(timeout=2.0), 0.0)
+    ended = reports((TASK, 1, end, 0.0), now_load=load(free=0))
+    effects = leased.on_reports(agent(), ended, 0.01)
+    for step in range(30):
+        now = 0.1 * (step + 1)
+        ping = ContactPing(stamp=now, load=load(free=0, seen=1))
+        effects += leased.on_ping(agent(), ping, now) + leased.tick(now)
+    assert outcomes(effects) == [(KEY, JobOutcome.EXPIRED)]
