Answer the callers of a cancelled job

Cause: the cancel dropped the callers with the job, so that their requests stayed open until they left. Change: the owner ends the job as cancelled; the answer shows that state, as it shows failed. The test of the shell fails before and passes now.

--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -21,6 +21,7 @@
     NOT_RUN = "not_run"
     ELSEWHERE = "elsewhere"
     EXPIRED = "expired"
+    CANCELLED = "cancelled"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -51,6 +51,8 @@
 # A run whose number the executor calls too low goes on at a number this much
 # higher: an earlier owner of the same submission may have used some.
 ATTEMPT_STEP = 8
+# Outcomes after which a caller is told when another try may succeed.
+_MAY_RETURN = (JobOutcome.NOT_RUN, JobOutcome.ELSEWHERE, JobOutcome.EXPIRED)
 
 
 class LeasedOwner:
@@ -125,6 +127,14 @@
         )
         return [line, *self._drop(job), *self.place(now)]
 
+    def cancel(self, key: str, now: float) -> list[Effect]:
+        """Ends a job that is no longer wanted: its runs are stopped."""
+        job = self._jobs.get(key)
+        if job is None:
+            return []
+        effects = self._end(job, JobOutcome.CANCELLED, "cancelled", now)
+        return effects + self.place(now)
+
     def expire_all(self, reason: str, now: float) -> list[Effect]:
         """Ends all jobs, for the end of a planned stop."""
         effects: list[Effect] = []
@@ -490,7 +500,7 @@
         self, job: LeasedJob, outcome: JobOutcome, reason: str, now: float
     ) -> list[Effect]:
         retry_after = 0.0
-        if outcome not in (JobOutcome.COMPLETED, JobOutcome.FAILED):
+        if outcome in _MAY_RETURN:
             retry_after = self._backlog.retry_after(job, now)
         ended = JobEnded(
             key=job.key,
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -61,8 +61,7 @@
         """Cancels a job; returns whether there was one."""
         if key not in self._owner.jobs:
             return False
-        self._callers.pop(key, None)
-        self._run(self._owner.abandon(key, boot_time()))
+        self._run(self._owner.cancel(key, boot_time()))
         return True
 
     def expire_all(self, reason: str) -> None:
--- /dev/null
+++ b/gypsumline/tests/entry/test_leased_node.py
@@ -0,0 +1,42 @@
+"""Tests of the shell around an owner of leased jobs."""
+
+import pytest
+
+from gypsumline.core.leases.effects import JobOutcome
+from gypsumline.entry.leased_node import LeasedEntryNode
+from gypsumline.runtime.clock import boot_time
+from gypsumline.runtime.logs import DecisionLog
+from gypsumline.tests.core.leases.builders import (
+    KEY,
+    agent,
+    join,
+    owner,
+    request,
+)
+
+
+@pytest.fixture(name="node")
+def fixture_node():
+    leased = owner()
+    join(leased, agent(), boot_time())
+    return LeasedEntryNode(leased, DecisionLog(0))
+
+
+def test_cancelled_job_is_answered_to_all_its_callers(node):
+    """Guards against callers that wait for an answer that never comes."""
+    ended = []
+    node.submit(request(), ended.append)
+    node.submit(request(), ended.append)
+    assert node.cancel(KEY)
+    assert [each.outcome for each in ended] == [JobOutcome.CANCELLED] * 2
+    assert not node.cancel(KEY)
+    assert len(ended) == 2
+
+
+def test_caller_that_has_left_is_not_answered(node):
+    """Guards against an answer on a connection that is gone."""
+    ended = []
+    node.submit(request(), ended.append)
+    node.leave(KEY, ended.append)
+    assert not node.cancel(KEY)
+    assert ended == []
