Bound the agents that are weighed for a task; measure leased decisions

Cause: each task was weighed at every agent with room, and each submission summed the fleet's capacity also when no job waited. Change: at most 100 agents with room are weighed, from another one on each time in larger fleets; the capacity is summed only behind waiting jobs. python -m benchmarks.lease_decisions prints the cost of a ping, a pass and a job.

--- /dev/null
+++ b/benchmarks/lease_decisions.py
@@ -0,0 +1,149 @@
+"""Cost of an entry's decisions on leased jobs.
+
+`python -m benchmarks.lease_decisions` prints, for several numbers of agents,
+the microseconds for a ping without news, for a pass in which nothing fits, and
+for a job of one task that is placed and done. Wall-clock figures depend on the
+machine; their growth with the agents is what should stay small.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import time
+from collections.abc import Callable
+
+from gypsumline.core.effects import Effect, Send
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.messages import (
+    ContactPing,
+    ExecutorLoad,
+    RunEnd,
+    RunReport,
+    RunReports,
+    StartRuns,
+)
+from gypsumline.core.leases.owner import LeasedOwner
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+from gypsumline.core.leases.resources import Resources
+from gypsumline.core.leases.settings import LeaseSettings
+
+AGENT_COUNTS = (14, 65, 79, 300, 1_000)
+REPEATS = 200
+# Jobs that wait behind full agents, as many as admission lets in.
+WAITING_JOBS = 40
+SERVICE = "service"
+_NEEDS = Resources(processor=1600, memory=64)
+_ROOM = Resources(processor=16_000, memory=64_000)
+# Its jobs are let in behind any backlog.
+_QUEUE = QueueRules(name="queue", service=SERVICE, latency=3600.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseDecisionCost:
+    """Cost with one number of agents, in microseconds.
+
+    Attributes:
+      agents: Number of agents.
+      ping_us: A ping that tells nothing new, beside a backlog.
+      pass_us: A pass over the backlog in which nothing fits.
+      job_us: Admission, placement and end of a job of one task.
+    """
+
+    agents: int
+    ping_us: float
+    pass_us: float
+    job_us: float
+
+
+def measure(agents: int) -> LeaseDecisionCost:
+    """Returns the costs with a number of agents."""
+    idle = _owner(agents, _ROOM)
+    job_us = _microseconds(lambda step: _run_job(idle, step))
+    full = _owner(agents, Resources())
+    for number in range(WAITING_JOBS):
+        full.submit(_request(number), 0.0)
+    ping = _ping(0, Resources())
+    ping_us = _microseconds(lambda _: full.on_ping(_agent(0), ping, 0.0))
+    pass_us = _microseconds(lambda _: full.place(0.0))
+    return LeaseDecisionCost(agents, ping_us, pass_us, job_us)
+
+
+def _microseconds(action: Callable[[int], object]) -> float:
+    begin = time.perf_counter()
+    for step in range(REPEATS):
+        action(step)
+    return round((time.perf_counter() - begin) / REPEATS * 1e6, 1)
+
+
+def _owner(agents: int, room: Resources) -> LeasedOwner:
+    owner = LeasedOwner(LeaseSettings(), LeasedOwnerSettings())
+    for number in range(agents):
+        owner.on_connected(_agent(number), 0.0)
+        owner.on_ping(_agent(number), _ping(number, room), 0.0)
+    return owner
+
+
+def _agent(number: int) -> Member:
+    return Member(
+        member_id=f"agent-{number}",
+        incarnation=1,
+        role=Role.AGENT,
+        availability_zone=f"zone-{number % 5}",
+    )
+
+
+def _load(number: int, free: Resources) -> ExecutorLoad:
+    return ExecutorLoad(
+        executor=f"executor-{number}",
+        service=SERVICE,
+        capacity=_ROOM,
+        free=free,
+        taking=True,
+        orders_seen=REPEATS,
+    )
+
+
+def _ping(number: int, free: Resources) -> ContactPing:
+    return ContactPing(stamp=0.0, load=_load(number, free))
+
+
+def _request(number: int) -> JobRequest:
+    return JobRequest(
+        key=f"{number:016x}",
+        spec="spec",
+        queue=_QUEUE,
+        steps=(JobStep(count=1, resources=_NEEDS, run_time=0.2),),
+        timeout=3600.0,
+    )
+
+
+def _run_job(owner: LeasedOwner, number: int) -> list[Effect]:
+    effects = owner.submit(_request(number), 0.0)
+    name, order = next(
+        (effect.to, effect.message.orders[0])
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, StartRuns)
+    )
+    agent = int(name.removeprefix("agent-"))
+    report = RunReport(
+        task=order.task, attempt=order.attempt, end=RunEnd.DONE, run_time=0.2
+    )
+    message = RunReports(reports=(report,), load=_load(agent, _ROOM))
+    return owner.on_reports(_agent(agent), message, 0.0)
+
+
+def main() -> None:
+    """Prints the costs as JSON lines."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--agents", type=int, nargs="*", default=list(AGENT_COUNTS)
+    )
+    for agents in parser.parse_args().agents:
+        print(json.dumps(dataclasses.asdict(measure(agents))))
+
+
+if __name__ == "__main__":
+    main()
--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -37,8 +37,7 @@
         waiting = list(waiting)
         if len(waiting) >= self._settings.jobs_limit:
             return self._refuse(job, "too many open jobs", 1.0)
-        agents = self._fleet.usable(queue.service, now)
-        if not agents:
+        if not self._fleet.has_usable(queue.service, now):
             return dataclasses.replace(
                 self._refuse(job, NO_EXECUTOR, self.retry_after(job, now)),
                 outcome=JobOutcome.ELSEWHERE,
@@ -51,13 +50,13 @@
             if other.request.queue.service == queue.service
             and other.order(now, fastest) <= place
         ]
+        if not ahead:
+            return None
+        agents = self._fleet.usable(queue.service, now)
         wait = sum(map(self._unplaced, ahead)) / self._capacity(agents)
         # Other owners' jobs wait too; how long the ones here have waited shows
         # more of them than this owner's own backlog.
-        oldest = min((other.received_at for other in ahead), default=now)
-        wait = max(wait, now - oldest)
-        if wait <= 0.0:
-            return None
+        wait = max(wait, now - min(other.received_at for other in ahead))
         if wait + job.longest_work / fastest <= job.objective:
             return None
         if self._fits_now(job, agents):
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -118,6 +118,13 @@
             if view.service == service and self.is_usable(view, now)
         ]
 
+    def has_usable(self, service: str, now: float) -> bool:
+        """Returns whether any agent may be given runs of a service."""
+        return any(
+            view.service == service and self.is_usable(view, now)
+            for view in self._agents.values()
+        )
+
     def is_usable(self, view: AgentView, now: float) -> bool:
         """Returns whether an agent may be given runs."""
         return (
--- a/gypsumline/core/leases/owner_settings.py
+++ b/gypsumline/core/leases/owner_settings.py
@@ -25,6 +25,8 @@
       fast_reserve: Share of room by which a slower executor that is still in
         time is preferred over one of twice its speed.
       remote_factor: Multiple of the run time away from the data's rack.
+      candidates_limit: Most agents with room that are weighed for a task; in
+        larger fleets the next task begins behind them.
       jobs_limit: Most open jobs.
       retry_after_min: Shortest time to retry that a refusal names.
       retry_after_max: Longest time to retry that a refusal names.
@@ -40,6 +42,7 @@
     late_factor: float = 3.0
     fast_reserve: float = 0.25
     remote_factor: float = 1.5
+    candidates_limit: int = 100
     jobs_limit: int = 20_000
     retry_after_min: float = 0.2
     retry_after_max: float = 10.0
--- a/gypsumline/core/leases/placement.py
+++ b/gypsumline/core/leases/placement.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import math
+from collections.abc import Iterable
 
 from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.leases.fleet import AgentView
@@ -38,6 +40,7 @@
     ) -> None:
         self._settings = settings
         self._estimates = estimates
+        self._begin = 0
 
     def work(self, queue: QueueRules, shape: JobStep) -> float:
         """Returns the expected run time of a queue's task at speed 1."""
@@ -69,7 +72,7 @@
         best_rank = (2, math.inf)
         best_time = 0.0
         candidates = 0
-        for agent in _without_slow(task, agents):
+        for agent in self._in_turn(_without_slow(task, agents)):
             if not can_take(agent, task.shape):
                 continue
             candidates += 1
@@ -77,6 +80,8 @@
             rank = self._rank(task, agent, time, slack)
             if rank < best_rank:
                 best, best_rank, best_time = agent, rank, time
+            if candidates == self._settings.candidates_limit:
+                break
         if best is None:
             return None
         return Choice(
@@ -86,6 +91,14 @@
             in_time=best_rank[0] == 0,
         )
 
+    def _in_turn(self, agents: list[AgentView]) -> Iterable[AgentView]:
+        """Returns a large fleet from another agent on each time."""
+        limit = self._settings.candidates_limit
+        if len(agents) <= limit:
+            return agents
+        begin = self._begin = (self._begin + limit) % len(agents)
+        return itertools.chain(agents[begin:], agents[:begin])
+
     def _rank(
         self, task: Task, agent: AgentView, time: float, slack: float
     ) -> tuple[int, float]:
--- a/gypsumline/tests/core/leases/test_decision_cost.py
+++ b/gypsumline/tests/core/leases/test_decision_cost.py
@@ -85,3 +85,32 @@
     monkeypatch.setattr(leased._placement, "choose", count)
     leased.place(0.02)
     assert len(weighed) == 1
+
+
+def test_task_in_a_large_fleet_is_weighed_at_some_agents_only(monkeypatch):
+    """Guards against a cost of each task that grows with the fleet."""
+    leased = owner(candidates_limit=20)
+    for number in range(300):
+        join(leased, agent(number), executor=f"x-{number}")
+    weighed = []
+    run_time = leased._placement.run_time
+
+    def count(task, view, work):
+        weighed.append(view.member.member_id)
+        return run_time(task, view, work)
+
+    monkeypatch.setattr(leased._placement, "run_time", count)
+    for number in range(15):
+        leased.submit(request(f"{number:016x}"), 0.0)
+    assert len(weighed) == 15 * 20
+    assert len(set(weighed)) == 300
+
+
+def test_room_is_found_wherever_it_is_in_a_large_fleet():
+    """Guards against a task that waits because a part of the fleet is full."""
+    leased = owner(candidates_limit=20)
+    for number in range(300):
+        free = 8000 if number == 250 else 0
+        join(leased, agent(number), executor=f"x-{number}", free=free)
+    leased.submit(request(), 0.0)
+    assert [job.has_started for job in leased.jobs.values()] == [True]
