Move the HTTP models and core settings below entries and agents

agent/ took both from entry/. The checked HTTP bodies are now in gypsumline/interface, the translation of process settings in cli/core_settings.py (the agent's part joined). No behaviour changes. test_every_setting_is_used reads the moved module too; it lists what the modules that moved out of its folders use, so it is as strict as before.

--- a/gypsumline/agent/executor_client.py
+++ b/gypsumline/agent/executor_client.py
@@ -17,7 +17,7 @@
     TaskResult,
     TaskStatus,
 )
-from gypsumline.entry.http_models import parse_json
+from gypsumline.interface.http_models import parse_json
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 
--- a/gypsumline/agent/http.py
+++ b/gypsumline/agent/http.py
@@ -15,7 +15,7 @@
 from gypsumline.core.errors import GypsumlineError, InvalidInputGroup
 from gypsumline.core.slot_settings import Announcement
 from gypsumline.core.validation import BorderModel, Name
-from gypsumline.entry.http_models import (
+from gypsumline.interface.http_models import (
     PROBLEM_MEDIA_TYPE,
     parse_body,
     problem_of,
--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -8,9 +8,9 @@
 
 import uvloop
 
-from gypsumline.agent.core_settings import control_settings, slot_settings
 from gypsumline.agent.http import agent_app
 from gypsumline.agent.node import AgentMachines, AgentNode
+from gypsumline.cli.core_settings import control_settings, slot_settings
 from gypsumline.cli.settings import AgentSettings
 from gypsumline.core.control_machine import ControlMachine
 from gypsumline.core.identity import Member, Role
--- a/gypsumline/entry/core_settings.py
+++ b/gypsumline/cli/core_settings.py
@@ -1,11 +1,16 @@
-"""Settings of the entry's decisions, taken from the process settings."""
+"""Settings of the decisions, taken from the process settings."""
 
 from __future__ import annotations
 
-from gypsumline.cli.settings import CommonSettings, EntrySettings
+from gypsumline.cli.settings import (
+    AgentSettings,
+    CommonSettings,
+    EntrySettings,
+)
 from gypsumline.core.control_settings import ControlSettings
 from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.slot_settings import SlotSettings
 
 
 def control_settings(settings: CommonSettings) -> ControlSettings:
@@ -46,3 +51,13 @@
         policy=settings.placement_policy.value,
         silence_limit=settings.silence_limit,
     )
+
+
+def slot_settings(settings: AgentSettings) -> SlotSettings:
+    """Returns the settings of the slot table."""
+    return SlotSettings(
+        resubmission_horizon=settings.resubmission_horizon,
+        deadline_max=settings.deadline_max,
+        journal_entries=settings.journal_count,
+        journal_bytes=settings.journal_bytes,
+    )
--- a/gypsumline/entry/configuration_http.py
+++ b/gypsumline/entry/configuration_http.py
@@ -17,7 +17,9 @@
     ConfigurationRow,
 )
 from gypsumline.core.errors import InvalidInputError, TableUnavailableError
-from gypsumline.entry.http_models import (
+from gypsumline.entry.node import EntryNode
+from gypsumline.entry.table_task import TableTask
+from gypsumline.interface.http_models import (
     CONFIGURATION_BYTES_MAX,
     PROBLEM_MEDIA_TYPE,
     ConfigurationCheck,
@@ -25,8 +27,6 @@
     make_problem,
     parse_body,
 )
-from gypsumline.entry.node import EntryNode
-from gypsumline.entry.table_task import TableTask
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.one_thread import OneThread, TooManyWaitingError
 from gypsumline.runtime.request_body import read_body
--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -23,7 +23,9 @@
 from gypsumline.core.submission_key import key_time, parse_key
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 from gypsumline.entry.configuration_http import ConfigurationHttp
-from gypsumline.entry.http_models import (
+from gypsumline.entry.node import EntryNode
+from gypsumline.entry.status import status_body
+from gypsumline.interface.http_models import (
     JOB_BYTES_MAX,
     PROBLEM_MEDIA_TYPE,
     answer_body,
@@ -34,8 +36,6 @@
     parse_job,
     problem_of,
 )
-from gypsumline.entry.node import EntryNode
-from gypsumline.entry.status import status_body
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import wall_time
 from gypsumline.runtime.http_server import health_response, metrics_response
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -9,17 +9,17 @@
 
 import uvloop
 
+from gypsumline.cli.core_settings import (
+    control_settings,
+    owner_settings,
+    placement_settings,
+)
 from gypsumline.cli.settings import EntrySettings
 from gypsumline.core.control_machine import ControlMachine
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.owner import SubmissionOwner
 from gypsumline.core.placement.scheduler import Scheduler
 from gypsumline.entry.configuration_http import ConfigurationHttp
-from gypsumline.entry.core_settings import (
-    control_settings,
-    owner_settings,
-    placement_settings,
-)
 from gypsumline.entry.http import entry_app
 from gypsumline.entry.node import EntryNode, MachineFactory, Machines
 from gypsumline.entry.table_task import TableTask
--- /dev/null
+++ b/gypsumline/interface/__init__.py
@@ -0,0 +1,1 @@
+"""Checked bodies of the HTTP interfaces, shared by entries and agents."""
--- a/gypsumline/tests/cli/test_settings.py
+++ b/gypsumline/tests/cli/test_settings.py
@@ -125,6 +125,7 @@
         for name in ("agent", "entry", "runtime", "wire")
         for path in (root / name).glob("*.py")
     ]
+    modules.append(root / "cli" / "core_settings.py")
     text = "".join(path.read_text() for path in modules)
     for model in SETTINGS_BY_ROLE.values():
         for name in model.model_fields:
--- a/gypsumline/tests/entry/test_configuration_http.py
+++ b/gypsumline/tests/entry/test_configuration_http.py
@@ -8,7 +8,7 @@
 
 from gypsumline.core.effects import ConfigurationRow
 from gypsumline.entry import configuration_http
-from gypsumline.entry.http_models import CONFIGURATION_BYTES_MAX
+from gypsumline.interface.http_models import CONFIGURATION_BYTES_MAX
 from gypsumline.tests.core.builders import make_record
 from gypsumline.tests.entry.entry_server import entry_server
 
--- a/gypsumline/tests/entry/test_http.py
+++ b/gypsumline/tests/entry/test_http.py
@@ -10,7 +10,7 @@
 from gypsumline.core.messages import Submit, SubmitReply
 from gypsumline.core.task import JobBody, Outcome, Reason
 from gypsumline.core.task_scheduler import Admission
-from gypsumline.entry.http_models import JOB_BYTES_MAX
+from gypsumline.interface.http_models import JOB_BYTES_MAX
 from gypsumline.runtime.clock import wall_time
 from gypsumline.tests.core.builders import AGENT, OTHER, key_at, make_tasks
 from gypsumline.tests.entry.entry_server import entry_server
--- /dev/null
+++ b/gypsumline/tests/interface/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checked bodies of the HTTP interfaces."""
--- a/gypsumline/tests/entry/test_http_models.py
+++ b/gypsumline/tests/interface/test_http_models.py
@@ -15,7 +15,7 @@
     TaskSpec,
     TaskStatus,
 )
-from gypsumline.entry.http_models import (
+from gypsumline.interface.http_models import (
     JOB_BYTES_MAX,
     answer_body,
     answer_headers,
--- a/gypsumline/tests/test_documents.py
+++ b/gypsumline/tests/test_documents.py
@@ -10,7 +10,7 @@
 from gypsumline.core.configuration import Limits
 from gypsumline.core.configuration_text import parse_configuration
 from gypsumline.core.messages import MESSAGE_TYPES
-from gypsumline.entry.http_models import parse_job
+from gypsumline.interface.http_models import parse_job
 
 ROOT = pathlib.Path(__file__).parents[2]
 
--- a/properties/test_http_models.py
+++ b/properties/test_http_models.py
@@ -8,7 +8,7 @@
 from gypsumline.core.configuration import Limits
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
 from gypsumline.core.task import JobBody
-from gypsumline.entry.http_models import (
+from gypsumline.interface.http_models import (
     BodyTooLargeError,
     digest_of,
     parse_job,
