--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -16,7 +16,7 @@
 
 from benchmarks.job_stream import SERVICE, JobStream, StreamJob, make_executors
 from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, RegisteredAgent
+from gypsumline.core.control.record import ControlRecord, RegisteredAgent
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import UpstreamState
 from gypsumline.core.placement.scheduler import Scheduler
--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -13,7 +13,7 @@
 
 import aiohttp
 
-from gypsumline.core.submission_key import generate_key
+from gypsumline.core.submissions.submission_key import generate_key
 
 
 class DirectCaller:
--- a/benchmarks/placement_model.py
+++ b/benchmarks/placement_model.py
@@ -28,7 +28,7 @@
 )
 from benchmarks.virtual_cluster import VirtualCluster
 from gypsumline.core.placement.settings import PlacementSettings
-from gypsumline.core.slot_settings import SlotSettings
+from gypsumline.core.slots.slot_settings import SlotSettings
 
 # Suffix of a policy for agents that hold results as the product's do, while
 # they have further tasks of the job and its owner has no backlog.
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,9 +15,13 @@
 from collections.abc import Callable
 
 from gypsumline.core.configuration import Client, Configuration, Service
-from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
-from gypsumline.core.control_machine import ControlMachine
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import (
+    ControlRecord,
+    OwnerEpoch,
+    RegisteredAgent,
+)
 from gypsumline.core.effects import Answer, Effect, Send, StartTask
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import (
@@ -29,13 +33,13 @@
     TaskResults,
     UpstreamState,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.placement.scheduler import Scheduler
 from gypsumline.core.placement.settings import PlacementSettings
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
-from gypsumline.core.submission_key import generate_key
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.submission_key import generate_key
 from gypsumline.core.task import JobBody, TaskResult, TaskSpec, TaskStatus
 from gypsumline.wire.codec import decode_body, encode_frame
 
--- a/benchmarks/submission_cost.py
+++ b/benchmarks/submission_cost.py
@@ -10,16 +10,20 @@
 import uuid
 
 from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.control.record import (
+    ControlRecord,
+    OwnerEpoch,
+    RegisteredAgent,
+)
 from gypsumline.core.effects import Send, StartTask
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import StartTasks, Submit, TaskResults
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.task_scheduler import Admission, Assignment
 from gypsumline.core.task import JobBody, TaskResult, TaskSpec, TaskStatus
-from gypsumline.core.task_scheduler import Admission, Assignment
 
 WALL = 1_700_000_000.0
 JOBS = 1000
--- a/benchmarks/virtual_cluster.py
+++ b/benchmarks/virtual_cluster.py
@@ -22,13 +22,13 @@
 )
 from benchmarks.job_stream import SERVICE, Executor, StreamJob
 from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, RegisteredAgent
+from gypsumline.core.control.record import ControlRecord, RegisteredAgent
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import UpstreamState
-from gypsumline.core.outbox import Outbox
 from gypsumline.core.placement.scheduler import Scheduler
+from gypsumline.core.slots.outbox import Outbox
+from gypsumline.core.submissions.task_scheduler import Assignment
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
-from gypsumline.core.task_scheduler import Assignment
 
 # Run time of a task on an executor that fails everything.
 FAILURE_SECONDS = 0.005
--- a/gypsumline/agent/http.py
+++ b/gypsumline/agent/http.py
@@ -13,7 +13,7 @@
 
 from gypsumline.agent.node import AgentNode
 from gypsumline.core.errors import GypsumlineError, InvalidInputGroup
-from gypsumline.core.slot_settings import Announcement
+from gypsumline.core.slots.slot_settings import Announcement
 from gypsumline.core.validation import BorderModel, Name
 from gypsumline.interface.http_models import (
     PROBLEM_MEDIA_TYPE,
--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -10,8 +10,8 @@
 
 from gypsumline.agent.executor_client import ExecutorClient
 from gypsumline.agent.leave_progress import LeaveProgress
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import (
@@ -23,8 +23,8 @@
     TaskResults,
     WithdrawTasks,
 )
-from gypsumline.core.slot_settings import Announcement
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_settings import Announcement
+from gypsumline.core.slots.slot_table import SlotTable
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time, wall_time
--- a/gypsumline/agent/process.py
+++ b/gypsumline/agent/process.py
@@ -12,9 +12,9 @@
 from gypsumline.agent.node import AgentMachines, AgentNode
 from gypsumline.cli.core_settings import control_settings, slot_settings
 from gypsumline.cli.settings import AgentSettings
-from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control.control_machine import ControlMachine
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_table import SlotTable
 from gypsumline.runtime.clock import new_incarnation
 from gypsumline.runtime.http_server import running_http_server
 from gypsumline.runtime.logs import (
--- a/gypsumline/cli/core_settings.py
+++ b/gypsumline/cli/core_settings.py
@@ -7,10 +7,10 @@
     CommonSettings,
     EntrySettings,
 )
-from gypsumline.core.control_settings import ControlSettings
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.control.control_settings import ControlSettings
 from gypsumline.core.placement.settings import PlacementSettings
-from gypsumline.core.slot_settings import SlotSettings
+from gypsumline.core.slots.slot_settings import SlotSettings
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 
 
 def control_settings(settings: CommonSettings) -> ControlSettings:
--- a/gypsumline/cli/job_commands.py
+++ b/gypsumline/cli/job_commands.py
@@ -25,7 +25,7 @@
 from gypsumline.cli.options import EntryOption, OutputFormat, OutputOption
 from gypsumline.cli.progress import show_progress
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.core.submission_key import generate_key, parse_key
+from gypsumline.core.submissions.submission_key import generate_key, parse_key
 
 DEFAULT_TIMEOUT_SECONDS = 30.0
 # One answer may take this long before the client asks again.
--- /dev/null
+++ b/gypsumline/core/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control state: evidence, acceptance, membership and tenure."""
--- a/gypsumline/core/acceptance.py
+++ b/gypsumline/core/control/acceptance.py
@@ -4,9 +4,9 @@
 
 import math
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.voter import is_same_incarnation, majority
 from gypsumline.core.identity import Member
-from gypsumline.core.voter import is_same_incarnation, majority
 
 
 class Acceptance:
--- a/gypsumline/core/change.py
+++ b/gypsumline/core/control/change.py
@@ -7,8 +7,9 @@
 from collections import deque
 
 from gypsumline.core.chart import ChartInstance, load_chart
-from gypsumline.core.control import ConfigurationNote, ControlRecord
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ConfigurationNote, ControlRecord
+from gypsumline.core.control.record_writer import PendingWrite, RecordWriter
 from gypsumline.core.effects import (
     ChangeOutcome,
     ConfigurationChange,
@@ -16,7 +17,6 @@
     Decision,
     Effect,
 )
-from gypsumline.core.record_writer import PendingWrite, RecordWriter
 
 # Notes kept in the record. At 11,000 changes a day they reach back about four
 # minutes, longer than any change is followed.
--- a/gypsumline/core/control_machine.py
+++ b/gypsumline/core/control/control_machine.py
@@ -14,10 +14,20 @@
 from random import Random
 from typing import Any
 
-from gypsumline.core.acceptance import Acceptance
-from gypsumline.core.change import ChangeQueue, ControlView, refuse_at_once
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.acceptance import Acceptance
+from gypsumline.core.control.change import (
+    ChangeQueue,
+    ControlView,
+    refuse_at_once,
+)
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.evidence import Evidence
+from gypsumline.core.control.membership_writer import MembershipWriter
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.record_writer import PendingWrite, RecordWriter
+from gypsumline.core.control.table_poller import TablePoller
+from gypsumline.core.control.tenure import Tenure
+from gypsumline.core.control.voter import is_listed
 from gypsumline.core.effects import (
     ConfigurationChange,
     Decision,
@@ -26,9 +36,7 @@
     TableReadResult,
     TableWriteResult,
 )
-from gypsumline.core.evidence import Evidence
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.membership_writer import MembershipWriter
 from gypsumline.core.messages import (
     ControlAck,
     ControlPush,
@@ -43,10 +51,6 @@
     UpstreamState,
 )
 from gypsumline.core.peers import Peer, PeerTable
-from gypsumline.core.record_writer import PendingWrite, RecordWriter
-from gypsumline.core.table_poller import TablePoller
-from gypsumline.core.tenure import Tenure
-from gypsumline.core.voter import is_listed
 
 
 class ControlMachine:
--- a/gypsumline/core/evidence.py
+++ b/gypsumline/core/control/evidence.py
@@ -4,13 +4,14 @@
 
 from random import Random
 
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_settings import ControlSettings
-from gypsumline.core.freshness import (
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.freshness import (
     Freshness,
     RequestTimes,
     StatementRounds,
 )
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.voter import Voter
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import (
     HeartbeatReply,
@@ -18,7 +19,6 @@
     Statement,
     StatementRequest,
 )
-from gypsumline.core.voter import Voter
 
 # First sequence and round numbers are random below this, so that a reply to an
 # earlier incarnation does not match a request of this one.
--- a/gypsumline/core/freshness.py
+++ b/gypsumline/core/control/freshness.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.voter import is_listed, majority
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import Statement, StatementRequest
-from gypsumline.core.voter import is_listed, majority
 
 _REQUESTS_KEPT = 64
 _ROUNDS_KEPT = 4
--- a/gypsumline/core/membership.py
+++ b/gypsumline/core/control/membership.py
@@ -9,14 +9,14 @@
 import enum
 from collections.abc import Iterable
 
-from gypsumline.core.control import (
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import (
     ControlRecord,
     OwnerEpoch,
     RegisteredAgent,
 )
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.voter import is_listed
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.voter import is_listed
 
 
 class Presence(enum.Enum):
--- a/gypsumline/core/membership_timer.py
+++ b/gypsumline/core/control/membership_timer.py
@@ -9,7 +9,7 @@
 import math
 import random
 
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
 
 
 class MembershipTimer:
--- a/gypsumline/core/membership_writer.py
+++ b/gypsumline/core/control/membership_writer.py
@@ -6,11 +6,8 @@
 import random
 
 from gypsumline.core.chart import ChartInstance, load_chart
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_settings import ControlSettings
-from gypsumline.core.effects import WriteTable
-from gypsumline.core.identity import Member
-from gypsumline.core.membership import (
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.membership import (
     MembershipChange,
     Presence,
     Sighting,
@@ -18,10 +15,17 @@
     next_record,
     plan_change,
 )
-from gypsumline.core.membership_timer import MembershipTimer
+from gypsumline.core.control.membership_timer import MembershipTimer
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.record_writer import RecordWriter
+from gypsumline.core.control.voter import (
+    is_listed,
+    is_same_incarnation,
+    majority,
+)
+from gypsumline.core.effects import WriteTable
+from gypsumline.core.identity import Member
 from gypsumline.core.peers import Peer, PeerTable
-from gypsumline.core.record_writer import RecordWriter
-from gypsumline.core.voter import is_listed, is_same_incarnation, majority
 
 
 class MembershipWriter:
--- a/gypsumline/core/control.py
+++ b/gypsumline/core/control/record.py
@@ -8,7 +8,7 @@
 
 from gypsumline.core.configuration import Configuration
 from gypsumline.core.identity import Member
-from gypsumline.core.submission_key import key_time
+from gypsumline.core.submissions.submission_key import key_time
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/record_writer.py
+++ b/gypsumline/core/control/record_writer.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import (
     ConfigurationRow,
     TableWriteResult,
--- a/gypsumline/core/table_poller.py
+++ b/gypsumline/core/control/table_poller.py
@@ -4,7 +4,7 @@
 
 import math
 
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
 from gypsumline.core.effects import ReadTable, TableReadResult
 
 # Reads that may be open at once while the table is slow; together they cover
--- a/gypsumline/core/tenure.py
+++ b/gypsumline/core/control/tenure.py
@@ -5,10 +5,10 @@
 import dataclasses
 import math
 
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.control.voter import is_listed, is_same_incarnation
 from gypsumline.core.identity import Member
-from gypsumline.core.voter import is_listed, is_same_incarnation
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/gypsumline/core/voter.py
+++ b/gypsumline/core/control/voter.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import ControlAck, Statement, StatementRequest
 
--- a/gypsumline/core/leases/health.py
+++ b/gypsumline/core/leases/health.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from gypsumline.core.ejection import EjectionControl
+from gypsumline.core.placement.ejection import EjectionControl
 from gypsumline.core.placement.settings import PlacementSettings
 
 # Runs at once from which an executor that came back counts as healthy.
--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -6,10 +6,10 @@
 import enum
 from collections.abc import Iterator
 
-from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.fleet import AgentView
 from gypsumline.core.leases.resources import Resources
+from gypsumline.core.placement.estimate import RunTimeEstimates
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -5,7 +5,6 @@
 import math
 
 from gypsumline.core.effects import Decision, Effect, Send
-from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.backlog import NO_EXECUTOR, Backlog
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
@@ -46,6 +45,7 @@
 from gypsumline.core.leases.placement import Choice, Placement
 from gypsumline.core.leases.placement_pass import PlacementPass
 from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.core.placement.estimate import RunTimeEstimates
 from gypsumline.core.placement.settings import PlacementSettings
 
 # A run whose number the executor calls too low goes on at a number this much
--- a/gypsumline/core/leases/placement.py
+++ b/gypsumline/core/leases/placement.py
@@ -7,10 +7,10 @@
 import math
 from collections.abc import Iterable
 
-from gypsumline.core.estimate import RunTimeEstimates
 from gypsumline.core.leases.fleet import AgentView
 from gypsumline.core.leases.job import JobStep, QueueRules, Task
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
+from gypsumline.core.placement.estimate import RunTimeEstimates
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/messages.py
+++ b/gypsumline/core/messages.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Member
-from gypsumline.core.submission_key import KEY_PATTERN
+from gypsumline.core.submissions.submission_key import KEY_PATTERN
 from gypsumline.core.task import JobAnswer, JobBody, TaskResult, TaskSpec
 
 Key = Annotated[str, msgspec.Meta(pattern=KEY_PATTERN)]
--- a/gypsumline/core/admission.py
+++ b/gypsumline/core/placement/admission.py
@@ -6,12 +6,12 @@
 import random
 
 from gypsumline.core.configuration import Client, Configuration
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.estimate import RunTimeEstimates
+from gypsumline.core.control.record import ControlRecord
+from gypsumline.core.placement.estimate import RunTimeEstimates
 from gypsumline.core.placement.fleet import Fleet, Pool
 from gypsumline.core.placement.settings import PlacementSettings
+from gypsumline.core.submissions.task_scheduler import Admission
 from gypsumline.core.task import JobBody, Reason
-from gypsumline.core.task_scheduler import Admission
 
 
 @dataclasses.dataclass(slots=True)
--- a/gypsumline/core/placement/scheduler.py
+++ b/gypsumline/core/placement/scheduler.py
@@ -6,20 +6,24 @@
 import random
 from collections.abc import Sequence
 
-from gypsumline.core.admission import AdmissionControl, Backlog
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.ejection import EjectionControl
-from gypsumline.core.estimate import RunTimeEstimates
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import UpstreamState
 from gypsumline.core.placement import earliest_finish, policies
+from gypsumline.core.placement.admission import AdmissionControl, Backlog
+from gypsumline.core.placement.ejection import EjectionControl
+from gypsumline.core.placement.estimate import RunTimeEstimates
 from gypsumline.core.placement.fleet import AgentView, Fleet, PlacedTask, Pool
 from gypsumline.core.placement.job_queue import JobOrder, QueuedJob
 from gypsumline.core.placement.registry import make_policy
 from gypsumline.core.placement.settings import PlacementSettings
 from gypsumline.core.placement.withdrawal import TaskName, WithdrawalRules
+from gypsumline.core.submissions.task_scheduler import (
+    Admission,
+    Assignment,
+    Withdrawal,
+)
 from gypsumline.core.task import JobBody, Reason, TaskResult, TaskStatus
-from gypsumline.core.task_scheduler import Admission, Assignment, Withdrawal
 
 # Importing the modules registers their policies.
 POLICY_MODULES = (earliest_finish, policies)
--- /dev/null
+++ b/gypsumline/core/slots/__init__.py
@@ -0,0 +1,1 @@
+"""An agent's slots, journal and results."""
--- a/gypsumline/core/foreign_refusals.py
+++ b/gypsumline/core/slots/foreign_refusals.py
@@ -5,7 +5,7 @@
 import collections
 
 from gypsumline.core.identity import Member
-from gypsumline.core.slot_settings import SlotSettings
+from gypsumline.core.slots.slot_settings import SlotSettings
 
 
 class ForeignRefusals:
--- a/gypsumline/core/journal.py
+++ b/gypsumline/core/slots/journal.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 from gypsumline.core.messages import JournalEntry
-from gypsumline.core.slot_settings import SlotSettings
+from gypsumline.core.slots.slot_settings import SlotSettings
 from gypsumline.core.task import TaskResult
 
 _NANOSECONDS_PER_SECOND = 1_000_000_000
--- a/gypsumline/core/journal_report.py
+++ b/gypsumline/core/slots/journal_report.py
@@ -4,10 +4,10 @@
 
 from gypsumline.core.effects import Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.journal import Journal
 from gypsumline.core.messages import JournalEntry, JournalReport
-from gypsumline.core.slot_gate import SlotGate
-from gypsumline.core.slot_settings import SlotSettings
+from gypsumline.core.slots.journal import Journal
+from gypsumline.core.slots.slot_gate import SlotGate
+from gypsumline.core.slots.slot_settings import SlotSettings
 
 
 def build_reports(
--- a/gypsumline/core/slot_effects.py
+++ b/gypsumline/core/slots/slot_effects.py
@@ -4,7 +4,7 @@
 
 from gypsumline.core.effects import Decision
 from gypsumline.core.messages import StartTasks
-from gypsumline.core.slot_queue import LiveTask
+from gypsumline.core.slots.slot_queue import LiveTask
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 
 
--- a/gypsumline/core/slot_gate.py
+++ b/gypsumline/core/slots/slot_gate.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Member
-from gypsumline.core.slot_settings import Announcement
+from gypsumline.core.slots.slot_settings import Announcement
 from gypsumline.core.task import Reason
 
 _OWNER_CACHE_KEYS = 10_000
--- a/gypsumline/core/slot_table.py
+++ b/gypsumline/core/slots/slot_table.py
@@ -5,12 +5,9 @@
 import dataclasses
 from collections.abc import Iterable
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
-from gypsumline.core.foreign_refusals import ForeignRefusals
 from gypsumline.core.identity import Member
-from gypsumline.core.journal import Journal, TaskRecord, TaskState
-from gypsumline.core.journal_report import build_reports
 from gypsumline.core.messages import (
     JournalQuery,
     Message,
@@ -20,16 +17,19 @@
     UpstreamState,
     WithdrawTasks,
 )
-from gypsumline.core.outbox import Outbox
-from gypsumline.core.slot_effects import (
+from gypsumline.core.slots.foreign_refusals import ForeignRefusals
+from gypsumline.core.slots.journal import Journal, TaskRecord, TaskState
+from gypsumline.core.slots.journal_report import build_reports
+from gypsumline.core.slots.outbox import Outbox
+from gypsumline.core.slots.slot_effects import (
     ignored_result_line,
     ignored_start_line,
     refusal_line,
     refused_task,
 )
-from gypsumline.core.slot_gate import SlotGate
-from gypsumline.core.slot_queue import LiveTask, Place, SlotQueue
-from gypsumline.core.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_gate import SlotGate
+from gypsumline.core.slots.slot_queue import LiveTask, Place, SlotQueue
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 
 _MAY_WAIT = (Reason.NO_EVIDENCE, Reason.NOT_OWNER)
--- /dev/null
+++ b/gypsumline/core/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""Submissions and their owner."""
--- a/gypsumline/core/adoption.py
+++ b/gypsumline/core/submissions/adoption.py
@@ -4,10 +4,10 @@
 
 import enum
 
-from gypsumline.core.job import Job
-from gypsumline.core.journal import TaskState
 from gypsumline.core.messages import JournalEntry
-from gypsumline.core.recovery import RecoveredTask
+from gypsumline.core.slots.journal import TaskState
+from gypsumline.core.submissions.job import Job
+from gypsumline.core.submissions.recovery import RecoveredTask
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 
 
--- a/gypsumline/core/hand_over.py
+++ b/gypsumline/core/submissions/hand_over.py
@@ -6,12 +6,12 @@
 import dataclasses
 from collections.abc import Container
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.kept_answers import KeptAnswers
 from gypsumline.core.messages import HandOver, HandOverAck, KeptAnswer
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.submissions.kept_answers import KeptAnswers
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 
 _RESEND_INTERVAL = 1.0  # seconds without an acknowledgement
 _ANSWERS_PER_MESSAGE = 4096
--- a/gypsumline/core/job_effects.py
+++ b/gypsumline/core/submissions/job_effects.py
@@ -5,11 +5,12 @@
 import dataclasses
 from collections.abc import Iterable
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Decision, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.job import Job
 from gypsumline.core.messages import StartTasks, WithdrawTasks
+from gypsumline.core.submissions.job import Job
+from gypsumline.core.submissions.task_scheduler import Assignment
 from gypsumline.core.task import (
     JobAnswer,
     Outcome,
@@ -17,7 +18,6 @@
     TaskResult,
     TaskStatus,
 )
-from gypsumline.core.task_scheduler import Assignment
 
 
 def start_tasks(
--- a/gypsumline/core/job_runner.py
+++ b/gypsumline/core/submissions/job_runner.py
@@ -6,11 +6,16 @@
 import math
 from collections.abc import Callable, Iterable
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.job import Job
-from gypsumline.core.job_effects import (
+from gypsumline.core.messages import (
+    TaskResults,
+    TasksWithdrawn,
+    WithdrawTasks,
+)
+from gypsumline.core.submissions.job import Job
+from gypsumline.core.submissions.job_effects import (
     answer_line,
     failed,
     group_by_agent,
@@ -20,15 +25,14 @@
     withdraw_tasks,
     withdrawn_task,
 )
-from gypsumline.core.kept_answers import KeptAnswers
-from gypsumline.core.messages import (
-    TaskResults,
-    TasksWithdrawn,
-    WithdrawTasks,
+from gypsumline.core.submissions.kept_answers import KeptAnswers
+from gypsumline.core.submissions.orphaned_tasks import (
+    OrphanedTask,
+    OrphanedTasks,
 )
-from gypsumline.core.orphaned_tasks import OrphanedTask, OrphanedTasks
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.retry_budget import RetryBudget
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.retry_budget import RetryBudget
+from gypsumline.core.submissions.task_scheduler import Assignment, TaskScheduler
 from gypsumline.core.task import (
     JobAnswer,
     Outcome,
@@ -36,7 +40,6 @@
     TaskResult,
     TaskStatus,
 )
-from gypsumline.core.task_scheduler import Assignment, TaskScheduler
 
 _PRUNE_INTERVAL = 5.0  # seconds between scans for forgotten tasks
 
--- a/gypsumline/core/kept_answers.py
+++ b/gypsumline/core/submissions/kept_answers.py
@@ -5,8 +5,8 @@
 import dataclasses
 import heapq
 
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.submission_key import key_time
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.submission_key import key_time
 from gypsumline.core.task import JobAnswer
 
 _CLOCK_DRIFT = 1.01
--- a/gypsumline/core/owner.py
+++ b/gypsumline/core/submissions/owner.py
@@ -4,22 +4,9 @@
 
 import dataclasses
 
-from gypsumline.core.adoption import Adoption, adopt
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Effect
-from gypsumline.core.hand_over import HandOverSender, take_over
 from gypsumline.core.identity import Member
-from gypsumline.core.job import Job
-from gypsumline.core.job_effects import (
-    Reply,
-    answer_line,
-    conflict_answer,
-    failed,
-    too_early_answer,
-    unknown_key_answer,
-)
-from gypsumline.core.job_runner import JobRunner
-from gypsumline.core.kept_answers import KeptAnswers
 from gypsumline.core.messages import (
     CancelJob,
     HandOver,
@@ -32,13 +19,29 @@
     TasksWithdrawn,
     UpstreamState,
 )
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.ownership import Ownership
-from gypsumline.core.parked_submissions import Parked, ParkedSubmissions
-from gypsumline.core.recovery import Completeness, JournalRecovery
-from gypsumline.core.submission_key import key_time
+from gypsumline.core.submissions.adoption import Adoption, adopt
+from gypsumline.core.submissions.hand_over import HandOverSender, take_over
+from gypsumline.core.submissions.job import Job
+from gypsumline.core.submissions.job_effects import (
+    Reply,
+    answer_line,
+    conflict_answer,
+    failed,
+    too_early_answer,
+    unknown_key_answer,
+)
+from gypsumline.core.submissions.job_runner import JobRunner
+from gypsumline.core.submissions.kept_answers import KeptAnswers
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.ownership import Ownership
+from gypsumline.core.submissions.parked_submissions import (
+    Parked,
+    ParkedSubmissions,
+)
+from gypsumline.core.submissions.recovery import Completeness, JournalRecovery
+from gypsumline.core.submissions.submission_key import key_time
+from gypsumline.core.submissions.task_scheduler import TaskScheduler
 from gypsumline.core.task import JobAnswer, Outcome, Reason
-from gypsumline.core.task_scheduler import TaskScheduler
 
 
 class SubmissionOwner:
--- a/gypsumline/core/ownership.py
+++ b/gypsumline/core/submissions/ownership.py
@@ -6,9 +6,9 @@
 import math
 from collections.abc import Iterator
 
-from gypsumline.core.control import ControlRecord, OwnerEpoch
+from gypsumline.core.control.record import ControlRecord, OwnerEpoch
 from gypsumline.core.identity import Member
-from gypsumline.core.submission_key import key_time
+from gypsumline.core.submissions.submission_key import key_time
 
 _TERMS = 64
 
--- a/gypsumline/core/recovery.py
+++ b/gypsumline/core/submissions/recovery.py
@@ -8,16 +8,16 @@
 
 from gypsumline.core.effects import Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.journal import TaskState
 from gypsumline.core.messages import (
     JournalEntry,
     JournalQuery,
     JournalReport,
     TaskResults,
 )
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.ownership import Term
-from gypsumline.core.submission_key import key_time
+from gypsumline.core.slots.journal import TaskState
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.ownership import Term
+from gypsumline.core.submissions.submission_key import key_time
 from gypsumline.core.task import TaskResult, TaskStatus
 
 _PRUNE_INTERVAL = 5.0  # seconds between scans for expired keys
--- a/gypsumline/core/router.py
+++ b/gypsumline/core/submissions/router.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import (
@@ -15,7 +15,7 @@
     Submit,
     SubmitReply,
 )
-from gypsumline.core.submission_key import generate_key
+from gypsumline.core.submissions.submission_key import generate_key
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 
 RETRY_INTERVAL_SECONDS = 0.1
--- a/gypsumline/core/task_scheduler.py
+++ b/gypsumline/core/submissions/task_scheduler.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Member
 from gypsumline.core.messages import UpstreamState
 from gypsumline.core.task import JobBody, Reason, TaskResult
--- a/gypsumline/entry/http.py
+++ b/gypsumline/entry/http.py
@@ -20,7 +20,7 @@
     InvalidInputGroup,
 )
 from gypsumline.core.messages import CancelJob, Inquire, Submit
-from gypsumline.core.submission_key import key_time, parse_key
+from gypsumline.core.submissions.submission_key import key_time, parse_key
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 from gypsumline.entry.configuration_http import ConfigurationHttp
 from gypsumline.entry.node import EntryNode
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -6,8 +6,8 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import (
     Answer,
     ChangeOutcome,
@@ -36,8 +36,12 @@
     TasksWithdrawn,
     UpstreamState,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.router import CallOwner, OwnerRequest, RequestRouter
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.router import (
+    CallOwner,
+    OwnerRequest,
+    RequestRouter,
+)
 from gypsumline.core.task import JobAnswer
 from gypsumline.entry.table_task import TableTask
 from gypsumline.runtime import metrics
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -15,10 +15,10 @@
     placement_settings,
 )
 from gypsumline.cli.settings import EntrySettings
-from gypsumline.core.control_machine import ControlMachine
+from gypsumline.core.control.control_machine import ControlMachine
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.owner import SubmissionOwner
 from gypsumline.core.placement.scheduler import Scheduler
+from gypsumline.core.submissions.owner import SubmissionOwner
 from gypsumline.entry.configuration_http import ConfigurationHttp
 from gypsumline.entry.http import entry_app
 from gypsumline.entry.node import EntryNode, MachineFactory, Machines
--- a/gypsumline/entry/table_task.py
+++ b/gypsumline/entry/table_task.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import (
     ConfigurationRow,
     ReadTable,
--- a/gypsumline/public.py
+++ b/gypsumline/public.py
@@ -7,14 +7,14 @@
     Service,
 )
 from gypsumline.core.configuration_text import parse_configuration
-from gypsumline.core.control import (
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import (
     ConfigurationNote,
     ControlRecord,
     OwnerEpoch,
     RegisteredAgent,
 )
-from gypsumline.core.control_machine import ControlMachine
-from gypsumline.core.control_settings import ControlSettings
 from gypsumline.core.effects import (
     Answer,
     ChangeOutcome,
@@ -68,8 +68,6 @@
     UpstreamState,
     WithdrawTasks,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
 from gypsumline.core.placement.fleet import AgentView, Pool
 from gypsumline.core.placement.registry import (
     PlacementPolicy,
@@ -78,9 +76,21 @@
 )
 from gypsumline.core.placement.scheduler import Scheduler
 from gypsumline.core.placement.settings import PlacementSettings
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
-from gypsumline.core.submission_key import generate_key, key_time, parse_key
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.submission_key import (
+    generate_key,
+    key_time,
+    parse_key,
+)
+from gypsumline.core.submissions.task_scheduler import (
+    Admission,
+    Assignment,
+    TaskScheduler,
+    Withdrawal,
+)
 from gypsumline.core.task import (
     JobAnswer,
     JobBody,
@@ -90,12 +100,6 @@
     TaskSpec,
     TaskStatus,
 )
-from gypsumline.core.task_scheduler import (
-    Admission,
-    Assignment,
-    TaskScheduler,
-    Withdrawal,
-)
 
 __all__ = [
     "Admission",
--- a/gypsumline/testing/job_client.py
+++ b/gypsumline/testing/job_client.py
@@ -17,7 +17,7 @@
 
 import aiohttp
 
-from gypsumline.core.submission_key import generate_key
+from gypsumline.core.submissions.submission_key import generate_key
 from gypsumline.testing.start_log import boot_time
 
 RUNNING = "running"
--- a/gypsumline/tests/agent/test_node.py
+++ b/gypsumline/tests/agent/test_node.py
@@ -6,8 +6,8 @@
 
 from gypsumline.agent.node import AgentMachines, AgentNode
 from gypsumline.core.messages import Heartbeat, HeartbeatReply, TaskResults
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 from gypsumline.runtime.logs import DecisionLog
 from gypsumline.tests.core.builders import (
--- a/gypsumline/tests/core/builders.py
+++ b/gypsumline/tests/core/builders.py
@@ -5,7 +5,11 @@
 import uuid
 
 from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
+from gypsumline.core.control.record import (
+    ControlRecord,
+    OwnerEpoch,
+    RegisteredAgent,
+)
 from gypsumline.core.effects import Answer, Send
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import StartTasks, Submit
--- a/gypsumline/tests/core/test_control_machine.py
+++ b/gypsumline/tests/core/control/test_control_machine.py
@@ -4,9 +4,9 @@
 from random import Random
 
 from gypsumline.core.configuration import Configuration
-from gypsumline.core.control import ControlRecord, OwnerEpoch
-from gypsumline.core.control_machine import ControlMachine
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ControlRecord, OwnerEpoch
 from gypsumline.core.effects import (
     ConfigurationChange,
     ReadTable,
--- a/gypsumline/tests/core/test_membership.py
+++ b/gypsumline/tests/core/control/test_membership.py
@@ -4,18 +4,22 @@
 
 import pytest
 
-from gypsumline.core.control import ControlRecord, OwnerEpoch, RegisteredAgent
-from gypsumline.core.control_settings import ControlSettings
-from gypsumline.core.errors import InvalidInputGroup
-from gypsumline.core.identity import Member, Role
-from gypsumline.core.membership import (
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.membership import (
     Presence,
     Sighting,
     choose_voters,
     next_record,
     plan_change,
 )
-from gypsumline.core.submission_key import generate_key, key_time
+from gypsumline.core.control.record import (
+    ControlRecord,
+    OwnerEpoch,
+    RegisteredAgent,
+)
+from gypsumline.core.errors import InvalidInputGroup
+from gypsumline.core.identity import Member, Role
+from gypsumline.core.submissions.submission_key import generate_key, key_time
 
 SETTINGS = ControlSettings()
 
--- a/gypsumline/tests/core/test_tenure.py
+++ b/gypsumline/tests/core/control/test_tenure.py
@@ -3,11 +3,11 @@
 import dataclasses
 import math
 
-from gypsumline.core.control import ControlRecord, OwnerEpoch
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ControlRecord, OwnerEpoch
+from gypsumline.core.control.tenure import Tenure
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.submission_key import generate_key, key_time
-from gypsumline.core.tenure import Tenure
+from gypsumline.core.submissions.submission_key import generate_key, key_time
 
 SETTINGS = ControlSettings()
 
--- a/gypsumline/tests/core/test_voter.py
+++ b/gypsumline/tests/core/control/test_voter.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from gypsumline.core.control.voter import Voter
 from gypsumline.core.messages import StatementRequest
-from gypsumline.core.voter import Voter
 from gypsumline.tests.core.builders import ENTRY, make_record
 
 
--- a/gypsumline/tests/core/first_fit.py
+++ b/gypsumline/tests/core/first_fit.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from gypsumline.core.submissions.task_scheduler import (
+    Admission,
+    Assignment,
+    Withdrawal,
+)
 from gypsumline.core.task import Reason
-from gypsumline.core.task_scheduler import Admission, Assignment, Withdrawal
 
 
 class FirstFit:
--- a/gypsumline/tests/core/test_ejection.py
+++ b/gypsumline/tests/core/placement/test_ejection.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gypsumline.core.chart import ForbiddenTransitionError, load_chart
-from gypsumline.core.ejection import EjectionControl
+from gypsumline.core.placement.ejection import EjectionControl
 from gypsumline.core.placement.settings import PlacementSettings
 
 SETTINGS = PlacementSettings()
--- a/gypsumline/tests/core/test_estimate.py
+++ b/gypsumline/tests/core/placement/test_estimate.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumline.core.estimate import RunTimeEstimates
+from gypsumline.core.placement.estimate import RunTimeEstimates
 
 
 def learned(results, speed=None, error=lambda rng: 1.0, sigma=0.3):
--- a/gypsumline/tests/core/placement/test_scheduler.py
+++ b/gypsumline/tests/core/placement/test_scheduler.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gypsumline.core.configuration import Configuration, Service
-from gypsumline.core.control import ControlRecord, RegisteredAgent
+from gypsumline.core.control.record import ControlRecord, RegisteredAgent
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import UpstreamState
 from gypsumline.core.placement.scheduler import Scheduler
--- /dev/null
+++ b/gypsumline/tests/core/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gypsumline.core.slots."""
--- a/gypsumline/tests/core/test_outbox.py
+++ b/gypsumline/tests/core/slots/test_outbox.py
@@ -1,6 +1,6 @@
 """Tests of the results that an agent gathers."""
 
-from gypsumline.core.outbox import Outbox
+from gypsumline.core.slots.outbox import Outbox
 from gypsumline.core.task import TaskResult, TaskStatus
 
 
--- a/gypsumline/tests/core/test_result_sizes.py
+++ b/gypsumline/tests/core/slots/test_result_sizes.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from gypsumline.core.control import OwnerEpoch
-from gypsumline.core.hand_over import HandOverSender
-from gypsumline.core.kept_answers import KeptAnswers
+from gypsumline.core.control.record import OwnerEpoch
 from gypsumline.core.messages import HandOverAck, SubmitReply, TaskResults
-from gypsumline.core.outbox import Outbox
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.slots.outbox import Outbox
+from gypsumline.core.submissions.hand_over import HandOverSender
+from gypsumline.core.submissions.kept_answers import KeptAnswers
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 from gypsumline.core.task import (
     JOB_RESULTS_BYTES_MAX,
     RESULT_BYTES_MAX,
@@ -26,7 +26,7 @@
     make_record,
     make_submit,
 )
-from gypsumline.tests.core.test_owner import KEY, NOW, Harness
+from gypsumline.tests.core.submissions.test_owner import KEY, NOW, Harness
 from gypsumline.wire.codec import decode_body, encode_frame
 
 COUNT = 720
--- a/gypsumline/tests/core/test_slot_table.py
+++ b/gypsumline/tests/core/slots/test_slot_table.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumline.core.control import OwnerEpoch
+from gypsumline.core.control.record import OwnerEpoch
 from gypsumline.core.effects import StartTask
 from gypsumline.core.messages import (
     JournalQuery,
@@ -12,8 +12,8 @@
     TasksWithdrawn,
     WithdrawTasks,
 )
-from gypsumline.core.slot_settings import Announcement, SlotSettings
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_settings import Announcement, SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
 from gypsumline.core.task import Reason, TaskResult, TaskStatus
 from gypsumline.tests.core.builders import (
     AGENT,
--- a/gypsumline/tests/core/test_owner.py
+++ b/gypsumline/tests/core/submissions/test_owner.py
@@ -14,10 +14,10 @@
     UpstreamState,
     WithdrawTasks,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
+from gypsumline.core.submissions.task_scheduler import Admission
 from gypsumline.core.task import Outcome, Reason, TaskResult, TaskStatus
-from gypsumline.core.task_scheduler import Admission
 from gypsumline.tests.core.builders import (
     AGENT,
     ENTRY,
--- a/gypsumline/tests/core/test_recovery.py
+++ b/gypsumline/tests/core/submissions/test_recovery.py
@@ -12,8 +12,8 @@
     StartTasks,
     TaskResults,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 from gypsumline.core.task import (
     JobAnswer,
     Outcome,
--- a/gypsumline/tests/core/test_router.py
+++ b/gypsumline/tests/core/submissions/test_router.py
@@ -1,16 +1,16 @@
 """Tests of the request router."""
 
-from gypsumline.core.control import ControlRecord, OwnerEpoch
+from gypsumline.core.control.record import ControlRecord, OwnerEpoch
 from gypsumline.core.effects import Answer, Send
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import Inquire, SubmitReply
-from gypsumline.core.router import (
+from gypsumline.core.submissions.router import (
     PENDING_LIMIT,
     ROUTE_LIMIT_SECONDS,
     CallOwner,
     RequestRouter,
 )
-from gypsumline.core.submission_key import generate_key
+from gypsumline.core.submissions.submission_key import generate_key
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 
 FAR = 1000.0
--- a/gypsumline/tests/core/test_submission_key.py
+++ b/gypsumline/tests/core/submissions/test_submission_key.py
@@ -6,7 +6,11 @@
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.core.submission_key import generate_key, key_time, parse_key
+from gypsumline.core.submissions.submission_key import (
+    generate_key,
+    key_time,
+    parse_key,
+)
 
 
 def test_key_tells_its_time():
--- a/gypsumline/tests/entry/entry_server.py
+++ b/gypsumline/tests/entry/entry_server.py
@@ -17,8 +17,8 @@
     UpstreamState,
     WithdrawTasks,
 )
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 from gypsumline.core.task import TaskResult, TaskStatus
 from gypsumline.entry.configuration_http import ConfigurationHttp
 from gypsumline.entry.http import entry_app
--- a/gypsumline/tests/entry/test_http.py
+++ b/gypsumline/tests/entry/test_http.py
@@ -8,8 +8,8 @@
 import pytest
 
 from gypsumline.core.messages import Submit, SubmitReply
+from gypsumline.core.submissions.task_scheduler import Admission
 from gypsumline.core.task import JobBody, Outcome, Reason
-from gypsumline.core.task_scheduler import Admission
 from gypsumline.interface.http_models import JOB_BYTES_MAX
 from gypsumline.runtime.clock import wall_time
 from gypsumline.tests.core.builders import AGENT, OTHER, key_at, make_tasks
--- a/gypsumline/tests/entry/test_node.py
+++ b/gypsumline/tests/entry/test_node.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from gypsumline.core.control import OwnerEpoch
+from gypsumline.core.control.record import OwnerEpoch
 from gypsumline.core.messages import PeerHeartbeat
 from gypsumline.entry import node as node_module
 from gypsumline.runtime.clock import wall_time
--- a/gypsumline/tests/test_library.py
+++ b/gypsumline/tests/test_library.py
@@ -43,7 +43,7 @@
 def test_public_names_load_nothing_heavy():
     """Guards against an embedder that pays for servers and command line."""
     loaded = loaded_after("from gypsumline import *\nSlotTable")
-    assert "gypsumline.core.slot_table" in loaded
+    assert "gypsumline.core.slots.slot_table" in loaded
     assert loaded & (HEAVY | DAEMONS) == set()
 
 
--- a/properties/control_oracle.py
+++ b/properties/control_oracle.py
@@ -5,7 +5,7 @@
 import dataclasses
 from random import Random
 
-from gypsumline.core.control import ControlRecord
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.identity import Role
 from properties.control_world import WALL_START, Process, World
 
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from random import Random
 
-from gypsumline.core.control import ControlRecord
-from gypsumline.core.control_machine import ControlMachine
-from gypsumline.core.control_settings import ControlSettings
+from gypsumline.core.control.control_machine import ControlMachine
+from gypsumline.core.control.control_settings import ControlSettings
+from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import (
     ChangeOutcome,
     Decision,
--- a/properties/submission_nodes.py
+++ b/properties/submission_nodes.py
@@ -4,10 +4,10 @@
 
 import dataclasses
 
-from gypsumline.core.owner import SubmissionOwner
-from gypsumline.core.owner_settings import OwnerSettings
-from gypsumline.core.slot_settings import SlotSettings
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.slot_settings import SlotSettings
+from gypsumline.core.slots.slot_table import SlotTable
+from gypsumline.core.submissions.owner import SubmissionOwner
+from gypsumline.core.submissions.owner_settings import OwnerSettings
 from gypsumline.tests.core.builders import WALL
 from gypsumline.tests.core.first_fit import FirstFit
 
--- a/properties/submission_walk.py
+++ b/properties/submission_walk.py
@@ -12,8 +12,8 @@
 import time
 
 from gypsumline.core.messages import StartTasks
+from gypsumline.core.submissions.task_scheduler import Admission
 from gypsumline.core.task import Reason, TaskStatus
-from gypsumline.core.task_scheduler import Admission
 from properties.submission_world import World
 
 HEAL_STEP = 0.5  # seconds
--- a/properties/submission_world.py
+++ b/properties/submission_world.py
@@ -10,11 +10,11 @@
 import dataclasses
 import random
 
-from gypsumline.core.control import OwnerEpoch
+from gypsumline.core.control.record import OwnerEpoch
 from gypsumline.core.effects import Answer, Send, StartTask
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.messages import CancelJob, Submit, SubmitReply
-from gypsumline.core.slot_settings import Announcement
+from gypsumline.core.slots.slot_settings import Announcement
 from gypsumline.core.task import Reason, TaskResult
 from gypsumline.core.task import TaskStatus as Status
 from gypsumline.tests.core.builders import (
--- a/properties/test_control.py
+++ b/properties/test_control.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from gypsumline.core import (
+from gypsumline.core.control import (
     acceptance,
     control_machine,
     evidence,
--- a/properties/test_submissions.py
+++ b/properties/test_submissions.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from gypsumline.core.adoption import Adoption
-from gypsumline.core.job import Job
-from gypsumline.core.journal import Journal, TaskState
-from gypsumline.core.ownership import Ownership
-from gypsumline.core.recovery import Completeness, JournalRecovery
-from gypsumline.core.slot_gate import SlotGate
-from gypsumline.core.slot_table import SlotTable
+from gypsumline.core.slots.journal import Journal, TaskState
+from gypsumline.core.slots.slot_gate import SlotGate
+from gypsumline.core.slots.slot_table import SlotTable
+from gypsumline.core.submissions.adoption import Adoption
+from gypsumline.core.submissions.job import Job
+from gypsumline.core.submissions.ownership import Ownership
+from gypsumline.core.submissions.recovery import Completeness, JournalRecovery
 from gypsumline.core.task import TaskStatus
 from properties import submission_walk
 from properties.submission_nodes import AgentNode, EntryNode
@@ -134,7 +134,7 @@
 
 def with_restart_of_unstarted_jobs(monkeypatch):
     """A new owner places jobs that the earlier one may have refused."""
-    from gypsumline.core import owner
+    from gypsumline.core.submissions import owner
 
     original = owner.adopt
 
