Never call a job not run whose task may have begun under an earlier owner

Found by reading the change: an attempt that is too old, or a run not taken because one of the same task is here already, shows that another owner's run of the task was ordered. Change: only no_room, no_contact and refused show that nothing began. Also: the start message is built beside the other messages of the owner, and a job without ready tasks is told from one that finds no room in plain words.

--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -26,20 +26,16 @@
     REFUSED = "refused"
 
     @property
-    def never_started(self) -> bool:
-        """Whether the run has not started and never will."""
-        return self in _NEVER_STARTED
-
-
-_NEVER_STARTED = frozenset(
-    {
-        RunEnd.NO_ROOM,
-        RunEnd.OLD_ATTEMPT,
-        RunEnd.NO_CONTACT,
-        RunEnd.NOT_TAKEN,
-        RunEnd.REFUSED,
-    }
-)
+    def shows_no_start(self) -> bool:
+        """Whether nothing hints at a start of the task, by this run or another.
+
+        An attempt is too old, or a run not taken, also where an earlier owner's
+        run of the same task is known.
+        """
+        return self in _NO_START
+
+
+_NO_START = frozenset({RunEnd.NO_ROOM, RunEnd.NO_CONTACT, RunEnd.REFUSED})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -24,10 +24,8 @@
     ContactPong,
     RoomWish,
     RunEnd,
-    RunOrder,
     RunReport,
     RunReports,
-    StartRuns,
     ZonesOut,
 )
 from gypsumline.core.leases.owner_effects import (
@@ -36,6 +34,7 @@
     placed_line,
     refused_line,
     run_ended_line,
+    start_message,
     starts_at,
     stop_message,
     stop_runs,
@@ -246,12 +245,11 @@
     ) -> list[Effect]:
         """Places what it can of one job."""
         service = job.request.queue.service
-        if all(
-            this_pass.is_short(service, shape.resources)
-            for shape, _ in job.ready_shapes()
-        ):
-            if not any(job.ready_shapes()):
-                del self._waiting[job.key]
+        shapes = [shape for shape, _ in job.ready_shapes()]
+        if not shapes:
+            del self._waiting[job.key]
+            return []
+        if all(this_pass.is_short(service, s.resources) for s in shapes):
             return []
         effects: list[Effect] = []
         is_waiting = False
@@ -341,27 +339,8 @@
     def _send_starts(
         self, placed: list[list[PlacedRun]], now: float
     ) -> list[Effect]:
-        sends: list[Effect] = []
         wish = self._wish(now) if placed else None
-        for runs in placed:
-            view, job = runs[0].view, runs[0].task.job
-            orders = tuple(
-                RunOrder(
-                    task=run.task.name,
-                    attempt=run.attempt,
-                    resources=run.resources,
-                )
-                for run in runs
-            )
-            message = StartRuns(
-                key=job.key,
-                stamp=view.stamp,
-                spec=job.request.spec,
-                orders=orders,
-                wish=wish,
-            )
-            sends.append(Send(to=view.member.member_id, message=message))
-        return sends
+        return [start_message(runs, wish) for runs in placed]
 
     def _pong(self, view: AgentView, now: float) -> Send:
         pong = ContactPong(stamp=view.stamp, wish=self._wish(now))
@@ -390,7 +369,7 @@
         self, run: PlacedRun, view: AgentView, report: RunReport, now: float
     ) -> list[Effect]:
         task, job = run.task, run.task.job
-        if report.end.never_started:
+        if report.end.shows_no_start:
             job.started_runs -= 1
         self._judge(run, view, report, now)
         if report.end is RunEnd.DONE:
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -8,7 +8,13 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import JobEnded
 from gypsumline.core.leases.job import LeasedJob, PlacedRun
-from gypsumline.core.leases.messages import RunReport, StartRuns, StopRuns
+from gypsumline.core.leases.messages import (
+    RoomWish,
+    RunOrder,
+    RunReport,
+    StartRuns,
+    StopRuns,
+)
 from gypsumline.core.leases.placement import Choice
 
 
@@ -33,6 +39,25 @@
     )
 
 
+def start_message(runs: list[PlacedRun], wish: RoomWish | None) -> Send:
+    """Returns the message that asks one agent for runs of one job."""
+    view, job = runs[0].view, runs[0].task.job
+    orders = [
+        RunOrder(
+            task=run.task.name, attempt=run.attempt, resources=run.resources
+        )
+        for run in runs
+    ]
+    message = StartRuns(
+        key=job.key,
+        stamp=view.stamp,
+        spec=job.request.spec,
+        orders=tuple(orders),
+        wish=wish,
+    )
+    return Send(to=view.member.member_id, message=message)
+
+
 def starts_at(effects: Iterable[Effect], agent: Member) -> bool:
     """Returns whether runs are asked for at an agent."""
     return any(
