Number the runs of a job that comes back above its earlier ones

The old run was given up and its stop sent; the new run had the same number. The agent's answer to the stop counted as the end of the new run, which was placed elsewhere while it started: two runs of one task.

Cause: run numbers began at 1 with each submission of a key. Ruled out: late messages of an earlier stream (dropped with it) and of an earlier agent (reports name the incarnation). Change: the owner keeps the highest number of each ended job for forget_after and begins above it. The test fails before and passes now.

--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -6,6 +6,7 @@
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
+from gypsumline.core.leases.attempt_book import AttemptBook
 from gypsumline.core.leases.backlog import NO_EXECUTOR, Backlog
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
@@ -19,7 +20,6 @@
     new_job,
 )
 from gypsumline.core.leases.messages import (
-    ClaimRuns,
     ContactPing,
     ContactPong,
     RoomWish,
@@ -29,6 +29,7 @@
     ZonesOut,
 )
 from gypsumline.core.leases.owner_effects import (
+    claims_message,
     ended_line,
     overdue_line,
     placed_line,
@@ -79,6 +80,7 @@
         self._order: list[LeasedJob] = []
         self._usable_at = -math.inf
         self._runs = PlacedRuns()
+        self._attempts = AttemptBook(settings.forget_after)
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._zones_out = ZonesOut(version=-1, zones=())
 
@@ -109,6 +111,7 @@
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
             return [refusal, line]
+        self._attempts.resume(job)
         self._jobs[job.key] = job
         self._waiting[job.key] = job
         # The jobs before it found no room in the newest pass.
@@ -124,7 +127,7 @@
             event="job_abandoned",
             fields={"job": key, "age": round(now - job.received_at, 3)},
         )
-        return [line, *self._drop(job), *self.place(now)]
+        return [line, *self._drop(job, now), *self.place(now)]
 
     def cancel(self, key: str, now: float) -> list[Effect]:
         """Ends a job that is no longer wanted: its runs are stopped."""
@@ -159,13 +162,9 @@
         """Takes a new stream: names the runs there and the zones out."""
         view = self._fleet.connect(agent)
         claimed = [run for run in self._runs if run.agent == agent]
-        claims = ClaimRuns(
-            tasks=tuple([run.task.name for run in claimed]),
-            attempts=tuple([run.attempt for run in claimed]),
-        )
         name = view.member.member_id
         effects: list[Effect] = [
-            Send(to=name, message=claims),
+            Send(to=name, message=claims_message(claimed)),
             Send(to=name, message=self._zones_out),
         ]
         # A stop may have been lost with the stream before.
@@ -223,6 +222,7 @@
             effects += self._check_job(job, is_isolated, now)
         self._fleet.forget_silent(now, self._settings.forget_after)
         self._keep_health()
+        self._attempts.forget(now)
         self._backlog.learn_fastest()
         return effects + self.place(now)
 
@@ -487,9 +487,10 @@
             reason=reason,
             retry_after=retry_after,
         )
-        return [ended, ended_line(ended, job, now), *self._drop(job)]
+        return [ended, ended_line(ended, job, now), *self._drop(job, now)]
 
-    def _drop(self, job: LeasedJob) -> list[Effect]:
+    def _drop(self, job: LeasedJob, now: float) -> list[Effect]:
+        self._attempts.close(job, now)
         self._jobs.pop(job.key, None)
         self._waiting.pop(job.key, None)
         left = [self._runs.find(task.name) for task in job.tasks]
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -9,6 +9,7 @@
 from gypsumline.core.leases.effects import JobEnded
 from gypsumline.core.leases.job import LeasedJob, PlacedRun
 from gypsumline.core.leases.messages import (
+    ClaimRuns,
     RoomWish,
     RunOrder,
     RunReport,
@@ -39,6 +40,14 @@
     )
 
 
+def claims_message(runs: list[PlacedRun]) -> ClaimRuns:
+    """Returns the message that names an owner's runs at one agent."""
+    return ClaimRuns(
+        tasks=tuple([run.task.name for run in runs]),
+        attempts=tuple([run.attempt for run in runs]),
+    )
+
+
 def start_message(runs: list[PlacedRun], wish: RoomWish | None) -> Send:
     """Returns the message that asks one agent for runs of one job."""
     view, job = runs[0].view, runs[0].task.job
--- a/gypsumline/core/leases/owner_settings.py
+++ b/gypsumline/core/leases/owner_settings.py
@@ -15,7 +15,8 @@
       isolation_limit: Time without any usable agent after which the open jobs
         are answered, so that their callers go to another entry. By then the
         agents have stopped the runs of an owner that they do not reach.
-      forget_after: Time after which an agent without a stream is forgotten.
+      forget_after: Time after which an agent without a stream, or the run
+        numbers of a job that has ended, are forgotten.
       refusal_pause: Pause of an agent whose executor refused a start.
       overdue_factor: Multiple of the expected run time after which a run is
         taken to stand still.
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -436,3 +436,23 @@
         ping = ContactPing(stamp=now, load=load(free=0, seen=1))
         effects += leased.on_ping(agent(), ping, now) + leased.tick(now)
     assert outcomes(effects) == [(KEY, JobOutcome.EXPIRED)]
+
+
+def test_job_submitted_again_begins_above_its_earlier_runs():
+    """Guards against a late word on an earlier run that ends the new one.
+
+    The caller left and came back to the same entry; the answer to the stop of
+    its first run is still under way when the second one is asked for.
+    """
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    leased.abandon(KEY, 0.1)
+    leased.tick(LEASE.rerun_wait + 0.1)
+    now = LEASE.rerun_wait + 0.2
+    leased.on_ping(agent(), ContactPing(stamp=now, load=load()), now)
+    assert placed(leased.submit(request(), now)) == [("agent-1", TASK, 2)]
+    stopped = reports((TASK, 1, RunEnd.STOPPED, 0.0))
+    assert placed(leased.on_reports(agent(), stopped, now)) == []
+    ended = leased.on_reports(agent(), reports(done(TASK, 2)), now)
+    assert outcomes(ended) == [(KEY, JobOutcome.COMPLETED)]
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -64,6 +64,7 @@
       alive: Whether it runs.
       hold_in_flight: Whether an agent waits for its executor's list.
       deferred: What came while it was frozen, as (action, arguments).
+      streams: Number of the stream to each peer, as it knows it.
     """
 
     member: Member
@@ -72,6 +73,7 @@
     alive: bool = True
     hold_in_flight: bool = False
     deferred: list = dataclasses.field(default_factory=list)
+    streams: dict = dataclasses.field(default_factory=dict)
 
 
 class LeaseOracle:
@@ -266,6 +268,7 @@
 
     def _connected(self, node, peer, pair, link):
         if self._links.get(pair) == link:
+            node.streams[peer.member_id] = link
             self.run(node, node.machine.on_connected(peer, self.now))
 
     def reset(self, pair):
@@ -278,15 +281,20 @@
     def _disconnect(self, pair):
         del self._links[pair]
         agent, entry = self.agents[pair[0]], self.entries[pair[1]]
-        self.when_awake(agent, agent.machine.on_disconnected, entry.member)
-        self.when_awake(entry, entry.machine.on_disconnected, agent.member)
+        self.when_awake(agent, self._disconnected, agent, entry.member)
+        self.when_awake(entry, self._disconnected, entry, agent.member)
+
+    def _disconnected(self, node, peer):
+        node.streams.pop(peer.member_id, None)
+        node.machine.on_disconnected(peer)
 
     def _send(self, node, to, message):
         name = node.member.member_id
         is_agent = node.member.role is Role.AGENT
         pair = (name, to) if is_agent else (to, name)
-        link = self._links.get(pair)
-        if link is None:
+        # What goes into a stream that is broken already is lost.
+        link = node.streams.get(to)
+        if link is None or self._links.get(pair) != link:
             return
         if self.is_cut(name, to):
             # Bytes wait for the end of the cut, or die with the stream.
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -35,6 +35,11 @@
         # A freeze that was made longer let a stop overtake its start on one
         # stream; the world keeps the order of a stream now.
         31005,
+        # A process that had not heard of a new stream sent into it.
+        42073,
+        # A late word on a run counted for one with the same number, asked for
+        # after its job came back to the same entry.
+        42082,
     ],
 )
 def test_seeds_that_once_failed(seed):
@@ -59,7 +64,7 @@
     monkeypatch.setattr(LeasedOwner, "_drop", _drop_without_stop)
 
 
-def _drop_without_stop(self, job):
+def _drop_without_stop(self, job, now):
     self._jobs.pop(job.key, None)
     self._waiting.pop(job.key, None)
     return []
