--- a/soak/executor.py
+++ b/soak/executor.py
@@ -39,6 +39,9 @@
         self._calls = set()
         super().__init__(world, name, zone)
 
+    def _check_place(self):
+        """The soak has a check of its own for places; see `_check_start`."""
+
     def announce_once(self):
         """Sends a heartbeat over HTTP."""
         if not self.up:
