--- a/gypsumline/core/leases/attempt_book.py
+++ b/gypsumline/core/leases/attempt_book.py
@@ -37,7 +37,10 @@
 
     def forget(self, now: float) -> None:
         """Forgets the numbers of jobs that ended long ago."""
-        for key, (_, ended_at) in list(self._highest.items()):
+        expired = []
+        for key, (_, ended_at) in self._highest.items():
             if now - ended_at <= self._keep_time:
                 break
+            expired.append(key)
+        for key in expired:
             del self._highest[key]
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -112,18 +112,11 @@
 
     def usable(self, service: str, now: float) -> list[AgentView]:
         """Returns the agents that may be given runs of a service."""
-        return [
-            view
-            for view in self._agents.values()
-            if view.service == service and self.is_usable(view, now)
-        ]
+        return list(self._usable(service, now))
 
     def has_usable(self, service: str, now: float) -> bool:
         """Returns whether any agent may be given runs of a service."""
-        return any(
-            view.service == service and self.is_usable(view, now)
-            for view in self._agents.values()
-        )
+        return any(True for _ in self._usable(service, now))
 
     def is_usable(self, view: AgentView, now: float) -> bool:
         """Returns whether an agent may be given runs."""
@@ -133,3 +126,10 @@
             and view.paused_until <= now
             and now - view.heard_at <= self._silence_limit
         )
+
+    def _usable(self, service: str, now: float) -> Iterator[AgentView]:
+        return (
+            view
+            for view in self._agents.values()
+            if view.service == service and self.is_usable(view, now)
+        )
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -234,11 +234,15 @@
     # Placement.
 
     def _place_jobs(self, jobs: list[LeasedJob], now: float) -> list[Effect]:
+        if not jobs:
+            return []
         this_pass = PlacementPass(lambda service: self._usable(service, now))
         effects: list[Effect] = []
         for job in jobs:
             effects += self._place_job(job, this_pass, now)
-        return effects + self._send_starts(this_pass.runs, now)
+        placed = this_pass.runs
+        wish = self._wish(now) if placed else None
+        return [*effects, *(start_message(runs, wish) for runs in placed)]
 
     def _place_job(
         self, job: LeasedJob, this_pass: PlacementPass, now: float
@@ -336,12 +340,6 @@
         self._health.on_placed(run.executor)
         return run
 
-    def _send_starts(
-        self, placed: list[list[PlacedRun]], now: float
-    ) -> list[Effect]:
-        wish = self._wish(now) if placed else None
-        return [start_message(runs, wish) for runs in placed]
-
     def _pong(self, view: AgentView, now: float) -> Send:
         pong = ContactPong(stamp=view.stamp, wish=self._wish(now))
         return Send(to=view.member.member_id, message=pong)
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -154,8 +154,7 @@
         if order.lease_until <= self.clock:
             return OrderAnswer.LATE
         self._check_start(order)
-        if not is_late:
-            self._check_place()
+        self._check_place(is_late)
         world = self.world
         time = world.rng.choice((0.05, 0.2, 1.0))
         if world.now < self.hangs_until:
@@ -180,9 +179,9 @@
         if used + size > self.capacity.processor:
             oracle.fail(f"{world.now:.3f} over capacity: {self.name}")
 
-    def _check_place(self):
+    def _check_place(self, is_late):
         world = self.world
-        if not world.is_in_touch(self.name):
+        if is_late or not world.is_in_touch(self.name):
             return
         out_since = world.out_since.get(self.zone, math.inf)
         if world.now - out_since > EVACUATE_SECONDS:
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -102,13 +102,13 @@
 )
 
 
-def walk(seed, steps=STEPS, actions=ACTIONS):
+def walk(seed, steps=STEPS):
     """Returns the world after one walk."""
     rng = random.Random(seed)
     world = LeaseWorld(seed, entries=rng.choice((2, 3)), agents=3)
     world.run_until(1.0)
     for _ in range(steps):
-        rng.choice(actions)(world, rng)
+        rng.choice(ACTIONS)(world, rng)
         world.run_until(world.now + rng.uniform(0.0, 2.0 * STEP))
         if world.oracle.violations:
             return world
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -39,9 +39,6 @@
         self._calls = set()
         super().__init__(world, name, zone)
 
-    def _check_place(self):
-        """The soak has a check of its own for places; see `_check_start`."""
-
     def announce_once(self):
         """Sends a heartbeat over HTTP."""
         if not self.up:
@@ -122,8 +119,7 @@
 
         return answer
 
-    def _check_start(self, order):
-        super()._check_start(order)
+    def _check_place(self, is_late):
         self.world.check_zone(self)
 
     def _poll(self, life):
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,8 @@
 
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import HttpError
-from properties.lease_world import LeaseOracle
+from properties.lease_executor import EVACUATE_SECONDS
+from properties.lease_world import CONTACT_SECONDS, LeaseOracle
 from soak.executor import running_executor
 from soak.programs import Program
 from soak.proxy import Proxy
@@ -20,8 +21,6 @@
 CALLER_PORT, READY_PORT, CONTROL_PORT, APP_PORT = 8161, 8167, 8166, 8165
 STREAM_PORT, STORE_PORT, PROXY_PORT = 7720, 8169, 9000
 RESUBMIT_SECONDS = 1.3
-EVACUATE_SECONDS = 5.0
-CONTACT_SECONDS = 3.0
 CALLER_TIMEOUT_SECONDS = 6.0
 ENTRIES_TABLE = "gypsumline-entries"
 
