Log what an entry knew when no route took a request

Operators saw a 404 for a route that had been added, and the logs could not tell a late configuration from an old read, a loaded process or an unreadable text.

A request without a route now leaves a line with the version in force and the time since the store answered; a configuration says by what way it came and how old it can be; ignored reads and late timers leave a line; jobs carry the version that routed them. The silence of the store is a metric. Lines for requests go through the bounded decision log.

--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -67,6 +67,7 @@
       queue: Rules of its queue.
       steps: Its tasks.
       timeout: Seconds for which the caller waits.
+      configuration: Version of the configuration that routed it.
     """
 
     key: str
@@ -74,6 +75,7 @@
     queue: QueueRules
     steps: tuple[JobStep, ...]
     timeout: float
+    configuration: int = -1
 
 
 class TaskPhase(enum.Enum):
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -131,6 +131,7 @@
         fields={
             "job": refusal.key,
             "queue": job.request.queue.name,
+            "configuration": job.request.configuration,
             "reason": refusal.reason,
             "wait": round(refusal.retry_after, 3),
             "waiting_jobs": waiting,
@@ -147,6 +148,7 @@
         fields={
             "job": ended.key,
             "queue": job.request.queue.name,
+            "configuration": job.request.configuration,
             "outcome": ended.outcome.value,
             "reason": ended.reason,
             "age": round(now - job.received_at, 3),
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -52,26 +52,31 @@
         )
         self._node = LeasedEntryNode(owner, daemon.decision_log)
         self._routes = Routes()
-        self._ingress = Ingress(self._node, self._routes)
         self._store = Store(settings.store_address, FEED_WAIT_SECONDS)
-        self._is_stopping = False
-
-    async def run(self) -> None:
-        """Serves until a planned stop is done."""
-        daemon = self._daemon
-        announcer = EntryAnnouncer(self._store, daemon.me, daemon.rng)
-        follower = TableFollower(
+        self._follower = TableFollower(
             self._store,
             OPERATOR_TABLE,
             self._replace_rows,
             self._change_rows,
             daemon.rng,
         )
+        self._ingress = Ingress(
+            self._node,
+            self._routes,
+            daemon.decision_log,
+            lambda: self._follower.silence,
+        )
+        self._is_stopping = False
+
+    async def run(self) -> None:
+        """Serves until a planned stop is done."""
+        daemon = self._daemon
+        announcer = EntryAnnouncer(self._store, daemon.me, daemon.rng)
         daemon.timers.subscribe(TICK_SECONDS, self._node.tick)
         async with (
             self._running_hub(),
             self._running_servers() as callers,
-            running_tasks(follower.run(), announcer.run()),
+            running_tasks(self._follower.run(), announcer.run()),
         ):
             await daemon.signals.wait()
             await self._stop(callers)
--- a/gypsumline/platform/follower.py
+++ b/gypsumline/platform/follower.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -13,6 +15,8 @@
     Store,
     StoreUnavailableError,
 )
+from gypsumline.runtime import metrics
+from gypsumline.runtime.logs import seconds
 
 _BACKOFF_FIRST_SECONDS = 0.05
 _BACKOFF_LAST_SECONDS = 1.0
@@ -41,6 +45,13 @@
         self._version: int | None = None
         self._backoff = _BACKOFF_FIRST_SECONDS
         self._is_lost = False
+        self._heard_at = -math.inf
+        metrics.STORE_SILENCE.labels(table).set_function(lambda: self.silence)
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the store's newest answer; infinite before one."""
+        return asyncio.get_running_loop().time() - self._heard_at
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -62,15 +73,25 @@
                     self._log("store regained", "")
 
     async def _step(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         if self._version is None:
-            rows = await self._store.read(self._table)
+            rows = self._heard(await self._store.read(self._table), asked_at)
             self._on_replaced(rows)
         else:
-            rows = await self._store.follow(self._table, self._version)
+            answer = await self._store.follow(self._table, self._version)
+            rows = self._heard(answer, asked_at)
             if rows.rows:
                 self._on_changed(rows)
         self._version = rows.version
 
+    def _heard(self, rows: RowSet, asked_at: float) -> RowSet:
+        """Notes an answer; returns it with its age."""
+        now = asyncio.get_running_loop().time()
+        heard_at, self._heard_at = self._heard_at, now
+        return dataclasses.replace(
+            rows, waited=now - asked_at, silence=now - heard_at
+        )
+
     async def _pause(self) -> None:
         await asyncio.sleep(self._backoff * self._rng.uniform(0.5, 1.5))
         self._backoff = min(2.0 * self._backoff, _BACKOFF_LAST_SECONDS)
@@ -81,6 +102,7 @@
             extra={
                 "table": self._table,
                 "version": self._version,
+                "silence": seconds(self.silence),
                 "detail": detail,
             },
         )
--- a/gypsumline/platform/ingress.py
+++ b/gypsumline/platform/ingress.py
@@ -7,9 +7,11 @@
 import math
 import re
 import urllib.parse
+from collections.abc import Callable
 
 import msgspec
 
+from gypsumline.core.effects import Decision
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.job import JobRequest, JobStep
 from gypsumline.core.leases.resources import Resources
@@ -18,6 +20,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_messages import HttpAnswer
 from gypsumline.runtime.light_http_server import Exchange
+from gypsumline.runtime.logs import DecisionLog, seconds
 
 _TIMEOUT_HEADER = "x-gypsumline-timeout-remaining"
 # Used where a caller does not say how long it waits.
@@ -58,9 +61,17 @@
 class Ingress:
     """Translates callers' requests to jobs, and ends of jobs to answers."""
 
-    def __init__(self, node: LeasedEntryNode, routes: Routes) -> None:
+    def __init__(
+        self,
+        node: LeasedEntryNode,
+        routes: Routes,
+        decision_log: DecisionLog,
+        store_silence: Callable[[], float],
+    ) -> None:
         self._node = node
         self._routes = routes
+        self._log = decision_log
+        self._store_silence = store_silence
         self._is_closing = False
 
     def refuse_jobs(self) -> None:
@@ -72,10 +83,12 @@
         request = exchange.request
         path = urllib.parse.urlsplit(request.target).path
         if self._routes.version < 0:
+            self._log_unrouted("no_configuration", exchange, path)
             exchange.answer(_refusal("no configuration", _START_RETRY_SECONDS))
             return
         route = self._routes.find(request.headers.get("host", ""), path)
         if route is None:
+            self._log_unrouted("queue_unknown", exchange, path)
             exchange.answer(
                 _problem(http.HTTPStatus.NOT_FOUND, "no such queue")
             )
@@ -90,6 +103,22 @@
         else:
             self._handle_job(exchange, route, key)
 
+    def _log_unrouted(self, event: str, exchange: Exchange, path: str) -> None:
+        """Logs a request that no route took, and what was known then."""
+        request = exchange.request
+        self._log.write(
+            Decision(
+                event=event,
+                fields={
+                    "method": request.method,
+                    "host": request.headers.get("host", "")[:80],
+                    "path": path[:80],
+                    "configuration": self._routes.version,
+                    "store_silence": seconds(self._store_silence()),
+                },
+            )
+        )
+
     def _handle_job(self, exchange: Exchange, route: Route, key: str) -> None:
         method = exchange.request.method
         if method == "POST":
@@ -131,7 +160,9 @@
                 _refusal("kind of job not served", _START_RETRY_SECONDS)
             )
         else:
-            self._run(exchange, _job_request(exchange, route, key, wire))
+            version = self._routes.version
+            request = _job_request(exchange, route, version, key, wire)
+            self._run(exchange, request)
 
     def _run(self, exchange: Exchange, request: JobRequest) -> None:
         def on_ended(ended: JobEnded) -> None:
@@ -173,7 +204,7 @@
 
 
 def _job_request(
-    exchange: Exchange, route: Route, key: str, wire: _WireJob
+    exchange: Exchange, route: Route, version: int, key: str, wire: _WireJob
 ) -> JobRequest:
     steps = tuple(
         JobStep(
@@ -195,6 +226,7 @@
         queue=route.queue,
         steps=steps,
         timeout=_timeout(exchange),
+        configuration=version,
     )
 
 
--- a/gypsumline/platform/routes.py
+++ b/gypsumline/platform/routes.py
@@ -12,6 +12,7 @@
 from gypsumline.platform.store import RowSet, StoredRow
 from gypsumline.runtime import metrics
 from gypsumline.runtime.light_http_server import HttpLimits
+from gypsumline.runtime.logs import seconds
 
 OPERATOR_TABLE = "op"
 _CONFIGURATION_KEY = "config"
@@ -94,6 +95,14 @@
     def replace(self, rows: RowSet) -> None:
         """Takes all rows of the operator's table."""
         if rows.version < self._table_version:
+            _LOGGER.warning(
+                "read is older than what is known",
+                extra={
+                    "row_version": rows.version,
+                    "known_row_version": self._table_version,
+                    "silence": seconds(rows.silence),
+                },
+            )
             return
         self._zones_out = set()
         self.apply(rows)
@@ -102,7 +111,7 @@
         """Takes changed rows of the operator's table."""
         for row in rows.rows:
             if row.key == _CONFIGURATION_KEY:
-                self._take_configuration(row)
+                self._take_configuration(row, rows)
             elif row.key.startswith(_ZONE_OUT_PREFIX):
                 self._take_zone(row)
         self._table_version = max(self._table_version, rows.version)
@@ -122,7 +131,7 @@
             },
         )
 
-    def _take_configuration(self, row: StoredRow) -> None:
+    def _take_configuration(self, row: StoredRow, rows: RowSet) -> None:
         try:
             wire = msgspec.json.decode(
                 row.value or b"", type=_WireConfiguration
@@ -135,6 +144,10 @@
             )
             return
         if wire.version <= self._version:
+            _LOGGER.info(
+                "configuration is not newer",
+                extra={"version": wire.version, "in_force": self._version},
+            )
             return
         self._version = wire.version
         self._by_host = _index(wire.routes)
@@ -150,6 +163,9 @@
                 "version": wire.version,
                 "row_version": row.version,
                 "queues": len(wire.routes),
+                "source": rows.source.value,
+                "waited": seconds(rows.waited),
+                "silence": seconds(rows.silence),
             },
         )
 
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -5,7 +5,9 @@
 import base64
 import binascii
 import dataclasses
+import enum
 import http
+import math
 import urllib.parse
 
 import msgspec
@@ -54,6 +56,13 @@
     is_removed: bool
 
 
+class RowSource(enum.StrEnum):
+    """How rows were asked for."""
+
+    READ = "read"
+    FEED = "feed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RowSet:
     """Rows as of one moment.
@@ -62,11 +71,18 @@
       rows: The rows, by key.
       version: Newest version that they take account of.
       store_time: Seconds on the store's steady clock.
+      source: How they were asked for.
+      waited: Seconds from the request to the answer.
+      silence: Seconds since the reader's answer before this one, so the rows
+        are at most this old; infinite for the first answer.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     store_time: float
+    source: RowSource = RowSource.READ
+    waited: float = 0.0
+    silence: float = math.inf
 
 
 class _WireRow(msgspec.Struct):
@@ -111,7 +127,7 @@
                 break
             # The range includes its first key, so it begins just after it.
             start = page.rows[-1].key + "\0"
-        return _row_set(rows, page)
+        return _row_set(rows, page, RowSource.READ)
 
     async def follow(self, table: str, after: int) -> RowSet:
         """Returns the rows that changed after a version; may return none.
@@ -128,7 +144,8 @@
         target = f"/v1/rows-feed?{urllib.parse.urlencode(query)}"
         timeout = self._feed_wait + FEED_SLACK_SECONDS
         page = _decode_rows(await self._get(self._feeds, target, timeout))
-        return _row_set([_row(row) for row in page.rows], page)
+        rows = [_row(row) for row in page.rows]
+        return _row_set(rows, page, RowSource.FEED)
 
     async def write(
         self,
@@ -205,9 +222,14 @@
         raise StoreUnavailableError(f"unreadable rows: {error}") from error
 
 
-def _row_set(rows: list[StoredRow], page: _WireRows) -> RowSet:
+def _row_set(
+    rows: list[StoredRow], page: _WireRows, source: RowSource
+) -> RowSet:
     return RowSet(
-        rows=tuple(rows), version=page.ver, store_time=page.now_ms / 1000.0
+        rows=tuple(rows),
+        version=page.ver,
+        store_time=page.now_ms / 1000.0,
+        source=source,
     )
 
 
--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import logging.handlers
+import math
 import sys
 from typing import TextIO
 
@@ -72,6 +73,11 @@
         logging.getLogger(name).setLevel(logging.WARNING)
 
 
+def seconds(value: float) -> float | None:
+    """Returns seconds as they are logged; None for an infinite time."""
+    return round(value, 3) if math.isfinite(value) else None
+
+
 class DecisionLog:
     """Writes one line for each decision, up to a limit per second.
 
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -45,6 +45,15 @@
 CONFIGURATION_VERSION = Gauge(
     "gypsumline_configuration_version", "Configuration version in force."
 )
+STORE_SILENCE = Gauge(
+    "gypsumline_store_silence_seconds",
+    "Seconds since the platform's store answered a reader of a table.",
+    ["table"],
+)
+LATE_TIMERS = Counter(
+    "gypsumline_late_timers_total",
+    "Timer calls that came late enough to be logged.",
+)
 FRESH = Gauge(
     "gypsumline_control_fresh", "1 while the evidence is fresh, else 0."
 )
--- a/gypsumline/runtime/timers.py
+++ b/gypsumline/runtime/timers.py
@@ -10,7 +10,11 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
+from gypsumline.runtime import metrics
+
 SHARED_WAKE_SECONDS = 0.001
+# A process whose timers are this late was held up or stood still.
+LATE_SECONDS = 0.25
 
 Callback = Callable[[], None]
 
@@ -77,7 +81,12 @@
 
     def _call_due(self) -> None:
         # Callbacks that are nearly due share one wake-up.
-        until = asyncio.get_running_loop().time() + SHARED_WAKE_SECONDS
+        now = asyncio.get_running_loop().time()
+        if self._heap and now - self._heap[0][0] > LATE_SECONDS:
+            metrics.LATE_TIMERS.inc()
+            late = round(now - self._heap[0][0], 3)
+            _LOGGER.warning("timers are late", extra={"late": late})
+        until = now + SHARED_WAKE_SECONDS
         while self._heap and self._heap[0][0] <= until:
             subscription = heapq.heappop(self._heap)[2]
             if subscription.cancelled:
--- a/gypsumline/tests/platform/test_ingress.py
+++ b/gypsumline/tests/platform/test_ingress.py
@@ -1,5 +1,7 @@
 """Tests of callers' requests."""
 
+import math
+
 import msgspec
 import pytest
 
@@ -7,6 +9,7 @@
 from gypsumline.platform.ingress import Ingress
 from gypsumline.platform.routes import Routes
 from gypsumline.runtime.http_messages import HttpRequest
+from gypsumline.runtime.logs import DecisionLog
 from gypsumline.tests.platform.test_routes import configuration, row, rows
 
 KEY = "5c0e7a21d94b36f8"
@@ -72,7 +75,11 @@
     routes = Routes()
     content = configuration(1, ("r1", "h.example", "/q/"))
     routes.replace(rows(row("config", content)))
-    return Ingress(node, routes)
+    return new_ingress(node, routes)
+
+
+def new_ingress(node, routes, silence=0.5):
+    return Ingress(node, routes, DecisionLog(100), lambda: silence)
 
 
 def post(ingress, job, key=KEY, **headers):
@@ -171,5 +178,25 @@
     ingress(exchange)
     assert exchange.answers[0].body == b'{"pending":3}'
     exchange = FakeExchange("POST", f"/q/{KEY}")
-    Ingress(node, Routes())(exchange)
+    new_ingress(node, Routes())(exchange)
     assert exchange.answers[0].status == 503
+
+
+def test_request_without_a_route_is_logged_with_what_was_known(ingress, caplog):
+    """Guards against a 404 that the log cannot explain."""
+    with caplog.at_level("INFO"):
+        ingress(FakeExchange("GET", "/other/"))
+    line = caplog.records[-1]
+    assert line.message == "queue_unknown"
+    assert (line.host, line.path) == ("h.example", "/other/")
+    assert (line.configuration, line.store_silence) == (1, 0.5)
+
+
+def test_request_before_the_first_configuration_is_logged(node, caplog):
+    """Guards against a 503 that the log cannot explain."""
+    with caplog.at_level("INFO"):
+        ingress = new_ingress(node, Routes(), silence=math.inf)
+        ingress(FakeExchange("GET", "/q/"))
+    line = caplog.records[-1]
+    assert line.message == "no_configuration"
+    assert line.store_silence is None
--- a/gypsumline/tests/platform/test_routes.py
+++ b/gypsumline/tests/platform/test_routes.py
@@ -82,3 +82,23 @@
     routes.replace(rows(row("evacuate/a", {}), version=3))
     routes.replace(rows(version=9))
     assert routes.zones_out.zones == ()
+
+
+def test_ignored_rows_are_logged(caplog):
+    """Guards against an old read that leaves no trace."""
+    routes = Routes()
+    routes.replace(rows(row("config", configuration(5, ("r5", "h", "/")))))
+    routes.apply(rows(version=9))
+    with caplog.at_level("INFO"):
+        routes.replace(rows(version=7))
+        routes.apply(rows(row("config", configuration(4, ("r4", "h", "/")))))
+    old_read, old_configuration = caplog.records
+    assert (old_read.row_version, old_read.known_row_version) == (7, 9)
+    assert (old_configuration.version, old_configuration.in_force) == (4, 5)
+
+
+def test_configuration_is_logged_with_the_way_it_came(caplog):
+    with caplog.at_level("INFO"):
+        Routes().replace(rows(row("config", configuration(5))))
+    line = caplog.records[-1]
+    assert (line.source, line.silence) == ("read", None)
