Reproduce late configurations in virtual time

The tests run the real client, reader and routes in an event loop whose clock and network are in memory, so they take 2 s for minutes of virtual time and their verdict does not depend on the machine. The soak's store moves to gypsumline/testing and serves them too; a silent store now also keeps the answers that it owed before, as the platform's does.

--- a/soak/store.py
+++ b/gypsumline/testing/rows_store.py
@@ -6,35 +6,45 @@
 import base64
 import contextlib
 import json
+import random
 import urllib.parse
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from gypsumline.runtime.http_messages import HttpAnswer
 from gypsumline.runtime.light_http_server import (
+    Exchange,
     HttpLimits,
     running_light_server,
 )
 
+Put = tuple[str, str, bytes]
+# Changes a value for one reader: table, key, value.
+Translate = Callable[[str, str, bytes], bytes]
 
-def _answer(body, status=200):
+
+def _answer(body: object, status: int = 200) -> HttpAnswer:
     return HttpAnswer(status=status, body=json.dumps(body).encode())
 
 
 class Rows:
     """All rows, their history, and who waits for a change."""
 
-    def __init__(self, loop):
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self.rows = {}  # (table, key) -> (value, version)
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.version = 0
-        self.history = []
+        self.history: list[tuple[int, str, str, bytes | None]] = []
         self.oldest = 0  # versions up to this are no longer in the history
         self.changed = asyncio.Event()
 
     @property
-    def now_ms(self):
+    def now_ms(self) -> float:
+        """Milliseconds on the store's steady clock."""
         return 1000.0 * self._loop.time()
 
-    def write(self, puts, removals=()):
+    def write(
+        self, puts: Iterable[Put], removals: Iterable[tuple[str, str]] = ()
+    ) -> None:
         """Writes rows in one transaction."""
         self.version += 1
         for table, key, value in puts:
@@ -46,7 +56,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def forget_history(self):
+    def forget_history(self) -> None:
         """Drops the history, as the platform may do at any time."""
         self.history.clear()
         self.oldest = self.version
@@ -61,19 +71,22 @@
       fault: "", "busy", "silent", "slow", "lost" or "late".
     """
 
-    def __init__(self, rows, translate, rng):
+    def __init__(
+        self, rows: Rows, translate: Translate, rng: random.Random
+    ) -> None:
         self._rows = rows
         self._translate = translate
         self._rng = rng
-        self._tasks = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self.fault = ""
 
-    def __call__(self, exchange):
+    def __call__(self, exchange: Exchange) -> None:
+        """Serves a call, or not."""
         task = asyncio.create_task(self._serve(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, exchange):
+    async def _serve(self, exchange: Exchange) -> None:
         fault = self.fault
         if fault == "busy":
             exchange.answer(HttpAnswer(status=503))
@@ -85,15 +98,20 @@
         path, _, query = exchange.request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         if path == "/v1/rows-get":
-            exchange.answer(self._get(fields))
+            self._send(exchange, self._get(fields))
         elif path == "/v1/rows-feed":
-            exchange.answer(await self._feed(fields))
+            self._send(exchange, await self._feed(fields))
         elif path == "/v1/rows-tx":
             await self._write(exchange, fault)
         else:
             exchange.answer(HttpAnswer(status=404))
 
-    def _get(self, fields):
+    def _send(self, exchange: Exchange, answer: HttpAnswer) -> None:
+        """Sends an answer; a silent store keeps also those it owed before."""
+        if self.fault != "silent":
+            exchange.answer(answer)
+
+    def _get(self, fields: dict[str, str]) -> HttpAnswer:
         rows = [
             self._row(table, key, value, version)
             for (table, key), (value, version) in sorted(
@@ -110,7 +128,7 @@
             }
         )
 
-    async def _feed(self, fields):
+    async def _feed(self, fields: dict[str, str]) -> HttpAnswer:
         after, table = int(fields["after"]), fields["table"]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(fields["wait_ms"]) / 1000.0):
@@ -128,14 +146,14 @@
             }
         )
 
-    def _changes(self, table, after):
+    def _changes(self, table: str, after: int) -> list[dict[str, object]]:
         return [
             self._row(table, key, value, version)
             for version, name, key, value in self._rows.history
             if name == table and version > after
         ]
 
-    async def _write(self, exchange, fault):
+    async def _write(self, exchange: Exchange, fault: str) -> None:
         body = json.loads(exchange.request.body)
         if fault == "late":
             await asyncio.sleep(self._rng.uniform(1.0, 4.0))
@@ -154,7 +172,9 @@
         if fault not in ("lost", "late"):
             exchange.answer(_answer({"ver": self._rows.version}))
 
-    def _row(self, table, key, value, version):
+    def _row(
+        self, table: str, key: str, value: bytes | None, version: int
+    ) -> dict[str, object]:
         if value is None:
             return {"table": table, "key": key, "ver": version, "removed": True}
         value = self._translate(table, key, value)
@@ -163,7 +183,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_door(address, rows, translate, rng):
+async def running_door(
+    address: str, rows: Rows, translate: Translate, rng: random.Random
+) -> AsyncIterator[StoreDoor]:
     """Yields the store as one process sees it, at an address of its own."""
     door = StoreDoor(rows, translate, rng)
     limits = HttpLimits(idle_timeout=3600.0)
--- /dev/null
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -0,0 +1,134 @@
+"""When a configuration change is in force, in virtual time.
+
+The operators' store and the network are in memory, so the limits are those of
+the settings and the verdict is always the same.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+
+from gypsumline.platform.entry_daemon import FEED_WAIT_SECONDS
+from gypsumline.platform.follower import TableFollower
+from gypsumline.platform.routes import OPERATOR_TABLE, Routes
+from gypsumline.platform.store import Store
+from gypsumline.testing.rows_store import Rows, running_door
+from gypsumline.testing.virtual_time import run_in_virtual_time
+from gypsumline.tests.platform.test_routes import configuration
+
+ADDRESS = "10.200.1.7:8169"
+# Callers may rely on a change this long after the end of trouble with the
+# store, if it was acknowledged at least so long before.
+CONTACT_SECONDS = 3.0
+APPLY_SECONDS = 2.0
+CHANGE_INTERVAL_SECONDS = 0.1
+CHECK_INTERVAL_SECONDS = 0.02
+
+
+class World:
+    """A store, the operator who writes to it, and the routes of an entry."""
+
+    def __init__(self, loop, rows, door, routes):
+        self.loop = loop
+        self.rows = rows
+        self.door = door
+        self.routes = routes
+        self.acknowledged = []  # (time, version)
+
+    def change(self):
+        """Writes the next version of the configuration."""
+        version = len(self.acknowledged) + 1
+        value = msgspec.json.encode(configuration(version))
+        self.rows.write([(OPERATOR_TABLE, "config", value)])
+        self.acknowledged.append((self.loop.time(), version))
+
+    async def change_for(self, seconds):
+        """Makes changes one after the other."""
+        end = self.loop.time() + seconds
+        while self.loop.time() < end:
+            self.change()
+            await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
+
+    async def check_from(self, start, seconds):
+        """Returns the moments at which a change that is due is missing."""
+        late = []
+        await asyncio.sleep(start - self.loop.time())
+        while self.loop.time() < start + seconds:
+            now = self.loop.time()
+            due = [v for at, v in self.acknowledged if at < now - APPLY_SECONDS]
+            if due and self.routes.version < due[-1]:
+                late.append((round(now - start, 3), due[-1]))
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        return late
+
+
+@contextlib.asynccontextmanager
+async def running_world(loop):
+    rows, routes = Rows(loop), Routes()
+    store = Store(ADDRESS, FEED_WAIT_SECONDS)
+    follower = TableFollower(
+        store, OPERATOR_TABLE, routes.replace, routes.apply, random.Random(1)
+    )
+    async with running_door(
+        ADDRESS, rows, lambda _table, _key, value: value, random.Random(2)
+    ) as door:
+        world = World(loop, rows, door, routes)
+        world.change()
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        yield world
+        task.cancel()
+        store.close()
+
+
+async def late_after_silence(loop, seconds):
+    async with running_world(loop) as world:
+        world.change()
+        await asyncio.sleep(0.3)
+        world.door.fault = "silent"
+        await asyncio.sleep(seconds)
+        world.door.fault = ""
+        healed_at = loop.time()
+        changes = asyncio.create_task(world.change_for(CONTACT_SECONDS))
+        late = await world.check_from(healed_at + CONTACT_SECONDS, 6.0)
+        await changes
+        return late
+
+
+async def late_after_lost_connections(loop, change_before):
+    async with running_world(loop) as world:
+        await asyncio.sleep(1.0)
+        world.change()
+        await asyncio.sleep(change_before)
+        loop.silence_connections()
+        lost_at = loop.time()
+        changes = asyncio.create_task(world.change_for(CONTACT_SECONDS))
+        late = await world.check_from(lost_at + CONTACT_SECONDS, 6.0)
+        await changes
+        return late
+
+
+# Guards against changes that come into force too late because a request to the
+# store that is never answered hides them.
+def test_change_after_a_silence_of_the_store_is_in_force_in_time():
+    late = {}
+    for silence in (0.25 * step for step in range(1, 41)):
+        late[silence] = run_in_virtual_time(
+            lambda loop, silence=silence: late_after_silence(loop, silence)
+        )
+    assert {key: found[-1] for key, found in late.items() if found} == {}
+
+
+# Guards against the same where open connections go silent for good and only
+# new ones work.
+def test_change_after_connections_go_silent_is_in_force_in_time():
+    late = {}
+    for before in (0.0, 0.0015, 0.1, 0.5, 1.0, 1.5, 2.0, 2.5, 2.9):
+        late[before] = run_in_virtual_time(
+            lambda loop, before=before: late_after_lost_connections(
+                loop, before
+            )
+        )
+    assert {key: found[-1] for key, found in late.items() if found} == {}
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,12 +10,12 @@
 
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import HttpError
+from gypsumline.testing.rows_store import Rows, running_door
 from properties.lease_executor import EVACUATE_SECONDS
 from properties.lease_world import CONTACT_SECONDS, LeaseOracle
 from soak.executor import running_executor
 from soak.programs import Program
 from soak.proxy import Proxy
-from soak.store import Rows, running_door
 
 ZONES = ("north", "south", "west")
 CALLER_PORT, READY_PORT, CONTROL_PORT, APP_PORT = 8161, 8167, 8166, 8165
