Give up a request to the store within the bounds that callers rely on

Cause: a request to the store that is never answered hides all changes until it is given up. That took 3 s + 1 s, then a pause of up to 1.5 s, then further calls of 1 s each; the users' bounds are 3 s from the end of trouble and 2 s from the acknowledgement. The times were constants, and no inequality tied them to the bounds.

Change: the times of a reader follow from contact_ms and config_apply_ms of the settings file, FollowSettings refuses times that break the inequality, and bounds that no times keep end the start with the field. Agents, whose requests are many and whose table changes seldom, get four contact limits (before: 10 s + 1 s + 1.5 s, not tied to any bound).

--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -22,9 +22,6 @@
 from gypsumline.wire.hub import running_hub
 
 TICK_SECONDS = 0.03
-# A new entry is found at the latest this much later if the connection to the
-# store has gone silent; each wait that ends is a call that the users pay.
-FEED_WAIT_SECONDS = 10.0
 # Share of the time from the stop signal to the kill in which runs may end.
 _ENDING_SHARE = 0.8
 
@@ -43,13 +40,18 @@
         settings.executor_address, settings.lease.order_timeout
     )
     node = LeasedAgentNode(table, executor, daemon.decision_log)
-    store = Store(settings.store_address, FEED_WAIT_SECONDS)
+    store = Store(settings.store_address, settings.entries_feed)
     receiver = HeartbeatReceiver(node, settings.service)
     async with running_hub(daemon.me, node, daemon.rng) as hub:
         node.attach(hub)
         directory = EntryDirectory(hub.set_members)
         follower = TableFollower(
-            store, ENTRIES_TABLE, directory.replace, directory.apply, daemon.rng
+            store,
+            ENTRIES_TABLE,
+            directory.replace,
+            directory.apply,
+            settings.entries_feed,
+            daemon.rng,
         )
         daemon.timers.subscribe(TICK_SECONDS, node.tick)
         async with (
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -28,9 +28,6 @@
 from gypsumline.wire.hub import Hub, running_hub
 
 TICK_SECONDS = 0.03
-# A configuration change must be noticed well within its bound even if the
-# connection to the store has gone silent.
-FEED_WAIT_SECONDS = 3.0
 # Shares of the time from the stop signal to the kill: until then new jobs are
 # taken, and until then running jobs may end.
 _TAKING_SHARE = 0.4
@@ -52,12 +49,13 @@
         )
         self._node = LeasedEntryNode(owner, daemon.decision_log)
         self._routes = Routes()
-        self._store = Store(settings.store_address, FEED_WAIT_SECONDS)
+        self._store = Store(settings.store_address, settings.operator_feed)
         self._follower = TableFollower(
             self._store,
             OPERATOR_TABLE,
             self._replace_rows,
             self._change_rows,
+            settings.operator_feed,
             daemon.rng,
         )
         self._ingress = Ingress(
--- a/gypsumline/platform/follower.py
+++ b/gypsumline/platform/follower.py
@@ -17,9 +17,7 @@
 )
 from gypsumline.runtime import metrics
 from gypsumline.runtime.logs import seconds
-
-_BACKOFF_FIRST_SECONDS = 0.05
-_BACKOFF_LAST_SECONDS = 1.0
+from gypsumline.table.follow_settings import FollowSettings
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -35,15 +33,17 @@
         table: str,
         on_replaced: OnRows,
         on_changed: OnRows,
+        settings: FollowSettings,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._table = table
         self._on_replaced = on_replaced
         self._on_changed = on_changed
+        self._settings = settings
         self._rng = rng
         self._version: int | None = None
-        self._backoff = _BACKOFF_FIRST_SECONDS
+        self._backoff = settings.first_pause
         self._is_lost = False
         self._heard_at = -math.inf
         metrics.STORE_SILENCE.labels(table).set_function(lambda: self.silence)
@@ -67,7 +67,7 @@
                     self._log("store lost", str(error))
                 await self._pause()
             else:
-                self._backoff = _BACKOFF_FIRST_SECONDS
+                self._backoff = self._settings.first_pause
                 if self._is_lost:
                     self._is_lost = False
                     self._log("store regained", "")
@@ -93,8 +93,8 @@
         )
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self._backoff * self._rng.uniform(0.5, 1.5))
-        self._backoff = min(2.0 * self._backoff, _BACKOFF_LAST_SECONDS)
+        await asyncio.sleep(self._backoff * self._rng.uniform(0.5, 1.0))
+        self._backoff = min(2.0 * self._backoff, self._settings.last_pause)
 
     def _log(self, event: str, detail: str) -> None:
         _LOGGER.info(
--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -13,6 +13,7 @@
 
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
 from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.table.follow_settings import FollowSettings, follow_settings
 
 PATH_VARIABLE = "GYPSUMLINE_NODE_FILE"
 DEFAULT_PATH = "/etc/gypsumline/boot.conf"
@@ -28,6 +29,11 @@
 _STOP_MS = 50.0
 _GRACE_S = 6.0
 _REMOTE_FACTOR = 1.5
+_CONTACT_MS = 3000.0
+_CONFIG_APPLY_MS = 2000.0
+# There are many agents, each request of theirs is paid, and an entry that one
+# of them does not know yet is served by the others.
+_ENTRIES_CONTACTS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,6 +55,8 @@
       stop_limit: Time from the stop signal to the kill.
       remote_factor: Multiple of a run time away from its data's rack.
       lease: Times of leased runs.
+      operator_feed: Times of an entry that follows the operator's table.
+      entries_feed: Times of an agent that follows the table of entries.
     """
 
     member_id: str
@@ -64,6 +72,8 @@
     stop_limit: float
     remote_factor: float
     lease: LeaseSettings
+    operator_feed: FollowSettings
+    entries_feed: FollowSettings
 
 
 def settings_path() -> pathlib.Path:
@@ -103,6 +113,8 @@
         "stop_limit": fields.number("bounds.grace_s", _GRACE_S),
         "remote_factor": fields.number("bounds.remote_factor", _REMOTE_FACTOR),
         "lease": _lease_settings(fields),
+        "operator_feed": _follow_settings(fields, 1.0),
+        "entries_feed": _follow_settings(fields, _ENTRIES_CONTACTS),
     }
     if fields.errors:
         raise InvalidInputGroup("settings file is invalid", fields.errors)
@@ -130,6 +142,17 @@
         return LeaseSettings()
 
 
+def _follow_settings(fields: _Fields, contacts: float) -> FollowSettings:
+    """Returns the times of a reader that may take so many contact limits."""
+    contact = fields.number("bounds.contact_ms", _CONTACT_MS) / 1000.0
+    apply = fields.number("bounds.config_apply_ms", _CONFIG_APPLY_MS) / 1000.0
+    try:
+        return follow_settings(contact, apply, contacts * contact)
+    except InvalidInputError as error:
+        fields.errors.append(error)
+        return FollowSettings()
+
+
 def _split(text: str) -> list[tuple[str, str]]:
     lines = [line.strip() for line in text.splitlines()]
     pairs = [line.partition("=") for line in lines if line and "=" in line]
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -15,10 +15,9 @@
 from gypsumline.core.errors import GypsumlineError
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import HttpAnswer, HttpError
+from gypsumline.table.follow_settings import FollowSettings
 
-CALL_TIMEOUT_SECONDS = 1.0
-# The store may answer a feed this much later than the wait that it was given.
-FEED_SLACK_SECONDS = 1.0
+WRITE_TIMEOUT_SECONDS = 1.0
 _ROWS_PER_READ = 500
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -102,10 +101,10 @@
 class Store:
     """Reads, writes and follows rows that have no partition."""
 
-    def __init__(self, address: str, feed_wait: float) -> None:
+    def __init__(self, address: str, settings: FollowSettings) -> None:
         self._calls = HttpClient(address, connections=2)
         self._feeds = HttpClient(address, connections=2)
-        self._feed_wait = feed_wait
+        self._settings = settings
 
     async def read(self, table: str) -> RowSet:
         """Returns all rows of a table.
@@ -120,7 +119,8 @@
             if start:
                 query["from"] = start
             target = f"/v1/rows-get?{urllib.parse.urlencode(query)}"
-            answer = await self._get(self._calls, target, CALL_TIMEOUT_SECONDS)
+            limit = self._settings.answer_limit
+            answer = await self._get(self._calls, target, limit)
             page = _decode_rows(answer)
             rows += [_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
@@ -139,11 +139,11 @@
         query = {
             "table": table,
             "after": str(after),
-            "wait_ms": str(int(1000 * self._feed_wait)),
+            "wait_ms": str(int(1000 * self._settings.feed_wait)),
         }
         target = f"/v1/rows-feed?{urllib.parse.urlencode(query)}"
-        timeout = self._feed_wait + FEED_SLACK_SECONDS
-        page = _decode_rows(await self._get(self._feeds, target, timeout))
+        limit = self._settings.request_limit
+        page = _decode_rows(await self._get(self._feeds, target, limit))
         rows = [_row(row) for row in page.rows]
         return _row_set(rows, page, RowSource.FEED)
 
@@ -182,7 +182,7 @@
             answer = await self._calls.request(
                 "POST",
                 "/v1/rows-tx",
-                timeout=CALL_TIMEOUT_SECONDS,
+                timeout=WRITE_TIMEOUT_SECONDS,
                 headers=_JSON_HEADERS,
                 body=msgspec.json.encode(body),
             )
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -6,23 +6,24 @@
 
 import asyncio
 import contextlib
+import functools
+import itertools
 import random
 
 import msgspec
 
-from gypsumline.platform.entry_daemon import FEED_WAIT_SECONDS
 from gypsumline.platform.follower import TableFollower
 from gypsumline.platform.routes import OPERATOR_TABLE, Routes
 from gypsumline.platform.store import Store
+from gypsumline.table.follow_settings import follow_settings
 from gypsumline.testing.rows_store import Rows, running_door
 from gypsumline.testing.virtual_time import run_in_virtual_time
 from gypsumline.tests.platform.test_routes import configuration
 
 ADDRESS = "10.200.1.7:8169"
-# Callers may rely on a change this long after the end of trouble with the
-# store, if it was acknowledged at least so long before.
-CONTACT_SECONDS = 3.0
-APPLY_SECONDS = 2.0
+# Callers may rely on a change the first time after the end of trouble with the
+# store, if it was acknowledged at least the second time before; in seconds.
+BOUNDS = ((3.0, 2.0), (4.0, 3.0), (1.5, 1.0))
 CHANGE_INTERVAL_SECONDS = 0.1
 CHECK_INTERVAL_SECONDS = 0.02
 
@@ -30,11 +31,12 @@
 class World:
     """A store, the operator who writes to it, and the routes of an entry."""
 
-    def __init__(self, loop, rows, door, routes):
+    def __init__(self, loop, rows, door, routes, bounds):
         self.loop = loop
         self.rows = rows
         self.door = door
         self.routes = routes
+        self.contact, self.apply = bounds
         self.acknowledged = []  # (time, version)
 
     def change(self):
@@ -51,30 +53,40 @@
             self.change()
             await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
 
-    async def check_from(self, start, seconds):
+    async def check_after(self, healed_at):
         """Returns the moments at which a change that is due is missing."""
         late = []
+        start = healed_at + self.contact
+        changes = asyncio.create_task(self.change_for(self.contact))
         await asyncio.sleep(start - self.loop.time())
-        while self.loop.time() < start + seconds:
+        while self.loop.time() < start + 2.0 * self.contact:
             now = self.loop.time()
-            due = [v for at, v in self.acknowledged if at < now - APPLY_SECONDS]
+            due = [v for at, v in self.acknowledged if at < now - self.apply]
             if due and self.routes.version < due[-1]:
                 late.append((round(now - start, 3), due[-1]))
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        await changes
         return late
 
 
 @contextlib.asynccontextmanager
-async def running_world(loop):
+async def running_world(loop, bounds):
     rows, routes = Rows(loop), Routes()
-    store = Store(ADDRESS, FEED_WAIT_SECONDS)
+    contact, apply = bounds
+    settings = follow_settings(contact, apply, contact)
+    store = Store(ADDRESS, settings)
     follower = TableFollower(
-        store, OPERATOR_TABLE, routes.replace, routes.apply, random.Random(1)
+        store,
+        OPERATOR_TABLE,
+        routes.replace,
+        routes.apply,
+        settings,
+        random.Random(1),
     )
     async with running_door(
         ADDRESS, rows, lambda _table, _key, value: value, random.Random(2)
     ) as door:
-        world = World(loop, rows, door, routes)
+        world = World(loop, rows, door, routes, bounds)
         world.change()
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(1.0)
@@ -83,52 +95,47 @@
         store.close()
 
 
-async def late_after_silence(loop, seconds):
-    async with running_world(loop) as world:
+async def late_after_silence(loop, bounds, seconds):
+    async with running_world(loop, bounds) as world:
         world.change()
         await asyncio.sleep(0.3)
         world.door.fault = "silent"
         await asyncio.sleep(seconds)
         world.door.fault = ""
-        healed_at = loop.time()
-        changes = asyncio.create_task(world.change_for(CONTACT_SECONDS))
-        late = await world.check_from(healed_at + CONTACT_SECONDS, 6.0)
-        await changes
-        return late
+        return await world.check_after(loop.time())
 
 
-async def late_after_lost_connections(loop, change_before):
-    async with running_world(loop) as world:
+async def late_after_lost_connections(loop, bounds, change_before):
+    async with running_world(loop, bounds) as world:
         await asyncio.sleep(1.0)
         world.change()
         await asyncio.sleep(change_before)
         loop.silence_connections()
-        lost_at = loop.time()
-        changes = asyncio.create_task(world.change_for(CONTACT_SECONDS))
-        late = await world.check_from(lost_at + CONTACT_SECONDS, 6.0)
-        await changes
-        return late
+        return await world.check_after(loop.time())
+
+
+def late_cases(scenario, values):
+    """Returns the last moment that was too late, by bounds and value."""
+    late = {}
+    for bounds, value in itertools.product(BOUNDS, values):
+        found = run_in_virtual_time(
+            functools.partial(scenario, bounds=bounds, **value)
+        )
+        if found:
+            late[bounds, *value.values()] = found[-1]
+    return late
 
 
 # Guards against changes that come into force too late because a request to the
 # store that is never answered hides them.
 def test_change_after_a_silence_of_the_store_is_in_force_in_time():
-    late = {}
-    for silence in (0.25 * step for step in range(1, 41)):
-        late[silence] = run_in_virtual_time(
-            lambda loop, silence=silence: late_after_silence(loop, silence)
-        )
-    assert {key: found[-1] for key, found in late.items() if found} == {}
+    silences = [{"seconds": 0.25 * step} for step in range(1, 41)]
+    assert late_cases(late_after_silence, silences) == {}
 
 
 # Guards against the same where open connections go silent for good and only
 # new ones work.
 def test_change_after_connections_go_silent_is_in_force_in_time():
-    late = {}
-    for before in (0.0, 0.0015, 0.1, 0.5, 1.0, 1.5, 2.0, 2.5, 2.9):
-        late[before] = run_in_virtual_time(
-            lambda loop, before=before: late_after_lost_connections(
-                loop, before
-            )
-        )
-    assert {key: found[-1] for key, found in late.items() if found} == {}
+    times = (0.0, 0.0015, 0.1, 0.5, 1.0, 1.5, 2.0, 2.5, 2.9)
+    befores = [{"change_before": time} for time in times]
+    assert late_cases(late_after_lost_connections, befores) == {}
--- a/gypsumline/tests/platform/test_settings_file.py
+++ b/gypsumline/tests/platform/test_settings_file.py
@@ -46,3 +46,18 @@
         parse_settings(text)
     fields = {error.field for error in caught.value.exceptions}
     assert fields == {"node", "port_range", "bounds.grace_s"}
+
+
+def test_times_of_the_readers_follow_from_the_bounds():
+    """Guards against a configuration that is late under other bounds."""
+    text = TEXT + "bounds.contact_ms=4000\nbounds.config_apply_ms=3000\n"
+    short, long = parse_settings(TEXT), parse_settings(text)
+    assert short.operator_feed.longest_blindness < 3.0
+    assert 3.0 < long.operator_feed.longest_blindness < 4.0
+    assert short.entries_feed.feed_wait > short.operator_feed.feed_wait
+
+
+def test_bounds_that_a_reader_cannot_keep_are_refused():
+    text = TEXT + "bounds.contact_ms=100\n"
+    with pytest.raises(InvalidInputGroup):
+        parse_settings(text)
--- /dev/null
+++ b/gypsumline/tests/table/test_follow_settings.py
@@ -0,0 +1,37 @@
+"""Tests of the times of a reader that follows a table."""
+
+import pytest
+
+from gypsumline.core.errors import InvalidInputError
+from gypsumline.table.follow_settings import FollowSettings, follow_settings
+
+
+@pytest.mark.parametrize(
+    ("contact", "apply"),
+    [(3.0, 2.0), (4.0, 3.0), (10.0, 1.0), (1.0, 10.0), (0.6, 0.5)],
+)
+@pytest.mark.parametrize("contacts", [1.0, 4.0])
+def test_times_keep_the_bounds_they_follow_from(contact, apply, contacts):
+    """Guards against times that an installation's bounds do not allow."""
+    limit = contacts * contact
+    settings = follow_settings(contact, apply, limit)
+    assert settings.longest_blindness < limit
+    assert 2.0 * settings.answer_limit < apply
+    assert settings.first_pause <= settings.last_pause
+
+
+def test_bounds_that_no_times_keep_are_refused():
+    with pytest.raises(InvalidInputError):
+        follow_settings(0.2, 2.0, 0.2)
+    with pytest.raises(InvalidInputError):
+        follow_settings(3.0, 0.1, 3.0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"feed_wait": 2.0}, {"answer_limit": 1.2}, {"last_pause": 1.5}],
+)
+def test_times_that_break_the_inequality_are_refused(change):
+    """Guards against a reader that a silent store keeps blind for too long."""
+    with pytest.raises(InvalidInputError):
+        FollowSettings(**change)
