Close idle connections to the store when a call has no answer

Callers saw what they see with any late configuration: 404 for an added route.

Cause: the inequality of the readers counts one request that is never answered. After open connections have gone silent, a gap of the feed leads to a read, which took the idle connections one after the other and waited for each; the entry's renewal of its row leaves up to two of them.

Evidence: the new test, in virtual time: with two idle connections changes were late by 0.3 s under bounds of 3 s and 2 s and by 0.16 s under 1.5 s and 1 s, with one they were not.

Change: a call without an answer closes the idle connections of both clients; the next call opens a new one. All calls of the store go through one method for it. The test failed before and passes now.

--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -9,12 +9,18 @@
 import http
 import math
 import urllib.parse
+from collections.abc import Mapping
 
 import msgspec
 
 from gypsumline.core.errors import GypsumlineError
 from gypsumline.runtime.http_client import HttpClient
-from gypsumline.runtime.http_messages import HttpAnswer, HttpError
+from gypsumline.runtime.http_messages import (
+    NO_HEADERS,
+    HttpAnswer,
+    HttpError,
+    HttpUnansweredError,
+)
 from gypsumline.table.follow_settings import FollowSettings
 
 WRITE_TIMEOUT_SECONDS = 1.0
@@ -178,37 +184,53 @@
                 {"table": table, "part": "", "key": key} for key in removals
             ],
         }
-        try:
-            answer = await self._calls.request(
-                "POST",
-                "/v1/rows-tx",
-                timeout=WRITE_TIMEOUT_SECONDS,
-                headers=_JSON_HEADERS,
-                body=msgspec.json.encode(body),
-            )
-        except HttpError as error:
-            raise StoreUnavailableError(str(error)) from error
+        answer = await self._call(
+            self._calls,
+            "POST",
+            "/v1/rows-tx",
+            timeout=WRITE_TIMEOUT_SECONDS,
+            headers=_JSON_HEADERS,
+            body=msgspec.json.encode(body),
+        )
         if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
             raise StoreConflictError(f"table {table!r}: a row has changed")
         _check(answer)
 
     def close(self) -> None:
-        """Closes the connections."""
+        """Closes the idle connections."""
         self._calls.close()
         self._feeds.close()
 
     async def _get(
         self, client: HttpClient, target: str, timeout: float
     ) -> HttpAnswer:
-        try:
-            answer = await client.request("GET", target, timeout=timeout)
-        except HttpError as error:
-            raise StoreUnavailableError(str(error)) from error
+        answer = await self._call(client, "GET", target, timeout=timeout)
         if answer.status == http.HTTPStatus.GONE:
             raise FeedGapError("the store dropped the history")
         _check(answer)
         return answer
 
+    async def _call(
+        self,
+        client: HttpClient,
+        method: str,
+        target: str,
+        *,
+        timeout: float,
+        headers: Mapping[str, str] = NO_HEADERS,
+        body: bytes = b"",
+    ) -> HttpAnswer:
+        try:
+            return await client.request(
+                method, target, timeout=timeout, headers=headers, body=body
+            )
+        except HttpUnansweredError as error:
+            # What silenced this connection may have silenced the idle ones.
+            self.close()
+            raise StoreUnavailableError(str(error)) from error
+        except HttpError as error:
+            raise StoreUnavailableError(str(error)) from error
+
 
 def _check(answer: HttpAnswer) -> None:
     if not answer.is_success:
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -31,10 +31,11 @@
 class World:
     """A store, the operator who writes to it, and the routes of an entry."""
 
-    def __init__(self, loop, rows, door, routes, bounds):
+    def __init__(self, loop, rows, door, store, routes, bounds):
         self.loop = loop
         self.rows = rows
         self.door = door
+        self.store = store
         self.routes = routes
         self.contact, self.apply = bounds
         self.acknowledged = []  # (time, version)
@@ -86,7 +87,7 @@
     async with running_door(
         ADDRESS, rows, lambda _table, _key, value: value, random.Random(2)
     ) as door:
-        world = World(loop, rows, door, routes, bounds)
+        world = World(loop, rows, door, store, routes, bounds)
         world.change()
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(1.0)
@@ -114,6 +115,17 @@
         return await world.check_after(loop.time())
 
 
+async def late_after_lost_connections_and_history(loop, bounds, calls):
+    async with running_world(loop, bounds) as world:
+        # As many connections are idle as calls were made at once.
+        reads = [world.store.read(OPERATOR_TABLE) for _ in range(calls)]
+        await asyncio.gather(*reads)
+        loop.silence_connections()
+        world.change()
+        world.rows.forget_history()
+        return await world.check_after(loop.time())
+
+
 def late_cases(scenario, values):
     """Returns the last moment that was too late, by bounds and value."""
     late = {}
@@ -139,3 +151,11 @@
     times = (0.0, 0.0015, 0.1, 0.5, 1.0, 1.5, 2.0, 2.5, 2.9)
     befores = [{"change_before": time} for time in times]
     assert late_cases(late_after_lost_connections, befores) == {}
+
+
+# Guards against a read that meets one idle connection after the other that has
+# gone silent too.
+def test_read_after_connections_go_silent_is_in_force_in_time():
+    calls = [{"calls": 1}, {"calls": 2}]
+    scenario = late_after_lost_connections_and_history
+    assert late_cases(scenario, calls) == {}
