Drop reads that are behind, and pause before the next one

Cause: a gap led to the next read at once, also when the answer before it was a read, and the reader went on from the version of a read that was older than what it knew.

Change: one counter versions all tables of the store, so a read whose version is below what any earlier answer told is dropped as old, by the client, for all its users; old reads and gaps right after a read are followed by the usual pause, which doubles.

--- a/gypsumline/platform/follower.py
+++ b/gypsumline/platform/follower.py
@@ -45,6 +45,7 @@
         self._version: int | None = None
         self._backoff = settings.first_pause
         self._is_lost = False
+        self._newest_is_read = False
         self._heard_at = -math.inf
         metrics.STORE_SILENCE.labels(table).set_function(lambda: self.silence)
 
@@ -61,13 +62,17 @@
             except FeedGapError as error:
                 self._version = None
                 self._log("store feed has a gap", str(error))
+                if self._newest_is_read:
+                    # The read is behind the history that is left.
+                    await self._pause()
             except StoreUnavailableError as error:
                 if not self._is_lost:
                     self._is_lost = True
                     self._log("store lost", str(error))
                 await self._pause()
             else:
-                self._backoff = self._settings.first_pause
+                if not self._newest_is_read:
+                    self._backoff = self._settings.first_pause
                 if self._is_lost:
                     self._is_lost = False
                     self._log("store regained", "")
@@ -77,9 +82,11 @@
         if self._version is None:
             rows = self._heard(await self._store.read(self._table), asked_at)
             self._on_replaced(rows)
+            self._newest_is_read = True
         else:
             answer = await self._store.follow(self._table, self._version)
             rows = self._heard(answer, asked_at)
+            self._newest_is_read = False
             if rows.rows:
                 self._on_changed(rows)
         self._version = rows.version
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -36,6 +36,10 @@
     """The store did not serve a call; a write may have taken effect."""
 
 
+class OldRowsError(StoreUnavailableError):
+    """An answer is older than what the store had told before."""
+
+
 class StoreConflictError(StoreError):
     """A row had another version than the write expected; nothing was done."""
 
@@ -111,13 +115,17 @@
         self._calls = HttpClient(address, connections=2)
         self._feeds = HttpClient(address, connections=2)
         self._settings = settings
+        # One counter versions all tables, so each answer tells what is old.
+        self._newest_version = 0
 
     async def read(self, table: str) -> RowSet:
         """Returns all rows of a table.
 
         Raises:
+          OldRowsError: The rows are older than an earlier answer.
           StoreUnavailableError: The store did not answer with rows.
         """
+        known = self._newest_version
         rows: list[StoredRow] = []
         start = ""
         while True:
@@ -133,6 +141,7 @@
                 break
             # The range includes its first key, so it begins just after it.
             start = page.rows[-1].key + "\0"
+        self._note_version(page.ver, known)
         return _row_set(rows, page, RowSource.READ)
 
     async def follow(self, table: str, after: int) -> RowSet:
@@ -140,6 +149,7 @@
 
         Raises:
           FeedGapError: The history was dropped; read the table again.
+          OldRowsError: The answer is older than `after`.
           StoreUnavailableError: The store did not answer.
         """
         query = {
@@ -150,6 +160,7 @@
         target = f"/v1/rows-feed?{urllib.parse.urlencode(query)}"
         limit = self._settings.request_limit
         page = _decode_rows(await self._get(self._feeds, target, limit))
+        self._note_version(page.ver, after)
         rows = [_row(row) for row in page.rows]
         return _row_set(rows, page, RowSource.FEED)
 
@@ -195,6 +206,18 @@
         if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
             raise StoreConflictError(f"table {table!r}: a row has changed")
         _check(answer)
+        self._note_version(_decode_rows(answer).ver, 0)
+
+    def _note_version(self, version: int, known: int) -> None:
+        """Takes the version of an answer.
+
+        Args:
+          version: Newest version that the answer takes account of.
+          known: Newest version that was known when it was asked for.
+        """
+        if version < known:
+            raise OldRowsError(f"version {version} is older than {known}")
+        self._newest_version = max(self._newest_version, version)
 
     def close(self) -> None:
         """Closes the idle connections."""
--- a/gypsumline/testing/rows_store.py
+++ b/gypsumline/testing/rows_store.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import json
 import random
 import urllib.parse
 from collections.abc import AsyncIterator, Callable, Iterable
+from typing import NamedTuple
 
 from gypsumline.runtime.http_messages import HttpAnswer
 from gypsumline.runtime.light_http_server import (
@@ -17,6 +19,7 @@
     running_light_server,
 )
 
+_Cells = dict[tuple[str, str], tuple[bytes, int]]
 Put = tuple[str, str, bytes]
 # Changes a value for one reader: table, key, value.
 Translate = Callable[[str, str, bytes], bytes]
@@ -26,16 +29,26 @@
     return HttpAnswer(status=status, body=json.dumps(body).encode())
 
 
+class _State(NamedTuple):
+    """All rows at one time."""
+
+    time: float
+    version: int
+    rows: _Cells
+
+
 class Rows:
     """All rows, their history, and who waits for a change."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.rows: _Cells = {}
         self.version = 0
         self.history: list[tuple[int, str, str, bytes | None]] = []
         self.oldest = 0  # versions up to this are no longer in the history
         self.changed = asyncio.Event()
+        self._states: list[_State] = []
+        self._keep()
 
     @property
     def now_ms(self) -> float:
@@ -53,6 +66,7 @@
         for table, key in removals:
             if self.rows.pop((table, key), None) is not None:
                 self.history.append((self.version, table, key, None))
+        self._keep()
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -63,12 +77,23 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def state_at(self, time: float) -> _State:
+        """Returns the rows as they were at a time, or the oldest kept."""
+        found = [state for state in self._states if state.time <= time]
+        return found[-1] if found else self._states[0]
+
+    def _keep(self) -> None:
+        state = _State(self._loop.time(), self.version, dict(self.rows))
+        self._states.append(state)
+
 
 class StoreDoor:
     """The store as one process sees it.
 
     Attributes:
       fault: "", "busy", "silent", "slow", "lost" or "late".
+      read_lag: Seconds by which reads are behind; feeds are not.
+      calls: Calls that came, by path.
     """
 
     def __init__(
@@ -79,6 +104,8 @@
         self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault = ""
+        self.read_lag = 0.0
+        self.calls: collections.Counter[str] = collections.Counter()
 
     def __call__(self, exchange: Exchange) -> None:
         """Serves a call, or not."""
@@ -97,6 +124,7 @@
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         path, _, query = exchange.request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
+        self.calls[path] += 1
         if path == "/v1/rows-get":
             self._send(exchange, self._get(fields))
         elif path == "/v1/rows-feed":
@@ -112,18 +140,18 @@
             exchange.answer(answer)
 
     def _get(self, fields: dict[str, str]) -> HttpAnswer:
+        now = self._rows.now_ms / 1000.0
+        state = self._rows.state_at(now - self.read_lag)
         rows = [
             self._row(table, key, value, version)
-            for (table, key), (value, version) in sorted(
-                self._rows.rows.items()
-            )
+            for (table, key), (value, version) in sorted(state.rows.items())
             if table == fields["table"]
         ]
         return _answer(
             {
                 "rows": rows,
                 "has_more": False,
-                "ver": self._rows.version,
+                "ver": state.version,
                 "now_ms": self._rows.now_ms,
             }
         )
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -26,6 +26,7 @@
 BOUNDS = ((3.0, 2.0), (4.0, 3.0), (1.5, 1.0))
 CHANGE_INTERVAL_SECONDS = 0.1
 CHECK_INTERVAL_SECONDS = 0.02
+FIRST_PAUSE_SECONDS = 0.05
 
 
 class World:
@@ -126,6 +127,25 @@
         return await world.check_after(loop.time())
 
 
+async def follow_old_reads(loop, seconds):
+    """Returns the versions in force and the calls while reads are behind."""
+    async with running_world(loop, BOUNDS[0]) as world:
+        await world.change_for(2.0)
+        world.door.read_lag = seconds
+        world.door.calls.clear()
+        # Nobody hears of the change before the history is gone.
+        world.door.fault = "silent"
+        world.change()
+        world.rows.forget_history()
+        world.door.fault = ""
+        seen = []
+        end = loop.time() + seconds + 1.0
+        while loop.time() < end:
+            seen.append(world.routes.version)
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        return seen, world.acknowledged[-1][1], sum(world.door.calls.values())
+
+
 def late_cases(scenario, values):
     """Returns the last moment that was too late, by bounds and value."""
     late = {}
@@ -159,3 +179,16 @@
     calls = [{"calls": 1}, {"calls": 2}]
     scenario = late_after_lost_connections_and_history
     assert late_cases(scenario, calls) == {}
+
+
+# Guards against a configuration that comes back older after a read that is
+# behind, and against a storm of reads until one is new enough.
+def test_old_reads_bring_nothing_back_and_are_not_asked_for_in_a_rush():
+    seconds = 3.0
+    seen, newest, calls = run_in_virtual_time(
+        functools.partial(follow_old_reads, seconds=seconds)
+    )
+    assert seen == sorted(seen)
+    assert seen[-1] == newest
+    # The shortest pause between two failures is half the first one.
+    assert calls < 2.0 * seconds / FIRST_PAUSE_SECONDS
