Follow a table from the first page of its read

Found by reading, not seen by callers: a change that was made while a table of more than one page was read was not noticed until the next one, so a route could stay unserved without any bound (CONFIG).

Cause: pages are read one after the other, each as of its own moment, and the reader followed the feed from the version of the last page; a change in an earlier page's range lay before it.

Change: the version of a read is that of its first page. The feed then repeats what later pages already showed, which does no harm.

The new test failed before (version 1 in force, 2 expected) and passes now. The store's stand-in serves pages as the platform does.

--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -121,12 +121,15 @@
     async def read(self, table: str) -> RowSet:
         """Returns all rows of a table.
 
+        A long table is read in pages. The version is that of the first page, so
+        that a feed from there brings what changed while the others were read.
+
         Raises:
           OldRowsError: The rows are older than an earlier answer.
           StoreUnavailableError: The store did not answer with rows.
         """
         known = self._newest_version
-        rows: list[StoredRow] = []
+        pages: list[_WireRows] = []
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_READ)}
@@ -136,13 +139,14 @@
             limit = self._settings.answer_limit
             answer = await self._get(self._calls, target, limit)
             page = _decode_rows(answer)
-            rows += [_row(row) for row in page.rows]
+            pages.append(page)
             if not page.has_more or not page.rows:
                 break
             # The range includes its first key, so it begins just after it.
             start = page.rows[-1].key + "\0"
-        self._note_version(page.ver, known)
-        return _row_set(rows, page, RowSource.READ)
+        self._note_version(pages[0].ver, known)
+        rows = [_row(row) for page in pages for row in page.rows]
+        return _row_set(rows, pages[0], RowSource.READ)
 
     async def follow(self, table: str, after: int) -> RowSet:
         """Returns the rows that changed after a version; may return none.
--- a/gypsumline/testing/rows_store.py
+++ b/gypsumline/testing/rows_store.py
@@ -142,15 +142,16 @@
     def _get(self, fields: dict[str, str]) -> HttpAnswer:
         now = self._rows.now_ms / 1000.0
         state = self._rows.state_at(now - self.read_lag)
-        rows = [
-            self._row(table, key, value, version)
-            for (table, key), (value, version) in sorted(state.rows.items())
-            if table == fields["table"]
+        names = [
+            (table, key)
+            for table, key in sorted(state.rows)
+            if table == fields["table"] and key >= fields.get("from", "")
         ]
+        page = names[: int(fields.get("limit", len(names)))]
         return _answer(
             {
-                "rows": rows,
-                "has_more": False,
+                "rows": [self._row(*name, *state.rows[name]) for name in page],
+                "has_more": len(page) < len(names),
                 "ver": state.version,
                 "now_ms": self._rows.now_ms,
             }
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -17,7 +17,10 @@
 from gypsumline.platform.store import Store
 from gypsumline.table.follow_settings import follow_settings
 from gypsumline.testing.rows_store import Rows, running_door
-from gypsumline.testing.virtual_time import run_in_virtual_time
+from gypsumline.testing.virtual_time import (
+    LATENCY_SECONDS,
+    run_in_virtual_time,
+)
 from gypsumline.tests.platform.test_routes import configuration
 
 ADDRESS = "10.200.1.7:8169"
@@ -146,6 +149,21 @@
         return seen, world.acknowledged[-1][1], sum(world.door.calls.values())
 
 
+async def change_between_pages(loop):
+    """Returns the version in force after a change during a long read."""
+    async with running_world(loop, BOUNDS[0]) as world:
+        zones = [f"evacuate/z{number:04}" for number in range(600)]
+        puts = [(OPERATOR_TABLE, zone, b"{}") for zone in zones]
+        world.rows.write(puts)
+        world.door.calls.clear()
+        world.rows.forget_history()
+        while world.door.calls["/v1/rows-get"] < 1:  # noqa: ASYNC110
+            await asyncio.sleep(LATENCY_SECONDS / 10)
+        world.change()
+        await asyncio.sleep(1.0)
+        return world.routes.version, len(world.routes.zones_out.zones)
+
+
 def late_cases(scenario, values):
     """Returns the last moment that was too late, by bounds and value."""
     late = {}
@@ -192,3 +210,9 @@
     assert seen[-1] == newest
     # The shortest pause between two failures is half the first one.
     assert calls < 2.0 * seconds / FIRST_PAUSE_SECONDS
+
+
+# Guards against a change that is missed because it was made while a table of
+# several pages was read.
+def test_change_during_a_read_of_several_pages_is_in_force():
+    assert run_in_virtual_time(change_between_pages) == (2, 600)
