Let the soak change the configuration and check when it is in force

Series of changes now overlap with the other faults; single entries are asked for routes that come and go, and an entry that has been calm for 3 s answers as a version that may be in force 2 s after its acknowledgement. At the end the store comes back from a silence into a series of changes. The programs get bounds of 2 s and 1.5 s, so that a busy machine does not decide the verdict.

--- a/soak/programs.py
+++ b/soak/programs.py
@@ -35,6 +35,7 @@
 
     async def start(self):
         """Starts the process; its output is added to the log."""
+        self.faulted_at = asyncio.get_running_loop().time()
         environment = os.environ | {"GYPSUMLINE_NODE_FILE": str(self._settings)}
         with self._log.open("ab") as output:
             self._begins_at = output.tell()
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 
 START_SECONDS = 3.0
 HEAL_SECONDS = 6.0
+HEAL_CHANGES = 8
 CALL_INTERVAL_SECONDS = 0.15
 FAULT_INTERVAL_SECONDS = 1.0
 RECOVERY_SECONDS = 15.0
@@ -25,6 +26,7 @@
     starts: int
     completed: int
     refused: int
+    checked_probes: int
     faults: int
     violations: list
 
@@ -106,11 +108,17 @@
     """Lets the store misbehave towards some processes."""
     kind = world.rng.choice(("busy", "silent", "slow", "lost", "late"))
     doors = [d for d in world.doors.values() if world.rng.random() < 0.5]
+    await _disturb_store(world, doors, kind, world.rng.uniform(0.5, 5.0))
+
+
+async def _disturb_store(world, doors, kind, seconds):
+    world.store_faults += 1
     for door in doors:
         door.fault = kind
-    await asyncio.sleep(world.rng.uniform(0.5, 3.0))
+    await asyncio.sleep(seconds)
     for door in doors:
         door.fault = ""
+    world.store_faults -= 1
     world.store_faulted_at = world.now
 
 
@@ -118,6 +126,13 @@
 async def forget_history(world):
     """Lets the store forget its history."""
     world.rows.forget_history()
+    world.store_faulted_at = world.now
+
+
+@fault
+async def change_configuration(world):
+    """Makes a series of changes; others may overlap with it."""
+    await world.text.change_on(world.rng.randint(1, 8))
 
 
 @fault
@@ -155,6 +170,7 @@
     async with world.running(), running_programs(world.programs):
         await asyncio.sleep(START_SECONDS)
         callers = asyncio.create_task(_call_on(world))
+        probes = asyncio.create_task(world.text.probe_on())
         async with asyncio.TaskGroup() as group:
             end = world.now + seconds
             while world.now < end:
@@ -164,11 +180,13 @@
                 await asyncio.sleep(FAULT_INTERVAL_SECONDS * spread)
         callers.cancel()
         await _heal(world)
+        probes.cancel()
     return SoakResult(
         seed=seed,
         starts=world.oracle.starts,
         completed=world.oracle.completed,
         refused=len(world.oracle.refused),
+        checked_probes=world.text.checked,
         faults=faults,
         violations=world.oracle.violations,
     )
@@ -183,7 +201,12 @@
 async def _heal(world):
     """After the faults jobs are answered again, and stops are clean."""
     world.set_zone_out("")
+    # The store comes back from a silence into a series of changes.
+    silence = world.rng.uniform(0.5, 6.0)
+    await _disturb_store(world, world.doors.values(), "silent", silence)
+    changes = asyncio.create_task(world.text.change_on(HEAL_CHANGES))
     await asyncio.sleep(HEAL_SECONDS)
+    await changes
     end = world.now + RECOVERY_SECONDS
     while await world.submit() != "completed":
         if world.now > end:
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,11 @@
 from gypsumline.testing.rows_store import Rows, running_door
 from properties.lease_executor import EVACUATE_SECONDS
 from properties.lease_world import CONTACT_SECONDS, LeaseOracle
+from soak.configuration import (
+    PROGRAM_APPLY_MS,
+    PROGRAM_CONTACT_MS,
+    OperatorText,
+)
 from soak.executor import running_executor
 from soak.programs import Program
 from soak.proxy import Proxy
@@ -24,22 +29,6 @@
 CALLER_TIMEOUT_SECONDS = 6.0
 ENTRIES_TABLE = "gypsumline-entries"
 
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "cards",
-            "host": "cards.example",
-            "path_prefix": "/cards/",
-            "service": "ordering",
-            "priority": 0,
-            "max_attempts": 4,
-            "stretch": 1.6,
-            "target_latency_ms": 60,
-        }
-    ],
-}
-
 
 class SoakWorld:
     """What the executors' rules need, and the callers."""
@@ -58,6 +47,7 @@
         self.rows = Rows(self._loop)
         self.zones_out = {}
         self.store_faulted_at = 0.0
+        self.store_faults = 0  # that go on now
         self.answers = {}
         self._directory = pathlib.Path(directory)
         self._directory.mkdir(parents=True, exist_ok=True)
@@ -86,6 +76,10 @@
         last = int(number) + (1 if kind == "entry" else 101)
         return f"127.{self._net}.0.{last}"
 
+    def caller_address(self, entry):
+        """Returns where callers reach an entry."""
+        return f"{self.host(entry)}:{CALLER_PORT}"
+
     def zone(self, name):
         """Returns the availability zone of a program."""
         return ZONES[int(name.partition("-")[2]) % len(ZONES)]
@@ -103,6 +97,8 @@
             f"port_range={STREAM_PORT},{STREAM_PORT + 10}",
             f"platform.address=127.{self._net}.1.{number + 1}:{STORE_PORT}",
             "bounds.grace_s=6",
+            f"bounds.contact_ms={PROGRAM_CONTACT_MS}",
+            f"bounds.config_apply_ms={PROGRAM_APPLY_MS}",
         ]
         if role == "entry":
             lines += [
@@ -122,7 +118,7 @@
     @contextlib.asynccontextmanager
     async def running(self):
         """Runs the store, the executors and the proxies."""
-        self.rows.write([("op", "config", json.dumps(CONFIGURATION).encode())])
+        self.text = OperatorText(self)
         async with contextlib.AsyncExitStack() as stack:
             for number, name in enumerate([*self.entries, *self.agents]):
                 offset = 0 if name in self.entries else 100 - len(self.entries)
@@ -170,6 +166,15 @@
 
         return translate
 
+    # Trouble.
+
+    def calm_since(self, name):
+        """Returns when the last trouble of a program or the store ended."""
+        if self.store_faults:
+            return self.now
+        program = {**self.entries, **self.agents}[name]
+        return max(program.faulted_at, self.store_faulted_at)
+
     # Zones.
 
     def set_zone_out(self, zone):
@@ -185,8 +190,7 @@
         if since is None:
             return
         faulted = max(
-            [program.faulted_at for program in self.programs]
-            + [self.store_faulted_at]
+            self.calm_since(program.name) for program in self.programs
         )
         calm = self.now - faulted > CONTACT_SECONDS + EVACUATE_SECONDS
         if calm and self.now - since > EVACUATE_SECONDS:
@@ -226,7 +230,7 @@
 
     async def _try(self, key, body, timeout):
         name = self.rng.choice(list(self.entries))
-        client = HttpClient(f"{self.host(name)}:{CALLER_PORT}", 1)
+        client = HttpClient(self.caller_address(name), 1)
         try:
             answer = await client.request(
                 "POST",
