Read a configuration's routes one by one

One value that could not be decoded anywhere in the operators' text, even a null or 4.0 for an integer, kept the whole change away without any time limit, so added routes were answered 404.

Cause: the text was decoded strictly and as a whole.

Change: a null counts as missing and a whole fraction as an integer; a route or the limits that cannot be read keep their last rules (a new one is not served), and a line names the part. A row that is no configuration still leaves the last one in force.

The new tests failed before (version -1 or 1 in force, 2 expected) and pass now.

--- a/gypsumline/platform/routes.py
+++ b/gypsumline/platform/routes.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+from typing import TypeVar
 
 import msgspec
 
@@ -18,6 +19,8 @@
 _CONFIGURATION_KEY = "config"
 _ZONE_OUT_PREFIX = "evacuate/"
 
+_T = TypeVar("_T")
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -42,8 +45,9 @@
 
 class _WireConfiguration(msgspec.Struct):
     version: int
-    routes: list[_WireRoute] = []
-    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    # Read one by one, so that a fault in one does not hold the others back.
+    routes: list[object] | None = None
+    limits: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,11 +66,14 @@
 class Routes:
     """The newest configuration that the operator wrote.
 
-    A row that cannot be read leaves the last good state in force.
+    What cannot be read leaves its last good state in force: a whole row, one
+    route or the limits.
     """
 
     def __init__(self) -> None:
         self._version = -1
+        self._by_name: dict[str, _WireRoute] = {}
+        self._limits = _WireLimits()
         self._by_host: dict[str, list[Route]] = {}
         self._zones_out: set[str] = set()
         self._table_version = -1
@@ -134,7 +141,7 @@
     def _take_configuration(self, row: StoredRow, rows: RowSet) -> None:
         try:
             wire = msgspec.json.decode(
-                row.value or b"", type=_WireConfiguration
+                row.value or b"", type=_WireConfiguration, strict=False
             )
         except (msgspec.DecodeError, RecursionError) as error:
             metrics.REJECTED_INPUTS.labels("configuration").inc()
@@ -150,25 +157,63 @@
             )
             return
         self._version = wire.version
-        self._by_host = _index(wire.routes)
-        limits = wire.limits
-        self.limits.header_bytes = limits.max_header_bytes
-        self.limits.body_bytes = limits.max_body_bytes
-        self.limits.header_timeout = limits.header_timeout_ms / 1000.0
-        self.limits.idle_timeout = limits.idle_timeout_ms / 1000.0
+        values = wire.routes or []
+        routes = [r for value in values if (r := self._read_route(value))]
+        self._by_name = {route.name: route for route in routes}
+        self._by_host = _index(routes)
+        self._take_limits(wire.limits)
         metrics.CONFIGURATION_VERSION.set(wire.version)
         _LOGGER.info(
             "configuration in force",
             extra={
                 "version": wire.version,
                 "row_version": row.version,
-                "queues": len(wire.routes),
+                "queues": len(routes),
                 "source": rows.source.value,
                 "waited": seconds(rows.waited),
                 "silence": seconds(rows.silence),
             },
         )
 
+    def _read_route(self, value: object) -> _WireRoute | None:
+        """Returns a route, with its last rules if it cannot be read."""
+        try:
+            return _convert(value, _WireRoute)
+        except msgspec.ValidationError as error:
+            name = value.get("name", "") if isinstance(value, dict) else ""
+            _log_unreadable(f"route {str(name)[:80]}".strip(), error)
+            return self._by_name.get(name) if isinstance(name, str) else None
+
+    def _take_limits(self, value: object) -> None:
+        try:
+            self._limits = _convert(value or {}, _WireLimits)
+        except msgspec.ValidationError as error:
+            _log_unreadable("limits", error)
+        limits = self._limits
+        self.limits.header_bytes = limits.max_header_bytes
+        self.limits.body_bytes = limits.max_body_bytes
+        self.limits.header_timeout = limits.header_timeout_ms / 1000.0
+        self.limits.idle_timeout = limits.idle_timeout_ms / 1000.0
+
+
+def _convert(value: object, kind: type[_T]) -> _T:
+    """Returns a part; a null counts as missing, 4.0 as the integer 4.
+
+    Raises:
+      msgspec.ValidationError: The part cannot be read.
+    """
+    if isinstance(value, dict):
+        value = {name: v for name, v in value.items() if v is not None}
+    return msgspec.convert(value, kind, strict=False)
+
+
+def _log_unreadable(part: str, error: msgspec.ValidationError) -> None:
+    metrics.REJECTED_INPUTS.labels("configuration").inc()
+    _LOGGER.error(
+        "part of the configuration cannot be read",
+        extra={"part": part, "detail": str(error)},
+    )
+
 
 def _index(routes: list[_WireRoute]) -> dict[str, list[Route]]:
     """Returns the routes by host, those with long prefixes first."""
--- a/gypsumline/tests/platform/test_routes.py
+++ b/gypsumline/tests/platform/test_routes.py
@@ -1,6 +1,7 @@
 """Tests of the operator's configuration rows."""
 
 import msgspec
+import pytest
 
 from gypsumline.platform.routes import Routes
 from gypsumline.platform.store import RowSet, StoredRow
@@ -102,3 +103,48 @@
         Routes().replace(rows(row("config", configuration(5))))
     line = caplog.records[-1]
     assert (line.source, line.silence) == ("read", None)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"priority": None},
+        {"max_attempts": 4.0},
+        {"stretch": 2, "target_latency_ms": 60.5},
+        {"type": {"new": ["field"]}},
+    ],
+)
+def test_values_that_mean_the_same_are_read(change):
+    """Guards against a configuration refused for how a value is written."""
+    content = configuration(2, ("r1", "h", "/a/"), ("r2", "h", "/b/"))
+    content["routes"][1] |= change
+    content["limits"] = {"max_body_bytes": None, "idle_timeout_ms": 5000}
+    routes = Routes()
+    routes.apply(rows(row("config", content)))
+    assert routes.version == 2
+    assert routes.find("h", "/b/").queue.attempts == 4
+    assert routes.limits.idle_timeout == 5.0
+
+
+def test_unreadable_route_does_not_hold_the_others_back(caplog):
+    """Guards against one field that keeps a whole configuration away."""
+    routes = Routes()
+    content = configuration(1, ("r1", "h", "/a/"), ("r2", "h", "/b/"))
+    routes.apply(rows(row("config", content)))
+    content = configuration(2, ("r2", "h", "/b/"), ("r3", "h", "/c/"))
+    content["routes"][0]["stretch"] = "a lot"
+    content["routes"].append({"name": "r4", "host": "h"})
+    content["routes"].append("no route")
+    content["limits"] = {"max_body_bytes": "many"}
+    routes.apply(rows(row("config", content)))
+    assert routes.version == 2
+    assert routes.find("h", "/a/") is None
+    assert routes.find("h", "/b/").queue.stretch == 1.6
+    assert routes.find("h", "/c/").queue.name == "r3"
+    assert routes.limits.body_bytes == 262144
+    unreadable = [
+        line.part
+        for line in caplog.records
+        if line.message == "part of the configuration cannot be read"
+    ]
+    assert unreadable == ["route r2", "route r4", "route", "limits"]
