Run a job again by the new service when its queue has moved

Cause: a submission attached to the open job of its key whatever its route said.

Change: it attaches only if the service is the same; else the open job's runs are stopped and the job begins anew, after their end was reported or they cannot go on, and both callers get its answer. What may have begun is remembered, so it is never called not run.

The test failed before (no stop) and passes now.

--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -191,6 +191,11 @@
         """Submission key."""
         return self.request.key
 
+    @property
+    def service(self) -> str:
+        """Service that its queue had when it was submitted."""
+        return self.request.queue.service
+
     @property
     def has_started(self) -> bool:
         """Whether a run has begun or may have."""
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -104,19 +104,22 @@
 
     def submit(self, request: JobRequest, now: float) -> list[Effect]:
         """Takes a job, attaches to the open one of its key, or refuses it."""
-        if request.key in self._jobs:
+        earlier = self._jobs.get(request.key)
+        if earlier is not None and earlier.service == request.queue.service:
             return []
+        # An open job whose queue has moved begins anew at the other service.
+        effects = [] if earlier is None else self._drop(earlier, now)
         job = new_job(request, self._estimates, now)
         self._attempts.resume(job)
         refusal = self._backlog.refusal(job, self._waiting.values(), now)
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
-            return [refusal, line]
+            return [*effects, refusal, line]
         self._jobs[job.key] = job
         self._waiting[job.key] = job
         # The jobs before it found no room in the newest pass.
         self._backlog.insert(self._order, job, now)
-        return self._place_jobs([job], now)
+        return effects + self._place_jobs([job], now)
 
     def abandon(self, key: str, now: float) -> list[Effect]:
         """Takes the loss of a job's last caller: its runs are stopped."""
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -1,5 +1,7 @@
 """Tests of an entry's decisions on its leased jobs."""
 
+import dataclasses
+
 import pytest
 
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
@@ -491,3 +493,23 @@
     leased.submit(request("0000000000000002"), 0.3)
     effects = leased.submit(request(), 0.4)
     assert outcomes(effects) == [(KEY, JobOutcome.EXPIRED)]
+
+
+def test_job_of_a_queue_that_moved_is_run_by_the_new_service():
+    """Guards against an answer that an older configuration allowed.
+
+    The queue went to another service while the job was open; its caller sent it
+    again, on a connection that the entry takes to be one more.
+    """
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    billing = dataclasses.replace(load(executor="x-2"), service="billing")
+    leased.on_connected(agent(2), 2.9)
+    leased.on_ping(agent(2), ContactPing(stamp=2.9, load=billing), 2.9)
+    moved = dataclasses.replace(queue(), service="billing")
+    effects = leased.submit(request(rules=moved), 3.0)
+    assert [to for to, _ in sends(effects, StopRuns)] == ["agent-1"]
+    stopped = reports((TASK, 1, RunEnd.STOPPED, 0.1))
+    effects = leased.on_reports(agent(), stopped, 3.1)
+    assert placed(effects) == [("agent-2", TASK, 2)]
