--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -39,10 +39,14 @@
     Attributes:
       poll: Seconds between looks at the lease and the ends.
       capacity: Resources for runs.
+      restarts_clock: Whether its clock begins anew when it starts again under
+        its name, as the platform says; a late order of its earlier life then
+        does not look old.
     """
 
     poll = 0.01
     capacity = CAPACITY
+    restarts_clock = False
 
     def __init__(self, world, name, zone):
         self.world = world
@@ -73,7 +77,7 @@
 
     @property
     def clock(self):
-        begin = self.began_at if self.world.clocks_restart else 0.0
+        begin = self.began_at if self.restarts_clock else 0.0
         return int(1000 * (self.world.now - begin) * self.speed)
 
     def announce(self):
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -95,16 +95,12 @@
     Attributes:
       delays: Seconds that a message takes, one drawn for each.
       hold_pause: Seconds between an agent's requests for the runs.
-      clocks_restart: Whether the clock of an executor that starts again under
-        its name begins anew, as the platform says; a late order of its earlier
-        life then does not look old.
     """
 
     delays = (0.001, 0.002, 0.01, 0.05)
     hold_pause = 0.005
 
     def __init__(self, seed, entries=2, agents=3, clocks_restart=False):
-        self.clocks_restart = clocks_restart
         self.rng = random.Random(seed)
         self.now = 0.0
         self.oracle = LeaseOracle()
@@ -124,7 +120,9 @@
         for number in range(agents):
             zone = ZONES[number % len(ZONES)]
             name = f"agent-{number}"
-            self.executors[name] = self.make_executor(name, zone)
+            executor = self.make_executor(name, zone)
+            executor.restarts_clock = clocks_restart
+            self.executors[name] = executor
             self.start_agent(name, zone, 1)
         for number in range(entries):
             zone = ZONES[number % len(ZONES)]
