Give a read of the store as long as a request for changes

Found by reading: while the store answered in more than 1 s (0.8 s after the times came to follow from the bounds), an entry that had to read the table again after a gap gave up each read just before its answer, so no change came into force until the store was fast again.

Change: a read may take as long as a request for changes. The inequality counts one request that is given up, of either kind, so it stands.

The test (answers after 1.2 s) failed before and passes now; those of the bounds pass as before.

--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -136,7 +136,7 @@
             if start:
                 query["from"] = start
             target = f"/v1/rows-get?{urllib.parse.urlencode(query)}"
-            limit = self._settings.answer_limit
+            limit = self._settings.request_limit
             answer = await self._get(self._calls, target, limit)
             page = _decode_rows(answer)
             pages.append(page)
--- a/gypsumline/table/follow_settings.py
+++ b/gypsumline/table/follow_settings.py
@@ -72,7 +72,7 @@
 
     @property
     def request_limit(self) -> float:
-        """Longest time that one request for changes takes."""
+        """Longest time that one request takes, for changes or all rows."""
         return self.feed_wait + self.answer_limit
 
     @property
--- a/gypsumline/testing/rows_store.py
+++ b/gypsumline/testing/rows_store.py
@@ -92,6 +92,7 @@
 
     Attributes:
       fault: "", "busy", "silent", "slow", "lost" or "late".
+      latency: Seconds that each answer takes.
       read_lag: Seconds by which reads are behind; feeds are not.
       calls: Calls that came, by path.
     """
@@ -104,6 +105,7 @@
         self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault = ""
+        self.latency = 0.0
         self.read_lag = 0.0
         self.calls: collections.Counter[str] = collections.Counter()
 
@@ -120,6 +122,8 @@
             return
         if fault == "silent":
             return
+        if self.latency:
+            await asyncio.sleep(self.latency)
         if fault == "slow":
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         path, _, query = exchange.request.target.partition("?")
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -164,6 +164,16 @@
         return world.routes.version, len(world.routes.zones_out.zones)
 
 
+async def follow_a_slow_store(loop, latency):
+    """Returns the versions in force and written while answers are slow."""
+    async with running_world(loop, BOUNDS[0]) as world:
+        world.door.latency = latency
+        world.change()
+        world.rows.forget_history()
+        await asyncio.sleep(10.0)
+        return world.routes.version, len(world.acknowledged)
+
+
 def late_cases(scenario, values):
     """Returns the last moment that was too late, by bounds and value."""
     late = {}
@@ -216,3 +226,10 @@
 # several pages was read.
 def test_change_during_a_read_of_several_pages_is_in_force():
     assert run_in_virtual_time(change_between_pages) == (2, 600)
+
+
+# Guards against a reader that gives each request up just before its answer
+# comes, for as long as the store is slow.
+def test_store_that_is_slow_is_still_followed():
+    follow = functools.partial(follow_a_slow_store, latency=1.2)
+    assert run_in_virtual_time(follow) == (2, 2)
