Give the transport in memory a public protocol and plain calls

Ends of a connection in memory looked each other's methods up by name, and the loop read a private attribute of theirs.

--- a/gypsumline/testing/virtual_time.py
+++ b/gypsumline/testing/virtual_time.py
@@ -43,22 +43,30 @@
 
 
 class MemoryTransport(asyncio.Transport):
-    """One end of a connection in memory."""
+    """One end of a connection in memory.
+
+    Attributes:
+      protocol: What is told of data and of the end.
+      peer: The other end.
+      is_silent: Whether all that is sent either way is lost without a word.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, protocol: asyncio.Protocol
     ) -> None:
         super().__init__()
         self._loop = loop
-        self._protocol = protocol
         self._is_closing = False
+        self.protocol = protocol
         self.peer: MemoryTransport | None = None
         self.is_silent = False
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Delivers data to the other end, unless the connection is silent."""
-        if not self._is_closing:
-            self._tell_peer("_receive", bytes(data))
+        """Delivers data to the other end."""
+        if self._reaches_peer and not self._is_closing:
+            assert self.peer is not None
+            receive = self.peer.receive
+            self._loop.call_later(LATENCY_SECONDS, receive, bytes(data))
 
     def is_closing(self) -> bool:
         """Returns whether this end was closed."""
@@ -70,23 +78,27 @@
 
     def abort(self) -> None:
         """Ends the connection."""
-        if not self._is_closing:
-            self._tell_peer("_end")
-            self._end()
-
-    def _tell_peer(self, method: str, *arguments: object) -> None:
-        if self.peer is not None and not self.is_silent:
-            deliver = getattr(self.peer, method)
-            self._loop.call_later(LATENCY_SECONDS, deliver, *arguments)
-
-    def _receive(self, data: bytes) -> None:
+        if self._is_closing:
+            return
+        if self._reaches_peer:
+            assert self.peer is not None
+            self._loop.call_later(LATENCY_SECONDS, self.peer.end)
+        self.end()
+
+    def receive(self, data: bytes) -> None:
+        """Takes data from the other end."""
         if not self._is_closing and not self.is_silent:
-            self._protocol.data_received(data)
+            self.protocol.data_received(data)
 
-    def _end(self) -> None:
+    def end(self) -> None:
+        """Tells the protocol that the connection is gone."""
         if not self._is_closing:
             self._is_closing = True
-            self._loop.call_soon(self._protocol.connection_lost, None)
+            self._loop.call_soon(self.protocol.connection_lost, None)
+
+    @property
+    def _reaches_peer(self) -> bool:
+        return self.peer is not None and not self.is_silent
 
 
 class _Listener:
@@ -139,12 +151,11 @@
         accept = self._listeners.get(f"{host}:{port}")
         if accept is None:
             raise ConnectionRefusedError(f"{host}:{port}: nothing listens")
-        ends = [self._open(make()) for make in (protocol_factory, accept)]
-        ends[0].peer, ends[1].peer = ends[1], ends[0]
-        protocols = [end._protocol for end in ends]
-        for end, protocol in zip(ends, protocols, strict=True):
-            protocol.connection_made(end)
-        return ends[0], protocols[0]
+        caller, server = self._open(protocol_factory()), self._open(accept())
+        caller.peer, server.peer = server, caller
+        for end in (caller, server):
+            end.protocol.connection_made(end)
+        return caller, caller.protocol
 
     def _open(self, protocol: asyncio.BaseProtocol) -> MemoryTransport:
         assert isinstance(protocol, asyncio.Protocol)
