Import in a daemon only what its role needs

Cause: each daemon of the users' platform took 0.54 s to import, of which 0.22 s was aiohttp. It came with the package gypsumline.table, whose __init__ imports the product's own table client, and the daemons need only its settings. Another 0.06 s were the messages and records of the product's own installation, which the leased messages and the effects imported for their base classes. Change: the package table imports nothing; the base of the messages, hello and goodbye have their own module, core/message.py; the effects import the types of their fields for the type checker only.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -24,7 +24,7 @@
     ZonesOut,
 )
 from gypsumline.core.leases.run_table import RunTable
-from gypsumline.core.messages import Message
+from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.logs import DecisionLog
--- a/gypsumline/agent/node.py
+++ b/gypsumline/agent/node.py
@@ -14,11 +14,11 @@
 from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
 from gypsumline.core.identity import Member
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     Heartbeat,
     HeartbeatReply,
     JournalQuery,
-    Message,
     StartTasks,
     TaskResults,
     WithdrawTasks,
--- a/gypsumline/core/control/control_machine.py
+++ b/gypsumline/core/control/control_machine.py
@@ -40,13 +40,13 @@
     TableWriteResult,
 )
 from gypsumline.core.identity import Member, Role
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     ControlAck,
     ControlPush,
     ControlRequest,
     Heartbeat,
     HeartbeatReply,
-    Message,
     PeerHeartbeat,
     PeerHeartbeatReply,
     Statement,
--- a/gypsumline/core/effects.py
+++ b/gypsumline/core/effects.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
-from gypsumline.core.configuration import Configuration
-from gypsumline.core.messages import Message
-from gypsumline.core.task import JobAnswer, TaskSpec
+if TYPE_CHECKING:
+    from gypsumline.core.configuration import Configuration
+    from gypsumline.core.message import Message
+    from gypsumline.core.task import JobAnswer, TaskSpec
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -6,7 +6,7 @@
 import enum
 
 from gypsumline.core.leases.resources import NO_RESOURCES, Resources
-from gypsumline.core.messages import Message, register_message
+from gypsumline.core.message import Message, register_message
 
 
 class RunEnd(enum.StrEnum):
--- a/gypsumline/core/slots/slot_table.py
+++ b/gypsumline/core/slots/slot_table.py
@@ -8,9 +8,9 @@
 from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Decision, Effect, Send, StartTask
 from gypsumline.core.identity import Member
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     JournalQuery,
-    Message,
     StartTasks,
     TaskResults,
     TasksWithdrawn,
--- a/gypsumline/core/submissions/owner.py
+++ b/gypsumline/core/submissions/owner.py
@@ -7,13 +7,13 @@
 from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Effect
 from gypsumline.core.identity import Member
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     CancelJob,
     HandOver,
     HandOverAck,
     Inquire,
     JournalReport,
-    Message,
     Submit,
     TaskResults,
     TasksWithdrawn,
--- a/gypsumline/core/submissions/router.py
+++ b/gypsumline/core/submissions/router.py
@@ -8,13 +8,8 @@
 from gypsumline.core.control.record import ControlRecord
 from gypsumline.core.effects import Answer, Decision, Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.messages import (
-    CancelJob,
-    Inquire,
-    Message,
-    Submit,
-    SubmitReply,
-)
+from gypsumline.core.message import Message
+from gypsumline.core.messages import CancelJob, Inquire, Submit, SubmitReply
 from gypsumline.core.submissions.submission_key import generate_key
 from gypsumline.core.task import JobAnswer, Outcome, Reason
 
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -10,7 +10,7 @@
 from gypsumline.core.leases.job import JobRequest
 from gypsumline.core.leases.messages import ContactPing, RunReports, ZonesOut
 from gypsumline.core.leases.owner import LeasedOwner
-from gypsumline.core.messages import Message
+from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.logs import DecisionLog
--- a/gypsumline/entry/node.py
+++ b/gypsumline/entry/node.py
@@ -21,6 +21,7 @@
     WriteTable,
 )
 from gypsumline.core.identity import Member, Role
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     CancelJob,
     HandOver,
@@ -28,7 +29,6 @@
     Heartbeat,
     Inquire,
     JournalReport,
-    Message,
     PeerHeartbeat,
     Submit,
     SubmitReply,
--- a/gypsumline/entry/process.py
+++ b/gypsumline/entry/process.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+import gypsumline.table.http_table  # noqa: F401  registers its URL scheme
 from gypsumline.cli.core_settings import (
     control_settings,
     owner_settings,
@@ -33,7 +34,7 @@
 from gypsumline.runtime.randomness import make_random
 from gypsumline.runtime.stop import StopSignals
 from gypsumline.runtime.timers import TimerService, running_timers
-from gypsumline.table import open_table
+from gypsumline.table.table import open_table
 from gypsumline.wire.hub import Hub, running_hub
 
 CONTROL_TICK_SECONDS = 0.1
--- a/gypsumline/public.py
+++ b/gypsumline/public.py
@@ -42,6 +42,7 @@
     UnknownMessageError,
 )
 from gypsumline.core.identity import Member, Role
+from gypsumline.core.message import Message
 from gypsumline.core.messages import (
     CancelJob,
     ControlAck,
@@ -56,7 +57,6 @@
     JournalQuery,
     JournalReport,
     KeptAnswer,
-    Message,
     PeerHeartbeat,
     PeerHeartbeatReply,
     StartTasks,
--- a/gypsumline/tests/outside_names.py
+++ b/gypsumline/tests/outside_names.py
@@ -27,7 +27,7 @@
 
 import gypsumline
 from gypsumline.core.leases.effects import OrderAnswer
-from gypsumline.core.messages import MESSAGE_TYPES
+from gypsumline.core.message import MESSAGE_TYPES
 
 ROOT = pathlib.Path(__file__).parents[2]
 KEPT_NAMES = pathlib.Path(__file__).parent / "data" / "outside_names.txt"
--- a/gypsumline/tests/table/test_http_table.py
+++ b/gypsumline/tests/table/test_http_table.py
@@ -10,8 +10,8 @@
 from gypsumline.core.effects import ReadTable, TableReadResult, WriteTable
 from gypsumline.core.errors import TableConflictError, TableUnavailableError
 from gypsumline.entry.table_task import CONTROL_KEY, TableOperations
-from gypsumline.table import HttpTable, RowWrite
-from gypsumline.table.http_table import OPERATION_TIMEOUT_SECONDS
+from gypsumline.table.http_table import OPERATION_TIMEOUT_SECONDS, HttpTable
+from gypsumline.table.table import RowWrite
 from gypsumline.testing.platform import PlatformSettings, run_platform
 from gypsumline.tests.core.builders import make_record
 
--- a/gypsumline/tests/test_documents.py
+++ b/gypsumline/tests/test_documents.py
@@ -9,7 +9,7 @@
 from gypsumline.cli.main import app
 from gypsumline.core.configuration import Limits
 from gypsumline.core.configuration_text import parse_configuration
-from gypsumline.core.messages import MESSAGE_TYPES
+from gypsumline.core.message import MESSAGE_TYPES
 from gypsumline.interface.http_models import parse_job
 from gypsumline.tests.document_names import (
     missing_names,
--- a/gypsumline/tests/wire/test_codec.py
+++ b/gypsumline/tests/wire/test_codec.py
@@ -9,7 +9,8 @@
     ProtocolVersionError,
     UnknownMessageError,
 )
-from gypsumline.core.messages import Goodbye, StartTasks
+from gypsumline.core.message import Goodbye
+from gypsumline.core.messages import StartTasks
 from gypsumline.core.task import TaskSpec
 from gypsumline.wire.codec import (
     FRAME_LIMIT_BYTES,
--- a/gypsumline/tests/wire/test_hub.py
+++ b/gypsumline/tests/wire/test_hub.py
@@ -4,7 +4,7 @@
 import random
 
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.messages import Goodbye, Message
+from gypsumline.core.message import Goodbye, Message
 from gypsumline.wire.hub import Hub, running_hub
 
 HOST = "127.0.0.1"
--- a/gypsumline/tests/wire/test_hub_faults.py
+++ b/gypsumline/tests/wire/test_hub_faults.py
@@ -9,7 +9,8 @@
 
 from gypsumline.core.errors import FrameTooLargeError
 from gypsumline.core.identity import Role
-from gypsumline.core.messages import Goodbye, HandOverAck
+from gypsumline.core.message import Goodbye
+from gypsumline.core.messages import HandOverAck
 from gypsumline.runtime import metrics
 from gypsumline.tests.wire.test_hub import (
     HOST,
--- a/gypsumline/wire/codec.py
+++ b/gypsumline/wire/codec.py
@@ -16,7 +16,7 @@
     ProtocolVersionError,
     UnknownMessageError,
 )
-from gypsumline.core.messages import (
+from gypsumline.core.message import (
     LOWEST_PROTOCOL_VERSION,
     MESSAGE_TYPES,
     PROTOCOL_VERSION,
--- a/gypsumline/wire/connection.py
+++ b/gypsumline/wire/connection.py
@@ -11,7 +11,7 @@
     UnknownMessageError,
 )
 from gypsumline.core.identity import Member
-from gypsumline.core.messages import (
+from gypsumline.core.message import (
     LOWEST_PROTOCOL_VERSION,
     PROTOCOL_VERSION,
     Goodbye,
--- a/gypsumline/wire/hub.py
+++ b/gypsumline/wire/hub.py
@@ -11,7 +11,7 @@
 
 from gypsumline.core.errors import FrameError, FrameTooLargeError
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.messages import Goodbye, Message
+from gypsumline.core.message import Goodbye, Message
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.wire.backoff import (
--- a/properties/control_world.py
+++ b/properties/control_world.py
@@ -28,7 +28,7 @@
     WriteTable,
 )
 from gypsumline.core.identity import Member, Role
-from gypsumline.core.messages import Message
+from gypsumline.core.message import Message
 
 TICK_SECONDS = 0.1
 WALL_START = 1_700_000_000.0
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from gypsumline.core.errors import FrameError
-from gypsumline.core.messages import MESSAGE_TYPES, PROTOCOL_VERSION
+from gypsumline.core.message import MESSAGE_TYPES, PROTOCOL_VERSION
 from gypsumline.wire.codec import decode_body, encode_frame
 
 VALUES = st.recursive(
