Run the daemons of the users' platform on uvloop

Cause: a large part of what an idle daemon costs is the event loop itself. Change: both daemons run on uvloop, which was declared and locked already.

--- a/gypsumline/platform/__main__.py
+++ b/gypsumline/platform/__main__.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import sys
 
+import uvloop
+
 from gypsumline.core.errors import InvalidInputGroup
 from gypsumline.platform.settings_file import read_settings, settings_path
 
@@ -29,11 +30,11 @@
     if arguments[0] == "entry":
         from gypsumline.platform.entry_daemon import run_entry
 
-        asyncio.run(run_entry(settings))
+        uvloop.run(run_entry(settings))
     else:
         from gypsumline.platform.agent_daemon import run_agent
 
-        asyncio.run(run_agent(settings))
+        uvloop.run(run_agent(settings))
     return 0
 
 
