Handle frames as they arrive, without a task for each read

Cause: each message between an entry and an agent took two turns of the event loop, one for the bytes and one to wake the task that read them, and two passes of the codec: to builtins and then to bytes, and back. Change: a connection is a protocol that decodes complete frames from the bytes as they come and calls the hub. The codec encodes and decodes the messages in one pass of msgspec's MessagePack; the format stays. Tests: an error in the listener closes only its connection; a frame over the limit of the hello may follow it in the same bytes. The fuzz test of the codec names the modules whose messages it draws, which it got by chance before.

--- a/gypsumline/tests/wire/test_hub_faults.py
+++ b/gypsumline/tests/wire/test_hub_faults.py
@@ -260,3 +260,37 @@
     assert taken == backoff.DIALS_BURST
     later = sum(limiter.try_acquire(1.0) for _ in range(1000))
     assert later == backoff.DIALS_PER_SECOND
+
+
+class FailingListener(Recorder):
+    """Fails on the first message and records the others."""
+
+    def on_message(self, member, message):
+        if not self.messages:
+            self.messages.append(message)
+            raise RuntimeError("defect")
+        super().on_message(member, message)
+
+
+async def test_failing_listener_costs_its_own_connection_only():
+    """Guards against an error for one message that stops the process."""
+    listener = FailingListener()
+    async with hub_and_peer(listener) as (running, _, peer):
+        report = encode_raw_frame("hand_over_ack", {"count": 1})
+        peer.writer.write(encode_hello() + report)
+        assert await peer.is_closed()
+        assert running.members == ()
+        host, port = peer.writer.get_extra_info("peername")
+        second = RawPeer(*await asyncio.open_connection(host, port))
+        second.writer.write(encode_hello() + report)
+        await wait_until(lambda: len(listener.messages) == 2)
+        second.writer.close()
+
+
+async def test_long_frame_may_follow_the_hello_at_once():
+    """Guards against the limit of the hello applied to later frames."""
+    async with hub_and_peer() as (_, recorder, peer):
+        reason = "x" * connection.HELLO_LIMIT_BYTES
+        frame = encode_raw_frame("journal_query", {"revision": 1, "x": reason})
+        peer.writer.write(encode_hello() + frame)
+        await wait_until(lambda: recorder.messages)
--- a/gypsumline/wire/codec.py
+++ b/gypsumline/wire/codec.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
+import functools
 import struct
 
-import msgpack
 import msgspec
 
 from gypsumline.core.errors import (
@@ -25,7 +25,8 @@
 
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 LENGTH = struct.Struct(">I")
-_BODY_ITEMS = 3
+_ENCODER = msgspec.msgpack.Encoder()
+_BODY_DECODER = msgspec.msgpack.Decoder(tuple[object, object, msgspec.Raw])
 
 
 def encode_frame(message: Message, version: int = PROTOCOL_VERSION) -> bytes:
@@ -38,8 +39,7 @@
     Raises:
       FrameTooLargeError: The encoded message exceeds the limit.
     """
-    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
-    body: bytes = msgpack.packb([version, message.wire_name, fields])
+    body = _ENCODER.encode((version, message.wire_name, message))
     if len(body) > FRAME_LIMIT_BYTES:
         raise FrameTooLargeError(len(body), FRAME_LIMIT_BYTES)
     return LENGTH.pack(len(body)) + body
@@ -58,12 +58,11 @@
         raise ProtocolVersionError(
             version, LOWEST_PROTOCOL_VERSION, PROTOCOL_VERSION
         )
-    message_type = MESSAGE_TYPES.get(name) if isinstance(name, str) else None
-    if message_type is None:
+    if not isinstance(name, str) or name not in MESSAGE_TYPES:
         raise UnknownMessageError(name)
     try:
-        return msgspec.convert(fields, message_type, builtin_types=(bytes,))
-    except (msgspec.ValidationError, RecursionError) as error:
+        return _message_decoder(name).decode(fields)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise FrameError(f"message {name!r} is invalid: {error}") from error
 
 
@@ -79,11 +78,15 @@
     return size
 
 
-def _unpack(body: bytes) -> tuple[object, object, object]:
+def _unpack(body: bytes) -> tuple[object, object, msgspec.Raw]:
     try:
-        items = msgpack.unpackb(body, strict_map_key=False, use_list=False)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise FrameError(f"frame is not valid msgpack: {error}") from error
-    if not isinstance(items, tuple) or len(items) != _BODY_ITEMS:
-        raise FrameError("frame is not a list of version, name and fields")
-    return items
+        return _BODY_DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FrameError(
+            f"frame is not a list of version, name and fields: {error}"
+        ) from error
+
+
+@functools.cache
+def _message_decoder(name: str) -> msgspec.msgpack.Decoder[Message]:
+    return msgspec.msgpack.Decoder(MESSAGE_TYPES[name])
--- a/gypsumline/wire/hub.py
+++ b/gypsumline/wire/hub.py
@@ -67,7 +67,7 @@
         self._pending_handshakes = 0
         self._is_closed = False
         self._member_id_by_address: dict[str, str] = {}
-        self._handlers: set[asyncio.Task[None]] = set()
+        self._handlers: set[asyncio.Task[bool]] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -125,7 +125,10 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Starts to accept connections at a host and port."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Connection(self._accept), host, port
+        )
 
     def reconnect_as(self, local_member: Member) -> None:
         """Aborts all connections and reconnects as a new incarnation."""
@@ -152,9 +155,7 @@
         await asyncio.gather(
             *(c.close_with_goodbye("stop") for c in connections)
         )
-        for task in list(self._dialers.values()):
-            task.cancel()
-        for task in list(self._handlers):
+        for task in (*self._dialers.values(), *self._handlers):
             task.cancel()
 
     def _ensure_dialer(self, address: str) -> None:
@@ -205,28 +206,32 @@
 
     async def _dial_once(self, address: str) -> bool:
         host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                _, connection = await loop.create_connection(
+                    Connection, host, int(port)
+                )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             metrics.DIAL_ERRORS.labels(type(error).__name__).inc()
             return False
-        connection = Connection(reader, writer)
         return await self._serve(connection, address)
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        if task is not None:
-            self._handlers.add(task)
-            task.add_done_callback(self._handlers.discard)
+    def _accept(self, connection: Connection) -> None:
         if self._pending_handshakes >= PENDING_HANDSHAKES_MAX:
             metrics.CONNECTION_ERRORS.labels("greeting_limit").inc()
-            writer.transport.abort()
+            connection.abort()
             return
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._serve(Connection(reader, writer), "")
+        task = asyncio.create_task(self._serve(connection, ""))
+        self._handlers.add(task)
+        task.add_done_callback(self._on_handler_done)
+
+    def _on_handler_done(self, task: asyncio.Task[bool]) -> None:
+        self._handlers.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOGGER.error(
+                "accepted connection failed", exc_info=task.exception()
+            )
 
     async def _serve(self, connection: Connection, dialed_address: str) -> bool:
         """Runs a connection until it ends.
@@ -281,13 +286,15 @@
         return True
 
     async def _receive_all(self, connection: Connection, peer: Member) -> None:
-        with self._registered(connection, peer):
-            while True:
-                message = await connection.receive()
-                if isinstance(message, Goodbye):
-                    return
+        def receive(message: Message) -> None:
+            if isinstance(message, Goodbye):
+                connection.finish()
+            else:
                 self._listener.on_message(peer, message)
 
+        with self._registered(connection, peer):
+            await connection.deliver_to(receive)
+
     @contextlib.contextmanager
     def _registered(
         self, connection: Connection, peer: Member
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+import gypsumline.core.leases.messages
+import gypsumline.core.messages  # noqa: F401  registers its messages
 from gypsumline.core.errors import FrameError
 from gypsumline.core.message import MESSAGE_TYPES, PROTOCOL_VERSION
 from gypsumline.wire.codec import decode_body, encode_frame
