Let agents and entries without work rest, and tell paused agents by their orders

Cause: an agent without a run woke up 33 times a second for its checks and pinged each entry on a schedule of its own, 11 times a second for nine entries; an entry without a job woke up as often. Change: the run table and the owner say when they must be checked again: every 30 ms with runs, jobs or waiting owners, else at the next ping or after 0.25 s. An agent at rest pings all owners together, every 1.6 s. Since silence says less now, an owner gives no further runs to an agent that has not taken up an order within 0.5 s; before, a paused agent got runs for 1.2 s. The contact limit is 0.5 s in place of 0.4 s, with pings every 0.2 s in place of 0.12 s, so a ping may be late by as much as before: 0.5 + 0.6 * 1.02 + 0.05 = 1.162 s < 1.3 s. Contacts are checked before each renewal of the lease too, so that a pause of the agent adds nothing to it. An owner that was paused itself reads its messages before it takes itself for isolated; it gave up all its jobs at the first check after a pause. In test_resubmitted_job_uses_higher_attempt_numbers the agent's load includes the order that it has stopped, as that of a real agent does.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -28,6 +28,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.logs import DecisionLog
+from gypsumline.runtime.timers import Subscription, TimerService
 from gypsumline.wire.hub import Hub
 
 # Delay after a failed hold request.
@@ -65,6 +66,7 @@
         self._executor = executor
         self._log = decision_log
         self._hub: Hub | None = None
+        self._timer: Subscription | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
@@ -77,6 +79,11 @@
         """Sets the hub for messages."""
         self._hub = hub
 
+    def subscribe(self, timers: TimerService) -> None:
+        """Subscribes to the timers, at a rate that follows the runs."""
+        interval = self._table.next_tick_in(boot_time())
+        self._timer = timers.subscribe(interval, self.tick)
+
     def begin_stop(self) -> None:
         """Begins a planned stop, after which starts are refused."""
         self._apply_effects(self._table.begin_stop(boot_time()))
@@ -93,7 +100,10 @@
 
     def tick(self) -> None:
         """Runs the due timers of the run table."""
-        self._apply_effects(self._table.tick(boot_time()))
+        now = boot_time()
+        self._apply_effects(self._table.tick(now))
+        if self._timer is not None:
+            self._timer.set_interval(self._table.next_tick_in(now))
 
     def on_connected(self, member: Member) -> None:
         """Handles a new stream to an entry."""
@@ -122,7 +132,9 @@
     async def run_hold_loop(self) -> None:
         """Renews the lease and collects ended runs until cancelled."""
         while True:
-            order = self._table.next_hold_request(boot_time())
+            now = boot_time()
+            self._apply_effects(self._table.check_runs(now))
+            order = self._table.next_hold_request(now)
             if order is None:
                 self._wake.clear()
                 await self._wake.wait()
@@ -176,3 +188,5 @@
                     self._log.write(effect)
         if not self._wake.is_set():
             self._wake.set()
+        if self._timer is not None and not self._table.is_at_rest:
+            self._timer.set_interval(self._table.tick_interval)
--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -179,22 +179,50 @@
             if is_gone and age > CONTACT_RETENTION_SECONDS:
                 del self._contacts[owner]
 
+    @property
+    def has_capacity_requests(self) -> bool:
+        """Whether a connected owner waits for capacity."""
+        return any(
+            contact.capacity_request is not None
+            for contact in self._contacts.values()
+        )
+
     def owners_to_ping(self, busy: set[Member], now: float) -> list[Member]:
-        """Returns the connected owners whose next ping is due."""
+        """Returns the connected owners whose next ping is due.
+
+        At rest all owners are pinged together, so that the process wakes up
+        once for all of them.
+        """
         settings = self._settings
-        due = []
-        for owner, contact in self._contacts.items():
-            if not contact.is_connected:
-                continue
-            is_busy = owner in busy
-            interval = (
-                settings.busy_ping_interval
-                if is_busy
-                else settings.idle_ping_interval
-            )
-            if now - contact.pinged_at >= interval:
-                due.append(owner)
-        return due
+        if not busy:
+            interval = settings.rest_ping_interval
+            return self._pinged_before(now - interval) and self.connected
+        due = self._pinged_before(now - settings.busy_ping_interval)
+        idle_limit = now - settings.idle_ping_interval
+        return [
+            owner
+            for owner in due
+            if owner in busy or self._contacts[owner].pinged_at <= idle_limit
+        ]
+
+    def next_ping_in(self, now: float) -> float:
+        """Returns the seconds until the next ping at rest is due."""
+        oldest = min(
+            (
+                contact.pinged_at
+                for contact in self._contacts.values()
+                if contact.is_connected
+            ),
+            default=now,
+        )
+        return max(0.0, oldest + self._settings.rest_ping_interval - now)
+
+    def _pinged_before(self, limit: float) -> list[Member]:
+        return [
+            owner
+            for owner, contact in self._contacts.items()
+            if contact.is_connected and contact.pinged_at <= limit
+        ]
 
     def ping(self, owner: Member, load: ExecutorLoad, now: float) -> Send:
         """Returns a ping to an owner and records its time."""
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -9,6 +9,7 @@
 
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.messages import ExecutorLoad
+from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.core.leases.resources import NO_RESOURCES, Resources
 
 
@@ -25,8 +26,8 @@
       is_connected: Whether a stream to it is open.
       paused_until: Time before which it gets no runs.
       orders_sent: Number of run orders sent on its current stream.
-      in_flight_orders: Numbers and resources of orders that the load does not
-        include yet.
+      in_flight_orders: Numbers, resources and times of orders that the load
+        does not include yet.
       free: Free resources, less those of the orders in flight.
     """
 
@@ -38,7 +39,7 @@
     is_connected: bool = True
     paused_until: float = -math.inf
     orders_sent: int = 0
-    in_flight_orders: collections.deque[tuple[int, Resources]] = (
+    in_flight_orders: collections.deque[tuple[int, Resources, float]] = (
         dataclasses.field(default_factory=collections.deque)
     )
     free: Resources = NO_RESOURCES
@@ -60,19 +61,29 @@
         ):
             self.in_flight_orders.popleft()
         self.free = load.free
-        for _, resources in self.in_flight_orders:
+        for _, resources, _ in self.in_flight_orders:
             self.free = self.free - resources
         if not was_taking or load.executor != executor:
             return load.taking
         return not self.free.fits(before)
 
-    def add_order(self, resources: Resources) -> int:
+    def add_order(self, resources: Resources, now: float) -> int:
         """Records an order to be sent; returns its number."""
         self.orders_sent += 1
-        self.in_flight_orders.append((self.orders_sent, resources))
+        self.in_flight_orders.append((self.orders_sent, resources, now))
         self.free = self.free - resources
         return self.orders_sent
 
+    def unanswered_time(self, now: float) -> float:
+        """Returns the age of the oldest order that the load does not include.
+
+        Returns:
+          Seconds; 0 if the load includes all orders.
+        """
+        if not self.in_flight_orders:
+            return 0.0
+        return now - self.in_flight_orders[0][2]
+
     def reset_stream(self) -> None:
         """Resets the state that belongs to a stream."""
         self.is_connected = True
@@ -84,9 +95,9 @@
 class Fleet:
     """The agents known to an owner."""
 
-    def __init__(self, silence_limit: float) -> None:
+    def __init__(self, settings: LeasedOwnerSettings) -> None:
         self._agents: dict[str, AgentView] = {}
-        self._silence_limit = silence_limit
+        self._settings = settings
 
     def __iter__(self) -> Iterator[AgentView]:
         return iter(self._agents.values())
@@ -123,12 +134,18 @@
         return any(True for _ in self._usable(service, now))
 
     def is_usable(self, view: AgentView, now: float) -> bool:
-        """Returns whether an agent can be given runs."""
+        """Returns whether an agent can be given runs.
+
+        An agent at rest sends little, so its silence says nothing at first. One
+        that does not take up an order is paused or cut off.
+        """
+        settings = self._settings
         return (
             view.is_connected
             and view.load.taking
             and view.paused_until <= now
-            and now - view.last_message_at <= self._silence_limit
+            and now - view.last_message_at <= settings.silence_limit
+            and view.unanswered_time(now) <= settings.order_answer_limit
         )
 
     def _usable(self, service: str, now: float) -> Iterator[AgentView]:
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -77,12 +77,13 @@
         self._estimates = RunTimeEstimates(settings.default_run_time)
         self._placement = Placement(settings, self._estimates)
         self._health = ExecutorHealth(PlacementSettings())
-        self._fleet = Fleet(settings.silence_limit)
+        self._fleet = Fleet(settings)
         self._jobs: dict[str, LeasedJob] = {}
         self._waiting: dict[str, LeasedJob] = {}
         # Waiting jobs in the order of the latest placement pass.
         self._sorted_waiting: list[LeasedJob] = []
         self._last_usable_at = -math.inf
+        self._ticked_at = -math.inf
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
         self._backlog = Backlog(settings, self._fleet, self._placement)
@@ -93,6 +94,17 @@
         """Open jobs by key."""
         return self._jobs
 
+    @property
+    def next_tick_in(self) -> float:
+        """Seconds after which `tick` must be called again."""
+        settings = self._settings
+        is_at_rest = not self._jobs and not self._runs
+        return (
+            settings.rest_tick_interval
+            if is_at_rest
+            else settings.tick_interval
+        )
+
     def usable_agents(self, now: float) -> int:
         """Returns the number of agents that can be given runs."""
         return sum(self._fleet.is_usable(view, now) for view in self._fleet)
@@ -352,7 +364,7 @@
             view=choice.agent,
             executor=choice.agent.load.executor,
             resources=task.step.resources,
-            order_number=choice.agent.add_order(task.step.resources),
+            order_number=choice.agent.add_order(task.step.resources, now),
             placed_at=now,
             overdue_at=now + limit + settings.overdue_extra,
         )
@@ -472,8 +484,14 @@
     # Ends of jobs.
 
     def _is_isolated(self, now: float) -> bool:
-        """Returns whether no agent was usable for longer than the limit."""
-        if self.usable_agents(now):
+        """Returns whether no agent was usable for longer than the limit.
+
+        After a pause of this process its view of the agents is old, although
+        they may be reachable: it waits for their messages first.
+        """
+        was_paused = now - self._ticked_at > self._settings.isolation_limit
+        self._ticked_at = now
+        if was_paused or self.usable_agents(now):
             self._last_usable_at = now
         return now - self._last_usable_at > self._settings.isolation_limit
 
--- a/gypsumline/core/leases/owner_settings.py
+++ b/gypsumline/core/leases/owner_settings.py
@@ -11,7 +11,9 @@
 
     Attributes:
       silence_limit: Silence of an agent after which it gets no new runs. Covers
-        one idle ping interval of the agents and a slow answer.
+        one ping interval of an agent at rest and a slow answer.
+      order_answer_limit: Time without a load that includes an order after which
+        the agent gets no new runs. Covers a few busy ping intervals.
       isolation_limit: Time without any usable agent after which the open jobs
         are answered, so that their callers use another entry. By then the
         agents have stopped the runs of an owner that they cannot reach.
@@ -32,10 +34,13 @@
       jobs_limit: Maximum number of waiting jobs.
       retry_after_min: Minimum retry time in an answer.
       retry_after_max: Maximum retry time in an answer.
+      tick_interval: Time between the checks of an owner with jobs or runs.
+      rest_tick_interval: Time between the checks of any other owner.
       default_run_time: Expected run time of a queue without known run times.
     """
 
-    silence_limit: float = 1.2
+    silence_limit: float = 2.0
+    order_answer_limit: float = 0.5
     isolation_limit: float = 0.5
     forget_after: float = 30.0
     refusal_pause: float = 0.3
@@ -48,4 +53,6 @@
     jobs_limit: int = 20_000
     retry_after_min: float = 0.2
     retry_after_max: float = 10.0
+    tick_interval: float = 0.03
+    rest_tick_interval: float = 0.25
     default_run_time: float = 0.3
--- a/gypsumline/core/leases/placed_runs.py
+++ b/gypsumline/core/leases/placed_runs.py
@@ -19,6 +19,9 @@
     def __iter__(self) -> Iterator[PlacedRun]:
         return iter(list(self._runs.values()))
 
+    def __len__(self) -> int:
+        return len(self._runs)
+
     def __contains__(self, task: str) -> bool:
         return task in self._runs
 
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -98,6 +98,20 @@
         """Whether the executor has no runs of earlier agents left."""
         return self._is_open and not self._unowned_runs
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether nothing can lapse, so that only the next pings are due."""
+        return not (
+            self._runs
+            or self._unowned_runs
+            or self._contacts.has_capacity_requests
+        )
+
+    @property
+    def tick_interval(self) -> float:
+        """Seconds between the calls of `tick` unless it is at rest."""
+        return self._settings.tick_interval
+
     @property
     def accepts_starts(self) -> bool:
         """Whether new runs are accepted."""
@@ -115,6 +129,12 @@
             return Resources()
         return self._executor.announcement.capacity - self._usage.used
 
+    def next_tick_in(self, now: float) -> float:
+        """Returns the seconds after which `tick` must be called again."""
+        if not self.is_at_rest:
+            return self.tick_interval
+        return max(self.tick_interval, self._contacts.next_ping_in(now))
+
     def begin_stop(self, now: float) -> list[Effect]:
         """Accepts no more starts; existing runs continue."""
         self._is_stopping = True
@@ -342,8 +362,7 @@
             and executor.has_lease_lapsed(now)
         ):
             effects += self._lose_all_runs("lease lapsed")
-        for run in list(self._runs.values()):
-            effects += self._check_run(run, now)
+        effects += self.check_runs(now)
         effects += self._stop_unowned_runs(now)
         busy = {run.owner for run in self._runs.values()}
         self._contacts.prune(busy, now)
@@ -351,6 +370,17 @@
             effects.append(self._ping(owner, now))
         return effects + self._flush_reports(now)
 
+    def check_runs(self, now: float) -> list[Effect]:
+        """Stops runs without a live owner and retries unconfirmed stops.
+
+        Called before each renewal of the lease too, so that after a pause of
+        this process no run is prolonged on an earlier contact.
+        """
+        effects: list[Effect] = []
+        for run in list(self._runs.values()):
+            effects += self._check_run(run, now)
+        return effects
+
     # Runs.
 
     def _start(
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -24,19 +24,23 @@
         resubmission at another entry.
       busy_ping_interval: Time between pings to an owner that has runs here.
       idle_ping_interval: Time between pings to any other owner.
+      rest_ping_interval: Time between pings while no owner has runs here.
+      tick_interval: Time between the checks of an agent that is not at rest.
       hold_wait: Time for which the executor may wait for an end of a run before
         it answers a hold request.
       order_timeout: Time after which an order to the executor counts as
         unanswered.
     """
 
-    contact_limit: float = 0.4
+    contact_limit: float = 0.5
     lease: float = 0.6
     clock_drift: float = 0.02
     stop_time: float = 0.05
     resubmit_delay: float = 1.3
-    busy_ping_interval: float = 0.12
+    busy_ping_interval: float = 0.2
     idle_ping_interval: float = 0.8
+    rest_ping_interval: float = 1.6
+    tick_interval: float = 0.03
     hold_wait: float = 0.2
     order_timeout: float = 0.25
 
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -14,6 +14,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.logs import DecisionLog
+from gypsumline.runtime.timers import Subscription, TimerService
 from gypsumline.wire.hub import Hub
 
 OnEnded = Callable[[JobEnded], None]
@@ -26,6 +27,7 @@
         self._owner = owner
         self._log = decision_log
         self._hub: Hub | None = None
+        self._timer: Subscription | None = None
         self._callers: dict[str, list[OnEnded]] = {}
 
     @property
@@ -42,6 +44,11 @@
         """Sets the hub for messages."""
         self._hub = hub
 
+    def subscribe(self, timers: TimerService) -> None:
+        """Subscribes to the timers, at a rate that follows the open work."""
+        interval = self._owner.next_tick_in
+        self._timer = timers.subscribe(interval, self.tick)
+
     def submit(self, request: JobRequest, on_ended: OnEnded) -> None:
         """Submits a job.
 
@@ -107,6 +114,8 @@
                     self._answer_callers(effect)
                 case Decision():
                     self._log.write(effect)
+        if self._timer is not None:
+            self._timer.set_interval(self._owner.next_tick_in)
 
     def _answer_callers(self, ended: JobEnded) -> None:
         metrics.JOBS.labels(ended.outcome.value).inc()
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -21,7 +21,6 @@
 )
 from gypsumline.wire.hub import running_hub
 
-TICK_SECONDS = 0.03
 # Fraction of the time from the stop signal to the kill in which runs may end.
 _FINISHING_FRACTION = 0.8
 
@@ -56,7 +55,7 @@
             settings.entries_feed,
             daemon.rng,
         )
-        daemon.timers.subscribe(TICK_SECONDS, node.tick)
+        node.subscribe(daemon.timers)
         async with (
             running_light_server(
                 settings.heartbeat_address, receiver, HttpLimits()
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -27,7 +27,6 @@
 )
 from gypsumline.wire.hub import Hub, running_hub
 
-TICK_SECONDS = 0.03
 # Fractions of the time from the stop signal to the kill: the first ends the
 # acceptance of new jobs, the second the wait for running jobs.
 _ACCEPTING_FRACTION = 0.4
@@ -70,7 +69,7 @@
         """Serves until a planned stop has finished."""
         daemon = self._daemon
         announcer = EntryAnnouncer(self._store, daemon.member, daemon.rng)
-        daemon.timers.subscribe(TICK_SECONDS, self._node.tick)
+        self._node.subscribe(daemon.timers)
         async with (
             self._running_hub(),
             self._running_servers() as caller_server,
--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -24,7 +24,7 @@
 # Fractions for the contact limit and the lease of the time from the loss of a
 # connection to the resubmission of the job, less the executor's stop time. The
 # rest is a margin for overdue timers.
-_CONTACT_LIMIT_FRACTION = 0.32
+_CONTACT_LIMIT_FRACTION = 0.4
 _LEASE_FRACTION = 0.48
 # Defaults for bounds that the file omits: the usual values of the platform.
 _DEFAULT_RESUBMIT_MS = 1300.0
@@ -144,7 +144,7 @@
             lease=lease,
             stop_time=stop,
             resubmit_delay=resubmit,
-            busy_ping_interval=0.3 * _CONTACT_LIMIT_FRACTION * available,
+            busy_ping_interval=0.4 * _CONTACT_LIMIT_FRACTION * available,
             hold_wait=lease / 3.0,
             order_timeout=0.4 * lease,
         )
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -240,6 +240,21 @@
     assert outcomes(leased.tick(1.7)) == [(KEY, JobOutcome.ELSEWHERE)]
 
 
+def test_owner_that_was_paused_keeps_its_open_jobs():
+    """Guards against jobs given up on a view that is older than the pause.
+
+    The agents could be reached all the time; their messages are read next.
+    """
+    leased = owner()
+    join(leased, agent())
+    leased.tick(0.0)
+    leased.submit(request(), 0.0)
+    assert outcomes(leased.tick(3.0)) == []
+    leased.on_ping(agent(), ContactPing(stamp=3.0, load=load(seen=1)), 3.0)
+    assert outcomes(leased.tick(3.1)) == []
+    assert KEY in leased.jobs
+
+
 def test_job_behind_a_long_backlog_is_refused_at_once():
     """Guards against jobs that wait until their answer is useless."""
     leased = owner()
@@ -458,7 +473,7 @@
     leased.abandon(KEY, 0.1)
     leased.tick(LEASE.rerun_wait + 0.1)
     now = LEASE.rerun_wait + 0.2
-    leased.on_ping(agent(), ContactPing(stamp=now, load=load()), now)
+    leased.on_ping(agent(), ContactPing(stamp=now, load=load(seen=1)), now)
     assert placed(leased.submit(request(), now)) == [("agent-1", TASK, 2)]
     stopped = reports((TASK, 1, RunEnd.STOPPED, 0.0))
     assert placed(leased.on_reports(agent(), stopped, now)) == []
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -118,8 +118,17 @@
     """Guards against runs that continue after their owner is lost."""
     table = open_table()
     run_one(table)
-    assert stops(table.tick(0.39)) == []
-    assert [stop.task for stop in stops(table.tick(0.41))] == [TASK]
+    limit = LEASE.contact_limit
+    assert stops(table.tick(limit - 0.01)) == []
+    assert [stop.task for stop in stops(table.tick(limit + 0.01))] == [TASK]
+
+
+def test_run_is_stopped_before_the_lease_is_renewed_after_a_pause():
+    """Guards against a permission that ran out while the process was paused."""
+    table = open_table()
+    run_one(table)
+    effects = table.check_runs(LEASE.contact_limit + 0.01)
+    assert [stop.task for stop in stops(effects)] == [TASK]
 
 
 def test_start_with_a_stale_stamp_is_deferred_until_contact():
