Look for runs only where something has changed

Cause: at an entry with a backlog most of the time went into passes. Each report of an end sorted all waiting jobs and tried each of them at all agents, although only the reporting agent had changed. Change: a report, or a ping with news, places at its agent only; tasks that return to waiting, or that a finished step made ready, are tried everywhere. Jobs whose smallest need exceeds the largest free amounts are passed over without being looked into. In a pass that places nothing the cost is now one look at the agents and one comparison for each job. Tests: test_decision_cost.py has the end of a run, which fails before, a retry at another agent, and a job that ends in the report that returns its task. The test that a step is tried once uses agents that together, but not each, have what it needs; it was tried once before because there was no quicker way to pass over it.

--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -125,9 +125,20 @@
             if not view.is_connected and now - view.last_message_at > limit:
                 del self._agents[name]
 
-    def usable(self, service: str, now: float) -> list[AgentView]:
-        """Returns the agents that can be given runs of a service."""
-        return list(self._usable(service, now))
+    def usable(
+        self, service: str, now: float, only: AgentView | None = None
+    ) -> list[AgentView]:
+        """Returns the agents that can be given runs of a service.
+
+        Args:
+          service: The service.
+          now: Current time.
+          only: The only agent to be considered; None for all.
+        """
+        if only is None:
+            return list(self._usable(service, now))
+        is_usable = only.service == service and self.is_usable(only, now)
+        return [only] if is_usable else []
 
     def has_usable(self, service: str, now: float) -> bool:
         """Returns whether any agent can be given runs of a service."""
--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 from collections.abc import Iterator
 
 from gypsumline.core.identity import Member
@@ -160,6 +161,7 @@
       started_runs: Number of ordered runs that have or may have started.
       may_have_run: Whether a run of an earlier job with this key may have
         started here.
+      smallest_need: Smallest amount of each resource that a step needs.
       tasks: All its tasks.
     """
 
@@ -175,6 +177,9 @@
         self.received_at = now
         self.expires_at = now + request.timeout
         self.objective = objective
+        self.smallest_need = functools.reduce(
+            Resources.min, (step.resources for step in request.steps)
+        )
         self.started_runs = 0
         self.may_have_run = False
         self.tasks = [
@@ -248,6 +253,10 @@
             self._open_counts[task.step_index] -= 1
         task.phase = phase
 
+    def is_step_done(self, number: int) -> bool:
+        """Returns whether all tasks of a step are done."""
+        return not self._open_counts[number]
+
     def waiting_steps(self) -> Iterator[tuple[JobStep, int]]:
         """Yields steps with waiting tasks and the number of these tasks."""
         for number, count in enumerate(self._waiting_counts):
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -45,6 +45,7 @@
 from gypsumline.core.leases.placement import Choice, Placement
 from gypsumline.core.leases.placement_pass import PlacementPass
 from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.core.leases.waiting_jobs import WaitingJobs
 from gypsumline.core.placement.estimate import RunTimeEstimates
 from gypsumline.core.placement.settings import PlacementSettings
 
@@ -79,14 +80,15 @@
         self._health = ExecutorHealth(PlacementSettings())
         self._fleet = Fleet(settings)
         self._jobs: dict[str, LeasedJob] = {}
-        self._waiting: dict[str, LeasedJob] = {}
-        # Waiting jobs in the order of the latest placement pass.
-        self._sorted_waiting: list[LeasedJob] = []
         self._last_usable_at = -math.inf
         self._ticked_at = -math.inf
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
         self._backlog = Backlog(settings, self._fleet, self._placement)
+        self._waiting = WaitingJobs(self._backlog)
+        # Jobs with tasks that can be placed again, or that a finished step has
+        # made ready, since the latest pass.
+        self._returned: list[LeasedJob] = []
         self._zones_out = ZonesOut(version=-1, zones=())
 
     @property
@@ -132,10 +134,9 @@
             line = refused_line(refusal, job, len(self._waiting))
             return [*effects, refusal, line]
         self._jobs[job.key] = job
-        self._waiting[job.key] = job
+        self._waiting.add(job, now)
         # Only the new job is placed: the jobs ahead of it did not fit in the
         # latest pass.
-        self._backlog.insert(self._sorted_waiting, job, now)
         return effects + self._place_jobs([job], now)
 
     def abandon(self, key: str, now: float) -> list[Effect]:
@@ -147,15 +148,14 @@
             event="job_abandoned",
             fields={"job": key, "age": round(now - job.received_at, 3)},
         )
-        return [line, *self._remove_job(job, now), *self.place_waiting(now)]
+        return [line, *self._remove_job(job, now)]
 
     def cancel(self, key: str, now: float) -> list[Effect]:
         """Cancels a job and stops its runs."""
         job = self._jobs.get(key)
         if job is None:
             return []
-        effects = self._end_job(job, JobOutcome.CANCELLED, "cancelled", now)
-        return effects + self.place_waiting(now)
+        return self._end_job(job, JobOutcome.CANCELLED, "cancelled", now)
 
     def expire_all(self, reason: str, now: float) -> list[Effect]:
         """Ends all open jobs at the end of a planned stop."""
@@ -209,7 +209,7 @@
         # A placement pass for each ping would be too costly: all agents ping,
         # and most pings carry no change.
         effects = (
-            self.place_waiting(now)
+            self._place_at(view, now)
             if self._update_load(view, message, now)
             else []
         )
@@ -231,7 +231,7 @@
                 continue
             self._runs.remove(run)
             effects += self._on_run_end(run, view, report, now)
-        effects += self.place_waiting(now)
+        effects += self._place_at(view, now)
         if message.load.offered and not has_start_for(effects, agent):
             # Declines the offer, so that the agent asks another owner.
             effects.append(self._pong(view, now))
@@ -253,20 +253,37 @@
 
     def place_waiting(self, now: float) -> list[Effect]:
         """Places the waiting tasks that fit on some agent."""
-        self._sorted_waiting = self._backlog.sort_by_urgency(
-            self._waiting.values(), now
-        )
-        return self._place_jobs(self._sorted_waiting, now)
+        self._returned.clear()
+        self._waiting.sort(now)
+        return self._place_jobs(self._waiting.in_order(), now)
 
     # Placement.
 
-    def _place_jobs(self, jobs: list[LeasedJob], now: float) -> list[Effect]:
+    def _place_at(self, view: AgentView, now: float) -> list[Effect]:
+        """Places waiting tasks after a change at one agent.
+
+        What did not fit elsewhere in the latest pass still does not, except for
+        the tasks that have returned since.
+        """
+        effects = self._place_jobs(self._waiting.in_order(), now, view)
+        # Some may have been placed or have ended meanwhile.
+        returned = [job for job in self._returned if job in self._waiting]
+        self._returned.clear()
+        return effects + self._place_jobs(returned, now)
+
+    def _place_jobs(
+        self, jobs: list[LeasedJob], now: float, view: AgentView | None = None
+    ) -> list[Effect]:
+        """Places the ready tasks of jobs, at one agent or at any."""
         if not jobs:
             return []
-        this_pass = PlacementPass(lambda service: self._usable(service, now))
+        this_pass = PlacementPass(
+            lambda service: self._usable(service, now, view)
+        )
         effects: list[Effect] = []
         for job in jobs:
-            effects += self._place_job(job, this_pass, now)
+            if this_pass.may_fit(job.service, job.smallest_need):
+                effects += self._place_job(job, this_pass, now)
         placed = this_pass.runs
         request = self._capacity_request(now) if placed else None
         return [*effects, *(start_message(runs, request) for runs in placed)]
@@ -278,7 +295,7 @@
         service = job.request.queue.service
         steps = [step for step, _ in job.ready_steps()]
         if not steps:
-            del self._waiting[job.key]
+            self._waiting.discard(job)
             return []
         if all(this_pass.lacks_capacity(service, s.resources) for s in steps):
             return []
@@ -291,7 +308,7 @@
             else:
                 effects.append(line)
         if not is_pending:
-            del self._waiting[job.key]
+            self._waiting.discard(job)
         return effects
 
     def _place_ready(
@@ -322,11 +339,14 @@
         this_pass.add(run)
         return placed_line(run, choice, now)
 
-    def _usable(self, service: str, now: float) -> list[AgentView]:
+    def _usable(
+        self, service: str, now: float, only: AgentView | None
+    ) -> list[AgentView]:
+        """Returns the agents, or the given one, that can be given runs."""
         zones = self._zones_out.zones
         return [
             view
-            for view in self._fleet.usable(service, now)
+            for view in self._fleet.usable(service, now, only)
             if view.member.availability_zone not in zones
             and self._may_start_run(view, now)
         ]
@@ -378,9 +398,7 @@
 
     def _capacity_request(self, now: float) -> CapacityRequest | None:
         """Returns the request of the most urgent waiting job, if any."""
-        for job in self._sorted_waiting:
-            if self._waiting.get(job.key) is not job:
-                continue
+        for job in self._waiting.in_order():
             processor = sum(
                 count * step.resources.processor
                 for step, count in job.ready_steps()
@@ -411,13 +429,14 @@
                 report.run_time,
             )
         if self._jobs.get(job.key) is not job:
-            self._requeue(task.name)
+            self._requeue(task.name, now)
             return []
         if report.end is RunEnd.DONE:
             job.set_phase(task, TaskPhase.DONE)
             if job.is_done:
                 return self._end_job(job, JobOutcome.COMPLETED, "", now)
-            self._waiting[job.key] = job
+            if job.is_step_done(task.step_index):
+                self._return_to_waiting(job, now)
             return []
         if report.end is RunEnd.FAILED:
             task.failures += 1
@@ -431,15 +450,18 @@
         if report.end is RunEnd.OLD_ATTEMPT:
             task.attempt += ATTEMPT_STEP
         job.set_phase(task, TaskPhase.WAITING)
-        self._waiting[job.key] = job
+        self._return_to_waiting(job, now)
         return [run_ended_line(run, report, now)]
 
-    def _requeue(self, name: str) -> None:
+    def _requeue(self, name: str, now: float) -> None:
         """Requeues the open job whose task waited for an earlier run."""
-        key = name.partition(".")[0]
-        job = self._jobs.get(key)
+        job = self._jobs.get(name.partition(".")[0])
         if job is not None:
-            self._waiting[key] = job
+            self._return_to_waiting(job, now)
+
+    def _return_to_waiting(self, job: LeasedJob, now: float) -> None:
+        self._waiting.add(job, now)
+        self._returned.append(job)
 
     def _record_health(
         self, run: PlacedRun, view: AgentView, report: RunReport, now: float
@@ -476,9 +498,9 @@
         job = run.task.job
         if self._jobs.get(job.key) is job:
             job.set_phase(run.task, TaskPhase.WAITING)
-            self._waiting[job.key] = job
+            self._return_to_waiting(job, now)
         else:
-            self._requeue(run.task.name)
+            self._requeue(run.task.name, now)
         return [run_ended_line(run, report, now)]
 
     # Ends of jobs.
@@ -502,7 +524,7 @@
             return self._end_job(job, JobOutcome.ELSEWHERE, NO_EXECUTOR, now)
         if now >= job.expires_at:
             return self._end_unfinished(job, "time limit reached", now)
-        if job.has_started or job.key not in self._waiting:
+        if job.has_started or job not in self._waiting:
             return []
         if not self._backlog.would_end_too_late(job, now):
             return []
@@ -530,7 +552,7 @@
     def _remove_job(self, job: LeasedJob, now: float) -> list[Effect]:
         self._attempts.record(job, now)
         self._jobs.pop(job.key, None)
-        self._waiting.pop(job.key, None)
+        self._waiting.discard(job)
         latest_runs = [self._runs.find(task.name) for task in job.tasks]
         return stop_runs(
             [r for r in latest_runs if r is not None and r.task.job is job]
--- a/gypsumline/core/leases/placement_pass.py
+++ b/gypsumline/core/leases/placement_pass.py
@@ -26,6 +26,7 @@
         """
         self._find_agents = find_agents
         self._agents: dict[str, list[AgentView]] = {}
+        self._largest_free: dict[str, Resources] = {}
         self._short: dict[str, list[Resources]] = {}
         self._runs: dict[tuple[str, str], list[PlacedRun]] = {}
 
@@ -41,6 +42,21 @@
             found = self._agents[service] = self._find_agents(service)
         return found
 
+    def may_fit(self, service: str, needs: Resources) -> bool:
+        """Returns whether the largest amounts free at the start suffice.
+
+        They may be free at different agents.
+        """
+        largest = self._largest_free.get(service)
+        if largest is None:
+            free = [agent.free for agent in self.agents(service)]
+            largest = self._largest_free[service] = Resources(
+                processor=max((f.processor for f in free), default=0),
+                memory=max((f.memory for f in free), default=0),
+                accelerators=max((f.accelerators for f in free), default=0),
+            )
+        return needs.fits(largest)
+
     def exclude(self, service: str, agent: AgentView) -> None:
         """Excludes an agent from the rest of the pass."""
         self._agents[service].remove(agent)
--- a/gypsumline/core/leases/resources.py
+++ b/gypsumline/core/leases/resources.py
@@ -33,6 +33,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def min(self, other: Resources) -> Resources:
+        """Returns the smaller amount of each resource."""
+        return Resources(
+            processor=min(self.processor, other.processor),
+            memory=min(self.memory, other.memory),
+            accelerators=min(self.accelerators, other.accelerators),
+        )
+
     def fits(self, available: Resources) -> bool:
         """Returns whether no resource exceeds the available amount."""
         return (
--- a/gypsumline/tests/core/leases/test_decision_cost.py
+++ b/gypsumline/tests/core/leases/test_decision_cost.py
@@ -8,15 +8,23 @@
 
 import pytest
 
-from gypsumline.core.leases import fleet
-from gypsumline.core.leases.messages import ContactPing
+from gypsumline.core.leases import fleet, placement
+from gypsumline.core.leases.messages import (
+    ContactPing,
+    RunEnd,
+    StartRuns,
+)
+from gypsumline.core.leases.resources import Resources
 from gypsumline.tests.core.leases.builders import (
     agent,
+    done,
     join,
     load,
     owner,
     queue,
+    reports,
     request,
+    sends,
 )
 
 # Jobs of this queue are admitted behind a long backlog.
@@ -50,6 +58,10 @@
     return leased
 
 
+def failed(task, end=RunEnd.FAILED):
+    return task, 1, end, 0.1
+
+
 def ping(number, now):
     full = load(executor=f"x-{number}", free=0, seen=100)
     return ContactPing(stamp=now, load=full)
@@ -72,19 +84,94 @@
     assert len(checked_agents) == 65
 
 
-def test_pass_tries_a_step_that_fits_nowhere_once(monkeypatch):
-    """Guards against ranking all agents for each task of the backlog."""
-    leased = busy_owner(65, 2 * 65)
+@pytest.fixture(name="ranked_tasks")
+def fixture_ranked_tasks(monkeypatch):
+    """Counts the tasks for which the agents are ranked."""
     ranked = []
-    choose = leased._placement.choose
+    choose = placement.Placement.choose
 
-    def count(task, agents, now):
+    def count(self, task, agents, now):
         ranked.append(task)
-        return choose(task, agents, now)
+        return choose(self, task, agents, now)
+
+    monkeypatch.setattr(placement.Placement, "choose", count)
+    return ranked
+
 
-    monkeypatch.setattr(leased._placement, "choose", count)
+def test_pass_tries_a_step_that_fits_nowhere_once(ranked_tasks):
+    """Guards against ranking all agents for each task of the backlog.
+
+    Enough of each resource is free, but not at the same agent.
+    """
+    leased = busy_owner(65, 2 * 65)
+    without_memory = dataclasses.replace(
+        load(executor="x-0", seen=100), free=Resources(processor=8000)
+    )
+    leased._fleet.find(agent(0)).update_load(without_memory, 0.02)
+    ranked_tasks.clear()
+    leased.place_waiting(0.02)
+    assert len(ranked_tasks) == 1
+
+
+def test_pass_without_room_ranks_no_agents(ranked_tasks):
+    """Guards against a cost of each pass that grows with the backlog."""
+    leased = busy_owner(65, 2 * 65)
+    ranked_tasks.clear()
     leased.place_waiting(0.02)
-    assert len(ranked) == 1
+    assert ranked_tasks == []
+
+
+@pytest.mark.parametrize("agents", [65, 300])
+def test_end_of_a_run_looks_at_its_agent_only(checked_agents, agents):
+    """Guards against a scan of the fleet for each run that ends."""
+    leased = busy_owner(agents, 2 * agents)
+    run = next(run for run in leased._runs if run.agent == agent(3))
+    checked_agents.clear()
+    room = dataclasses.replace(
+        load(executor="x-3", free=2000, seen=100), labels=("a",)
+    )
+    effects = leased.on_reports(
+        agent(3), reports(done(run.task.name), now_load=room), 0.03
+    )
+    assert [to for to, _ in sends(effects, StartRuns)] == ["agent-3"]
+    assert {view.member for view in checked_agents} == {agent(3)}
+
+
+def test_task_that_failed_at_a_full_agent_is_placed_elsewhere():
+    """Guards against a retry that waits for its own agent."""
+    leased = owner()
+    for number in range(2):
+        join(leased, agent(number), executor=f"x-{number}")
+    leased.submit(request(), 0.0)
+    (run,) = leased._runs
+    full = load(executor=run.executor, free=0, seen=1)
+    effects = leased.on_reports(
+        run.agent, reports(failed(run.task.name), now_load=full), 0.03
+    )
+    (other,) = {"agent-0", "agent-1"} - {run.agent.member_id}
+    assert [to for to, _ in sends(effects, StartRuns)] == [other]
+
+
+def test_job_that_ends_in_a_report_gets_no_further_runs():
+    """Guards against runs of a job that was answered as failed.
+
+    One task of the job may be tried again, another one has failed too often.
+    """
+    leased = owner()
+    join(leased, agent())
+    rules = queue(attempts=1)
+    leased.submit(request(count=2, rules=rules), 0.0)
+    first, second = leased._runs
+    effects = leased.on_reports(
+        agent(),
+        reports(
+            failed(first.task.name, RunEnd.LOST),
+            failed(second.task.name),
+        ),
+        0.03,
+    )
+    assert sends(effects, StartRuns) == []
+    assert leased.jobs == {}
 
 
 def test_candidates_of_a_task_are_limited_in_a_large_fleet(monkeypatch):
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -92,7 +92,7 @@
 
 def _remove_job_without_stop(self, job, now):
     self._jobs.pop(job.key, None)
-    self._waiting.pop(job.key, None)
+    self._waiting.discard(job)
     return []
 
 
