Keep the order of waiting jobs exact between checks

Change: the jobs are sorted whenever the order is asked for at another time; a report sorts only the jobs that may fit into the room of its agent. Sorting costs little beside the passes that it replaced.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import bisect
 import dataclasses
 from collections.abc import Iterable
 
@@ -85,15 +84,6 @@
         fastest_speed = self._fastest_speed
         return sorted(jobs, key=lambda job: job.sort_key(now, fastest_speed))
 
-    def insert(
-        self, order: list[LeasedJob], job: LeasedJob, now: float
-    ) -> None:
-        """Inserts a job into a list in placement order."""
-        fastest_speed = self._fastest_speed
-        bisect.insort(
-            order, job, key=lambda other: other.sort_key(now, fastest_speed)
-        )
-
     def retry_after(self, job: LeasedJob, now: float) -> float:
         """Returns the seconds after which a retry may succeed."""
         return self._clamp_retry_after(job.objective)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -134,7 +134,7 @@
             line = refused_line(refusal, job, len(self._waiting))
             return [*effects, refusal, line]
         self._jobs[job.key] = job
-        self._waiting.add(job, now)
+        self._waiting.add(job)
         # Only the new job is placed: the jobs ahead of it did not fit in the
         # latest pass.
         return effects + self._place_jobs([job], now)
@@ -254,8 +254,7 @@
     def place_waiting(self, now: float) -> list[Effect]:
         """Places the waiting tasks that fit on some agent."""
         self._returned.clear()
-        self._waiting.sort(now)
-        return self._place_jobs(self._waiting.in_order(), now)
+        return self._place_jobs(self._waiting.in_order(now), now)
 
     # Placement.
 
@@ -265,7 +264,8 @@
         What did not fit elsewhere in the latest pass still does not, except for
         the tasks that have returned since.
         """
-        effects = self._place_jobs(self._waiting.in_order(), now, view)
+        fitting = self._waiting.in_order_if_fitting(view.free, now)
+        effects = self._place_jobs(fitting, now, view)
         # Some may have been placed or have ended meanwhile.
         returned = [job for job in self._returned if job in self._waiting]
         self._returned.clear()
@@ -398,7 +398,7 @@
 
     def _capacity_request(self, now: float) -> CapacityRequest | None:
         """Returns the request of the most urgent waiting job, if any."""
-        for job in self._waiting.in_order():
+        for job in self._waiting.in_order(now):
             processor = sum(
                 count * step.resources.processor
                 for step, count in job.ready_steps()
@@ -429,14 +429,14 @@
                 report.run_time,
             )
         if self._jobs.get(job.key) is not job:
-            self._requeue(task.name, now)
+            self._requeue(task.name)
             return []
         if report.end is RunEnd.DONE:
             job.set_phase(task, TaskPhase.DONE)
             if job.is_done:
                 return self._end_job(job, JobOutcome.COMPLETED, "", now)
             if job.is_step_done(task.step_index):
-                self._return_to_waiting(job, now)
+                self._return_to_waiting(job)
             return []
         if report.end is RunEnd.FAILED:
             task.failures += 1
@@ -450,17 +450,17 @@
         if report.end is RunEnd.OLD_ATTEMPT:
             task.attempt += ATTEMPT_STEP
         job.set_phase(task, TaskPhase.WAITING)
-        self._return_to_waiting(job, now)
+        self._return_to_waiting(job)
         return [run_ended_line(run, report, now)]
 
-    def _requeue(self, name: str, now: float) -> None:
+    def _requeue(self, name: str) -> None:
         """Requeues the open job whose task waited for an earlier run."""
         job = self._jobs.get(name.partition(".")[0])
         if job is not None:
-            self._return_to_waiting(job, now)
+            self._return_to_waiting(job)
 
-    def _return_to_waiting(self, job: LeasedJob, now: float) -> None:
-        self._waiting.add(job, now)
+    def _return_to_waiting(self, job: LeasedJob) -> None:
+        self._waiting.add(job)
         self._returned.append(job)
 
     def _record_health(
@@ -498,9 +498,9 @@
         job = run.task.job
         if self._jobs.get(job.key) is job:
             job.set_phase(run.task, TaskPhase.WAITING)
-            self._return_to_waiting(job, now)
+            self._return_to_waiting(job)
         else:
-            self._requeue(run.task.name, now)
+            self._requeue(run.task.name)
         return [run_ended_line(run, report, now)]
 
     # Ends of jobs.
--- a/gypsumline/core/leases/waiting_jobs.py
+++ b/gypsumline/core/leases/waiting_jobs.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import ValuesView
 
 from gypsumline.core.leases.backlog import Backlog
 from gypsumline.core.leases.job import LeasedJob
+from gypsumline.core.leases.resources import Resources
 
 
 class WaitingJobs:
-    """Keeps waiting jobs sorted by urgency.
-
-    Urgency changes with time, but sorting costs more than placing a few runs.
-    All jobs are therefore sorted in `sort` only; a job that is added in between
-    takes its place in the latest order.
-    """
+    """Keeps waiting jobs and sorts them by urgency, which changes with time."""
 
     def __init__(self, backlog: Backlog) -> None:
         self._backlog = backlog
         self._jobs: dict[str, LeasedJob] = {}
-        # Also holds jobs that were removed since the latest sort.
         self._order: list[LeasedJob] = []
+        # Time for which the order holds; NaN after a change.
+        self._sorted_at = math.nan
 
     def __contains__(self, job: LeasedJob) -> bool:
         return self._jobs.get(job.key) is job
@@ -32,21 +30,28 @@
         """Returns the waiting jobs in any order."""
         return self._jobs.values()
 
-    def add(self, job: LeasedJob, now: float) -> None:
+    def add(self, job: LeasedJob) -> None:
         """Adds a job, unless it is waiting already."""
         if job not in self:
             self._jobs[job.key] = job
-            self._backlog.insert(self._order, job, now)
+            self._sorted_at = math.nan
 
     def discard(self, job: LeasedJob) -> None:
         """Removes a job if it is waiting."""
         if job in self:
             del self._jobs[job.key]
+            self._sorted_at = math.nan
 
-    def sort(self, now: float) -> None:
-        """Sorts the jobs by their urgency at this time."""
-        self._order = self._backlog.sort_by_urgency(self._jobs.values(), now)
-
-    def in_order(self) -> list[LeasedJob]:
+    def in_order(self, now: float) -> list[LeasedJob]:
         """Returns the waiting jobs, most urgent first."""
-        return [job for job in self._order if job in self]
+        if self._sorted_at != now:
+            self._order = self._backlog.sort_by_urgency(self.values(), now)
+            self._sorted_at = now
+        return self._order
+
+    def in_order_if_fitting(
+        self, free: Resources, now: float
+    ) -> list[LeasedJob]:
+        """Returns the jobs that may fit into free resources, in order."""
+        fitting = [job for job in self.values() if job.smallest_need.fits(free)]
+        return self._backlog.sort_by_urgency(fitting, now)
