Take a malformed hold reply for no answer

Cause: a hold reply with a row that is too short, or nested too deeply, raised an error that nobody caught; it ended the hold loop and with it the agent, and the executor's runs with its lease. Change: such a reply counts as no answer, with the log line and the counter that other invalid replies have. A conflict whose body is nested too deeply counts as a refusal.

--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -36,6 +36,15 @@
     "ticket": OrderAnswer.REFUSED,
 }
 
+# Raised by a body that is not of the right shape: a DecodeError for its types,
+# the others for rows that are too short, mixed or nested too deeply.
+_INVALID_REPLY_ERRORS = (
+    msgspec.DecodeError,
+    IndexError,
+    RecursionError,
+    TypeError,
+)
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -123,7 +132,7 @@
             return _decode_hold_reply(
                 msgspec.json.decode(response.body, type=_WireHoldReply)
             )
-        except (msgspec.DecodeError, TypeError, ValueError) as error:
+        except _INVALID_REPLY_ERRORS as error:
             metrics.REJECTED_INPUTS.labels("executor").inc()
             _LOGGER.error(
                 "hold reply of the executor is invalid",
@@ -180,7 +189,7 @@
         return OrderAnswer.REFUSED
     try:
         conflict = msgspec.json.decode(response.body, type=_WireConflict)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         # A conflict means that the order was not carried out, even if its
         # reason is invalid.
         return OrderAnswer.REFUSED
