Bound the pings of an agent to entries without runs there

Cause: a busy agent pinged each entry that has no runs there every 0.8 s, so its cost, and that of the entries together, grew with agents times entries: 35 entries and 160 agents, 7,000 pings a second, most of them without news. Change: an agent sends at most 20 such pings a second, as long as that allows one to each entry every 1.6 s, the interval at rest. Up to 16 entries nothing changes. Test: test_pings_to_owners_without_runs_are_bounded; its case of 35 entries fails before.

--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -198,7 +198,7 @@
             interval = settings.rest_ping_interval
             return self._pinged_before(now - interval) and self.connected
         due = self._pinged_before(now - settings.busy_ping_interval)
-        idle_limit = now - settings.idle_ping_interval
+        idle_limit = now - self._idle_interval(len(self.connected))
         return [
             owner
             for owner in due
@@ -217,6 +217,18 @@
         )
         return max(0.0, oldest + self._settings.rest_ping_interval - now)
 
+    def _idle_interval(self, owners: int) -> float:
+        """Returns the time between pings to each owner without runs.
+
+        It grows with the owners, so that the cost of an agent does not.
+        """
+        settings = self._settings
+        spread = owners / settings.idle_ping_rate
+        return min(
+            settings.rest_ping_interval,
+            max(settings.idle_ping_interval, spread),
+        )
+
     def _pinged_before(self, limit: float) -> list[Member]:
         return [
             owner
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -23,7 +23,9 @@
       resubmit_delay: Minimum time from the loss of a connection to the
         resubmission at another entry.
       busy_ping_interval: Time between pings to an owner that has runs here.
-      idle_ping_interval: Time between pings to any other owner.
+      idle_ping_interval: Minimum time between pings to any other owner.
+      idle_ping_rate: Maximum number of pings per second to such owners, as long
+        as it allows a ping to each of them every `rest_ping_interval`.
       rest_ping_interval: Time between pings while no owner has runs here.
       tick_interval: Time between the checks of an agent that is not at rest.
       hold_wait: Time for which the executor may wait for an end of a run before
@@ -39,6 +41,7 @@
     resubmit_delay: float = 1.3
     busy_ping_interval: float = 0.2
     idle_ping_interval: float = 0.8
+    idle_ping_rate: float = 20.0
     rest_ping_interval: float = 1.6
     tick_interval: float = 0.03
     hold_wait: float = 0.2
--- a/gypsumline/tests/core/leases/test_rest.py
+++ b/gypsumline/tests/core/leases/test_rest.py
@@ -66,6 +66,28 @@
         leased.on_ping(agent(), ContactPing(stamp=now, load=load()), now)
 
 
+@pytest.mark.parametrize("entries", [3, 16, 35])
+def test_pings_to_owners_without_runs_are_bounded(entries):
+    """Guards against the cost of a busy agent that grows with the entries."""
+    table = open_table()
+    answer_ping(table, 0.0)
+    table.on_start(ENTRY, start(order()), 0.0)
+    for number in range(entries):
+        entry = dataclasses.replace(ENTRY, member_id=f"idle-{number}")
+        table.on_connected(entry, 0.0)
+    pings = 0
+    for tick in range(1, 321):
+        now = tick * LEASE.tick_interval
+        effects = table.tick(now)
+        to = [name for name, _ in sends(effects, ContactPing)]
+        pings += sum(name.startswith("idle") for name in to)
+        answer_ping(table, now)
+    seconds = 320 * LEASE.tick_interval
+    limit = max(LEASE.idle_ping_rate, entries / LEASE.rest_ping_interval)
+    assert entries * (seconds // LEASE.rest_ping_interval) <= pings
+    assert pings <= limit * seconds + entries
+
+
 @pytest.mark.parametrize("work", ["run", "wish"])
 def test_agent_with_work_checks_often(work):
     """Guards against runs that outlive the contact with their owner."""
