Read the list of runs again after a foreign token

Cause: an agent whose order was refused because of a higher token raised its own and went on starting runs. Change: after such a refusal nothing is started until a list of runs under the new token has been read. A token that the agent has raised itself meanwhile changes nothing. Result: the new test fails before.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -525,6 +525,8 @@
     def _on_fenced(self, token: int) -> list[Effect]:
         if not self._token.on_refused(token):
             return []
+        # Another agent's order has reached the executor and may run there.
+        self._is_open = False
         return [token_line(token, self.token)]
 
     # Messages.
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -181,6 +181,28 @@
     assert again.token > second.token
 
 
+def test_nothing_starts_between_a_foreign_token_and_the_next_list():
+    """Guards against overload by a late order of an earlier agent.
+
+    A token above the own one shows that such an order has reached the executor,
+    where it may have started a run.
+    """
+    table = open_table()
+    answer_ping(table, 0.0)
+    (first,) = starts(table.on_start(ENTRY, start(order()), 0.0))
+    effects = table.on_start_answer(first, OrderAnswer.FENCED, 0.01)
+    assert starts(effects) == []
+    assert ends(effects) == [(TASK, 1, RunEnd.NOT_TAKEN)]
+    hold = table.next_hold_request(0.02)
+    foreign = ("c.0.0.0", 1)
+    effects = table.on_hold_reply(hold, hold_reply([foreign]), 0.02, 0.03)
+    assert [stop.task for stop in stops(effects)] == ["c.0.0.0"]
+    assert not table.accepts_starts
+    hold = table.next_hold_request(0.05)
+    table.on_hold_reply(hold, hold_reply(), 0.05, 0.06)
+    assert table.accepts_starts
+
+
 def test_token_rises_above_that_of_an_earlier_agent():
     """Guards against permanent fencing after an agent's clock went back."""
     table = RunTable(agent(), LEASE, token=100)
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -64,6 +64,7 @@
         # Delayed orders for an earlier incarnation of an executor whose agent
         # is down as well.
         5063,
+        5091,
         60018,
         60077,
     ],
