Refuse times of an executor that no order can carry

Cause: a heartbeat or a hold reply may name any number as its clock. The end of the next lease is reckoned from it, and a sum beyond 64 bits cannot be encoded: the error ended the agent at its next order. Change: times in milliseconds are bounded where they are decoded, by one type for both readers; such a heartbeat is rejected, such a reply counts as no answer. Result: five of the new cases of test_executor_calls.py failed before.

--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -16,6 +16,7 @@
     OrderStart,
     OrderStop,
 )
+from gypsumline.platform.wire_types import Milliseconds
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
@@ -75,12 +76,12 @@
 
 
 class _WireHoldReply(msgspec.Struct):
-    clock_ms: float
+    clock_ms: Milliseconds
     # Items: task, attempt, checkpoint, percentage and approximate load.
     running: list[list[object]] = []
     # Items: number, task, attempt, outcome and checkpoint.
     ended: list[list[object]] = []
-    born: float = 0.0
+    born: Milliseconds = 0.0
 
 
 class ExecutorClient:
--- a/gypsumline/platform/heartbeats.py
+++ b/gypsumline/platform/heartbeats.py
@@ -11,6 +11,7 @@
 from gypsumline.agent.leased_node import LeasedAgentNode
 from gypsumline.core.leases.effects import Announcement
 from gypsumline.core.leases.resources import Resources
+from gypsumline.platform.wire_types import Milliseconds
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import Exchange
@@ -34,11 +35,11 @@
     seq_no: int
     capacity: _WireCapacity
     labels: list[str] = []
-    clock_ms: float = 0.0
+    clock_ms: Milliseconds = 0.0
     # Start of the executor's incarnation, in Unix milliseconds.
-    born: float = 0.0
+    born: Milliseconds = 0.0
     # Minimum time until the executor stops; set only while draining.
-    remaining_ms: float = 0.0
+    remaining_ms: Milliseconds = 0.0
 
 
 class HeartbeatReceiver:
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -1,16 +1,36 @@
-"""Tests of the replies of an executor that cannot be read."""
+"""Tests of heartbeats and replies of an executor that cannot be read."""
 
+import msgspec
 import pytest
 
 from gypsumline.core.leases.effects import HoldRequest, OrderAnswer
 from gypsumline.platform.executor_calls import ExecutorClient
-from gypsumline.runtime.http_messages import HttpResponse
+from gypsumline.platform.heartbeats import HeartbeatReceiver
+from gypsumline.runtime.http_messages import HttpRequest, HttpResponse
 
 ORDER = HoldRequest(
     executor="x-1", token=1, acknowledged_end=0, lease_until=None, wait=0.0
 )
 
 
+class RecordingNode:
+    """Records the announcements that it gets."""
+
+    def __init__(self, seen):
+        self.on_announcement = seen.append
+
+
+class RecordingExchange:
+    """A request whose response's status is recorded."""
+
+    def __init__(self, request, statuses):
+        self.request = request
+        self._statuses = statuses
+
+    def respond(self, response):
+        self._statuses.append(response.status)
+
+
 class CannedClient:
     """Answers each request with the same body."""
 
@@ -21,6 +41,33 @@
         return HttpResponse(status=200, body=self._body)
 
 
+@pytest.mark.parametrize(
+    "field", ["clock_ms", "born", "remaining_ms", "seq_no"]
+)
+def test_heartbeat_with_an_impossible_number_is_rejected(field):
+    """Guards against a number that no later order to the executor can carry."""
+    seen = []
+    receiver = HeartbeatReceiver(RecordingNode(seen), "")
+    beat = {
+        "service": "ordering",
+        "zone": "north",
+        "state": "ready",
+        "seq_no": 1,
+        "capacity": {"cpu": 1, "mem_mb": 1},
+    }
+    statuses = []
+    for fields in (beat, {**beat, field: 1e300}):
+        request = HttpRequest(
+            method="PUT",
+            target="/v1/instances/x-1",
+            headers={},
+            body=msgspec.json.encode(fields),
+        )
+        receiver(RecordingExchange(request, statuses))
+    assert statuses == [200, 400]
+    assert len(seen) == 1
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -34,6 +81,8 @@
         b'{"clock_ms":1,"running":[["\xff",1]]}',
         b'{"clock_ms":1e999}',
         b'{"clock_ms":1,"born":null}',
+        b'{"clock_ms":1e300}',
+        b'{"clock_ms":-1}',
     ],
 )
 async def test_invalid_hold_reply_counts_as_no_answer(body):
