--- a/gypsumline/tests/core/leases/test_decision_cost.py
+++ b/gypsumline/tests/core/leases/test_decision_cost.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gypsumline.core.leases import fleet, placement
+from gypsumline.core.leases.job import JobStep
 from gypsumline.core.leases.messages import (
     ContactPing,
     RunEnd,
@@ -17,6 +18,7 @@
 from gypsumline.core.leases.resources import Resources
 from gypsumline.tests.core.leases.builders import (
     agent,
+    cores,
     done,
     join,
     load,
@@ -201,3 +203,14 @@
         join(leased, agent(number), executor=f"x-{number}", free=free)
     leased.submit(request(), 0.0)
     assert [job.has_started for job in leased.jobs.values()] == [True]
+
+
+def test_unchanged_ping_tries_no_task(ranked_tasks):
+    """Guards against a pass for each ping while a job waits for a label."""
+    leased = owner()
+    join(leased, agent())
+    step = JobStep(count=1, resources=cores(2), required_label="gpu")
+    leased.submit(request(steps=(step,)), 0.0)
+    ranked_tasks.clear()
+    leased.on_ping(agent(), ContactPing(stamp=0.1, load=load()), 0.1)
+    assert ranked_tasks == []
