Give the detection of isolation and returned jobs their own places

Change: IsolationDetector holds the times of its check, WaitingJobs the jobs that returned since the latest pass.

--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.attempt_history import AttemptHistory
@@ -11,6 +9,7 @@
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.health import ExecutorHealth
+from gypsumline.core.leases.isolation import IsolationDetector
 from gypsumline.core.leases.job import (
     JobRequest,
     LeasedJob,
@@ -80,15 +79,11 @@
         self._health = ExecutorHealth(PlacementSettings())
         self._fleet = Fleet(settings)
         self._jobs: dict[str, LeasedJob] = {}
-        self._last_usable_at = -math.inf
-        self._ticked_at = -math.inf
+        self._isolation = IsolationDetector(settings.isolation_limit)
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._waiting = WaitingJobs(self._backlog)
-        # Jobs with tasks that can be placed again, or that a finished step has
-        # made ready, since the latest pass.
-        self._returned: list[LeasedJob] = []
         self._zones_out = ZonesOut(version=-1, zones=())
 
     @property
@@ -242,7 +237,7 @@
         effects: list[Effect] = []
         for run in self._runs:
             effects += self._check_run(run, now)
-        is_isolated = self._is_isolated(now)
+        is_isolated = self._isolation.check(self.usable_agents(now), now)
         for job in list(self._jobs.values()):
             effects += self._check_job(job, is_isolated, now)
         self._fleet.prune_silent(now, self._settings.forget_after)
@@ -253,7 +248,7 @@
 
     def place_waiting(self, now: float) -> list[Effect]:
         """Places the waiting tasks that fit on some agent."""
-        self._returned.clear()
+        self._waiting.take_returned()
         return self._place_jobs(self._waiting.in_order(now), now)
 
     # Placement.
@@ -266,10 +261,7 @@
         """
         fitting = self._waiting.in_order_if_fitting(view.free, now)
         effects = self._place_jobs(fitting, now, view)
-        # Some may have been placed or have ended meanwhile.
-        returned = [job for job in self._returned if job in self._waiting]
-        self._returned.clear()
-        return effects + self._place_jobs(returned, now)
+        return effects + self._place_jobs(self._waiting.take_returned(), now)
 
     def _place_jobs(
         self, jobs: list[LeasedJob], now: float, view: AgentView | None = None
@@ -436,7 +428,7 @@
             if job.is_done:
                 return self._end_job(job, JobOutcome.COMPLETED, "", now)
             if job.is_step_done(task.step_index):
-                self._return_to_waiting(job)
+                self._waiting.add_returned(job)
             return []
         if report.end is RunEnd.FAILED:
             task.failures += 1
@@ -450,18 +442,14 @@
         if report.end is RunEnd.OLD_ATTEMPT:
             task.attempt += ATTEMPT_STEP
         job.set_phase(task, TaskPhase.WAITING)
-        self._return_to_waiting(job)
+        self._waiting.add_returned(job)
         return [run_ended_line(run, report, now)]
 
     def _requeue(self, name: str) -> None:
         """Requeues the open job whose task waited for an earlier run."""
         job = self._jobs.get(name.partition(".")[0])
         if job is not None:
-            self._return_to_waiting(job)
-
-    def _return_to_waiting(self, job: LeasedJob) -> None:
-        self._waiting.add(job)
-        self._returned.append(job)
+            self._waiting.add_returned(job)
 
     def _record_health(
         self, run: PlacedRun, view: AgentView, report: RunReport, now: float
@@ -498,25 +486,13 @@
         job = run.task.job
         if self._jobs.get(job.key) is job:
             job.set_phase(run.task, TaskPhase.WAITING)
-            self._return_to_waiting(job)
+            self._waiting.add_returned(job)
         else:
             self._requeue(run.task.name)
         return [run_ended_line(run, report, now)]
 
     # Ends of jobs.
 
-    def _is_isolated(self, now: float) -> bool:
-        """Returns whether no agent was usable for longer than the limit.
-
-        After a pause of this process its view of the agents is old, although
-        they may be reachable: it waits for their messages first.
-        """
-        was_paused = now - self._ticked_at > self._settings.isolation_limit
-        self._ticked_at = now
-        if was_paused or self.usable_agents(now):
-            self._last_usable_at = now
-        return now - self._last_usable_at > self._settings.isolation_limit
-
     def _check_job(
         self, job: LeasedJob, is_isolated: bool, now: float
     ) -> list[Effect]:
--- a/gypsumline/core/leases/waiting_jobs.py
+++ b/gypsumline/core/leases/waiting_jobs.py
@@ -17,6 +17,9 @@
         self._backlog = backlog
         self._jobs: dict[str, LeasedJob] = {}
         self._order: list[LeasedJob] = []
+        # Jobs with tasks to be placed again, or that a finished step has made
+        # ready, since the latest pass over all agents.
+        self._returned: list[LeasedJob] = []
         # Time for which the order holds; NaN after a change.
         self._sorted_at = math.nan
 
@@ -36,6 +39,16 @@
             self._jobs[job.key] = job
             self._sorted_at = math.nan
 
+    def add_returned(self, job: LeasedJob) -> None:
+        """Adds a job whose tasks may fit anywhere."""
+        self.add(job)
+        self._returned.append(job)
+
+    def take_returned(self) -> list[LeasedJob]:
+        """Removes and returns the returned jobs that still wait."""
+        returned, self._returned = self._returned, []
+        return [job for job in returned if job in self]
+
     def discard(self, job: LeasedJob) -> None:
         """Removes a job if it is waiting."""
         if job in self:
