--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -195,8 +195,8 @@
         """
         settings = self._settings
         if not busy:
-            interval = settings.rest_ping_interval
-            return self._pinged_before(now - interval) and self.connected
+            is_due = self._pinged_before(now - settings.rest_ping_interval)
+            return self.connected if is_due else []
         due = self._pinged_before(now - settings.busy_ping_interval)
         idle_limit = now - self._idle_interval(len(self.connected))
         return [
