Log a crash of an executor with the runs that were there, and tell all owners

An agent now takes two refused connections, or a next incarnation with runs of the earlier one, for a crash, and logs each run with queue, age and whether its start was confirmed. Silence and planned departures are no crash. The record goes to all owners, also to those that connect within a minute, in a field that older owners ignore. Starts and ends of runs are as before.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Coroutine, Sequence
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import (
     Announcement,
+    CrashDetected,
     HoldReply,
     HoldRequest,
     OrderAnswer,
@@ -23,6 +25,7 @@
     StopRuns,
     ZonesOut,
 )
+from gypsumline.core.leases.run_log_lines import crash_line
 from gypsumline.core.leases.run_table import RunTable
 from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
@@ -33,6 +36,9 @@
 
 # Delay after a failed hold request.
 FAILED_HOLD_PAUSE_SECONDS = 0.05
+# Delay between hold requests after a crash of the executor, which the heartbeat
+# of the next incarnation ends.
+DOWN_HOLD_PAUSE_SECONDS = 0.25
 # Delay between hold requests while runs of an earlier agent are being stopped.
 RECONCILIATION_PAUSE_SECONDS = 0.02
 
@@ -69,6 +75,7 @@
         self._timer: Subscription | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
+        self._announced = asyncio.Event()
 
     @property
     def table(self) -> RunTable:
@@ -93,6 +100,7 @@
         self._apply_effects(
             self._table.on_announcement(announcement, boot_time())
         )
+        self._announced.set()
 
     def on_leave(self, executor: str) -> None:
         """Handles the sign-off of the executor."""
@@ -154,7 +162,16 @@
             return
         self._apply_effects(self._table.on_hold_failed(order, reply, now))
         if reply is not OrderAnswer.FENCED:
-            await asyncio.sleep(FAILED_HOLD_PAUSE_SECONDS)
+            await self._pause_after_failure()
+
+    async def _pause_after_failure(self) -> None:
+        pause = FAILED_HOLD_PAUSE_SECONDS
+        if self._table.has_executor_crashed:
+            pause = DOWN_HOLD_PAUSE_SECONDS
+        self._announced.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await self._announced.wait()
 
     async def _start(self, order: OrderStart) -> None:
         metrics.TASK_STARTS.inc()
@@ -184,6 +201,10 @@
                     self._start_call(self._start(effect))
                 case OrderStop():
                     self._start_call(self._stop(effect))
+                case CrashDetected():
+                    metrics.EXECUTOR_CRASHES.inc()
+                    metrics.CRASHED_RUNS.inc(len(effect.crash.runs))
+                    self._log.write(crash_line(effect))
                 case Decision():
                     self._log.write(effect)
         if not self._wake.is_set():
--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -6,6 +6,7 @@
 import enum
 
 from gypsumline.core.effects import Effect
+from gypsumline.core.leases.messages import ExecutorCrash
 from gypsumline.core.leases.resources import Resources
 
 
@@ -104,6 +105,8 @@
     LATE = enum.auto()
     REFUSED = enum.auto()
     OTHER_EXECUTOR = enum.auto()
+    # No process listens at the executor's address.
+    NO_LISTENER = enum.auto()
     UNANSWERED = enum.auto()
 
 
@@ -141,6 +144,19 @@
     ended: tuple[EndedRun, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashDetected(Effect):
+    """Logs and counts a crash of the executor.
+
+    Attributes:
+      crash: The crash and the runs that were there.
+      evidence: What proves it.
+    """
+
+    crash: ExecutorCrash
+    evidence: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Announcement:
     """A heartbeat of an executor.
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -23,12 +23,15 @@
         self.announcement = announcement
         self.acknowledged_end = 0
         self.has_left = False
+        self.has_crashed = False
         self._settings = settings
         self._clock = announcement.clock
         self._clock_read_at = now
         self._leaving_at = math.inf
         self._lease_until = now
         self._is_responsive = True
+        self._unresponsive_since = math.inf
+        self._refused_since = math.inf
         self.update(announcement, now)
 
     @property
@@ -76,13 +79,42 @@
         elapsed = now - self._clock_read_at
         return self._clock + int(1000.0 * (elapsed + settings.lease))
 
+    @property
+    def is_expected_gone(self) -> bool:
+        """Whether its end is planned, or already known as a crash."""
+        return self.has_left or self.has_crashed or self.announcement.leaving
+
+    @property
+    def is_down(self) -> bool:
+        """Whether no process listens at its address."""
+        return self._refused_since < math.inf
+
+    @property
+    def unresponsive_since(self) -> float:
+        """Time of the first unanswered request after the latest answer."""
+        return self._unresponsive_since
+
     def mark_responsive(self) -> None:
         """Records an answered hold request, which allows lease renewals."""
         self._is_responsive = True
+        self._unresponsive_since = math.inf
+        self._refused_since = math.inf
+        self.has_crashed = False
 
-    def mark_unresponsive(self) -> None:
+    def mark_unresponsive(self, now: float) -> None:
         """Stops lease renewals after a hold request without an answer."""
         self._is_responsive = False
+        self._unresponsive_since = min(self._unresponsive_since, now)
+
+    def record_refusal(self, now: float) -> bool:
+        """Records a refused connection; returns whether the process is gone.
+
+        A single refusal may come from a listener that is being replaced.
+        """
+        self.mark_unresponsive(now)
+        self._refused_since = min(self._refused_since, now)
+        time = now - self._refused_since
+        return time >= self._settings.crash_confirmation
 
     def has_lease_lapsed(self, now: float) -> bool:
         """Returns whether all leases have expired, by the agent's clock."""
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -118,6 +118,42 @@
     offered: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashedRun:
+    """A run that was at an executor when it crashed.
+
+    Attributes:
+      task: Name of the task.
+      attempt: Attempt number.
+      queue: Name of the queue; "" if its owner did not name it.
+      age: Seconds from the order of the run to the crash.
+      is_started: Whether the executor had confirmed the start.
+    """
+
+    task: str
+    attempt: int
+    queue: str
+    age: float
+    is_started: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExecutorCrash:
+    """A crash of an executor, as seen by its agent.
+
+    Attributes:
+      executor: Name of the executor.
+      started_at: Start of the incarnation that crashed, in UTC milliseconds.
+      seconds_ago: Age of the crash when the message was sent.
+      runs: Runs that were there.
+    """
+
+    executor: str
+    started_at: int
+    seconds_ago: float
+    runs: tuple[CrashedRun, ...]
+
+
 @register_message("contact_ping")
 class ContactPing(Message):
     """Checks that an owner is alive and reports the load.
@@ -167,6 +203,7 @@
       spec: Specification that the executor runs.
       orders: The ordered runs.
       wish: Capacity request of the most urgent job that still waits.
+      queue: Name of the job's queue.
     """
 
     key: str
@@ -174,6 +211,7 @@
     spec: str
     orders: tuple[RunOrder, ...]
     wish: CapacityRequest | None = None
+    queue: str = ""
 
 
 @register_message("stop_runs")
@@ -198,7 +236,15 @@
 
 @register_message("run_reports")
 class RunReports(Message):
-    """Ends of runs, with the load after these ends."""
+    """Ends of runs, with the load after these ends.
+
+    Attributes:
+      reports: The ends of the receiver's runs.
+      load: State of the executor.
+      crashes: Crashes of the executor that the receiver may not know, with the
+        runs of all owners.
+    """
 
     reports: tuple[RunReport, ...]
     load: ExecutorLoad
+    crashes: tuple[ExecutorCrash, ...] = ()
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -65,6 +65,7 @@
         spec=job.request.spec,
         orders=tuple(orders),
         wish=request,
+        queue=job.request.queue.name,
     )
     return Send(to=view.member.member_id, message=message)
 
--- a/gypsumline/core/leases/pending_reports.py
+++ b/gypsumline/core/leases/pending_reports.py
@@ -8,6 +8,7 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.contacts import OwnerContacts
 from gypsumline.core.leases.messages import (
+    ExecutorCrash,
     ExecutorLoad,
     RunEnd,
     RunReport,
@@ -62,14 +63,37 @@
             for owner, reports in by_owner.items()
         ]
 
-    def broadcast_load(self, now: float) -> list[Effect]:
-        """Returns a message with the load for every connected owner."""
-        connected = self._contacts.connected
-        return [self._message(owner, (), now) for owner in connected]
+    def broadcast(
+        self, now: float, crashes: tuple[ExecutorCrash, ...] = ()
+    ) -> list[Effect]:
+        """Returns a message with the load for every connected owner.
+
+        Args:
+          now: Current time.
+          crashes: Crashes that no owner knows yet.
+        """
+        messages: list[Effect] = [
+            self._message(
+                owner, tuple(self._reports.get(owner, ())), now, crashes
+            )
+            for owner in self._contacts.connected
+        ]
+        self._reports.clear()
+        return messages
+
+    def crashes_message(
+        self, owner: Member, crashes: tuple[ExecutorCrash, ...], now: float
+    ) -> Send:
+        """Returns a message that tells one owner of earlier crashes."""
+        return self._message(owner, (), now, crashes)
 
     def _message(
-        self, owner: Member, reports: tuple[RunReport, ...], now: float
+        self,
+        owner: Member,
+        reports: tuple[RunReport, ...],
+        now: float,
+        crashes: tuple[ExecutorCrash, ...] = (),
     ) -> Send:
         load = self._load_for(owner, now)
-        message = RunReports(reports=reports, load=load)
+        message = RunReports(reports=reports, load=load, crashes=crashes)
         return Send(to=owner.member_id, message=message)
--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -20,6 +20,7 @@
     OrderAnswer.OLD: RunEnd.OLD_ATTEMPT,
     OrderAnswer.LATE: RunEnd.NOT_TAKEN,
     OrderAnswer.REFUSED: RunEnd.REFUSED,
+    OrderAnswer.NO_LISTENER: RunEnd.REFUSED,
     OrderAnswer.OTHER_EXECUTOR: RunEnd.NOT_TAKEN,
 }
 
@@ -40,6 +41,7 @@
       owner: Entry that ordered it.
       order: The owner's order.
       spec: Specification that the executor runs.
+      queue: Name of the queue, as its owner gave it.
       ordered_at: Time of the order.
       state: Progress at the executor.
       started_at: Time at which the executor confirmed the start.
@@ -50,6 +52,7 @@
     owner: Member
     order: RunOrder
     spec: str
+    queue: str
     ordered_at: float
     state: RunState = RunState.STARTING
     started_at: float = math.inf
--- a/gypsumline/core/leases/run_log_lines.py
+++ b/gypsumline/core/leases/run_log_lines.py
@@ -4,7 +4,7 @@
 
 from gypsumline.core.effects import Decision
 from gypsumline.core.identity import Member
-from gypsumline.core.leases.effects import Announcement
+from gypsumline.core.leases.effects import Announcement, CrashDetected
 from gypsumline.core.leases.messages import (
     RunEnd,
     RunOrder,
@@ -70,6 +70,23 @@
     return Decision(event="runs_lost", fields={"runs": runs, "reason": reason})
 
 
+def crash_line(detected: CrashDetected) -> Decision:
+    """Returns the log line of a crash, with the runs that were there."""
+    crash = detected.crash
+    return Decision(
+        event="executor_crashed",
+        fields={
+            "executor": crash.executor,
+            "started_at": crash.started_at,
+            "evidence": detected.evidence,
+            "runs": [
+                [run.task, run.attempt, run.queue, run.age, run.is_started]
+                for run in crash.runs
+            ],
+        },
+    )
+
+
 def token_line(refused: int, token: int) -> Decision:
     """Returns the log line of a fencing token that was too low."""
     return Decision(
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -8,8 +8,10 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.capacity_offers import CapacityOffers
 from gypsumline.core.leases.contacts import OwnerContacts
+from gypsumline.core.leases.crash_log import CrashLog
 from gypsumline.core.leases.effects import (
     Announcement,
+    CrashDetected,
     EndedRun,
     HoldReply,
     HoldRequest,
@@ -72,6 +74,7 @@
         self._contacts = OwnerContacts(settings)
         self._offers = CapacityOffers()
         self._reports = PendingReports(self._contacts, self._load)
+        self._crashes = CrashLog(settings)
         self._zones_out = ZonesOut(version=-1, zones=())
         self._is_stopping = False
         self._has_unacknowledged_ends = False
@@ -107,6 +110,11 @@
             or self._contacts.has_capacity_requests
         )
 
+    @property
+    def has_executor_crashed(self) -> bool:
+        """Whether the executor crashed and no other has announced itself."""
+        return self._executor is not None and self._executor.has_crashed
+
     @property
     def tick_interval(self) -> float:
         """Seconds between the calls of `tick` unless it is at rest."""
@@ -138,14 +146,18 @@
     def begin_stop(self, now: float) -> list[Effect]:
         """Accepts no more starts; existing runs continue."""
         self._is_stopping = True
-        return self._reports.broadcast_load(now)
+        return self._reports.broadcast(now)
 
     # Events and messages from owners.
 
     def on_connected(self, owner: Member, now: float) -> list[Effect]:
         """Handles a new stream to an owner, which sends its claims first."""
         self._contacts.connect(owner)
-        return [self._ping(owner, now)]
+        effects: list[Effect] = [self._ping(owner, now)]
+        crashes = self._crashes.recent(now)
+        if crashes:
+            effects.append(self._reports.crashes_message(owner, crashes, now))
+        return effects
 
     def on_disconnected(self, owner: Member) -> None:
         """Handles a closed stream; its runs continue to the contact limit."""
@@ -226,7 +238,7 @@
         if not changed:
             return []
         line = zones_line(message)
-        return [line, *self._reports.broadcast_load(now)]
+        return [line, *self._reports.broadcast(now)]
 
     # Events and answers from the executor.
 
@@ -247,7 +259,7 @@
             current.update(announcement, now)
             if announcement.leaving != known.leaving:
                 line = executor_line("executor_leaving", announcement)
-                return [line, *self._reports.broadcast_load(now)]
+                return [line, *self._reports.broadcast(now)]
             return []
         if announcement.started_at <= known.started_at:
             return [executor_line("announcement_ignored", announcement)]
@@ -259,9 +271,9 @@
         if current is None or current.name != executor or current.has_left:
             return []
         current.has_left = True
-        current.mark_unresponsive()
+        current.mark_unresponsive(now)
         line = executor_line("executor_gone", current.announcement)
-        return [line, *self._reports.broadcast_load(now)]
+        return [line, *self._reports.broadcast(now)]
 
     def next_hold_request(self, now: float) -> HoldRequest | None:
         """Returns the next hold request, or None if none is needed."""
@@ -301,7 +313,7 @@
             if not self._is_open:
                 self._is_open = True
                 effects.append(opened_line(executor.name, self._token.value))
-                effects += self._reports.broadcast_load(now)
+                effects += self._reports.broadcast(now)
         return effects + self._flush_reports(now)
 
     def on_hold_failed(
@@ -313,7 +325,9 @@
             return []
         if answer is OrderAnswer.FENCED:
             return self._on_fenced(request.token)
-        executor.mark_unresponsive()
+        if answer is OrderAnswer.NO_LISTENER:
+            return self._on_no_listener(executor, now)
+        executor.mark_unresponsive(now)
         return []
 
     def on_start_answer(
@@ -336,7 +350,13 @@
             if run.state is RunState.STARTING and self.accepts_starts:
                 return [*effects, self._order_start(run, now)]
             return effects + self._end_unstarted(run, RunEnd.NOT_TAKEN, now)
-        return self._end_unstarted(run, START_REFUSALS[answer], now)
+        effects = self._end_unstarted(run, START_REFUSALS[answer], now)
+        executor = self._executor
+        if answer is not OrderAnswer.NO_LISTENER or executor is None:
+            return effects
+        if executor.name == order.executor:
+            effects += self._on_no_listener(executor, now)
+        return effects
 
     def on_stop_answer(
         self, order: OrderStop, answer: OrderAnswer, now: float
@@ -362,6 +382,7 @@
             and executor.has_lease_lapsed(now)
         ):
             effects += self._lose_all_runs("lease lapsed")
+            effects += self._reports.broadcast(now)
         effects += self.check_runs(now)
         effects += self._stop_unowned_runs(now)
         busy = {run.owner for run in self._runs.values()}
@@ -391,7 +412,7 @@
         for order in message.orders:
             refusal = self._refusal(owner, order, now)
             if refusal is None:
-                run = Run(owner, order, message.spec, now)
+                run = Run(owner, order, message.spec, message.queue, now)
                 self._runs[order.task] = run
                 self._usage.reserve(owner, order.resources)
                 effects.append(self._order_start(run, now))
@@ -499,11 +520,38 @@
         self._token.advance()
         return [lost_line(lost, reason)]
 
+    def _on_no_listener(
+        self, executor: ExecutorState, now: float
+    ) -> list[Effect]:
+        """Handles a refused connection, which proves a crash if repeated."""
+        if executor.has_left or executor.has_crashed:
+            return []
+        was_down = executor.is_down
+        is_gone = executor.record_refusal(now)
+        if executor.announcement.leaving or not is_gone:
+            return [] if was_down else self._reports.broadcast(now)
+        detected = self._record_crash(executor, "connection refused", now)
+        return [detected, *self._reports.broadcast(now, (detected.crash,))]
+
+    def _record_crash(
+        self, executor: ExecutorState, evidence: str, now: float
+    ) -> CrashDetected:
+        executor.has_crashed = True
+        crashed_at = min(executor.unresponsive_since, now)
+        crash = self._crashes.add(
+            executor.announcement, self._runs.values(), crashed_at
+        )
+        return CrashDetected(crash=crash, evidence=evidence)
+
     def _begin_incarnation(
         self, announcement: Announcement, now: float
     ) -> list[Effect]:
         earlier = self._executor
         effects: list[Effect] = []
+        if earlier is not None and self._runs and not earlier.is_expected_gone:
+            detected = self._record_crash(earlier, "restarted", now)
+            effects.append(detected)
+            effects += self._reports.broadcast(now, (detected.crash,))
         # A restarted executor of the same name may accept an order before its
         # first heartbeat arrives, so its list of runs decides which are lost.
         has_same_name = (
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -32,6 +32,10 @@
         it answers a hold request.
       order_timeout: Time after which an order to the executor counts as
         unanswered.
+      crash_confirmation: Time between two refused connections that prove that
+        the executor's process is gone.
+      crash_memory: Time for which the runs of a crash remain suspects.
+      crash_records: Maximum number of crashes that an agent keeps.
     """
 
     contact_limit: float = 0.5
@@ -46,6 +50,9 @@
     tick_interval: float = 0.03
     hold_wait: float = 0.2
     order_timeout: float = 0.25
+    crash_confirmation: float = 0.04
+    crash_memory: float = 60.0
+    crash_records: int = 32
 
     def __post_init__(self) -> None:
         if self.max_run_time_after_contact >= self.resubmit_delay:
--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -20,6 +20,7 @@
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
+    HttpRefusedError,
     HttpResponse,
     HttpUnansweredError,
     HttpUnsentError,
@@ -160,6 +161,10 @@
                 headers=headers,
                 body=msgspec.json.encode(body),
             )
+        except HttpRefusedError as error:
+            return self._record_failure(
+                name, OrderAnswer.NO_LISTENER, str(error)
+            )
         except HttpUnsentError as error:
             return self._record_failure(name, OrderAnswer.REFUSED, str(error))
         except HttpUnansweredError as error:
--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -12,6 +12,7 @@
 
 from gypsumline.runtime.http_messages import (
     NO_HEADERS,
+    HttpRefusedError,
     HttpResponse,
     HttpUnansweredError,
     HttpUnsentError,
@@ -161,6 +162,7 @@
           body: Request body.
 
         Raises:
+          HttpRefusedError: No process listens at the address.
           HttpUnsentError: No connection was available in time.
           HttpUnansweredError: There was no valid response in time.
         """
@@ -217,6 +219,8 @@
                 _, connection = await loop.create_connection(
                     HttpConnection, self._host, self._port
                 )
+        except ConnectionRefusedError as error:
+            raise HttpRefusedError(f"{self._address}: {error}") from error
         except (OSError, TimeoutError) as error:
             raise HttpUnsentError(
                 f"{self._address}: {type(error).__name__}: {error}"
--- a/gypsumline/runtime/http_messages.py
+++ b/gypsumline/runtime/http_messages.py
@@ -23,6 +23,10 @@
     """A request was not sent, so it cannot have been processed."""
 
 
+class HttpRefusedError(HttpUnsentError):
+    """The host answered that no process listens at the address."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HttpRequest:
     """A complete HTTP request.
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -71,6 +71,14 @@
 TASK_RESULTS = Counter(
     "gypsumline_task_results_total", "Task results, by status.", ["status"]
 )
+EXECUTOR_CRASHES = Counter(
+    "gypsumline_executor_crashes_total",
+    "Crashes of the executor beside the agent.",
+)
+CRASHED_RUNS = Counter(
+    "gypsumline_executor_crashed_runs_total",
+    "Runs that were at the executor when it crashed.",
+)
 ORDER_FAILURES = Counter(
     "gypsumline_executor_order_failures_total",
     "Orders that the executor did not carry out, by order and answer.",
--- a/gypsumline/tests/core/leases/builders.py
+++ b/gypsumline/tests/core/leases/builders.py
@@ -79,8 +79,15 @@
     return RunOrder(task=task, attempt=attempt, resources=cores(count))
 
 
-def start(*orders, stamp=0.0, wish=None):
-    return StartRuns(key=KEY, stamp=stamp, spec="s", orders=orders, wish=wish)
+def start(*orders, stamp=0.0, wish=None, queue=""):
+    return StartRuns(
+        key=KEY,
+        stamp=stamp,
+        spec="s",
+        orders=orders,
+        wish=wish,
+        queue=queue,
+    )
 
 
 def capacity_request(priority=1, slack=0.2, processor=2000):
--- /dev/null
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -0,0 +1,137 @@
+"""Tests of how an agent tells a crash of its executor from silence."""
+
+import pytest
+
+from gypsumline.core.leases.effects import CrashDetected, OrderAnswer
+from gypsumline.core.leases.messages import RunReports
+from gypsumline.core.leases.run_log_lines import crash_line
+from gypsumline.tests.core.leases.builders import (
+    ENTRY,
+    ENTRY_2,
+    KEY,
+    announcement,
+    answer_ping,
+    hold_reply,
+    open_table,
+    order,
+    sends,
+    start,
+    starts,
+)
+
+TASK = f"{KEY}.0.0.0"
+LATE_TASK = f"{KEY}.0.0.1"
+
+
+def table_with_runs():
+    """Returns a table with a confirmed run and one without an answer."""
+    table = open_table()
+    answer_ping(table, 0.0)
+    (started,) = starts(table.on_start(ENTRY, start(order()), 0.0))
+    table.on_start_answer(started, OrderAnswer.DONE, 0.0)
+    answer_ping(table, 0.3)
+    later = start(order(LATE_TASK), stamp=0.3, queue="cards")
+    (unanswered,) = starts(table.on_start(ENTRY, later, 0.3))
+    table.on_start_answer(unanswered, OrderAnswer.UNANSWERED, 0.31)
+    return table
+
+
+def hold(table, answer, now):
+    request = table.next_hold_request(now)
+    return table.on_hold_failed(request, answer, now)
+
+
+def crashes(effects):
+    return [e.crash for e in effects if isinstance(e, CrashDetected)]
+
+
+def refuse_connections(table):
+    """Lets the executor's host refuse connections; returns the effects."""
+    effects = hold(table, OrderAnswer.UNANSWERED, 0.31)
+    effects += hold(table, OrderAnswer.NO_LISTENER, 0.36)
+    return effects + hold(table, OrderAnswer.NO_LISTENER, 0.41)
+
+
+def test_refused_connections_are_a_crash_under_the_runs_that_were_there():
+    """Guards against crashes that look like silence in the logs."""
+    effects = refuse_connections(table_with_runs())
+    (crash,) = crashes(effects)
+    assert crash.executor == "x-1"
+    assert [
+        (run.task, run.queue, run.age, run.is_started) for run in crash.runs
+    ] == [(TASK, "", 0.31, True), (LATE_TASK, "cards", 0.01, False)]
+
+
+def test_crash_is_told_to_all_owners_once():
+    """Guards against a count that is lost with the owner that saw the crash."""
+    table = table_with_runs()
+    effects = refuse_connections(table)
+    told = [to for to, m in sends(effects, RunReports) if m.crashes]
+    assert told == [ENTRY.member_id, ENTRY_2.member_id]
+    assert crashes(hold(table, OrderAnswer.NO_LISTENER, 0.5)) == []
+
+
+def test_owner_that_connects_later_learns_of_the_crash():
+    """Guards against a restarted entry that starts at zero crashes."""
+    table = table_with_runs()
+    refuse_connections(table)
+    ((_, message),) = sends(table.on_connected(ENTRY_2, 5.0), RunReports)
+    (crash,) = message.crashes
+    assert crash.seconds_ago == pytest.approx(4.69)
+    table.on_disconnected(ENTRY_2)
+    assert sends(table.on_connected(ENTRY_2, 100.0), RunReports) == []
+
+
+def test_next_incarnation_proves_a_crash():
+    """Guards against crashes of executors that are back before a refusal."""
+    table = table_with_runs()
+    restarted = announcement(executor="x-2", started_at=2000)
+    (crash,) = crashes(table.on_announcement(restarted, 0.5))
+    assert crash.executor == "x-1"
+    assert len(crash.runs) == 2
+
+
+@pytest.mark.parametrize(
+    "answer", [OrderAnswer.UNANSWERED, OrderAnswer.REFUSED]
+)
+def test_silent_executor_is_no_crash(answer):
+    """Guards against tasks blamed for a host that was only silent or slow."""
+    table = table_with_runs()
+    effects = []
+    for now in (0.4, 0.6, 0.8, 1.0, 1.2):
+        effects += hold(table, answer, now) + table.tick(now)
+    assert table.runs == {}
+    assert crashes(effects) == []
+
+
+def test_planned_departure_is_no_crash():
+    """Guards against tasks blamed for an executor that was drained."""
+    table = table_with_runs()
+    table.on_announcement(announcement(sequence=2, leaving=True), 0.31)
+    assert crashes(refuse_connections(table)) == []
+    restarted = announcement(executor="x-2", started_at=2000)
+    assert crashes(table.on_announcement(restarted, 0.5)) == []
+
+
+def test_one_refused_connection_is_no_crash():
+    """Guards against a listener that is only being replaced."""
+    table = table_with_runs()
+    effects = hold(table, OrderAnswer.NO_LISTENER, 0.36)
+    request = table.next_hold_request(0.37)
+    assert crashes(effects) == []
+    table.on_hold_reply(request, reply_with_run(), 0.37, 0.38)
+    assert crashes(hold(table, OrderAnswer.NO_LISTENER, 0.5)) == []
+
+
+def reply_with_run():
+    return hold_reply(running=[(TASK, 1)])
+
+
+def test_crash_line_names_the_runs_with_their_ages():
+    """Guards against a log that cannot name the suspects of a crash."""
+    effects = refuse_connections(table_with_runs())
+    (detected,) = [e for e in effects if isinstance(e, CrashDetected)]
+    assert crash_line(detected).fields["runs"] == [
+        [TASK, 1, "", 0.31, True],
+        [LATE_TASK, 1, "cards", 0.01, False],
+    ]
