Reproduce tasks that crash their executors again and again, in virtual time

The simulated executors get culprits, which crash them a set time after their start, come back under a name of their own if asked to, and change their capacity. The oracle counts at the executors: starts of a task after three crashes under it, jobs given up without two crashes, and starts over the capacity, where a reduction counts after the contact limit and one heartbeat.

--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -18,6 +18,15 @@
 MAX_LEASE_MS = 1000
 STOP_SECONDS = 0.05
 HEARTBEAT_SECONDS = 1.5
+# Time for which a start may still use the capacity before a reduction: the
+# contact limit of the platform's rules and one heartbeat.
+CAPACITY_GRACE_SECONDS = 3.0 + HEARTBEAT_SECONDS
+# Crashes of executors under a task after which it may be started only
+# `MAX_STARTS_AFTER_CRASHES` times.
+CRASH_LIMIT = 3
+MAX_STARTS_AFTER_CRASHES = 2
+# Crashes of executors under a task from which its job may be given up.
+MIN_CRASHES_TO_GIVE_UP = 2
 # Maximum time from the exclusion of a zone to the last start there.
 EVACUATION_LIMIT_SECONDS = 5.0
 # Maximum time from the receipt of the announcement that an executor is leaving
@@ -43,11 +52,13 @@
       restarts_clock: Whether its clock restarts at 0 when it restarts under the
         same name, as the platform specifies. The lease of a delayed order for
         an earlier incarnation then does not appear expired.
+      is_renamed: Whether each incarnation has a name of its own.
     """
 
     poll_interval = 0.01
     capacity = CAPACITY
     restarts_clock = False
+    is_renamed = False
 
     def __init__(self, world, name, zone):
         self.world = world
@@ -60,6 +71,8 @@
         # At most 2% slower than the clocks of the agents.
         self.clock_rate = world.rng.choice((1.0, 0.98))
         self.sequence = 0
+        # Capacities and the times until which each was in force.
+        self.earlier_capacities = []
         self._reset()
 
     def _reset(self):
@@ -81,6 +94,24 @@
         clock_start = self.reset_at if self.restarts_clock else 0.0
         return int(1000 * (self.world.now - clock_start) * self.clock_rate)
 
+    @property
+    def announced_name(self):
+        """Name under which it announces itself."""
+        return (
+            f"{self.name}/{self.started_at}" if self.is_renamed else self.name
+        )
+
+    def set_capacity(self, capacity):
+        """Changes the capacity, which its next heartbeat shows."""
+        self.earlier_capacities.append((self.world.now, self.capacity))
+        self.capacity = capacity
+
+    def _largest_recent_processor(self):
+        """Returns the largest processor capacity that a start may assume."""
+        since = self.world.now - CAPACITY_GRACE_SECONDS
+        recent = [c for until, c in self.earlier_capacities if until >= since]
+        return max(c.processor for c in [self.capacity, *recent])
+
     def announce(self):
         """Sends a heartbeat and schedules the next one."""
         self.world.at(HEARTBEAT_SECONDS, self.announce)
@@ -93,7 +124,7 @@
             return
         self.sequence += 1
         announcement = Announcement(
-            executor=self.name,
+            executor=self.announced_name,
             started_at=self.started_at,
             sequence=self.sequence,
             service="ordering",
@@ -117,9 +148,11 @@
         self.world.apply_effects(node, effects)
 
     def restart(self, down_seconds):
-        """Crashes and restarts later under the same name."""
+        """Crashes and restarts later."""
         if self.up:
             self.up = False
+            if not self.leaving:
+                self.world.oracle.record_crash(self.runs)
             self.runs.clear()
             self.world.at(down_seconds, self._start_again)
 
@@ -139,7 +172,10 @@
             world.at(world.rng.uniform(2.0, 12.0), self._apply, order, True)
             return
         if not self.up:
-            answer(OrderAnswer.REFUSED)
+            answer(OrderAnswer.NO_LISTENER)
+            return
+        if order.executor != self.announced_name:
+            answer(OrderAnswer.OTHER_EXECUTOR)
             return
         result = self._apply(order)
         if world.now < self.delays_orders_until and world.rng.random() < 0.2:
@@ -147,7 +183,7 @@
         world.at(0.001, answer, result)
 
     def _apply(self, order, is_delayed=False):
-        if not self.up:
+        if not self.up or order.executor != self.announced_name:
             return OrderAnswer.REFUSED
         if order.token < self.token:
             return OrderAnswer.FENCED
@@ -165,7 +201,7 @@
             return OrderAnswer.OLD
         if order.lease_until <= self.clock:
             return OrderAnswer.LATE
-        self._check_start(order)
+        self._check_start(order, is_delayed)
         self._check_placement_rules(is_delayed)
         world = self.world
         time = world.rng.choice((0.05, 0.2, 1.0))
@@ -176,11 +212,21 @@
         self.runs[order.task] = _Run(
             order.task, order.attempt, world.now + time, outcome
         )
+        delay = world.culprits.get(order.task)
+        if delay is not None:
+            world.at(delay, self._crash_under, order.task, self.started_at)
         return OrderAnswer.DONE
 
-    def _check_start(self, order):
+    def _crash_under(self, task, incarnation):
+        """Crashes if a task that crashes its executors still runs."""
+        if incarnation == self.started_at and task in self.runs:
+            self.restart(self.world.crash_downtime)
+
+    def _check_start(self, order, is_delayed):
         world, oracle = self.world, self.world.oracle
         oracle.starts += 1
+        if not is_delayed:
+            oracle.check_start_after_crashes(order.task, world.now)
         for other in world.executors.values():
             if other.up and order.task in other.runs:
                 oracle.fail(f"{world.now:.3f} second run: {order.task}")
@@ -188,7 +234,7 @@
             oracle.fail(f"{world.now:.3f} start after NOT_RUN: {order.task}")
         size = self._size(order.task)
         used = sum(self._size(task) for task in self.runs)
-        if used + size > self.capacity.processor:
+        if used + size > self._largest_recent_processor():
             oracle.fail(f"{world.now:.3f} over capacity: {self.name}")
 
     def _check_placement_rules(self, is_delayed):
@@ -219,7 +265,10 @@
         """Renews the lease and lists runs after the next end or the wait."""
         world = self.world
         if not self.up:
-            answer(OrderAnswer.REFUSED)
+            answer(OrderAnswer.NO_LISTENER)
+            return
+        if request.executor != self.announced_name:
+            answer(OrderAnswer.OTHER_EXECUTOR)
             return
         if world.now < self.delays_orders_until and world.rng.random() < 0.1:
             return
@@ -264,6 +313,8 @@
                 del self.runs[run.task]
                 self.end_number += 1
                 outcome = "lapsed" if lapsed else run.outcome
+                if outcome == "failed":
+                    self.world.oracle.failures[run.task] += 1
                 self.ended.append(
                     EndedRun(
                         number=self.end_number,
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -23,6 +23,8 @@
 EXECUTOR_SPEEDS_AND_SIZES = ((0.6, 1.0), (1.0, 1.0), (1.6, 1.5))
 # Standard deviation of the logarithm of the run times within a job.
 RUN_TIME_SIGMA = 0.15
+# Time from the start of a culprit to the crash of its executor.
+CULPRIT_CRASH_SECONDS = 0.01
 # Share of the objective within which a refusal still helps the caller.
 QUICK_REFUSAL_SHARE = 0.25
 PATTERNS: dict[str, Callable[[LoadWorld, float], float]] = {}
@@ -131,9 +133,16 @@
         self.entry_weights = [1.0] * entries
         self.ends_at = math.inf
         self.classes = CLASSES
+        # Share of the jobs of the first class with a task that crashes its
+        # executors, shortly after it has started.
+        self.culprit_share = 0.0
+        self.culprit_jobs = set()
+        self.given_up = 0
+        self.crash_downtime = 3.3
 
     def make_executor(self, name, zone):
         executor = LoadExecutor(self, name, zone)
+        executor.is_renamed = True
         executor.run_speed, size = EXECUTOR_SPEEDS_AND_SIZES[
             len(self.executors) % len(EXECUTOR_SPEEDS_AND_SIZES)
         ]
@@ -163,6 +172,9 @@
         count = max(
             1, round(job_class.mean_tasks * rng.lognormvariate(-0.08, 0.4))
         )
+        if job_class is self.classes[0] and rng.random() < self.culprit_share:
+            self.culprits[f"{key}.0.0.0"] = CULPRIT_CRASH_SECONDS
+            self.culprit_jobs.add(key)
         self.work[key] = work
         self.sizes[key] = int(775 * rng.uniform(0.8, 1.2))
         step = JobStep(
@@ -187,11 +199,13 @@
         longest = max(run_time_factor(f"{key}.0.0.{n}") for n in range(count))
         rules = job_class.queue
         objective = rules.stretch * work * longest + rules.latency
+        if key in self.culprit_jobs:
+            value = 0.0
         for results in (
             self.by_queue[job_class.queue.name],
             self.by_entry[name],
         ):
-            results.submitted += 1
+            results.submitted += value > 0.0
             results.possible += value
         self.open_jobs[key] = (job_class, name, self.now, objective, value)
         node.callers[key] = (step, 0.0)
@@ -203,6 +217,13 @@
         if found is None:
             return
         job_class, name, submitted_at, objective, value = found
+        if ended.outcome is JobOutcome.FAILED:
+            self.oracle.check_failed_job(
+                ended.key, job_class.queue.attempts, self.now
+            )
+        if ended.key in self.culprit_jobs:
+            self.given_up += ended.outcome is JobOutcome.FAILED
+            return
         response_time = self.now - submitted_at
         for results in (
             self.by_queue[job_class.queue.name],
@@ -278,9 +299,16 @@
     return 1.0
 
 
-def run_pattern(name, seed, seconds=20.0, rate=60.0):
+@load_pattern
+def jobs_that_crash_executors(world, now):
+    """Makes a tenth of the jobs of one queue crash executors for 10 s."""
+    world.culprit_share = 0.1 if 5.0 <= now < 15.0 else 0.0
+    return 1.0
+
+
+def run_pattern(name, seed, seconds=20.0, rate=60.0, agents=11):
     """Simulates a load pattern and returns its world."""
-    world = LoadWorld(seed, rate=rate)
+    world = LoadWorld(seed, rate=rate, agents=agents)
     world.run_until(2.5)
     world.pattern = PATTERNS[name]
     world.ends_at = seconds
@@ -292,9 +320,12 @@
 
 def report(world):
     """Returns the statistics of a world as text lines."""
+    crashes = world.oracle.crash_sizes
     lines = [
         f"worth {world.value_share:.3f} "
-        f"late refusals {world.late_refusal_share:.3f}"
+        f"late refusals {world.late_refusal_share:.3f}",
+        f"culprits {len(world.culprit_jobs)} given up {world.given_up} "
+        f"crashes {len(crashes)} runs lost {sum(crashes)}",
     ]
     for name, results in [*world.by_queue.items(), *world.by_entry.items()]:
         lines.append(
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import dataclasses
 import random
 import sys
 
@@ -104,18 +105,50 @@
 )
 
 
-def walk(seed, steps=STEPS, clocks_restart=False):
+def submit_culprit(world, rng):
+    """Submits a job with a task that crashes each executor it starts on."""
+    key = world.submit_new()
+    world.culprits[f"{key}.0.0.0"] = rng.choice((0.005, 0.02, 0.3))
+
+
+def change_capacity(world, rng):
+    """Reduces the capacity of an executor, to nothing at times, or resets it.
+
+    The change shows in its next heartbeat.
+    """
+    executor = rng.choice(list(world.executors.values()))
+    share = rng.choice((0.0, 0.25, 0.5, 1.0, 1.0))
+    capacity = type(executor).capacity
+    executor.set_capacity(
+        dataclasses.replace(capacity, processor=int(share * capacity.processor))
+    )
+
+
+# More culprits than a caller would send, so that most walks meet several.
+CRASH_ACTIONS = (
+    *ACTIONS,
+    submit_culprit,
+    submit_culprit,
+    submit_culprit,
+    change_capacity,
+    change_capacity,
+)
+
+
+def walk(seed, steps=STEPS, clocks_restart=False, actions=ACTIONS):
     """Runs a random walk and returns its world."""
     rng = random.Random(seed)
     entries = rng.choice((2, 3))
     world = LeaseWorld(seed, entries, agents=3, clocks_restart=clocks_restart)
     world.run_until(1.0)
     for _ in range(steps):
-        rng.choice(ACTIONS)(world, rng)
+        rng.choice(actions)(world, rng)
         world.run_until(world.now + rng.uniform(0.0, 2.0 * STEP))
         if world.oracle.violations:
             return world
     world.set_zones(())
+    for executor in world.executors.values():
+        executor.set_capacity(type(executor).capacity)
     world.run_until(world.now + RECOVERY_SECONDS)
     check_recovery(world)
     return world
@@ -171,10 +204,14 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--walks", type=int, default=100)
     parser.add_argument("--clocks-restart", action="store_true")
+    parser.add_argument("--crashes", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
-        world = walk(seed, clocks_restart=options.clocks_restart)
+        actions = CRASH_ACTIONS if options.crashes else ACTIONS
+        world = walk(
+            seed, clocks_restart=options.clocks_restart, actions=actions
+        )
         starts += world.oracle.starts
         completed += world.oracle.completed
         if world.oracle.violations:
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -34,7 +35,12 @@
 from gypsumline.core.leases.resources import Resources
 from gypsumline.core.leases.run_table import RunTable
 from gypsumline.core.leases.settings import LeaseSettings
-from properties.lease_executor import Executor
+from properties.lease_executor import (
+    CRASH_LIMIT,
+    MAX_STARTS_AFTER_CRASHES,
+    MIN_CRASHES_TO_GIVE_UP,
+    Executor,
+)
 
 TICK = 0.03
 DIAL_DELAY = 0.05
@@ -85,6 +91,10 @@
       refused: Keys of jobs that were answered as not run.
       starts: Number of started runs.
       completed: Number of completed jobs.
+      crashes: Crashes of executors by the tasks that ran there.
+      starts_after_crashes: Starts by task after `CRASH_LIMIT` crashes.
+      failures: Runs that failed by their own fault, by task.
+      crash_sizes: Number of runs lost with each crash.
     """
 
     def __init__(self):
@@ -92,6 +102,40 @@
         self.refused = set()
         self.starts = 0
         self.completed = 0
+        # Per task, counted at the executors.
+        self.crashes = collections.Counter()
+        self.starts_after_crashes = collections.Counter()
+        self.failures = collections.Counter()
+        self.crash_sizes = []
+
+    def record_crash(self, tasks):
+        """Counts a crash of an executor under the tasks that ran there."""
+        self.crashes.update(list(tasks))
+        self.crash_sizes.append(len(tasks))
+
+    def check_start_after_crashes(self, task, now):
+        """Checks that a task does not crash executors without limit."""
+        if self.crashes[task] < CRASH_LIMIT:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self.fail(
+                f"{now:.3f} {task} started again after "
+                f"{self.crashes[task]} crashes"
+            )
+
+    def check_failed_job(self, key, attempts, now):
+        """Checks that a job given up had a task that may be given up."""
+        tasks = [t for t in self.crashes if t.startswith(f"{key}.")]
+        crashed = max((self.crashes[t] for t in tasks), default=0)
+        failed = [
+            n for t, n in self.failures.items() if t.startswith(f"{key}.")
+        ]
+        if (
+            crashed < MIN_CRASHES_TO_GIVE_UP
+            and max(failed, default=0) < attempts
+        ):
+            self.fail(f"{now:.3f} {key} given up after {crashed} crashes")
 
     def fail(self, text):
         self.violations.append(text)
@@ -125,6 +169,9 @@
         self.excluded_since = {}  # zone -> time of its exclusion
         self.undisturbed_since = {}  # name -> last start or reset
         self.sizes = {}  # key -> processor need of each task
+        # Task -> seconds after its start at which it crashes its executor.
+        self.culprits = {}
+        self.crash_downtime = 1.0
         for number in range(agents):
             zone = ZONES[number % len(ZONES)]
             name = f"agent-{number}"
@@ -473,6 +520,7 @@
             run_time=run_time,
         )
         self.submit_to_any_entry(key, (step, self.now + 12.0, timeouts))
+        return key
 
     def submit_to_any_entry(self, key, caller):
         """Submits a job to a random entry; retries while that is down."""
@@ -521,6 +569,8 @@
             )
         elif ended.outcome is JobOutcome.COMPLETED:
             self.oracle.completed += 1
+        elif ended.outcome is JobOutcome.FAILED:
+            self.oracle.check_failed_job(ended.key, QUEUE.attempts, self.now)
 
     def set_zones(self, zones):
         """Sends the excluded zones to all entries, to some after a delay."""
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -28,6 +28,8 @@
     OrderAnswer.OLD: (409, "old"),
     OrderAnswer.LATE: (409, "late"),
     OrderAnswer.REFUSED: (503, ""),
+    OrderAnswer.NO_LISTENER: (503, ""),
+    OrderAnswer.OTHER_EXECUTOR: (421, ""),
 }
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -51,6 +51,8 @@
         self.oracle = LeaseOracle()
         self.executors = {}
         self.sizes = {}
+        self.culprits = {}
+        self.crash_downtime = 1.0
         self.done = set()
         self.agents = {}
         self.entries = {}
