Give up a job under whose task executors crash

Callers saw their executors crash one after the other and half of all jobs fail or refused. Cause: only runs that end FAILED were counted; a run that is lost with its executor went back to the queue without limit, and a resubmission to another entry began at zero.

Owners now count the crashes under each task from the records of all agents, and share the blame for each among the jobs that were there, most to runs that had just started. A job is given up after two crashes under a task that has enough blame, after three whatever the blame, or after four where a start was not confirmed; its resubmission to any entry is answered so at once. Silence and planned departures do not count.

--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -27,9 +27,22 @@
         self._crashes = collections.deque(maxlen=settings.crash_records)
 
     def add(
-        self, announcement: Announcement, runs: Iterable[Run], at: float
+        self,
+        announcement: Announcement,
+        runs: Iterable[Run],
+        at: float,
+        responded_at: float,
     ) -> ExecutorCrash:
-        """Records a crash at a time and the runs that were there."""
+        """Records a crash.
+
+        Args:
+          announcement: Newest announcement of the executor.
+          runs: Runs that may have been there.
+          at: Time of the first sign of the crash.
+          responded_at: Time of the executor's latest list of runs.
+        """
+        # Without a renewal, runs end before a later crash.
+        has_lease = at - responded_at <= self._settings.lease
         crash = ExecutorCrash(
             executor=announcement.executor,
             started_at=announcement.started_at,
@@ -40,7 +53,7 @@
                     attempt=run.order.attempt,
                     queue=run.queue,
                     age=round(max(0.0, at - run.ordered_at), 3),
-                    is_started=run.started_at < math.inf,
+                    is_started=has_lease and run.started_at < math.inf,
                 )
                 for run in runs
             ),
--- /dev/null
+++ b/gypsumline/core/leases/crash_settings.py
@@ -0,0 +1,53 @@
+"""Settings of how an owner judges and confines jobs that crash executors."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gypsumline.core.errors import InvalidInputError
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashSettings:
+    """Blame for crashes; all times are in seconds.
+
+    Attributes:
+      crash_limit: Number of crashes under one task, known to have been there,
+        at which its job is given up whoever is blamed.
+      possible_crash_limit: The same for all crashes where it may have been.
+      confirming_crashes: Minimum number of crashes under one task, known to
+        have been there, at which its job is given up if it has enough blame.
+      confirming_blame: Sum of a task's blame over all crashes from which it
+        counts as their cause. Its blame for a single crash is below 1.
+      suspect_blame: Sum of a task's blame from which its job is kept apart from
+        other suspects.
+      start_scale: Age of a run within which a crash is mostly caused by its
+        start.
+      start_weight: Weight of a run that has just started, relative to causes
+        that are no run, such as a host without power.
+      base_weight: Weight of any other run, relative to the same.
+      earlier_blame_weight: Factor by which the earlier blame of a task
+        increases its weight.
+      memory: Time for which a crash counts.
+      max_crashes: Maximum number of crashes that an owner keeps.
+    """
+
+    crash_limit: int = 3
+    possible_crash_limit: int = 4
+    confirming_crashes: int = 2
+    confirming_blame: float = 1.0
+    suspect_blame: float = 0.1
+    start_scale: float = 0.03
+    start_weight: float = 20.0
+    base_weight: float = 0.1
+    earlier_blame_weight: float = 10.0
+    memory: float = 60.0
+    max_crashes: int = 256
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.confirming_crashes <= self.crash_limit:
+            raise InvalidInputError(
+                "confirming_crashes",
+                self.confirming_crashes,
+                f"from 1 to crash_limit ({self.crash_limit})",
+            )
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -30,6 +30,7 @@
         self._leaving_at = math.inf
         self._lease_until = now
         self._is_responsive = True
+        self._responded_at = now
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.update(announcement, now)
@@ -94,9 +95,15 @@
         """Time of the first unanswered request after the latest answer."""
         return self._unresponsive_since
 
-    def mark_responsive(self) -> None:
+    @property
+    def responded_at(self) -> float:
+        """Time of the latest list of runs."""
+        return self._responded_at
+
+    def mark_responsive(self, now: float) -> None:
         """Records an answered hold request, which allows lease renewals."""
         self._is_responsive = True
+        self._responded_at = now
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.has_crashed = False
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -127,7 +127,8 @@
       attempt: Attempt number.
       queue: Name of the queue; "" if its owner did not name it.
       age: Seconds from the order of the run to the crash.
-      is_started: Whether the executor had confirmed the start.
+      is_started: Whether it is known to have been there: the executor had
+        confirmed the start, and the lease had not expired.
     """
 
     task: str
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -6,6 +6,7 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.attempt_history import AttemptHistory
 from gypsumline.core.leases.backlog import NO_EXECUTOR, Backlog
+from gypsumline.core.leases.crash_history import CrashHistory, Verdict
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.health import ExecutorHealth
@@ -22,6 +23,7 @@
     CapacityRequest,
     ContactPing,
     ContactPong,
+    ExecutorCrash,
     RunEnd,
     RunReport,
     RunReports,
@@ -29,6 +31,7 @@
 )
 from gypsumline.core.leases.owner_effects import (
     claims_message,
+    crash_line,
     ended_line,
     has_start_for,
     overdue_line,
@@ -51,6 +54,8 @@
 # Added to the attempt number of a task when an executor rejects it as too low:
 # an earlier owner of the same submission may have used several numbers.
 ATTEMPT_STEP = 8
+# Reason of a job that is given up for the crashes under its tasks.
+CRASHED_EXECUTORS = "executors crashed under a task"
 # Outcomes whose answers tell the caller when to retry.
 _RETRYABLE_OUTCOMES = (
     JobOutcome.NOT_RUN,
@@ -82,6 +87,7 @@
         self._isolation = IsolationDetector(settings.isolation_limit)
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
+        self._crashes = CrashHistory(settings.crashes)
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._waiting = WaitingJobs(self._backlog)
         self._zones_out = ZonesOut(version=-1, zones=())
@@ -124,6 +130,10 @@
         effects = [] if earlier is None else self._remove_job(earlier, now)
         job = new_job(request, self._estimates, now)
         self._attempts.restore(job)
+        if self._verdict(job) is Verdict.GIVEN_UP:
+            return effects + self._end_job(
+                job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
+            )
         refusal = self._backlog.refusal(job, self._waiting.values(), now)
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
@@ -219,6 +229,8 @@
             return []
         self._update_load(view, message, now)
         effects: list[Effect] = []
+        for crash in message.crashes:
+            effects += self._on_crash(crash, now)
         for report in message.reports:
             run = self._runs.find(report.task)
             is_known = run is not None and run.attempt == report.attempt
@@ -243,6 +255,7 @@
         self._fleet.prune_silent(now, self._settings.forget_after)
         self._sync_health()
         self._attempts.expire(now)
+        self._crashes.expire(now)
         self._backlog.update_fastest_speed()
         return effects + self.place_waiting(now)
 
@@ -491,6 +504,23 @@
             self._requeue(run.task.name)
         return [run_ended_line(run, report, now)]
 
+    def _on_crash(self, crash: ExecutorCrash, now: float) -> list[Effect]:
+        """Blames the jobs that were there and gives up those that caused it."""
+        blame = self._crashes.add(crash, now)
+        effects: list[Effect] = [crash_line(crash, blame, self._crashes)]
+        for key in blame:
+            job = self._jobs.get(key)
+            if job is not None and self._verdict(job) is Verdict.GIVEN_UP:
+                effects += self._end_job(
+                    job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
+                )
+        return effects if blame else []
+
+    def _verdict(self, job: LeasedJob) -> Verdict:
+        if not self._crashes:
+            return Verdict.CLEAR
+        return self._crashes.verdict(task.name for task in job.tasks)
+
     # Ends of jobs.
 
     def _check_job(
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
+from gypsumline.core.leases.crash_history import (
+    CrashHistory,
+    TaskCrashes,
+    job_key,
+)
 from gypsumline.core.leases.effects import JobEnded
 from gypsumline.core.leases.job import LeasedJob, PlacedRun
 from gypsumline.core.leases.messages import (
     CapacityRequest,
     ClaimRuns,
+    ExecutorCrash,
     RunOrder,
     RunReport,
     StartRuns,
@@ -18,6 +25,9 @@
 )
 from gypsumline.core.leases.placement import Choice
 
+# Jobs named in the log line of a crash, most blamed first.
+_MAX_SUSPECTS = 5
+
 
 def stop_runs(runs: Iterable[PlacedRun]) -> list[Effect]:
     """Marks runs as stopping; returns one stop message for each agent."""
@@ -114,6 +124,40 @@
     )
 
 
+def crash_line(
+    crash: ExecutorCrash, blame: dict[str, float], history: CrashHistory
+) -> Decision:
+    """Returns the log line of a crash with the jobs that are blamed for it."""
+    return Decision(
+        event="crash_blamed",
+        fields={
+            "executor": crash.executor,
+            "seconds_ago": crash.seconds_ago,
+            "runs": len(crash.runs),
+            "suspects": [
+                [key, round(share, 3), _describe(key, crash, history)]
+                for key, share in itertools.islice(blame.items(), _MAX_SUSPECTS)
+            ],
+        },
+    )
+
+
+def _describe(
+    key: str, crash: ExecutorCrash, history: CrashHistory
+) -> dict[str, object]:
+    """Returns the most blamed task of a job, its queue and its crashes."""
+    tasks = [run.task for run in crash.runs if job_key(run.task) == key]
+    known = {task: history.find(task) or TaskCrashes() for task in tasks}
+    name, worst = max(known.items(), key=lambda item: item[1].blame)
+    return {
+        "task": name,
+        "queue": worst.queue,
+        "crashes": worst.count,
+        "confirmed": worst.confirmed,
+        "total": round(worst.blame, 3),
+    }
+
+
 def overdue_line(run: PlacedRun, now: float) -> Decision:
     """Returns the log line of a run that is overdue."""
     return Decision(
--- a/gypsumline/core/leases/owner_settings.py
+++ b/gypsumline/core/leases/owner_settings.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from gypsumline.core.leases.crash_settings import CrashSettings
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeasedOwnerSettings:
@@ -37,6 +39,7 @@
       tick_interval: Time between the checks of an owner with jobs or runs.
       rest_tick_interval: Time between the checks of any other owner.
       default_run_time: Expected run time of a queue without known run times.
+      crashes: How jobs that may crash their executors are treated.
     """
 
     silence_limit: float = 2.0
@@ -56,3 +59,4 @@
     tick_interval: float = 0.03
     rest_tick_interval: float = 0.25
     default_run_time: float = 0.3
+    crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -45,6 +45,8 @@
       ordered_at: Time of the order.
       state: Progress at the executor.
       started_at: Time at which the executor confirmed the start.
+      unanswered_at: Time at which the call to start it ended without an answer.
+      is_crash_reported: Whether a crash was reported with it.
       stop_sent_at: Time of the newest stop order.
       stopped_at: Time at which the executor confirmed the stop.
     """
@@ -56,9 +58,24 @@
     ordered_at: float
     state: RunState = RunState.STARTING
     started_at: float = math.inf
+    unanswered_at: float = -math.inf
+    is_crash_reported: bool = False
     stop_sent_at: float = -math.inf
     stopped_at: float = math.inf
 
+    def may_have_run_since(self, time: float) -> bool:
+        """Returns whether it may have run after the executor's latest answer.
+
+        A start that has no answer yet has not been sent to a live executor, and
+        one that lacks an answer for longer would be in that answer's list.
+
+        Args:
+          time: Time of the executor's latest answer.
+        """
+        if self.is_crash_reported:
+            return False
+        return self.started_at < math.inf or self.unanswered_at >= time
+
     @property
     def name(self) -> tuple[str, int]:
         """Task name and attempt number."""
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -303,7 +303,7 @@
             if reply.started_at > executor.announcement.started_at:
                 return self._begin_incarnation(announcement, now)
             return []
-        executor.mark_responsive()
+        executor.mark_responsive(now)
         executor.set_clock(reply.clock, now)
         self._has_unacknowledged_ends = bool(reply.ended)
         effects = self._apply_ends(executor, reply.ended, now)
@@ -344,6 +344,7 @@
             return []
         if answer is OrderAnswer.UNANSWERED:
             self._token.advance()
+            run.unanswered_at = now
             return self._stop(run, now, "start unanswered")
         if answer is OrderAnswer.FENCED:
             effects = self._on_fenced(order.token)
@@ -538,8 +539,15 @@
     ) -> CrashDetected:
         executor.has_crashed = True
         crashed_at = min(executor.unresponsive_since, now)
+        runs = [
+            run
+            for run in self._runs.values()
+            if run.may_have_run_since(executor.responded_at)
+        ]
+        for run in runs:
+            run.is_crash_reported = True
         crash = self._crashes.add(
-            executor.announcement, self._runs.values(), crashed_at
+            executor.announcement, runs, crashed_at, executor.responded_at
         )
         return CrashDetected(crash=crash, evidence=evidence)
 
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -147,11 +147,12 @@
         effects = node.machine.on_announcement(announcement, self.world.now)
         self.world.apply_effects(node, effects)
 
-    def restart(self, down_seconds):
-        """Crashes and restarts later."""
+    def restart(self, down_seconds, is_planned=False):
+        """Crashes, or leaves as announced, and restarts later."""
         if self.up:
             self.up = False
-            if not self.leaving:
+            was_announced = self.leaving_announced_at < math.inf
+            if not (is_planned and was_announced):
                 self.world.oracle.record_crash(self.runs)
             self.runs.clear()
             self.world.at(down_seconds, self._start_again)
@@ -168,12 +169,12 @@
     def handle_order(self, order, node, answer):
         """Carries out a start or stop order, possibly after a delay."""
         world = self.world
-        if world.now < self.delays_orders_until and world.rng.random() < 0.5:
-            world.at(world.rng.uniform(2.0, 12.0), self._apply, order, True)
-            return
         if not self.up:
             answer(OrderAnswer.NO_LISTENER)
             return
+        if world.now < self.delays_orders_until and world.rng.random() < 0.5:
+            world.at(world.rng.uniform(2.0, 12.0), self._apply, order, True)
+            return
         if order.executor != self.announced_name:
             answer(OrderAnswer.OTHER_EXECUTOR)
             return
@@ -225,7 +226,7 @@
     def _check_start(self, order, is_delayed):
         world, oracle = self.world, self.world.oracle
         oracle.starts += 1
-        if not is_delayed:
+        if order.task in world.culprits and not is_delayed:
             oracle.check_start_after_crashes(order.task, world.now)
         for other in world.executors.values():
             if other.up and order.task in other.runs:
@@ -284,7 +285,11 @@
         self._list(request, answer, world.now + request.wait)
 
     def _list(self, request, answer, until):
-        if self.ended or self.world.now >= until or not self.up:
+        if not self.up:
+            # The connection ends with the process.
+            answer(OrderAnswer.UNANSWERED)
+            return
+        if self.ended or self.world.now >= until:
             listed = HoldReply(
                 started_at=self.started_at,
                 clock=self.clock,
@@ -293,8 +298,7 @@
                 ),
                 ended=tuple(self.ended),
             )
-            if self.up:
-                self.world.at(0.001, answer, listed)
+            self.world.at(0.001, answer, listed)
             return
         self.world.at(self.poll_interval, self._list, request, answer, until)
 
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -79,7 +79,7 @@
     executor = rng.choice(list(world.executors.values()))
     if executor.up and not executor.leaving:
         executor.leaving = True
-        world.at(3.0, executor.restart, 0.5)
+        world.at(3.0, executor.restart, 0.5, True)
 
 
 def change_zones(world, rng):
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -30,6 +30,7 @@
     OrderAnswer.REFUSED: (503, ""),
     OrderAnswer.NO_LISTENER: (503, ""),
     OrderAnswer.OTHER_EXECUTOR: (421, ""),
+    OrderAnswer.UNANSWERED: (503, ""),
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -161,7 +161,7 @@
     if executor.up and not executor.leaving:
         executor.leaving = True
         executor.announce_once()
-        world.at(3.0, executor.restart, 0.5)
+        world.at(3.0, executor.restart, 0.5, True)
 
 
 @fault
