Reject heartbeats with a capacity that no account can hold

A negative capacity was taken over, and one above 64 bits raised when the agent encoded its next ping to an owner, from whichever message was in hand. The heartbeat is now refused with a log line and the counter of rejected inputs, and the last good one holds. Five of the ten cases of the test failed before.

--- a/gypsumline/platform/heartbeats.py
+++ b/gypsumline/platform/heartbeats.py
@@ -11,7 +11,7 @@
 from gypsumline.agent.leased_node import LeasedAgentNode
 from gypsumline.core.leases.effects import Announcement
 from gypsumline.core.leases.resources import Resources
-from gypsumline.platform.wire_types import Milliseconds
+from gypsumline.platform.wire_types import Amount, Milliseconds
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import Exchange
@@ -23,9 +23,9 @@
 
 
 class _WireCapacity(msgspec.Struct):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class _WireHeartbeat(msgspec.Struct):
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -1,5 +1,7 @@
 """Tests of heartbeats and replies of an executor that cannot be read."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -90,3 +92,41 @@
     client = ExecutorClient("127.0.0.1:1", 1.0)
     client._client = CannedClient(body)
     assert await client.hold(ORDER) is OrderAnswer.UNANSWERED
+
+
+@pytest.mark.parametrize(
+    "capacity",
+    [
+        None,
+        {},
+        {"cpu": -1, "mem_mb": 1},
+        {"cpu": 1, "mem_mb": -1},
+        {"cpu": 1, "mem_mb": 1, "gpu": -1},
+        {"cpu": 10**30, "mem_mb": 1},
+        {"cpu": 2**60, "mem_mb": 1},
+        {"cpu": "many", "mem_mb": 1},
+        {"cpu": 0.5, "mem_mb": 1},
+        {"cpu": [1], "mem_mb": 1},
+    ],
+)
+def test_heartbeat_with_an_impossible_capacity_is_rejected(capacity):
+    """Guards against a capacity that no account can hold."""
+    seen, statuses = [], []
+    receiver = HeartbeatReceiver(RecordingNode(seen), "")
+    beat = {
+        "service": "ordering",
+        "zone": "north",
+        "state": "ready",
+        "seq_no": 1,
+    }
+    for value in ({"cpu": 0, "mem_mb": 0}, capacity):
+        fields = beat if value is None else {**beat, "capacity": value}
+        request = HttpRequest(
+            method="PUT",
+            target="/v1/instances/x-1",
+            headers={},
+            body=json.dumps(fields).encode(),
+        )
+        receiver(RecordingExchange(request, statuses))
+    assert statuses == [200, 400]
+    assert [a.capacity.processor for a in seen] == [0]
