Follow a capacity that changes while the executor runs

An agent took a changed capacity over in silence: owners placed by the earlier one until their next ping, up to 1.6 s, and a start that had been refused for an old token was ordered again although the capacity no longer held it. Owners now hear of each change at once, and a repeated start has to fit.

--- a/gypsumline/core/leases/run_log_lines.py
+++ b/gypsumline/core/leases/run_log_lines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from gypsumline.core.effects import Decision
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import Announcement, CrashDetected
@@ -65,6 +67,22 @@
     )
 
 
+def resized_line(
+    announcement: Announcement, earlier: Resources, used: Resources
+) -> Decision:
+    """Returns the log line of an executor whose capacity has changed."""
+    return Decision(
+        event="executor_resized",
+        fields={
+            "executor": announcement.executor,
+            "sequence": announcement.sequence,
+            "earlier": dataclasses.astuple(earlier),
+            "capacity": dataclasses.astuple(announcement.capacity),
+            "used": dataclasses.astuple(used),
+        },
+    )
+
+
 def lost_line(runs: int, reason: str) -> Decision:
     """Returns the log line of runs that ended with their executor."""
     return Decision(event="runs_lost", fields={"runs": runs, "reason": reason})
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -34,13 +34,14 @@
 )
 from gypsumline.core.leases.pending_reports import PendingReports
 from gypsumline.core.leases.resource_usage import ResourceUsage
-from gypsumline.core.leases.resources import Resources
+from gypsumline.core.leases.resources import NO_RESOURCES, Resources
 from gypsumline.core.leases.run import RUN_ENDS, START_REFUSALS, Run, RunState
 from gypsumline.core.leases.run_log_lines import (
     executor_line,
     lost_line,
     opened_line,
     refusal_line,
+    resized_line,
     stopping_line,
     token_line,
     zones_line,
@@ -264,11 +265,25 @@
             if announcement.leaving != known.leaving:
                 line = executor_line("executor_leaving", announcement)
                 return [line, *self._reports.broadcast(now)]
+            if announcement.capacity != known.capacity:
+                return self._on_resized(known, announcement, now)
             return []
         if announcement.started_at <= known.started_at:
             return [executor_line("announcement_ignored", announcement)]
         return self._begin_incarnation(announcement, now)
 
+    def _on_resized(
+        self, known: Announcement, announcement: Announcement, now: float
+    ) -> list[Effect]:
+        """Tells all owners of a changed capacity; runs there go on."""
+        self._offers.on_capacity_freed()
+        line = resized_line(announcement, known.capacity, self._usage.used)
+        return [
+            line,
+            *self._reports.broadcast(now),
+            *self._flush_reports(now),
+        ]
+
     def on_leave(self, executor: str, now: float) -> list[Effect]:
         """Handles an executor's departure; its runs end with their lease."""
         current = self._executor
@@ -355,7 +370,9 @@
             return self._stop(run, now, "start unanswered")
         if answer is OrderAnswer.FENCED:
             effects = self._on_fenced(order.token)
-            if run.state is RunState.STARTING and self.accepts_starts:
+            is_wanted = run.state is RunState.STARTING and self.accepts_starts
+            # The capacity may have been reduced since the first order.
+            if is_wanted and NO_RESOURCES.fits(self.free):
                 return [*effects, self._order_start(run, now)]
             return effects + self._end_unstarted(run, RunEnd.NOT_TAKEN, now)
         effects = self._end_unstarted(run, START_REFUSALS[answer], now)
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -1,5 +1,7 @@
 """Tests of an agent's table of runs."""
 
+import dataclasses
+
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
@@ -429,3 +431,46 @@
     assert offers(end_run(table)) == ["entry-2"]
     assert offers(table.tick(0.2 + 2 * OFFER_SECONDS)) == ["entry-1"]
     assert offers(table.tick(0.2 + 4 * OFFER_SECONDS)) == []
+
+
+def resized(processor, sequence=2):
+    return dataclasses.replace(
+        announcement(sequence=sequence),
+        capacity=Resources(processor=processor, memory=4096),
+    )
+
+
+def test_owners_learn_of_a_changed_capacity_at_once():
+    """Guards against admission that follows the room only with the pings."""
+    table = open_table()
+    for processor, sequence in ((1000, 2), (8000, 3)):
+        effects = table.on_announcement(resized(processor, sequence), 0.1)
+        loads = [m.load.free.processor for _, m in sends(effects, RunReports)]
+        assert loads == [processor, processor]
+    assert table.on_announcement(resized(8000, 4), 0.2) == []
+
+
+def test_nothing_starts_while_runs_exceed_a_reduced_capacity():
+    """Guards against a start over the capacity of a shrunk executor."""
+    table = open_table()
+    run_one(table)
+    table.on_announcement(resized(1000), 0.1)
+    answer_ping(table, 0.1)
+    late = start(order("b.0.0.0", count=1), stamp=0.1)
+    effects = table.on_start(ENTRY, late, 0.1)
+    assert starts(effects) == []
+    assert ends(effects) == [("b.0.0.0", 1, RunEnd.NO_ROOM)]
+
+
+def test_fenced_start_is_not_repeated_over_a_reduced_capacity():
+    """Guards against a repeated order that assumes the earlier capacity."""
+    table = open_table()
+    answer_ping(table, 0.0)
+    both = start(order(), order("b.0.0.0"))
+    started, other = starts(table.on_start(ENTRY, both, 0.0))
+    # Raises the token, so that the refusal of the earlier one is no surprise.
+    table.on_start_answer(other, OrderAnswer.UNANSWERED, 0.05)
+    table.on_announcement(resized(1000), 0.1)
+    effects = table.on_start_answer(started, OrderAnswer.FENCED, 0.1)
+    assert starts(effects) == []
+    assert ends(effects) == [(TASK, 1, RunEnd.NOT_TAKEN)]
