Confine a queue whose jobs crash executors to its share of them

Cause: culprits were spread like any other work.

Once a job has caused two crashes its queue is under suspicion for ten seconds from the latest: its jobs use as many executors as its share of the submitted work, the first in an order that all owners share, and the other queues use the rest. A job with blame for one crash runs in its queue's share too, apart from other suspects. What cannot be served there is refused at once as not run.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -12,6 +12,7 @@
 from gypsumline.core.leases.placement import Placement
 
 NO_EXECUTOR = "no executor takes runs"
+CONFINED_AWAY = "executors of a queue under suspicion are away"
 
 
 class Backlog:
@@ -29,18 +30,26 @@
         self._fastest_speed = 1.0
 
     def refusal(
-        self, job: LeasedJob, waiting: Iterable[LeasedJob], now: float
+        self,
+        job: LeasedJob,
+        waiting: Iterable[LeasedJob],
+        agents: list[AgentView],
+        now: float,
     ) -> JobEnded | None:
-        """Returns the refusal of a job that cannot be served, or None."""
+        """Returns the refusal of a job that cannot be served, or None.
+
+        Args:
+          job: The job.
+          waiting: Waiting jobs that may use the same agents.
+          agents: Agents that can be given runs of the job.
+          now: Current time.
+        """
         queue = job.request.queue
         waiting = list(waiting)
         if len(waiting) >= self._settings.jobs_limit:
             return self._refuse(job, "too many open jobs", 1.0)
-        if not self._fleet.has_usable(queue.service, now):
-            return dataclasses.replace(
-                self._refuse(job, NO_EXECUTOR, self.retry_after(job, now)),
-                outcome=JobOutcome.ELSEWHERE,
-            )
+        if not agents:
+            return self._refuse_without_agents(job, now)
         fastest_speed = self._fastest_speed
         sort_key = job.sort_key(now, fastest_speed)
         ahead = [
@@ -51,8 +60,7 @@
         ]
         if not ahead:
             return None
-        agents = self._fleet.usable(queue.service, now)
-        wait = sum(map(self._pending_work, ahead)) / self._expected_capacity(
+        wait = sum(map(self.pending_work, ahead)) / self._expected_capacity(
             agents
         )
         # Jobs of other owners compete for the same executors without being in
@@ -64,6 +72,14 @@
             return None
         return self._refuse(job, "backlog", wait)
 
+    def _refuse_without_agents(self, job: LeasedJob, now: float) -> JobEnded:
+        wait = self.retry_after(job, now)
+        if self._fleet.has_usable(job.service, now):
+            # Other entries confine its queue to the same agents.
+            return self._refuse(job, CONFINED_AWAY, wait)
+        refusal = self._refuse(job, NO_EXECUTOR, wait)
+        return dataclasses.replace(refusal, outcome=JobOutcome.ELSEWHERE)
+
     def would_end_too_late(self, job: LeasedJob, now: float) -> bool:
         """Returns whether a job started now would end too late to be useful."""
         latest_useful_end = (
@@ -111,7 +127,7 @@
         )
         return task_limit >= sum(count for _, count in steps)
 
-    def _pending_work(self, job: LeasedJob) -> float:
+    def pending_work(self, job: LeasedJob) -> float:
         """Returns a job's waiting work, in processor-seconds at speed 1."""
         queue = job.request.queue
         return sum(
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -130,6 +130,15 @@
             self._remove_oldest()
         return record.blame
 
+    def causes(self, crash: ExecutorCrash) -> set[str]:
+        """Returns the queues of the tasks there that count as causes."""
+        tasks = [self._tasks.get(run.task) for run in crash.runs]
+        return {
+            task.queue
+            for task in tasks
+            if task is not None and task.queue and self._is_cause(task)
+        }
+
     def expire(self, now: float) -> None:
         """Forgets crashes that no longer count."""
         limit = now - self._settings.memory
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -28,6 +28,9 @@
       base_weight: Weight of any other run, relative to the same.
       earlier_blame_weight: Factor by which the earlier blame of a task
         increases its weight.
+      suspicion_time: Time for which a queue stays under suspicion after the
+        latest crash that one of its jobs caused.
+      rate_memory: Time over which the rate of a queue's work is known.
       memory: Time for which a crash counts.
       max_crashes: Maximum number of crashes that an owner keeps.
     """
@@ -41,6 +44,8 @@
     start_weight: float = 20.0
     base_weight: float = 0.1
     earlier_blame_weight: float = 10.0
+    suspicion_time: float = 10.0
+    rate_memory: float = 10.0
     memory: float = 60.0
     max_crashes: int = 256
 
--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -161,6 +161,7 @@
       started_runs: Number of ordered runs that have or may have started.
       may_have_run: Whether a run of an earlier job with this key may have
         started here.
+      is_suspect: Whether one of its tasks may crash its executors.
       smallest_need: Smallest amount of each resource that a step needs.
       tasks: All its tasks.
     """
@@ -182,6 +183,7 @@
         )
         self.started_runs = 0
         self.may_have_run = False
+        self.is_suspect = False
         self.tasks = [
             Task(
                 name=f"{request.key}.0.{number}.{index}",
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -5,7 +5,12 @@
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.attempt_history import AttemptHistory
-from gypsumline.core.leases.backlog import NO_EXECUTOR, Backlog
+from gypsumline.core.leases.backlog import (
+    CONFINED_AWAY,
+    NO_EXECUTOR,
+    Backlog,
+)
+from gypsumline.core.leases.containment import Containment, Pool
 from gypsumline.core.leases.crash_history import CrashHistory, Verdict
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
@@ -41,6 +46,7 @@
     start_message,
     stop_message,
     stop_runs,
+    suspicion_line,
 )
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.core.leases.placed_runs import PlacedRuns
@@ -88,6 +94,7 @@
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
         self._crashes = CrashHistory(settings.crashes)
+        self._containment = Containment(settings.crashes, self._fleet)
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._waiting = WaitingJobs(self._backlog)
         self._zones_out = ZonesOut(version=-1, zones=())
@@ -97,6 +104,11 @@
         """Open jobs by key."""
         return self._jobs
 
+    @property
+    def suspected_queues(self) -> dict[tuple[str, str], float]:
+        """End of the suspicion by service and queue, for crashes."""
+        return self._containment.suspected_queues
+
     @property
     def next_tick_in(self) -> float:
         """Seconds after which `tick` must be called again."""
@@ -130,11 +142,17 @@
         effects = [] if earlier is None else self._remove_job(earlier, now)
         job = new_job(request, self._estimates, now)
         self._attempts.restore(job)
-        if self._verdict(job) is Verdict.GIVEN_UP:
+        verdict = self._verdict(job)
+        job.is_suspect = verdict is Verdict.SUSPECT
+        if verdict is Verdict.GIVEN_UP:
             return effects + self._end_job(
                 job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
             )
-        refusal = self._backlog.refusal(job, self._waiting.values(), now)
+        self._containment.add_work(job, self._backlog.pending_work(job))
+        pool = self._containment.pool(job)
+        refusal = self._backlog.refusal(
+            job, self._rivals(pool), self._usable(pool, now, None), now
+        )
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
             return [*effects, refusal, line]
@@ -230,7 +248,7 @@
         self._update_load(view, message, now)
         effects: list[Effect] = []
         for crash in message.crashes:
-            effects += self._on_crash(crash, now)
+            effects += self._on_crash(crash, view.service, now)
         for report in message.reports:
             run = self._runs.find(report.task)
             is_known = run is not None and run.attempt == report.attempt
@@ -246,7 +264,10 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Ends overdue jobs, stops overdue runs and gives up lost ones."""
-        effects: list[Effect] = []
+        effects: list[Effect] = [
+            suspicion_line("queue_cleared", service, queue)
+            for service, queue in self._containment.update(now)
+        ]
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
@@ -282,32 +303,35 @@
         """Places the ready tasks of jobs, at one agent or at any."""
         if not jobs:
             return []
-        this_pass = PlacementPass(
-            lambda service: self._usable(service, now, view)
-        )
+        this_pass = PlacementPass(lambda pool: self._usable(pool, now, view))
         effects: list[Effect] = []
         for job in jobs:
-            if this_pass.may_fit(job.service, job.smallest_need):
-                effects += self._place_job(job, this_pass, now)
-        placed = this_pass.runs
-        request = self._capacity_request(now) if placed else None
-        return [*effects, *(start_message(runs, request) for runs in placed)]
+            pool = self._containment.pool(job)
+            if this_pass.may_fit(pool, job.smallest_need):
+                effects += self._place_job(job, pool, this_pass, now)
+        return effects + [
+            start_message(runs, self._capacity_request(runs[0].view, now))
+            for runs in this_pass.runs
+        ]
 
     def _place_job(
-        self, job: LeasedJob, this_pass: PlacementPass, now: float
+        self,
+        job: LeasedJob,
+        pool: Pool,
+        this_pass: PlacementPass,
+        now: float,
     ) -> list[Effect]:
         """Places the ready tasks of one job that fit."""
-        service = job.request.queue.service
         steps = [step for step, _ in job.ready_steps()]
         if not steps:
             self._waiting.discard(job)
             return []
-        if all(this_pass.lacks_capacity(service, s.resources) for s in steps):
+        if all(this_pass.lacks_capacity(pool, s.resources) for s in steps):
             return []
         effects: list[Effect] = []
         is_pending = False
         for task in job.ready_tasks():
-            line = self._place_ready(task, this_pass, now)
+            line = self._place_ready(task, pool, this_pass, now)
             if line is None:
                 is_pending = True
             else:
@@ -317,16 +341,17 @@
         return effects
 
     def _place_ready(
-        self, task: Task, this_pass: PlacementPass, now: float
+        self, task: Task, pool: Pool, this_pass: PlacementPass, now: float
     ) -> Decision | None:
         """Places a task if an agent can run it."""
-        service = task.job.request.queue.service
         step = task.step
         if task.name in self._runs:
             return None
-        if this_pass.lacks_capacity(service, step.resources):
+        if this_pass.lacks_capacity(pool, step.resources):
             return None
-        agents = self._runs.within_step_limit(task, this_pass.agents(service))
+        agents = self._runs.within_step_limit(task, this_pass.agents(pool))
+        if task.job.is_suspect:
+            agents = self._runs.without_other_suspects(task.job, agents)
         choice = self._placement.choose(task, agents, now)
         if choice is None:
             # A shortage found under placement constraints does not apply to
@@ -335,26 +360,33 @@
                 not step.required_label
                 and not step.max_per_executor
                 and not task.stalled_agent_id
+                and not task.job.is_suspect
             ):
-                this_pass.record_shortage(service, step.resources)
+                this_pass.record_shortage(pool, step.resources)
             return None
         run = self._place_task(task, choice, now)
         if not self._may_start_run(choice.agent, now):
-            this_pass.exclude(service, choice.agent)
+            this_pass.exclude(pool, choice.agent)
         this_pass.add(run)
         return placed_line(run, choice, now)
 
+    def _rivals(self, pool: Pool) -> list[LeasedJob]:
+        """Returns the waiting jobs that may use the agents of a pool."""
+        waiting = self._waiting.values()
+        return [job for job in waiting if self._containment.pool(job) == pool]
+
     def _usable(
-        self, service: str, now: float, only: AgentView | None
+        self, pool: Pool, now: float, only: AgentView | None
     ) -> list[AgentView]:
         """Returns the agents, or the given one, that can be given runs."""
         zones = self._zones_out.zones
-        return [
+        usable = [
             view
-            for view in self._fleet.usable(service, now, only)
+            for view in self._fleet.usable(pool.service, now, only)
             if view.member.availability_zone not in zones
             and self._may_start_run(view, now)
         ]
+        return self._containment.filter(pool, usable)
 
     def _update_load(
         self,
@@ -398,12 +430,20 @@
         return run
 
     def _pong(self, view: AgentView, now: float) -> Send:
-        pong = ContactPong(stamp=view.stamp, wish=self._capacity_request(now))
+        request = self._capacity_request(view, now)
+        pong = ContactPong(stamp=view.stamp, wish=request)
         return Send(to=view.member.member_id, message=pong)
 
-    def _capacity_request(self, now: float) -> CapacityRequest | None:
-        """Returns the request of the most urgent waiting job, if any."""
+    def _capacity_request(
+        self, view: AgentView, now: float
+    ) -> CapacityRequest | None:
+        """Returns the request of the most urgent job that waits for an agent.
+
+        None if no job does.
+        """
         for job in self._waiting.in_order(now):
+            if not self._containment.may_use(job, view):
+                continue
             processor = sum(
                 count * step.resources.processor
                 for step, count in job.ready_steps()
@@ -504,17 +544,30 @@
             self._requeue(run.task.name)
         return [run_ended_line(run, report, now)]
 
-    def _on_crash(self, crash: ExecutorCrash, now: float) -> list[Effect]:
+    def _on_crash(
+        self, crash: ExecutorCrash, service: str, now: float
+    ) -> list[Effect]:
         """Blames the jobs that were there and gives up those that caused it."""
         blame = self._crashes.add(crash, now)
+        if not blame:
+            return []
         effects: list[Effect] = [crash_line(crash, blame, self._crashes)]
+        for queue in sorted(self._crashes.causes(crash)):
+            if self._containment.suspect(service, queue, now):
+                effects.append(
+                    suspicion_line("queue_suspected", service, queue)
+                )
         for key in blame:
             job = self._jobs.get(key)
-            if job is not None and self._verdict(job) is Verdict.GIVEN_UP:
+            if job is None:
+                continue
+            verdict = self._verdict(job)
+            job.is_suspect = verdict is Verdict.SUSPECT
+            if verdict is Verdict.GIVEN_UP:
                 effects += self._end_job(
                     job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
                 )
-        return effects if blame else []
+        return effects
 
     def _verdict(self, job: LeasedJob) -> Verdict:
         if not self._crashes:
@@ -532,6 +585,8 @@
             return self._end_unfinished(job, "time limit reached", now)
         if job.has_started or job not in self._waiting:
             return []
+        if not self._usable(self._containment.pool(job), now, None):
+            return self._end_unfinished(job, CONFINED_AWAY, now)
         if not self._backlog.would_end_too_late(job, now):
             return []
         return self._end_unfinished(job, "no room in time", now)
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -158,6 +158,11 @@
     }
 
 
+def suspicion_line(event: str, service: str, queue: str) -> Decision:
+    """Returns the log line of a queue that is suspected or cleared."""
+    return Decision(event=event, fields={"service": service, "queue": queue})
+
+
 def overdue_line(run: PlacedRun, now: float) -> Decision:
     """Returns the log line of a run that is overdue."""
     return Decision(
--- a/gypsumline/core/leases/placed_runs.py
+++ b/gypsumline/core/leases/placed_runs.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from gypsumline.core.leases.fleet import AgentView
-from gypsumline.core.leases.job import PlacedRun, Task
+from gypsumline.core.leases.job import LeasedJob, PlacedRun, Task
 
 
 class PlacedRuns:
@@ -45,6 +45,20 @@
         if not self._counts[run.executor]:
             del self._counts[run.executor]
 
+    def without_other_suspects(
+        self, job: LeasedJob, agents: list[AgentView]
+    ) -> list[AgentView]:
+        """Returns the agents without runs of another job that is suspect.
+
+        A crash then shows which of them causes it.
+        """
+        taken = {
+            run.agent.member_id
+            for run in self._runs.values()
+            if run.task.job.is_suspect and run.task.job is not job
+        }
+        return [view for view in agents if view.member.member_id not in taken]
+
     def within_step_limit(
         self, task: Task, agents: list[AgentView]
     ) -> list[AgentView]:
--- /dev/null
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -0,0 +1,224 @@
+"""Tests of how queues whose jobs crash executors are kept apart.
+
+Load pattern: a stream of culprits in one of several queues.
+"""
+
+import dataclasses
+
+import pytest
+
+from gypsumline.core.effects import Decision
+from gypsumline.core.leases.effects import JobEnded, JobOutcome
+from gypsumline.core.leases.messages import (
+    CrashedRun,
+    ExecutorCrash,
+    RunEnd,
+    RunReports,
+    StartRuns,
+)
+from gypsumline.tests.core.leases.builders import (
+    agent,
+    join,
+    load,
+    owner,
+    queue,
+    reports,
+    request,
+    sends,
+)
+
+AGENTS = range(1, 11)
+CULPRIT = "c" * 16
+
+
+def crash(number, task):
+    run = CrashedRun(
+        task=task, attempt=number, queue="cards", age=0.01, is_started=True
+    )
+    return ExecutorCrash(
+        executor=f"x-{number}", started_at=1, seconds_ago=0.0, runs=(run,)
+    )
+
+
+def new_owner():
+    """Returns an owner that has been given work of two queues."""
+    leased = owner()
+    for number in AGENTS:
+        join(leased, agent(number), executor=f"x-{number}")
+    for number, name in enumerate(["cards", "labels", "labels", "labels"]):
+        work = request(f"{number:016x}", rules=queue(name))
+        leased.submit(work, 0.0)
+        leased.cancel(work.key, 0.0)
+    return leased
+
+
+def report_culprit(leased, task=f"{CULPRIT}.0.0.0", now=0.1, first=1):
+    """Reports two crashes under a task, whose executors are back."""
+    effects = []
+    for number in (first, first + 1):
+        message = RunReports(
+            reports=(),
+            load=load(executor=f"x-{number}"),
+            crashes=(crash(number, task),),
+        )
+        effects += leased.on_reports(agent(number), message, now)
+    return effects
+
+
+def used_agents(leased, name, jobs, now=0.2):
+    """Submits jobs of a queue and returns the agents that run them."""
+    used = set()
+    for number in range(jobs):
+        key = f"{name}{number}".encode().hex().rjust(16, "0")[:16]
+        effects = leased.submit(request(key, rules=queue(name)), now)
+        used |= {to for to, _ in sends(effects, StartRuns)}
+    return used
+
+
+def test_queue_under_suspicion_and_the_others_share_no_executor():
+    """Guards against crashes that take the runs of other queues with them."""
+    leased = new_owner()
+    report_culprit(leased)
+    confined = used_agents(leased, "cards", 8)
+    others = used_agents(leased, "labels", 20)
+    assert confined
+    assert others
+    assert not confined & others
+
+
+def test_queue_under_suspicion_gets_its_share_of_the_work():
+    """Guards against a suspicion that stops a queue or starves the others."""
+    leased = new_owner()
+    report_culprit(leased)
+    # A quarter of the work, on ten executors of one size.
+    assert len(used_agents(leased, "cards", 30)) == 3
+    assert len(used_agents(leased, "labels", 40)) == 7
+
+
+def test_owners_confine_a_queue_to_the_same_executors():
+    """Guards against owners that undo each other's containment."""
+    confined = set()
+    for joined in (AGENTS, reversed(AGENTS)):
+        leased = owner()
+        for number in joined:
+            join(leased, agent(number), executor=f"x-{number}")
+        for number, name in enumerate(["cards", "labels", "labels", "labels"]):
+            leased.submit(request(f"{number:016x}", rules=queue(name)), 0.0)
+            leased.cancel(f"{number:016x}", 0.0)
+        report_culprit(leased)
+        confined.add(frozenset(used_agents(leased, "cards", 30)))
+    assert len(confined) == 1
+
+
+def test_one_crash_puts_no_queue_under_suspicion():
+    """Guards against containment on days with ordinary crashes."""
+    leased = new_owner()
+    message = RunReports(
+        reports=(),
+        load=load(executor="x-1"),
+        crashes=(crash(1, f"{CULPRIT}.0.0.0"),),
+    )
+    leased.on_reports(agent(1), message, 0.1)
+    assert len(used_agents(leased, "cards", 40)) == len(AGENTS)
+
+
+def test_suspicion_ends_after_its_time():
+    """Guards against a queue that stays confined after its last culprit."""
+    leased = new_owner()
+    report_culprit(leased)
+    for number in AGENTS:
+        join(leased, agent(number), 10.2, executor=f"x-{number}")
+    effects = leased.tick(10.2)
+    events = [e.event for e in effects if isinstance(e, Decision)]
+    assert events == ["queue_cleared"]
+    assert len(used_agents(leased, "cards", 40, 10.2)) == len(AGENTS)
+
+
+def test_only_queue_of_a_service_keeps_all_executors():
+    """Guards against capacity that nobody may use."""
+    leased = owner()
+    for number in AGENTS:
+        join(leased, agent(number), executor=f"x-{number}")
+    leased.submit(request("1" * 16), 0.0)
+    report_culprit(leased)
+    assert len(used_agents(leased, "cards", 60)) == len(AGENTS)
+
+
+def test_suspects_run_apart_from_each_other():
+    """Guards against two suspects whose next crash blames neither."""
+    leased = new_owner()
+    keys = ["a" * 16, "b" * 16]
+    for number, key in enumerate(keys, start=1):
+        message = RunReports(
+            reports=(),
+            load=load(executor=f"x-{number}"),
+            crashes=(crash(number, f"{key}.0.0.0"),),
+        )
+        leased.on_reports(agent(number), message, 0.1)
+    targets = [
+        sends(leased.submit(request(key, count=2), 0.2), StartRuns)
+        for key in keys
+    ]
+    agents = [{to for to, _ in sent} for sent in targets]
+    assert all(agents)
+    assert not agents[0] & agents[1]
+
+
+def test_job_is_refused_at_once_while_its_executors_are_away():
+    """Guards against jobs that wait for executors that crashed."""
+    leased = new_owner()
+    report_culprit(leased)
+    confined = used_agents(leased, "cards", 30)
+    for number in AGENTS:
+        name = f"agent-{number}"
+        if name in confined:
+            away = load(free=0, taking=False, executor=f"x-{number}")
+            leased.on_reports(agent(number), reports(now_load=away), 0.3)
+    effects = leased.submit(request("d" * 16), 0.4)
+    (ended,) = [e for e in effects if isinstance(e, JobEnded)]
+    assert ended.outcome is JobOutcome.NOT_RUN
+    assert ended.reason == "executors of a queue under suspicion are away"
+    assert ended.retry_after > 0.0
+    effects = leased.submit(request("e" * 16, rules=queue("labels")), 0.4)
+    assert sends(effects, StartRuns)
+
+
+@pytest.mark.parametrize("name", ["cards", "labels"])
+def test_suspicion_of_several_queues_ends_for_each(name):
+    """Guards against one suspicion that hides another."""
+    leased = new_owner()
+    report_culprit(leased, now=0.1)
+    other = dataclasses.replace(crash(5, "e" * 16 + ".0.0.0").runs[0])
+    for number in (5, 6):
+        run = dataclasses.replace(other, queue="labels", attempt=number)
+        record = dataclasses.replace(crash(number, ""), runs=(run,))
+        message = RunReports(
+            reports=(), load=load(executor=f"x-{number}"), crashes=(record,)
+        )
+        leased.on_reports(agent(number), message, 4.0)
+    assert used_agents(leased, name, 3, 4.1)
+    leased.tick(10.2)
+    assert set(leased.suspected_queues) == {("ordering", "labels")}
+    leased.tick(14.1)
+    assert leased.suspected_queues == {}
+
+
+def test_lost_runs_of_a_suspect_return_to_its_share():
+    """Guards against a suspect that crashes an executor of another queue."""
+    leased = new_owner()
+    key = "f" * 16
+    ((to, _),) = sends(leased.submit(request(key), 0.0), StartRuns)
+    number = int(to.removeprefix("agent-"))
+    task = f"{key}.0.0.0"
+    message = RunReports(
+        reports=(),
+        load=load(free=0, taking=False, executor=f"x-{number}"),
+        crashes=(crash(number, task),),
+    )
+    leased.on_reports(agent(number), message, 0.1)
+    lost = reports((task, 1, RunEnd.LOST, 0.0), now_load=message.load)
+    ((retried, _),) = sends(
+        leased.on_reports(agent(number), lost, 0.1), StartRuns
+    )
+    report_culprit(leased, now=0.2, first=20)
+    assert retried in used_agents(leased, "cards", 30, 0.3)
