--- a/conftest.py
+++ b/conftest.py
@@ -1,13 +1,15 @@
-"""Passes over the tests that KNOWN-RED.txt lists, and prints them.
+"""Runs tests on the daemons' event loop and passes over known red ones.
 
-`pytest --known-red` runs them too.
+Tests that KNOWN-RED.txt lists are printed; `pytest --known-red` runs them too.
 """
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 
 import pytest
+import uvloop
 
 _LIST = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 _PASSED_OVER = pytest.StashKey[list[str]]()
@@ -45,3 +47,9 @@
     """Returns the test names: the lines that are not indented."""
     lines = _LIST.read_text().splitlines()
     return {line for line in lines if line and not line[0].isspace()}
+
+
+@pytest.fixture(scope="session")
+def event_loop_policy() -> asyncio.AbstractEventLoopPolicy:
+    """Returns the policy of the loop on which all daemons run."""
+    return uvloop.EventLoopPolicy()
--- a/gypsumline/runtime/timers.py
+++ b/gypsumline/runtime/timers.py
@@ -63,7 +63,9 @@
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, Subscription]] = []
         self._order = itertools.count()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        # Handles of uvloop do not tell the time of a call that is due at once.
+        self._timer_due = 0.0
         self._is_closed = False
 
     def subscribe(self, interval: float, callback: Callback) -> Subscription:
@@ -98,10 +100,11 @@
             return
         due = self._heap[0][0]
         if self._timer is not None:
-            if self._timer.when() <= due:
+            if self._timer_due <= due:
                 return
             self._timer.cancel()
         loop = asyncio.get_running_loop()
+        self._timer_due = due
         self._timer = loop.call_at(due, self._call_due)
 
     def _call_due(self) -> None:
