Play culprits, shrinking executors and logged errors in soak and walks

A line at level ERROR or a traceback in the log of any process makes the soak and make run fail.

Five mutants in the walks are each found: no count, a count lost with its owner, silence taken for a crash, a reduced capacity ignored, one crash enough to give up.

--- a/gypsumline/testing/local_system.py
+++ b/gypsumline/testing/local_system.py
@@ -428,6 +428,9 @@
             raise LocalProcessError(
                 f"processes exited with an error code: {failed}"
             )
+        errors = [e for p in system.processes for e in p.logged_errors()]
+        if errors:
+            raise LocalProcessError(f"errors were logged: {errors[:3]}")
         if sum(counts["second_starts"] for counts in starts):
             raise LocalProcessError("a task was started more than once")
         print(f"all stopped; whole run {time.monotonic() - started_at:.1f} s")
--- a/gypsumline/testing/processes.py
+++ b/gypsumline/testing/processes.py
@@ -18,6 +18,7 @@
 
 import gypsumline
 from gypsumline.core.errors import GypsumlineError
+from gypsumline.testing.log_errors import find_errors, log_size
 
 # Path of a built binary to run instead of `python -m gypsumline`.
 BINARY_VARIABLE = "LOCAL_SYSTEM_BINARY"
@@ -79,6 +80,7 @@
         self.restarts = -1
         self._arguments = list(arguments)
         self._log_path = log_directory / f"{name}.log"
+        self._log_offset = log_size(self._log_path)
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -92,6 +94,10 @@
             raise LocalProcessError(f"{self.name} has not been started")
         return self._process.pid
 
+    def logged_errors(self) -> list[str]:
+        """Returns the errors that it has logged in this run."""
+        return find_errors(self._log_path, self._log_offset)
+
     @property
     def is_running(self) -> bool:
         """Whether the process was started and has not exited."""
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -1,10 +1,26 @@
 """Tests with tasks that crash the executors that start them."""
 
+import dataclasses
+
 import pytest
 
+from gypsumline.core.leases.crash_history import CrashHistory, Verdict
+from gypsumline.core.leases.crash_log import CrashLog
+from gypsumline.core.leases.executor_state import ExecutorState
+from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
+from gypsumline.core.leases.owner import LeasedOwner
 from properties import lease_load, lease_walk
 
 WALKS = 8
+# None of these walks fails on the unchanged code.
+MUTANT_SEEDS = range(1, 31)
+# Culprits whose owners are killed one after the other.
+LOST_OWNER_ACTIONS = (
+    lease_walk.submit_culprit,
+    lease_walk.submit_culprit,
+    lease_walk.kill_entry,
+    lease_walk.kill_entry,
+)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -22,3 +38,84 @@
     """Guards against endless crashes, wrong blame and starts over capacity."""
     world = lease_walk.walk(seed, actions=lease_walk.CRASH_ACTIONS)
     assert world.oracle.violations == []
+
+
+def ignore_count(monkeypatch):
+    """Starts a task again however many executors crashed under it."""
+    monkeypatch.setattr(
+        CrashHistory, "verdict", lambda self, tasks: Verdict.CLEAR
+    )
+
+
+def lose_count_with_owner(monkeypatch):
+    """Tells crashes only to the owners that are connected at that time."""
+    monkeypatch.setattr(CrashLog, "recent", lambda self, now: ())
+
+
+def count_silence(monkeypatch):
+    """Takes an agent that was out of contact for an executor that crashed."""
+    lose_run = LeasedOwner._on_run_lost
+
+    def lose_and_count(self, run, report, now):
+        silent = CrashedRun(
+            task=run.task.name,
+            attempt=run.attempt,
+            queue="",
+            age=0.0,
+            is_started=True,
+        )
+        crash = ExecutorCrash(
+            executor=run.executor,
+            started_at=int(1000 * now),
+            seconds_ago=0.0,
+            runs=(silent,),
+        )
+        effects = self._on_crash(crash, run.view.service, now)
+        return effects + lose_run(self, run, report, now)
+
+    monkeypatch.setattr(LeasedOwner, "_on_run_lost", lose_and_count)
+
+
+def ignore_reduced_capacity(monkeypatch):
+    """Keeps the capacity of the first heartbeat of an executor."""
+    update = ExecutorState.update
+
+    def keep_capacity(self, announcement, now):
+        known = getattr(self, "announcement", announcement)
+        kept = dataclasses.replace(announcement, capacity=known.capacity)
+        update(self, kept, now)
+
+    monkeypatch.setattr(ExecutorState, "update", keep_capacity)
+
+
+def give_up_after_one_crash(monkeypatch):
+    """Gives up each job that ran on an executor that crashed."""
+    monkeypatch.setattr(
+        LeasedOwner,
+        "_verdict",
+        lambda self, job: (
+            Verdict.GIVEN_UP
+            if any(self._crashes.find(task.name) for task in job.tasks)
+            else Verdict.CLEAR
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("disable", "actions"),
+    [
+        (ignore_count, lease_walk.CRASH_ACTIONS),
+        (lose_count_with_owner, LOST_OWNER_ACTIONS),
+        (count_silence, lease_walk.CRASH_ACTIONS),
+        (ignore_reduced_capacity, lease_walk.CRASH_ACTIONS),
+        (give_up_after_one_crash, lease_walk.CRASH_ACTIONS),
+    ],
+)
+def test_oracle_detects_a_disabled_mechanism(disable, actions, monkeypatch):
+    """Guards against walks that cannot detect a violation."""
+    disable(monkeypatch)
+    for seed in MUTANT_SEEDS:
+        world = lease_walk.walk(seed, actions=actions)
+        if world.oracle.violations:
+            return
+    pytest.fail(f"no walk of the seeds {MUTANT_SEEDS} found a violation")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,11 +16,18 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--agents", type=int, default=3)
+    parser.add_argument("--crashes", action="store_true")
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         result = asyncio.run(
-            run_soak(seed, options.seconds, options.entries, options.agents)
+            run_soak(
+                seed,
+                options.seconds,
+                options.entries,
+                options.agents,
+                options.crashes,
+            )
         )
         sys.stdout.write(f"{result}\n")
         sys.stdout.flush()
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -12,6 +12,8 @@
 APPLY_LIMIT_SECONDS = 2.0
 # The bounds of the programs are tighter than the checked ones, so that load on
 # the machine does not cause violations.
+# Failed runs of a task at which its job fails.
+QUEUE_ATTEMPTS = 4
 PROGRAM_CONTACT_MS = 2000
 PROGRAM_APPLY_MS = 1500
 HOST = "cards.example"
@@ -28,7 +30,7 @@
         "path_prefix": prefix,
         "service": "ordering",
         "priority": 0,
-        "max_attempts": 4,
+        "max_attempts": QUEUE_ATTEMPTS,
         "stretch": 1.6,
         "target_latency_ms": 60,
     }
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import urllib.parse
 
 from gypsumline.core.leases.effects import (
     HoldReply,
@@ -38,10 +39,37 @@
     """An executor behind HTTP that records the completed tasks."""
 
     def __init__(self, world, name, zone, heartbeat_address):
+        self._is_up = asyncio.Event()
+        self._is_down = asyncio.Event()
+        # Some keep their name when they restart.
+        self.is_renamed = int(name.rpartition("-")[2]) % 2 == 0
         self._client = HttpClient(heartbeat_address, connections=2)
         self._calls = set()
         super().__init__(world, name, zone)
 
+    async def serve(self, address):
+        """Listens at an address while it is up.
+
+        Connections end with its process, and further ones are refused.
+        """
+        limits = HttpLimits(idle_timeout=3600.0)
+        while True:
+            await self._is_up.wait()
+            async with running_light_server(address, self, limits):
+                await self._is_down.wait()
+
+    def _reset(self):
+        self._is_down.clear()
+        self._is_up.set()
+        super()._reset()
+
+    def restart(self, down_seconds, is_planned=False):
+        """Crashes, or leaves as announced, and restarts later."""
+        if self.up:
+            self._is_up.clear()
+            self._is_down.set()
+        super().restart(down_seconds, is_planned)
+
     def announce_once(self):
         """Sends a heartbeat over HTTP."""
         if not self.up:
@@ -62,17 +90,17 @@
             "born": self.started_at,
         }
         task = asyncio.create_task(
-            self._send_heartbeat(json.dumps(body).encode())
+            self._send_heartbeat(self.announced_name, json.dumps(body).encode())
         )
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _send_heartbeat(self, body):
+    async def _send_heartbeat(self, name, body):
         # An agent that is down or paused does not receive the heartbeat.
         with contextlib.suppress(HttpError):
             await self._client.request(
                 "PUT",
-                f"/v1/instances/{self.name}",
+                f"/v1/instances/{urllib.parse.quote(name, safe='')}",
                 timeout=HEARTBEAT_TIMEOUT_SECONDS,
                 body=body,
             )
@@ -80,17 +108,18 @@
     def __call__(self, exchange):
         """Handles a request of the agent."""
         body = json.loads(exchange.request.body)
+        expected = exchange.request.headers["x-gypsumline-expected-instance"]
         name = exchange.request.target.rpartition("/")[2]
         if name == "hold":
             self.handle_hold(
-                self._make_hold_request(body),
+                self._make_hold_request(expected, body),
                 None,
                 self._make_answer_callback(exchange),
             )
             return
         order_type = OrderStart if name == "run-start" else OrderStop
         fields = {
-            "executor": self.name,
+            "executor": expected,
             "task": body["task"],
             "attempt": body["attempt"],
             "token": body["fencing_token"],
@@ -101,9 +130,9 @@
             order_type(**fields), None, self._make_answer_callback(exchange)
         )
 
-    def _make_hold_request(self, body):
+    def _make_hold_request(self, expected, body):
         return HoldRequest(
-            executor=self.name,
+            executor=expected,
             token=body["fencing_token"],
             acknowledged_end=body["last_seen"],
             lease_until=body.get("deadline_ms"),
@@ -145,6 +174,10 @@
 async def running_executor(world, name, zone, address, heartbeat_address):
     """Yields an executor that handles requests at an address."""
     executor = SoakExecutor(world, name, zone, heartbeat_address)
-    limits = HttpLimits(idle_timeout=3600.0)
-    async with running_light_server(address, executor, limits):
+    server = asyncio.create_task(executor.serve(address))
+    try:
         yield executor
+    finally:
+        server.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await server
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 
+from gypsumline.testing.log_errors import find_errors, log_size
+
 # Working directory of the programs, whatever that of the soak is.
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 STOP_LIMIT_SECONDS = 10.0
@@ -30,6 +32,7 @@
         self._settings = pathlib.Path(directory) / f"{name}.conf"
         self._settings.write_text(settings)
         self._log = pathlib.Path(directory) / f"{name}.log"
+        self._first_log_offset = log_size(self._log)
         self._process = None
         self._log_offset = 0
         self._lock = asyncio.Lock()
@@ -53,6 +56,11 @@
                 cwd=ROOT,
             )
 
+    @property
+    def logged_errors(self):
+        """Errors that the process has logged in this soak."""
+        return find_errors(self._log, self._first_log_offset)
+
     @property
     def is_running(self):
         process = self._process
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 FAULT_INTERVAL_SECONDS = 1.0
 RECOVERY_LIMIT_SECONDS = 15.0
 FAULTS = []
+CRASH_FAULTS = []
 
 
 @dataclasses.dataclass
@@ -164,14 +165,44 @@
         world.at(3.0, executor.restart, 0.5, True)
 
 
+def crash_fault(function):
+    """Registers a fault of executors, for soaks with crashes."""
+    CRASH_FAULTS.append(function)
+    return function
+
+
+@crash_fault
+async def submit_culprits(world):
+    """Submits jobs with a task that crashes each executor that starts it."""
+    for _ in range(world.rng.randint(1, 3)):
+        world.submit(crash_delay=world.rng.choice((0.0, 0.01, 0.05, 0.2)))
+
+
+@crash_fault
+async def change_capacity(world):
+    """Reduces the capacity of an executor in steps, and restores it."""
+    executor = world.rng.choice(list(world.executors.values()))
+    capacity = type(executor).capacity
+    for share in (world.rng.choice((0.5, 0.75)), world.rng.choice((0.0, 0.25))):
+        processor = int(share * capacity.processor)
+        executor.set_capacity(
+            dataclasses.replace(capacity, processor=processor)
+        )
+        executor.announce_once()
+        await asyncio.sleep(world.rng.uniform(0.1, 2.0))
+    executor.set_capacity(capacity)
+    executor.announce_once()
+
+
 @fault
 async def change_zone_out(world):
     """Takes a zone out of service, or returns all to service."""
     world.set_zone_out(world.rng.choice(("", "", *ZONES)))
 
 
-async def run_soak(seed, seconds, entries=2, agents=3):
+async def run_soak(seed, seconds, entries=2, agents=3, with_crashes=False):
     """Runs a soak with faults for some seconds and returns its result."""
+    registered = FAULTS + 2 * CRASH_FAULTS if with_crashes else FAULTS
     world = SoakWorld(
         seed, entries, agents, ROOT / "build" / "soak" / str(seed)
     )
@@ -183,7 +214,7 @@
         async with asyncio.TaskGroup() as group:
             end = world.now + seconds
             while world.now < end:
-                group.create_task(world.rng.choice(FAULTS)(world))
+                group.create_task(world.rng.choice(registered)(world))
                 faults += 1
                 spread = world.rng.uniform(0.3, 1.7)
                 await asyncio.sleep(FAULT_INTERVAL_SECONDS * spread)
@@ -234,3 +265,5 @@
             # -9: a fault killed the process while it was stopping.
             if stop_result not in (0, -9):
                 world.oracle.fail(f"{program.name} ended with {stop_result}")
+        for line in program.logged_errors:
+            world.oracle.fail(f"{program.name} logged {line}")
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -16,3 +16,11 @@
     assert result.violations == []
     assert result.completed > 0
     assert result.checked_probes > 0
+
+
+@pytest.mark.parametrize("seed", [7])
+async def test_short_soak_with_crashes_has_no_violations(seed):
+    """Guards against culprits, shrinking executors and logged errors."""
+    result = await run_soak(seed, SECONDS, with_crashes=True)
+    assert result.violations == []
+    assert result.completed > 0
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import socket
 
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import HttpError
@@ -16,6 +17,7 @@
 from soak.configuration import (
     PROGRAM_APPLY_MS,
     PROGRAM_CONTACT_MS,
+    QUEUE_ATTEMPTS,
     OperatorConfigurationWriter,
 )
 from soak.executor import running_executor
@@ -25,11 +27,31 @@
 ZONES = ("north", "south", "west")
 CALLER_PORT, READY_PORT, CONTROL_PORT, APP_PORT = 8161, 8167, 8166, 8165
 STREAM_PORT, STORE_PORT, PROXY_PORT = 7720, 8169, 9000
+RESERVATION_PORT = 8160
+# Second numbers of the loopback networks 127.N.0.0 that soaks use.
+FIRST_NETWORK, NETWORKS = 10, 200
 RESUBMIT_SECONDS = 1.3
 CALLER_TIMEOUT_SECONDS = 6.0
 ENTRIES_TABLE = "gypsumline-entries"
 
 
+def _reserve_network(seed):
+    """Returns a socket that reserves a loopback network for one soak.
+
+    Soaks that run side by side get networks of their own.
+    """
+    for offset in range(NETWORKS):
+        reservation = socket.socket()
+        network = FIRST_NETWORK + (seed + offset) % NETWORKS
+        try:
+            reservation.bind((f"127.{network}.0.254", RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return reservation
+    raise OSError("all loopback networks are in use")
+
+
 class SoakWorld:
     """Runs everything around the programs: store, executors, proxies, callers.
 
@@ -67,8 +89,8 @@
         self._directory.mkdir(parents=True, exist_ok=True)
         self._last_key = 0
         self._caller_tasks = set()
-        # Each soak has its own addresses, so that concurrent ones do not clash.
-        self._network = 10 + seed % 200
+        self._reservation = _reserve_network(seed)
+        self._network = int(self._reservation.getsockname()[0].split(".")[1])
         for number in range(entries):
             name = f"entry-{number}"
             self.entries[name] = self._program("entry", name, number)
@@ -168,6 +190,7 @@
             for task in list(self._caller_tasks):
                 task.cancel()
             await asyncio.gather(*self._caller_tasks, return_exceptions=True)
+        self._reservation.close()
 
     def _make_translator(self, reader):
         """Replaces addresses of entries by those of the agent's proxies."""
@@ -224,10 +247,17 @@
 
     # Callers.
 
-    def submit(self, timeout=CALLER_TIMEOUT_SECONDS):
-        """Submits a job as a new caller and returns the task of the caller."""
+    def submit(self, timeout=CALLER_TIMEOUT_SECONDS, crash_delay=None):
+        """Submits a job as a new caller and returns the task of the caller.
+
+        Args:
+          timeout: Time for which the caller waits, in seconds.
+          crash_delay: Seconds after which its first task crashes an executor.
+        """
         self._last_key += 1
         key = f"{self._last_key:016x}"
+        if crash_delay is not None:
+            self.culprits[f"{key}.0.0.0"] = crash_delay
         task = asyncio.create_task(self._run_caller(key, timeout))
         self._caller_tasks.add(task)
         task.add_done_callback(self._caller_tasks.discard)
@@ -282,4 +312,6 @@
             if not names <= self.done:
                 self.oracle.fail(f"{key} completed with {names - self.done}")
             self.oracle.completed += 1
+        elif state == "failed":
+            self.oracle.check_failed_job(key, QUEUE_ATTEMPTS, self.now)
         return state
