Confine a queue only for crashes that matter, to a fixed step of its share

A queue is now confined once the crashes it is blamed for within five seconds reach 0.15 of its executors, to the first of 0.35, 0.5, 0.75 or all that holds its share, so that owners with different estimates mostly choose the same executors.

A failed job now names its cause to the caller, and the queues under suspicion and the jobs given up are counted.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from gypsumline.core.leases.crash_history import CrashHistory
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.job import LeasedJob
@@ -76,11 +77,12 @@
 class Containment:
     """Keeps queues under suspicion away from the executors of the others.
 
-    A queue is under suspicion from the second crash that a job of it caused
-    until no other has followed for some time. Meanwhile its jobs use their
-    usual share of the executors and the other queues use the rest, so that the
-    crashes reach none of their runs. All owners order the executors alike, so
-    they confine a queue to the same ones without an agreement.
+    A queue is under suspicion from the moment when its jobs have caused enough
+    crashes until no other has followed for some time. Meanwhile its jobs use a
+    part of the executors that holds their usual share of the work, and the
+    other queues use the rest, so that the crashes reach none of their runs. All
+    owners order the executors alike, so they confine a queue to the same ones
+    without an agreement.
     """
 
     def __init__(self, settings: CrashSettings, fleet: Fleet) -> None:
@@ -101,10 +103,20 @@
         """Records the work of a submitted job, in processor-seconds."""
         self._rates.add(job.service, job.request.queue.name, work)
 
-    def suspect(self, service: str, queue: str, now: float) -> bool:
-        """Puts a queue under suspicion; returns whether it was not before."""
+    def suspect(
+        self, service: str, queue: str, history: CrashHistory, now: float
+    ) -> bool:
+        """Confines a queue of which a job caused a crash, if it needs to be.
+
+        Returns:
+          Whether it is confined now and was not before.
+        """
         name = service, queue
         is_new = name not in self._suspected
+        blame = history.queue_blame(queue, now - self._settings.suspicion_time)
+        executors = sum(view.service == service for view in self._fleet)
+        if is_new and blame < self._settings.suspicion_share * executors:
+            return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
             self._set_confined_share(service)
@@ -131,7 +143,10 @@
         queues = [q for s, q in self._suspected if s == service]
         if queues:
             share = self._rates.share(service, queues)
-            self._confined_shares[service] = share
+            shares = self._settings.confined_shares
+            self._confined_shares[service] = next(
+                (s for s in shares if s >= share), 1.0
+            )
         else:
             self._confined_shares.pop(service, None)
 
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -139,6 +139,16 @@
             if task is not None and task.queue and self._is_cause(task)
         }
 
+    def queue_blame(self, queue: str, since: float) -> float:
+        """Returns the sum of a queue's blame for crashes after a time."""
+        total = 0.0
+        for record in self._records.values():
+            if record.at < since:
+                continue
+            keys = {job_key(r.task) for r in record.runs if r.queue == queue}
+            total += sum(record.blame[key] for key in keys)
+        return total
+
     def expire(self, now: float) -> None:
         """Forgets crashes that no longer count."""
         limit = now - self._settings.memory
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -29,7 +29,13 @@
       earlier_blame_weight: Factor by which the earlier blame of a task
         increases its weight.
       suspicion_time: Time for which a queue stays under suspicion after the
-        latest crash that one of its jobs caused.
+        latest crash that one of its jobs caused; also the time over which its
+        crashes are counted.
+      suspicion_share: Crashes that a queue is blamed for in that time, as a
+        share of the executors of its service, from which it is confined.
+      confined_shares: Shares of the executors that queues are confined to, in
+        ascending order. The first that holds their share of the work is used;
+        owners, whose estimates differ, thus mostly choose alike.
       rate_memory: Time over which the rate of a queue's work is known.
       memory: Time for which a crash counts.
       max_crashes: Maximum number of crashes that an owner keeps.
@@ -44,7 +50,9 @@
     start_weight: float = 20.0
     base_weight: float = 0.1
     earlier_blame_weight: float = 10.0
-    suspicion_time: float = 10.0
+    suspicion_time: float = 5.0
+    suspicion_share: float = 0.15
+    confined_shares: tuple[float, ...] = (0.35, 0.5, 0.75, 1.0)
     rate_memory: float = 10.0
     memory: float = 60.0
     max_crashes: int = 256
@@ -56,3 +64,8 @@
                 self.confirming_crashes,
                 f"from 1 to crash_limit ({self.crash_limit})",
             )
+        shares = self.confined_shares
+        if list(shares) != sorted(shares) or not shares or shares[-1] != 1.0:
+            raise InvalidInputError(
+                "confined_shares", shares, "ascending, and 1.0 at the end"
+            )
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -553,7 +553,7 @@
             return []
         effects: list[Effect] = [crash_line(crash, blame, self._crashes)]
         for queue in sorted(self._crashes.causes(crash)):
-            if self._containment.suspect(service, queue, now):
+            if self._containment.suspect(service, queue, self._crashes, now):
                 effects.append(
                     suspicion_line("queue_suspected", service, queue)
                 )
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -9,7 +9,7 @@
 from gypsumline.core.leases.effects import JobEnded
 from gypsumline.core.leases.job import JobRequest
 from gypsumline.core.leases.messages import ContactPing, RunReports, ZonesOut
-from gypsumline.core.leases.owner import LeasedOwner
+from gypsumline.core.leases.owner import CRASHED_EXECUTORS, LeasedOwner
 from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
@@ -87,6 +87,7 @@
     def tick(self) -> None:
         """Runs the due timers of the owner."""
         self._apply_effects(self._owner.tick(boot_time()))
+        metrics.SUSPECTED_QUEUES.set(len(self._owner.suspected_queues))
 
     def on_connected(self, member: Member) -> None:
         """Handles a new stream to an agent."""
@@ -119,5 +120,7 @@
 
     def _answer_callers(self, ended: JobEnded) -> None:
         metrics.JOBS.labels(ended.outcome.value).inc()
+        if ended.reason == CRASHED_EXECUTORS:
+            metrics.JOBS_GIVEN_UP.inc()
         for on_ended in self._callers.pop(ended.key, []):
             on_ended(ended)
--- a/gypsumline/platform/ingress.py
+++ b/gypsumline/platform/ingress.py
@@ -275,7 +275,10 @@
         return _problem_response(
             http.HTTPStatus.GATEWAY_TIMEOUT, ended.reason, ended.retry_after
         )
-    return _json_response(200, {"state": ended.outcome.value})
+    body: dict[str, object] = {"state": ended.outcome.value}
+    if ended.outcome is JobOutcome.FAILED:
+        body["detail"] = ended.reason
+    return _json_response(200, body)
 
 
 def _not_run_response(detail: str, retry_after: float) -> HttpResponse:
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -71,6 +71,14 @@
 TASK_RESULTS = Counter(
     "gypsumline_task_results_total", "Task results, by status.", ["status"]
 )
+SUSPECTED_QUEUES = Gauge(
+    "gypsumline_suspected_queues",
+    "Queues confined to their share because their jobs crash executors.",
+)
+JOBS_GIVEN_UP = Counter(
+    "gypsumline_jobs_given_up_total",
+    "Jobs given up because executors crashed under a task.",
+)
 EXECUTOR_CRASHES = Counter(
     "gypsumline_executor_crashes_total",
     "Crashes of the executor beside the agent.",
--- a/gypsumline/tests/platform/test_ingress.py
+++ b/gypsumline/tests/platform/test_ingress.py
@@ -213,3 +213,16 @@
     line = caplog.records[-1]
     assert line.message == "no_configuration"
     assert line.store_silence is None
+
+
+def test_failed_job_names_its_cause(ingress, node):
+    """Guards against a caller that cannot tell why its job failed."""
+    exchange = post(ingress, JOB)
+    ((_, on_ended),) = node.submitted
+    reason = "executors crashed under a task"
+    on_ended(JobEnded(key=KEY, outcome=JobOutcome.FAILED, reason=reason))
+    (response,) = exchange.responses
+    assert msgspec.json.decode(response.body) == {
+        "state": "failed",
+        "detail": reason,
+    }
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -136,8 +136,10 @@
         # Share of the jobs of the first class with a task that crashes its
         # executors, shortly after it has started.
         self.culprit_share = 0.0
+        self.poisoned_share = 0.1
         self.culprit_jobs = set()
         self.given_up = 0
+        self.innocents_failed = 0
         self.crash_downtime = 3.3
 
     def make_executor(self, name, zone):
@@ -224,6 +226,7 @@
         if ended.key in self.culprit_jobs:
             self.given_up += ended.outcome is JobOutcome.FAILED
             return
+        self.innocents_failed += ended.outcome is JobOutcome.FAILED
         response_time = self.now - submitted_at
         for results in (
             self.by_queue[job_class.queue.name],
@@ -302,13 +305,33 @@
 @load_pattern
 def jobs_that_crash_executors(world, now):
     """Makes a tenth of the jobs of one queue crash executors for 10 s."""
-    world.culprit_share = 0.1 if 5.0 <= now < 15.0 else 0.0
+    is_poisoned = 5.0 <= now < 15.0
+    world.culprit_share = world.poisoned_share if is_poisoned else 0.0
     return 1.0
 
 
-def run_pattern(name, seed, seconds=20.0, rate=60.0, agents=11):
-    """Simulates a load pattern and returns its world."""
-    world = LoadWorld(seed, rate=rate, agents=agents)
+def run_pattern(
+    name,
+    seed,
+    seconds=20.0,
+    rate=60.0,
+    agents=11,
+    world_type=LoadWorld,
+    **values,
+):
+    """Simulates a load pattern and returns its world.
+
+    Args:
+      name: Name of the pattern.
+      seed: Seed of the jobs and delays.
+      seconds: Time during which jobs arrive.
+      rate: Jobs per second.
+      agents: Number of agents.
+      world_type: Class of the world.
+      **values: Attributes of the world to be set.
+    """
+    world = world_type(seed, rate=rate, agents=agents)
+    vars(world).update(values)
     world.run_until(2.5)
     world.pattern = PATTERNS[name]
     world.ends_at = seconds
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -10,7 +10,7 @@
 import random
 import sys
 
-from properties.lease_world import TIMEOUTS, ZONES, LeaseWorld
+from properties.lease_world import QUEUE, TIMEOUTS, ZONES, LeaseWorld
 
 STEP = 0.25  # seconds of virtual time between actions
 STEPS = 60
@@ -187,8 +187,12 @@
     """Checks that a new job completes after the faults and nothing is left."""
     before = world.oracle.completed
     # Repeated runs of a second can outlast the shorter timeouts.
-    world.submit_new(timeouts=(max(TIMEOUTS),))
+    key = world.submit_new(timeouts=(max(TIMEOUTS),))
     world.run_until(world.now + RECOVERY_SECONDS)
+    if world.oracle.has_failed_by_itself(key, QUEUE.attempts):
+        # By chance, all runs of one of its tasks failed.
+        world.submit_new(timeouts=(max(TIMEOUTS),))
+        world.run_until(world.now + RECOVERY_SECONDS)
     if world.oracle.completed == before:
         world.oracle.fail("no job is completed after the faults")
     for name, executor in world.executors.items():
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -124,17 +124,20 @@
                 f"{self.crashes[task]} crashes"
             )
 
+    def has_failed_by_itself(self, key, attempts):
+        """Returns whether a task of a job failed as often as it may."""
+        failed = [
+            n for t, n in self.failures.items() if t.startswith(f"{key}.")
+        ]
+        return max(failed, default=0) >= attempts
+
     def check_failed_job(self, key, attempts, now):
         """Checks that a job given up had a task that may be given up."""
         tasks = [t for t in self.crashes if t.startswith(f"{key}.")]
         crashed = max((self.crashes[t] for t in tasks), default=0)
-        failed = [
-            n for t, n in self.failures.items() if t.startswith(f"{key}.")
-        ]
-        if (
-            crashed < MIN_CRASHES_TO_GIVE_UP
-            and max(failed, default=0) < attempts
-        ):
+        if self.has_failed_by_itself(key, attempts):
+            return
+        if crashed < MIN_CRASHES_TO_GIVE_UP:
             self.fail(f"{now:.3f} {key} given up after {crashed} crashes")
 
     def fail(self, text):
@@ -147,10 +150,12 @@
     Attributes:
       delays: Possible message delays in seconds, drawn for each message.
       hold_pause: Seconds between an agent's hold requests.
+      owner_settings: Settings of the entries.
     """
 
     delays = (0.001, 0.002, 0.01, 0.05)
     hold_pause = 0.005
+    owner_settings = LeasedOwnerSettings()
 
     def __init__(self, seed, entries=2, agents=3, clocks_restart=False):
         self.rng = random.Random(seed)
@@ -213,7 +218,7 @@
             availability_zone=zone,
             address=name,
         )
-        owner = LeasedOwner(LEASE, LeasedOwnerSettings())
+        owner = LeasedOwner(LEASE, self.owner_settings)
         node = Node(member, owner)
         node.callers = {}
         self.entries[name] = node
