--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -365,8 +365,8 @@
                 run.state = RunState.RUNNING
             return []
         if answer is OrderAnswer.UNANSWERED:
-            self._token.advance()
             run.unanswered_at = now
+            self._token.advance()
             return self._stop(run, now, "start unanswered")
         if answer is OrderAnswer.FENCED:
             effects = self._on_fenced(order.token)
