Run the soak on uvloop, whose child watcher reaps each process itself

A soak printed 'Unknown child process pid, will report returncode 255': the standard watcher lost the race for an exit status with a signal to the process. Such a status would look like a failed stop.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import sys
 
+import uvloop
+
 from soak.run import run_soak
 
 
@@ -20,7 +21,7 @@
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
-        result = asyncio.run(
+        result = uvloop.run(
             run_soak(
                 seed,
                 options.seconds,
