Give the response to crashes a module of its own, and the log of crashes its rules

The owner and the run table had grown past 600 lines. Which runs were at a crash is decided by the log that keeps it, and verdicts, blame and containment are joined in one class.

--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -7,7 +7,8 @@
 import math
 from collections.abc import Iterable
 
-from gypsumline.core.leases.effects import Announcement
+from gypsumline.core.leases.effects import CrashDetected
+from gypsumline.core.leases.executor_state import ExecutorState
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
 from gypsumline.core.leases.run import Run
 from gypsumline.core.leases.settings import LeaseSettings
@@ -28,23 +29,30 @@
 
     def add(
         self,
-        announcement: Announcement,
+        executor: ExecutorState,
         runs: Iterable[Run],
-        at: float,
-        lease_until: float,
-    ) -> ExecutorCrash:
-        """Records a crash.
+        evidence: str,
+        now: float,
+    ) -> CrashDetected:
+        """Records a crash with the runs that may have been there.
 
         Args:
-          announcement: Newest announcement of the executor.
-          runs: Runs that may have been there.
-          at: Time of the first sign of the crash.
-          lease_until: Time until which the runs had a lease.
+          executor: The executor that crashed.
+          runs: Runs of its agent.
+          evidence: What proves the crash.
+          now: Current time.
         """
-        has_lease = at <= lease_until
+        executor.has_crashed = True
+        at = min(executor.unresponsive_since, now)
+        has_lease = at <= executor.lease_until
+        suspects = [
+            run for run in runs if run.may_have_run_since(executor.responded_at)
+        ]
+        for run in suspects:
+            run.is_crash_reported = True
         crash = ExecutorCrash(
-            executor=announcement.executor,
-            started_at=announcement.started_at,
+            executor=executor.announcement.executor,
+            started_at=executor.announcement.started_at,
             seconds_ago=0.0,
             runs=tuple(
                 CrashedRun(
@@ -54,11 +62,11 @@
                     age=round(max(0.0, at - run.ordered_at), 3),
                     is_started=has_lease and run.started_at < math.inf,
                 )
-                for run in runs
+                for run in suspects
             ),
         )
         self._crashes.append((at, crash))
-        return crash
+        return CrashDetected(crash=crash, evidence=evidence)
 
     def recent(self, now: float) -> tuple[ExecutorCrash, ...]:
         """Returns the crashes that owners still take into account."""
--- /dev/null
+++ b/gypsumline/core/leases/crash_response.py
@@ -0,0 +1,74 @@
+"""How an owner treats jobs and queues that crash executors."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from gypsumline.core.effects import Decision
+from gypsumline.core.leases.containment import Containment
+from gypsumline.core.leases.crash_history import CrashHistory, Verdict
+from gypsumline.core.leases.crash_settings import CrashSettings
+from gypsumline.core.leases.fleet import Fleet
+from gypsumline.core.leases.job import LeasedJob
+from gypsumline.core.leases.messages import ExecutorCrash
+from gypsumline.core.leases.owner_effects import crash_line, suspicion_line
+
+
+class CrashResponse:
+    """Judges jobs by the crashes under their tasks, and confines queues."""
+
+    def __init__(self, settings: CrashSettings, fleet: Fleet) -> None:
+        self._history = CrashHistory(settings)
+        self._containment = Containment(settings, fleet)
+
+    @property
+    def containment(self) -> Containment:
+        """Agents that jobs may use."""
+        return self._containment
+
+    def is_given_up(self, job: LeasedJob) -> bool:
+        """Returns whether no task of a job may start any more.
+
+        Also updates whether the job is a suspect.
+        """
+        verdict = Verdict.CLEAR
+        if self._history:
+            verdict = self._history.verdict(task.name for task in job.tasks)
+        job.is_suspect = verdict is Verdict.SUSPECT
+        return verdict is Verdict.GIVEN_UP
+
+    def on_crash(
+        self,
+        crash: ExecutorCrash,
+        service: str,
+        jobs: Mapping[str, LeasedJob],
+        now: float,
+    ) -> tuple[list[Decision], list[LeasedJob]]:
+        """Counts a crash, unless it is known already.
+
+        Args:
+          crash: The crash.
+          service: Service of the executor.
+          jobs: Open jobs by key.
+          now: Current time.
+
+        Returns:
+          Log lines, and the open jobs to be given up.
+        """
+        blame = self._history.add(crash, now)
+        if not blame:
+            return [], []
+        lines = [crash_line(crash, blame, self._history)]
+        for queue in sorted(self._history.causes(crash)):
+            if self._containment.suspect(service, queue, self._history, now):
+                lines.append(suspicion_line("queue_suspected", service, queue))
+        found = [jobs[key] for key in blame if key in jobs]
+        return lines, [job for job in found if self.is_given_up(job)]
+
+    def update(self, now: float) -> list[Decision]:
+        """Forgets old crashes; returns the lines of queues that are cleared."""
+        self._history.expire(now)
+        return [
+            suspicion_line("queue_cleared", service, queue)
+            for service, queue in self._containment.update(now)
+        ]
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -10,8 +10,8 @@
     NO_EXECUTOR,
     Backlog,
 )
-from gypsumline.core.leases.containment import Containment, Pool
-from gypsumline.core.leases.crash_history import CrashHistory, Verdict
+from gypsumline.core.leases.containment import Pool
+from gypsumline.core.leases.crash_response import CrashResponse
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.health import ExecutorHealth
@@ -36,7 +36,6 @@
 )
 from gypsumline.core.leases.owner_effects import (
     claims_message,
-    crash_line,
     ended_line,
     has_start_for,
     overdue_line,
@@ -46,7 +45,6 @@
     start_message,
     stop_message,
     stop_runs,
-    suspicion_line,
 )
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.core.leases.placed_runs import PlacedRuns
@@ -93,8 +91,8 @@
         self._isolation = IsolationDetector(settings.isolation_limit)
         self._runs = PlacedRuns()
         self._attempts = AttemptHistory(settings.forget_after)
-        self._crashes = CrashHistory(settings.crashes)
-        self._containment = Containment(settings.crashes, self._fleet)
+        self._crashes = CrashResponse(settings.crashes, self._fleet)
+        self._containment = self._crashes.containment
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._waiting = WaitingJobs(self._backlog)
         self._zones_out = ZonesOut(version=-1, zones=())
@@ -142,12 +140,8 @@
         effects = [] if earlier is None else self._remove_job(earlier, now)
         job = new_job(request, self._estimates, now)
         self._attempts.restore(job)
-        verdict = self._verdict(job)
-        job.is_suspect = verdict is Verdict.SUSPECT
-        if verdict is Verdict.GIVEN_UP:
-            return effects + self._end_job(
-                job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
-            )
+        if self._crashes.is_given_up(job):
+            return effects + self._give_up(job, now)
         self._containment.add_work(job, self._backlog.pending_work(job))
         pool = self._containment.pool(job)
         refusal = self._backlog.refusal(
@@ -264,10 +258,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Ends overdue jobs, stops overdue runs and gives up lost ones."""
-        effects: list[Effect] = [
-            suspicion_line("queue_cleared", service, queue)
-            for service, queue in self._containment.update(now)
-        ]
+        effects: list[Effect] = [*self._crashes.update(now)]
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
@@ -276,7 +267,6 @@
         self._fleet.prune_silent(now, self._settings.forget_after)
         self._sync_health()
         self._attempts.expire(now)
-        self._crashes.expire(now)
         self._backlog.update_fastest_speed()
         return effects + self.place_waiting(now)
 
@@ -548,31 +538,16 @@
         self, crash: ExecutorCrash, service: str, now: float
     ) -> list[Effect]:
         """Blames the jobs that were there and gives up those that caused it."""
-        blame = self._crashes.add(crash, now)
-        if not blame:
-            return []
-        effects: list[Effect] = [crash_line(crash, blame, self._crashes)]
-        for queue in sorted(self._crashes.causes(crash)):
-            if self._containment.suspect(service, queue, self._crashes, now):
-                effects.append(
-                    suspicion_line("queue_suspected", service, queue)
-                )
-        for key in blame:
-            job = self._jobs.get(key)
-            if job is None:
-                continue
-            verdict = self._verdict(job)
-            job.is_suspect = verdict is Verdict.SUSPECT
-            if verdict is Verdict.GIVEN_UP:
-                effects += self._end_job(
-                    job, JobOutcome.FAILED, CRASHED_EXECUTORS, now
-                )
+        lines, given_up = self._crashes.on_crash(
+            crash, service, self._jobs, now
+        )
+        effects: list[Effect] = [*lines]
+        for job in given_up:
+            effects += self._give_up(job, now)
         return effects
 
-    def _verdict(self, job: LeasedJob) -> Verdict:
-        if not self._crashes:
-            return Verdict.CLEAR
-        return self._crashes.verdict(task.name for task in job.tasks)
+    def _give_up(self, job: LeasedJob, now: float) -> list[Effect]:
+        return self._end_job(job, JobOutcome.FAILED, CRASHED_EXECUTORS, now)
 
     # Ends of jobs.
 
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from gypsumline.core.effects import Effect, Send
 from gypsumline.core.identity import Member
@@ -13,7 +13,6 @@
 from gypsumline.core.leases.crash_log import CrashLog
 from gypsumline.core.leases.effects import (
     Announcement,
-    CrashDetected,
     EndedRun,
     HoldReply,
     HoldRequest,
@@ -563,12 +562,11 @@
         is_gone = executor.record_refusal(now)
         if not is_gone or executor.is_expected_gone(now):
             return [] if was_down else self._reports.broadcast(now)
-        detected = self._record_crash(
-            executor, self._runs.values(), "connection refused", now
-        )
+        runs = list(self._runs.values())
+        detected = self._crashes.add(executor, runs, "connection refused", now)
         # What the executor had confirmed ended with its process. An order
         # without an answer may still reach the next incarnation.
-        for run in list(self._runs.values()):
+        for run in runs:
             if run.started_at < math.inf:
                 self._end_run(run, RunEnd.LOST, 0.0)
         return [detected, *self._reports.broadcast(now, (detected.crash,))]
@@ -589,30 +587,9 @@
         """Tells the owners of a crash that a new incarnation proves."""
         if not runs or earlier.is_expected_gone(now):
             return []
-        detected = self._record_crash(earlier, runs, "restarted", now)
+        detected = self._crashes.add(earlier, runs, "restarted", now)
         return [detected, *self._reports.broadcast(now, (detected.crash,))]
 
-    def _record_crash(
-        self,
-        executor: ExecutorState,
-        there: Iterable[Run],
-        evidence: str,
-        now: float,
-    ) -> CrashDetected:
-        executor.has_crashed = True
-        crashed_at = min(executor.unresponsive_since, now)
-        runs = [
-            run
-            for run in there
-            if run.may_have_run_since(executor.responded_at)
-        ]
-        for run in runs:
-            run.is_crash_reported = True
-        crash = self._crashes.add(
-            executor.announcement, runs, crashed_at, executor.lease_until
-        )
-        return CrashDetected(crash=crash, evidence=evidence)
-
     def _begin_incarnation(
         self, announcement: Announcement, now: float
     ) -> list[Effect]:
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -6,6 +6,7 @@
 
 from gypsumline.core.leases.crash_history import CrashHistory, Verdict
 from gypsumline.core.leases.crash_log import CrashLog
+from gypsumline.core.leases.crash_response import CrashResponse
 from gypsumline.core.leases.executor_state import ExecutorState
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
 from gypsumline.core.leases.owner import LeasedOwner
@@ -91,12 +92,10 @@
 def give_up_after_one_crash(monkeypatch):
     """Gives up each job that ran on an executor that crashed."""
     monkeypatch.setattr(
-        LeasedOwner,
-        "_verdict",
-        lambda self, job: (
-            Verdict.GIVEN_UP
-            if any(self._crashes.find(task.name) for task in job.tasks)
-            else Verdict.CLEAR
+        CrashResponse,
+        "is_given_up",
+        lambda self, job: any(
+            self._history.find(task.name) for task in job.tasks
         ),
     )
 
