--- a/gypsumline/testing/processes.py
+++ b/gypsumline/testing/processes.py
@@ -119,7 +119,7 @@
                 stdout=log,
                 stderr=asyncio.subprocess.STDOUT,
                 cwd=_REPOSITORY_ROOT,
-                preexec_fn=_kill_with_parent,
+                preexec_fn=kill_with_parent,
             )
 
     def signal(self, number: signal.Signals) -> None:
@@ -221,7 +221,7 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
         cwd=_REPOSITORY_ROOT,
-        preexec_fn=_kill_with_parent,
+        preexec_fn=kill_with_parent,
     )
     command = " ".join(arguments)
     try:
@@ -248,6 +248,10 @@
         return False
 
 
-def _kill_with_parent() -> None:
-    # Otherwise the processes would outlive a benchmark that is killed.
+def kill_with_parent() -> None:
+    """Lets the calling process be killed at the end of its parent.
+
+    Otherwise it would outlive a benchmark that is killed, and keep its
+    addresses.
+    """
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -10,6 +10,7 @@
 import sys
 
 from gypsumline.testing.log_errors import find_errors, log_size
+from gypsumline.testing.processes import kill_with_parent
 
 # Working directory of the programs, whatever that of the soak is.
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -54,6 +55,7 @@
                 stderr=output,
                 env=environment,
                 cwd=ROOT,
+                preexec_fn=kill_with_parent,
             )
 
     @property
