Look pools up by identity in passes over many jobs

A pool was a tuple with an enumeration, whose hash is computed in Python, for each waiting job of each pass.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import enum
 import functools
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
 
 import xxhash
 
@@ -31,11 +31,16 @@
     TRIAL = enum.auto()
 
 
-class Pool(NamedTuple):
-    """A part of a service's executors; the queue is set for TRIAL only."""
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Pool:
+    """A part of a service's executors; the queue is set for TRIAL only.
+
+    There is one object for each, so that passes over many jobs look it up by
+    its identity.
+    """
 
     service: str
-    part: Part = Part.OPEN
+    part: Part
     queue: str = ""
 
 
@@ -92,6 +97,8 @@
         # End of the suspicion by service and queue.
         self._suspected: dict[tuple[str, str], float] = {}
         self._confined_shares: dict[str, float] = {}
+        self._open_pools: dict[str, Pool] = {}
+        self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
 
     @property
@@ -154,10 +161,21 @@
         """Returns the pool of the agents that a job may use."""
         queue = job.request.queue.name
         if self._suspected and (job.service, queue) in self._suspected:
-            return Pool(job.service, Part.CONFINED)
+            return self._other_pool(job.service, Part.CONFINED, "")
         if job.is_suspect:
-            return Pool(job.service, Part.TRIAL, queue)
-        return Pool(job.service)
+            return self._other_pool(job.service, Part.TRIAL, queue)
+        found = self._open_pools.get(job.service)
+        if found is None:
+            found = Pool(job.service, Part.OPEN)
+            self._open_pools[job.service] = found
+        return found
+
+    def _other_pool(self, service: str, part: Part, queue: str) -> Pool:
+        name = service, part, queue
+        found = self._other_pools.get(name)
+        if found is None:
+            found = self._other_pools[name] = Pool(*name)
+        return found
 
     def filter(self, pool: Pool, agents: list[AgentView]) -> list[AgentView]:
         """Returns the agents of a service that belong to a pool."""
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -363,7 +363,7 @@
     def _rivals(self, pool: Pool) -> list[LeasedJob]:
         """Returns the waiting jobs that may use the agents of a pool."""
         waiting = self._waiting.values()
-        return [job for job in waiting if self._containment.pool(job) == pool]
+        return [job for job in waiting if self._containment.pool(job) is pool]
 
     def _usable(
         self, pool: Pool, now: float, only: AgentView | None
