--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -195,6 +195,8 @@
         exit_codes = await system.stop()
         failed = [f"{n}: {code}" for n, code in exit_codes.items() if code]
         findings.must_be_empty("failed_exits", failed)
+        logged = [e for p in system.processes for e in p.logged_errors()]
+        findings.must_be_empty("logged_errors", logged)
     return findings
 
 
