Look up the agents of a pool once for each check of the waiting jobs

Each tick looked up all usable agents again for every waiting job without a run, which grows with jobs times agents. The lookup is now made once per pool and tick. The key of a task's job is taken by the function that does it elsewhere.

--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+from collections.abc import Callable
+
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.attempt_history import AttemptHistory
@@ -11,6 +14,7 @@
     Backlog,
 )
 from gypsumline.core.leases.containment import Pool
+from gypsumline.core.leases.crash_history import job_key
 from gypsumline.core.leases.crash_response import CrashResponse
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.fleet import AgentView, Fleet
@@ -262,8 +266,11 @@
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
+        has_agents = functools.cache(
+            lambda pool: bool(self._usable(pool, now, None))
+        )
         for job in list(self._jobs.values()):
-            effects += self._check_job(job, is_isolated, now)
+            effects += self._check_job(job, is_isolated, has_agents, now)
         self._fleet.prune_silent(now, self._settings.forget_after)
         self._sync_health()
         self._attempts.expire(now)
@@ -490,7 +497,7 @@
 
     def _requeue(self, name: str) -> None:
         """Requeues the open job whose task waited for an earlier run."""
-        job = self._jobs.get(name.partition(".")[0])
+        job = self._jobs.get(job_key(name))
         if job is not None:
             self._waiting.add_returned(job)
 
@@ -552,7 +559,11 @@
     # Ends of jobs.
 
     def _check_job(
-        self, job: LeasedJob, is_isolated: bool, now: float
+        self,
+        job: LeasedJob,
+        is_isolated: bool,
+        has_agents: Callable[[Pool], bool],
+        now: float,
     ) -> list[Effect]:
         if is_isolated:
             return self._end_job(job, JobOutcome.ELSEWHERE, NO_EXECUTOR, now)
@@ -560,7 +571,7 @@
             return self._end_unfinished(job, "time limit reached", now)
         if job.has_started or job not in self._waiting:
             return []
-        if not self._usable(self._containment.pool(job), now, None):
+        if not has_agents(self._containment.pool(job)):
             return self._end_unfinished(job, CONFINED_AWAY, now)
         if not self._backlog.would_end_too_late(job, now):
             return []
