Log what proves the end of a run, and runs that no agent holds

The logs could not tell apart the hypotheses on two runs of one task. New lines: runs_unowned (runs that an executor lists and its agent does not hold), stop_unconfirmed (a fourth stop order is sent), the tasks and the evidence in runs_lost, also for runs that a list lacks, and contact_age in run_ended, which shows an end that the owner concluded from the time without contact.

No decision changes.

--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -120,6 +120,8 @@
             "agent": run.agent.member_id,
             "end": report.end.value,
             "age": round(now - run.placed_at, 3),
+            # Over the rerun wait if the end was concluded, not reported.
+            "contact_age": round(now - run.view.ping_answered_at, 3),
         },
     )
 
--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -47,7 +47,9 @@
       started_at: Time at which the executor confirmed the start.
       unanswered_at: Time at which the call to start it ended without an answer.
       is_crash_reported: Whether a crash was reported with it.
+      stopping_since: Time of the first stop order.
       stop_sent_at: Time of the newest stop order.
+      stop_orders: Number of stop orders.
       stopped_at: Time at which the executor confirmed the stop.
     """
 
@@ -60,7 +62,9 @@
     started_at: float = math.inf
     unanswered_at: float = -math.inf
     is_crash_reported: bool = False
+    stopping_since: float = math.inf
     stop_sent_at: float = -math.inf
+    stop_orders: int = 0
     stopped_at: float = math.inf
 
     def may_have_run_since(self, time: float) -> bool:
--- a/gypsumline/core/leases/run_log_lines.py
+++ b/gypsumline/core/leases/run_log_lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable, Sequence
 
 from gypsumline.core.effects import Decision
 from gypsumline.core.identity import Member
@@ -83,9 +84,38 @@
     )
 
 
-def lost_line(runs: int, reason: str) -> Decision:
-    """Returns the log line of runs that ended with their executor."""
-    return Decision(event="runs_lost", fields={"runs": runs, "reason": reason})
+def lost_line(runs: Sequence[Run], reason: str) -> Decision:
+    """Returns the log line of runs whose end is concluded, not listed."""
+    return Decision(
+        event="runs_lost",
+        fields={
+            "runs": len(runs),
+            "reason": reason,
+            "tasks": [[*run.name, run.state.name.lower()] for run in runs],
+        },
+    )
+
+
+def unowned_line(executor: str, names: Iterable[tuple[str, int]]) -> Decision:
+    """Returns the log line of listed runs that the agent does not hold."""
+    return Decision(
+        event="runs_unowned",
+        fields={"executor": executor, "tasks": [[*name] for name in names]},
+    )
+
+
+def unconfirmed_stop_line(run: Run, now: float) -> Decision:
+    """Returns the log line of a stop that the executor has not confirmed."""
+    return Decision(
+        event="stop_unconfirmed",
+        fields={
+            "task": run.order.task,
+            "attempt": run.order.attempt,
+            "owner": run.owner.member_id,
+            "age": round(now - run.stopping_since, 3),
+            "orders": run.stop_orders,
+        },
+    )
 
 
 def crash_line(detected: CrashDetected) -> Decision:
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -43,6 +43,8 @@
     resized_line,
     stopping_line,
     token_line,
+    unconfirmed_stop_line,
+    unowned_line,
     zones_line,
 )
 from gypsumline.core.leases.settings import LeaseSettings
@@ -51,6 +53,8 @@
 
 # Interval at which an unconfirmed stop is sent again.
 STOP_RETRY_SECONDS = 0.1
+# Number of the stop order at which the missing confirmation is logged, once.
+UNCONFIRMED_STOP_ORDERS = 4
 
 
 class RunTable:
@@ -462,6 +466,7 @@
         if run.state is RunState.STOPPING:
             return []
         run.state = RunState.STOPPING
+        run.stopping_since = now
         line = stopping_line(
             run, reason, self._contacts.contact_age(run.owner, now)
         )
@@ -471,7 +476,11 @@
         if self._executor is None:
             return []
         run.stop_sent_at = now
-        return [self._executor.stop_order(run.name, self.token)]
+        run.stop_orders += 1
+        order = self._executor.stop_order(run.name, self.token)
+        if run.stop_orders != UNCONFIRMED_STOP_ORDERS:
+            return [order]
+        return [unconfirmed_stop_line(run, now), order]
 
     def _check_run(self, run: Run, now: float) -> list[Effect]:
         if run.state is not RunState.STOPPING:
@@ -518,8 +527,12 @@
         effects = self._on_first_list(executor, lost, now)
         for run in lost:
             self._end_run(run, RunEnd.LOST, 0.0)
+        if lost:
+            effects.append(lost_line(lost, "not listed"))
         known = {run.name for run in self._runs.values()}
-        self._unowned_runs.replace(reply.running - known)
+        unowned = self._unowned_runs.replace(reply.running - known)
+        if unowned:
+            effects.append(unowned_line(executor.name, unowned))
         if self._unowned_runs:
             self._is_open = False
         return effects + self._stop_unowned_runs(now)
@@ -543,8 +556,8 @@
         return [line, *self._flush_reports(now)]
 
     def _lose_all_runs(self, reason: str) -> list[Effect]:
-        lost = len(self._runs)
-        for run in list(self._runs.values()):
+        lost = list(self._runs.values())
+        for run in lost:
             self._end_run(run, RunEnd.LOST, 0.0)
         self._is_open = False
         self._unowned_runs.clear()
@@ -566,10 +579,14 @@
         detected = self._crashes.add(executor, runs, "connection refused", now)
         # What the executor had confirmed ended with its process. An order
         # without an answer may still reach the next incarnation.
-        for run in runs:
-            if run.started_at < math.inf:
-                self._end_run(run, RunEnd.LOST, 0.0)
-        return [detected, *self._reports.broadcast(now, (detected.crash,))]
+        confirmed = [run for run in runs if run.started_at < math.inf]
+        for run in confirmed:
+            self._end_run(run, RunEnd.LOST, 0.0)
+        return [
+            detected,
+            lost_line(confirmed, "connection refused"),
+            *self._reports.broadcast(now, (detected.crash,)),
+        ]
 
     def _on_first_list(
         self, executor: ExecutorState, lost: list[Run], now: float
--- a/gypsumline/core/leases/unowned_runs.py
+++ b/gypsumline/core/leases/unowned_runs.py
@@ -22,12 +22,13 @@
     def __bool__(self) -> bool:
         return bool(self._stop_sent_at)
 
-    def replace(self, names: Iterable[RunName]) -> None:
-        """Sets the unowned runs of the newest list of runs."""
+    def replace(self, names: Iterable[RunName]) -> list[RunName]:
+        """Sets the unowned runs of the newest list; returns the new ones."""
         earlier = self._stop_sent_at
         self._stop_sent_at = {
             name: earlier.get(name, -math.inf) for name in sorted(names)
         }
+        return [name for name in self._stop_sent_at if name not in earlier]
 
     def clear(self) -> None:
         """Removes all, when the incarnation of the executor ends."""
