Repeat a stop until the executor itself confirms it

Callers could see one task run twice at the same time: a stop order that was refused, sent to another executor, or never sent because no connection was free, counted as confirmed. It was not sent again, and the run went on for as long as it was listed, while its owner started the task elsewhere after rerun_wait.

Now only the answer of the executor that it carried the stop out counts, and only until a later list shows the run all the same. test_unconfirmed_stops.py: the five cases of test_stop_is_repeated_until_the_executor_confirms_it and the first check of test_confirmed_stop_of_a_run_that_goes_on_is_sent_again failed before.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -396,7 +396,9 @@
         if answer is OrderAnswer.FENCED:
             return self._on_fenced(order.token)
         run = self._runs.get(order.task)
-        if run is not None and run.order.attempt == order.attempt:
+        is_current = run is not None and run.order.attempt == order.attempt
+        # After any other answer the run may still be there.
+        if run is not None and is_current and answer is OrderAnswer.DONE:
             run.stopped_at = min(run.stopped_at, now)
         return []
 
@@ -529,6 +531,10 @@
             self._end_run(run, RunEnd.LOST, 0.0)
         if lost:
             effects.append(lost_line(lost, "not listed"))
+        for run in self._runs.values():
+            if run.stopped_at + self._settings.stop_time < sent_at:
+                # It is still listed, so the stop came to nothing.
+                run.stopped_at = math.inf
         known = {run.name for run in self._runs.values()}
         unowned = self._unowned_runs.replace(reply.running - known)
         if unowned:
