Let a lease lapse that holds a run which must end

Callers could see one task run twice at the same time. The lease of an executor covers all its runs and was renewed by each hold request and start, also while the stop of a run was not confirmed. max_run_time_after_contact takes it that such a run ends with the stop or, at the latest, with the lease; with lost stops and answered hold requests it ended with neither, while its owner started the task elsewhere after rerun_wait, or its caller sent the job again to another entry.

The lease is not renewed, by hold requests or by starts, while there is a run without a confirmed stop whose owner is out of contact, has ordered its stop or does not claim it, or a run that no agent holds. A run whose start had no answer and whose owner is in contact does not count: its owner waits for the reported end. A confirmation that a later list contradicts no longer counts.

--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -31,6 +31,8 @@
         self._clock_read_at = now
         self._leaving_at = math.inf
         self._lease_until = now
+        # End of the lease as ordered, in milliseconds on the executor's clock.
+        self._ordered_lease_until = announcement.clock
         self._is_responsive = True
         self._responded_at = now
         self._unresponsive_since = math.inf
@@ -80,7 +82,9 @@
         until = now + settings.lease * (1.0 + settings.clock_drift)
         self._lease_until = max(self._lease_until, until)
         elapsed = now - self._clock_read_at
-        return self._clock + int(1000.0 * (elapsed + settings.lease))
+        ordered = self._clock + int(1000.0 * (elapsed + settings.lease))
+        self._ordered_lease_until = max(self._ordered_lease_until, ordered)
+        return ordered
 
     def is_expected_gone(self, now: float) -> bool:
         """Returns whether its end is planned, or already known as a crash.
@@ -138,16 +142,28 @@
             return False
         return now > self._lease_until + self._settings.stop_time
 
-    def start_order(self, run: Run, token: int, now: float) -> OrderStart:
-        """Returns the order that starts a run and renews the lease."""
+    def start_order(
+        self, run: Run, token: int, may_renew: bool, now: float
+    ) -> OrderStart:
+        """Returns the order that starts a run.
+
+        Args:
+          run: The run.
+          token: Fencing token.
+          may_renew: Whether the order renews the lease of all runs.
+          now: Current time.
+        """
         task, attempt = run.name
+        lease_until = (
+            self.renew_lease(now) if may_renew else self._ordered_lease_until
+        )
         return OrderStart(
             executor=self.name,
             task=task,
             attempt=attempt,
             spec=run.spec,
             token=token,
-            lease_until=self.renew_lease(now),
+            lease_until=lease_until,
         )
 
     def stop_order(self, name: tuple[str, int], token: int) -> OrderStop:
@@ -158,19 +174,24 @@
         )
 
     def hold_request(
-        self, token: int, has_runs: bool, is_reconciled: bool, now: float
+        self, token: int, may_renew: bool, wait: float, now: float
     ) -> HoldRequest:
         """Returns the next hold request.
 
         After an unanswered request the lease is not renewed, so that the time
         of its expiry is known.
+
+        Args:
+          token: Fencing token.
+          may_renew: Whether there are runs whose lease may be renewed.
+          wait: Seconds for which the executor may wait for an end.
+          now: Current time.
         """
-        renews = self._is_responsive and has_runs
-        waits = renews and is_reconciled
+        renews = self._is_responsive and may_renew
         return HoldRequest(
             executor=self.name,
             token=token,
             acknowledged_end=self.acknowledged_end,
             lease_until=self.renew_lease(now) if renews else None,
-            wait=self._settings.hold_wait if waits else 0.0,
+            wait=wait if self._is_responsive else 0.0,
         )
--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -44,13 +44,16 @@
       queue: Name of the queue, as its owner gave it.
       ordered_at: Time of the order.
       state: Progress at the executor.
-      started_at: Time at which the executor confirmed the start.
+      started_at: Time at which the executor confirmed the start or listed it.
       unanswered_at: Time at which the call to start it ended without an answer.
       is_crash_reported: Whether a crash was reported with it.
       stopping_since: Time of the first stop order.
       stop_sent_at: Time of the newest stop order.
       stop_orders: Number of stop orders.
       stopped_at: Time at which the executor confirmed the stop.
+      ignores_stops: Whether the executor listed it after a confirmed stop.
+      is_revoked: Whether its owner ordered the stop or does not claim it, so
+        that the task may be started elsewhere by the clock alone.
     """
 
     owner: Member
@@ -66,6 +69,31 @@
     stop_sent_at: float = -math.inf
     stop_orders: int = 0
     stopped_at: float = math.inf
+    ignores_stops: bool = False
+    is_revoked: bool = False
+
+    @property
+    def is_stop_confirmed(self) -> bool:
+        """Whether the executor has confirmed that it stops the run."""
+        return self.stopped_at < math.inf
+
+    def on_listed(self, requested_at: float, now: float, limit: float) -> None:
+        """Records that the executor lists it as running.
+
+        Args:
+          requested_at: Time of the request for the list.
+          now: Current time.
+          limit: Maximum time from a confirmed stop to the end, in seconds.
+        """
+        self.started_at = min(self.started_at, now)
+        if self.stopped_at + limit < requested_at:
+            self.ignores_stops = True
+            self.stopped_at = math.inf
+
+    def on_stop_confirmed(self, now: float) -> None:
+        """Records the executor's confirmation, unless one came to nothing."""
+        if not self.ignores_stops:
+            self.stopped_at = min(self.stopped_at, now)
 
     def may_have_run_since(self, time: float) -> bool:
         """Returns whether it may have run after the executor's latest answer.
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -182,7 +182,7 @@
             if is_same_entry and (
                 run.owner != owner or run.name not in claimed
             ):
-                effects += self._stop(run, now, "not claimed")
+                effects += self._revoke(run, now, "not claimed")
         held_names = {
             run.name for run in self._runs.values() if run.owner == owner
         }
@@ -234,7 +234,7 @@
             if run is None or run.owner != owner or run.name[1] != attempt:
                 self._reports.add(owner, (task, attempt), RunEnd.STOPPED)
             else:
-                effects += self._stop(run, now, "owner")
+                effects += self._revoke(run, now, "owner")
         return effects + self._flush_reports(now)
 
     def on_zones_out(self, message: ZonesOut, now: float) -> list[Effect]:
@@ -304,9 +304,11 @@
             return None
         if self.is_idle and self._is_open:
             return None
-        return executor.hold_request(
-            self.token, bool(self._runs), self.is_reconciled, now
-        )
+        may_renew = bool(self._runs) and self._may_renew_lease(now)
+        wait = self._settings.hold_wait if may_renew else STOP_RETRY_SECONDS
+        if not self._runs or not self.is_reconciled:
+            wait = 0.0
+        return executor.hold_request(self.token, may_renew, wait, now)
 
     def on_hold_reply(
         self, request: HoldRequest, reply: HoldReply, sent_at: float, now: float
@@ -399,7 +401,7 @@
         is_current = run is not None and run.order.attempt == order.attempt
         # After any other answer the run may still be there.
         if run is not None and is_current and answer is OrderAnswer.DONE:
-            run.stopped_at = min(run.stopped_at, now)
+            run.on_stop_confirmed(now)
         return []
 
     def tick(self, now: float) -> list[Effect]:
@@ -462,7 +464,28 @@
 
     def _order_start(self, run: Run, now: float) -> OrderStart:
         assert self._executor is not None
-        return self._executor.start_order(run, self.token, now)
+        may_renew = self._may_renew_lease(now)
+        return self._executor.start_order(run, self.token, may_renew, now)
+
+    def _may_renew_lease(self, now: float) -> bool:
+        """Returns whether all runs that the lease keeps may go on.
+
+        The lease of an executor covers all its runs. One that must end, and
+        whose stop the executor has not confirmed, must not outlast the lease:
+        its task may be started elsewhere soon after.
+        """
+        if self._unowned_runs:
+            return False
+        return not any(
+            run.is_revoked or not self._contacts.is_in_contact(run.owner, now)
+            for run in self._runs.values()
+            if not run.is_stop_confirmed
+        )
+
+    def _revoke(self, run: Run, now: float, reason: str) -> list[Effect]:
+        """Stops a run whose owner does not wait for its reported end."""
+        run.is_revoked = True
+        return self._stop(run, now, reason)
 
     def _stop(self, run: Run, now: float, reason: str) -> list[Effect]:
         if run.state is RunState.STOPPING:
@@ -489,7 +512,8 @@
             if self._contacts.is_in_contact(run.owner, now):
                 return []
             return self._stop(run, now, "owner out of contact")
-        if run.stopped_at < now or now < run.stop_sent_at + STOP_RETRY_SECONDS:
+        is_due = now >= run.stop_sent_at + STOP_RETRY_SECONDS
+        if run.is_stop_confirmed or not is_due:
             return []
         return self._order_stop(run, now)
 
@@ -532,9 +556,8 @@
         if lost:
             effects.append(lost_line(lost, "not listed"))
         for run in self._runs.values():
-            if run.stopped_at + self._settings.stop_time < sent_at:
-                # It is still listed, so the stop came to nothing.
-                run.stopped_at = math.inf
+            if run.name in reply.running:
+                run.on_listed(sent_at, now, self._settings.stop_time)
         known = {run.name for run in self._runs.values()}
         unowned = self._unowned_runs.replace(reply.running - known)
         if unowned:
