Accept no start that its owner's contact limit would end at once

A start may name a ping just under contact_limit old; the next check, up to 30 ms later, found it older and stopped the run before the owner could be pinged. It went elsewhere, and its work was lost.

A start now needs a ping that is younger by ping_answer_time (0.1 s, from the bounds of the settings file), so that the next regular ping can be answered in time; otherwise it waits for a fresh ping, as stale ones did.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -196,7 +196,7 @@
     ) -> list[Effect]:
         """Starts runs, or defers them until their owner answers a ping."""
         self._contacts.set_capacity_request(owner, message.wish, now)
-        if now - message.stamp <= self._settings.contact_limit:
+        if now - message.stamp <= self._settings.max_start_stamp_age:
             self._contacts.record_answer(owner, message.stamp)
             effects = self._start(owner, message, now)
             self._offers.close_offer(owner)
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -22,6 +22,8 @@
       stop_time: Maximum time that a stop takes at the executor.
       resubmit_delay: Minimum time from the loss of a connection to the
         resubmission at another entry.
+      ping_answer_time: Time from the check that sends a ping to its answer, for
+        an owner without delay.
       busy_ping_interval: Time between pings to an owner that has runs here.
       idle_ping_interval: Minimum time between pings to any other owner.
       idle_ping_rate: Maximum number of pings per second to such owners, as long
@@ -43,6 +45,7 @@
     clock_drift: float = 0.02
     stop_time: float = 0.05
     resubmit_delay: float = 1.3
+    ping_answer_time: float = 0.1
     busy_ping_interval: float = 0.2
     idle_ping_interval: float = 0.8
     idle_ping_rate: float = 20.0
@@ -61,6 +64,12 @@
                 self.max_run_time_after_contact,
                 f"less than resubmit_delay ({self.resubmit_delay} s)",
             )
+        if self.ping_answer_time >= self.contact_limit:
+            raise InvalidInputError(
+                "ping_answer_time",
+                self.ping_answer_time,
+                f"less than contact_limit ({self.contact_limit} s)",
+            )
         if self.hold_wait + self.order_timeout >= self.lease:
             raise InvalidInputError(
                 "hold_wait + order_timeout",
@@ -68,6 +77,14 @@
                 f"less than lease ({self.lease} s)",
             )
 
+    @property
+    def max_start_stamp_age(self) -> float:
+        """Maximum age of the ping that a start names.
+
+        The next ping can then be answered before the contact limit.
+        """
+        return self.contact_limit - self.ping_answer_time
+
     @property
     def max_run_time_after_contact(self) -> float:
         """Maximum time that runs continue after their owner's last contact."""
--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -144,6 +144,7 @@
             lease=lease,
             stop_time=stop,
             resubmit_delay=resubmit,
+            ping_answer_time=0.2 * _CONTACT_LIMIT_FRACTION * available,
             busy_ping_interval=0.4 * _CONTACT_LIMIT_FRACTION * available,
             hold_wait=lease / 3.0,
             order_timeout=0.4 * lease,
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -142,6 +142,18 @@
     assert len(starts(answer_ping(table, 1.0))) == 1
 
 
+def test_start_is_not_accepted_just_before_the_contact_limit():
+    """Guards against a run that is stopped before its owner can be pinged."""
+    table = open_table()
+    answer_ping(table, 0.0)
+    now = LEASE.contact_limit - 0.01
+    effects = table.on_start(ENTRY, start(order(), stamp=0.0), now)
+    assert starts(effects) == []
+    assert len(sends(effects, ContactPing)) == 1
+    assert len(starts(answer_ping(table, now + 0.002))) == 1
+    assert stops(table.tick(now + LEASE.tick_interval)) == []
+
+
 def test_stop_cancels_a_deferred_start():
     """Guards against starting a run that its owner has already stopped."""
     table = open_table()
