Take an error status for a refusal only if nothing was done

Callers could see one task run twice at the same time: a start that the executor answered with 500, 502, 504 or a redirect counted as refused, so its owner placed the task again at once, and could tell the caller that the job had not run. Only 400, 409, 421, 429 and 503 say that nothing was done.

Any other status now counts as no answer: the agent fences the order, sends a stop and reports the end from the executor's list.

Five cases of test_status_that_proves_no_refusal_counts_as_no_answer (302, 404, 500, 502, 504) failed before.

--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -37,6 +37,16 @@
     "room": OrderAnswer.REFUSED,
     "ticket": OrderAnswer.REFUSED,
 }
+# Statuses of an executor that has done nothing. After any other status that is
+# not a success the order may have been carried out.
+_REFUSAL_STATUSES = frozenset(
+    {
+        http.HTTPStatus.BAD_REQUEST,
+        http.HTTPStatus.CONFLICT,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 # Raised by a body that is not of the right shape: a DecodeError for its types,
 # the others for rows that are too short, mixed or nested too deeply.
@@ -191,6 +201,8 @@
 def _decode_refusal(response: HttpResponse) -> OrderAnswer:
     if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
         return OrderAnswer.OTHER_EXECUTOR
+    if response.status not in _REFUSAL_STATUSES:
+        return OrderAnswer.UNANSWERED
     if response.status != http.HTTPStatus.CONFLICT:
         return OrderAnswer.REFUSED
     try:
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -5,7 +5,12 @@
 import msgspec
 import pytest
 
-from gypsumline.core.leases.effects import HoldRequest, OrderAnswer
+from gypsumline.core.leases.effects import (
+    HoldRequest,
+    OrderAnswer,
+    OrderStart,
+    OrderStop,
+)
 from gypsumline.platform.executor_calls import ExecutorClient
 from gypsumline.platform.heartbeats import HeartbeatReceiver
 from gypsumline.runtime.http_messages import HttpRequest, HttpResponse
@@ -13,6 +18,10 @@
 ORDER = HoldRequest(
     executor="x-1", token=1, acknowledged_end=0, lease_until=None, wait=0.0
 )
+START = OrderStart(
+    executor="x-1", task="t", attempt=1, spec="s", token=1, lease_until=1
+)
+STOP = OrderStop(executor="x-1", task="t", attempt=1, token=1)
 
 
 class RecordingNode:
@@ -34,13 +43,13 @@
 
 
 class CannedClient:
-    """Answers each request with the same body."""
+    """Answers each request with the same status and body."""
 
-    def __init__(self, body):
-        self._body = body
+    def __init__(self, body, status=200):
+        self._response = HttpResponse(status=status, body=body)
 
     async def request(self, *_, **__):
-        return HttpResponse(status=200, body=self._body)
+        return self._response
 
 
 @pytest.mark.parametrize(
@@ -94,6 +103,32 @@
     assert await client.hold(ORDER) is OrderAnswer.UNANSWERED
 
 
+@pytest.mark.parametrize(
+    ("status", "answer"),
+    [
+        (302, OrderAnswer.UNANSWERED),
+        (404, OrderAnswer.UNANSWERED),
+        (500, OrderAnswer.UNANSWERED),
+        (502, OrderAnswer.UNANSWERED),
+        (504, OrderAnswer.UNANSWERED),
+        (400, OrderAnswer.REFUSED),
+        (409, OrderAnswer.REFUSED),
+        (429, OrderAnswer.REFUSED),
+        (503, OrderAnswer.REFUSED),
+        (421, OrderAnswer.OTHER_EXECUTOR),
+    ],
+)
+async def test_status_that_proves_no_refusal_counts_as_no_answer(
+    status, answer
+):
+    """Guards against a second run of a task whose start got an error."""
+    client = ExecutorClient("127.0.0.1:1", 1.0)
+    client._client = CannedClient(b"", status)
+    assert await client.start(START) is answer
+    assert await client.stop(STOP) is answer
+    assert await client.hold(ORDER) is answer
+
+
 @pytest.mark.parametrize(
     "capacity",
     [
