Reckon a lease for the slowest clock of an executor

Callers could see one task run twice at the same time: the lease of an order was computed from the newest reading of the executor's clock and the agent's own time since then. On a clock that is 2% slow the lease lasts 2% of that time longer. An idle executor is read only with its heartbeats; after 4 s without one (lost, or the agent was frozen) the lease outlasted the end that the agent reports when it takes it for lapsed, and after some 6 s also rerun_wait.

The elapsed time now counts as on the slowest clock, so that the ordered end is never later than `lease` from now. On an exact clock the first lease after an idle time of 1.5 s is 30 ms shorter; the next hold request reads the clock.

test_run_is_lost_only_after_the_lease_on_a_slow_clock[4.0] and [8.0] failed before: with 8.0 the run was reported lost 0.11 s before the end of its lease.

--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -81,7 +81,8 @@
         settings = self._settings
         until = now + settings.lease * (1.0 + settings.clock_drift)
         self._lease_until = max(self._lease_until, until)
-        elapsed = now - self._clock_read_at
+        # On a slow clock less time has passed since the reading.
+        elapsed = (now - self._clock_read_at) * (1.0 - settings.clock_drift)
         ordered = self._clock + int(1000.0 * (elapsed + settings.lease))
         self._ordered_lease_until = max(self._ordered_lease_until, ordered)
         return ordered
