Trust a confirmed stop only within one life of an executor

Callers could see one task run twice at the same time: a stop that an executor confirmed proves that an unanswered start will not be carried out, but only there. An executor that starts again under its name knows no stops. The agent kept the confirmation; a hold request under way at the restart, still with the token of the start, then listed no run, the run was reported lost and its task placed elsewhere, while the start could still be carried out until the next hold request fenced it.

The confirmation is now dropped with the incarnation; the stop is sent again under the new token, and the list that follows its confirmation fences the start.

test_stop_that_an_earlier_incarnation_confirmed_proves_no_end failed before.

--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -95,6 +95,11 @@
         if not self.ignores_stops:
             self.stopped_at = min(self.stopped_at, now)
 
+    def on_new_incarnation(self) -> None:
+        """Drops the confirmed stop, which the next one knows nothing of."""
+        self.stopped_at = math.inf
+        self.ignores_stops = False
+
     def may_have_run_since(self, time: float) -> bool:
         """Returns whether it may have run after the executor's latest answer.
 
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -653,6 +653,8 @@
         if earlier is not None and has_same_name:
             self._executor.inherit_lease(earlier)
             self._executor.predecessor = earlier
+            for run in self._runs.values():
+                run.on_new_incarnation()
         self._is_open = False
         self._unowned_runs.clear()
         self._has_unacknowledged_ends = False
