Check the rows through which agents find the entries

A row could name an address without a port, with port 99999 or with a port of 5,000 digits, and an incarnation of 400 digits. Agents took it for an entry and dialled it as long as it was there, and an entry whose row was overwritten lost its address. The row was decoded, logged and counted again at each reading by the directory and by the announcer.

The fields now have bounds, addresses are parsed where rows are read, the last valid address of an entry stays in use, and a distinct invalid row is logged and counted once, with a bounded memory for those seen.

--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -9,9 +9,12 @@
 
 import msgspec
 
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.identity import Member
+from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
-from gypsumline.runtime import metrics
+from gypsumline.platform.wire_types import Name, Version
+from gypsumline.runtime.addresses import parse_address
 
 ENTRIES_TABLE = "gypsumline-entries"
 RENEWAL_SECONDS = 20.0
@@ -31,27 +34,49 @@
       renewed_at: Time of the last renewal, in seconds on the store's clock.
     """
 
-    address: str
-    incarnation: int
+    address: Name
+    incarnation: Version
     renewed_at: float
 
 
-def decode_entry(row: StoredRow) -> EntryRow | None:
-    """Returns the value of a row; None, logged and counted, if invalid."""
+def decode_entry(row: StoredRow) -> EntryRow:
+    """Returns the value of a row.
+
+    Raises:
+      InvalidInputError: The value is not that of an entry.
+    """
     try:
-        return msgspec.json.decode(row.value or b"", type=EntryRow)
+        entry = msgspec.json.decode(row.value or b"", type=EntryRow)
     except (msgspec.DecodeError, RecursionError) as error:
-        metrics.REJECTED_INPUTS.labels("entry_row").inc()
-        _LOGGER.warning(
-            "entry row is invalid",
-            extra={"key": row.key[:80], "detail": str(error)},
+        raise InvalidInputError("row", row.value, str(error)) from error
+    parse_address(entry.address)
+    return entry
+
+
+class _EntryReader:
+    """Decodes rows; logs and counts each distinct invalid one once."""
+
+    def __init__(self) -> None:
+        self._rejections = RejectionLog(
+            "entry_row", "entry row is invalid", _LOGGER
         )
-        return None
+
+    def read(self, row: StoredRow) -> EntryRow | None:
+        """Returns the value of a row, or None if it is invalid."""
+        try:
+            return decode_entry(row)
+        except InvalidInputError as error:
+            self._rejections.record(
+                (row.key, row.value), str(error), key=row.key[:80]
+            )
+            return None
 
 
 class EntryDirectory:
     """Tracks the addresses of the entries listed in the table.
 
+    While the row of an entry is invalid, its last valid address stays in use.
+
     Args:
       on_changed: Receives the sorted addresses after each update.
     """
@@ -59,19 +84,21 @@
     def __init__(self, on_changed: Callable[[list[str]], None]) -> None:
         self._addresses: dict[str, str] = {}
         self._on_changed = on_changed
+        self._reader = _EntryReader()
 
     def replace(self, rows: RowSet) -> None:
         """Replaces all addresses by those of a full read."""
-        self._addresses.clear()
+        listed = {row.key for row in rows.rows}
+        for key in self._addresses.keys() - listed:
+            del self._addresses[key]
         self.apply(rows)
 
     def apply(self, rows: RowSet) -> None:
         """Applies changed rows."""
         for row in rows.rows:
-            entry = None if row.is_removed else decode_entry(row)
-            if entry is None:
+            if row.is_removed:
                 self._addresses.pop(row.key, None)
-            else:
+            elif (entry := self._reader.read(row)) is not None:
                 self._addresses[row.key] = entry.address
         self._on_changed(sorted(self._addresses.values()))
 
@@ -85,6 +112,7 @@
         self._store = store
         self._member = member
         self._rng = rng
+        self._reader = _EntryReader()
 
     async def run(self) -> None:
         """Renews the row until cancelled."""
@@ -136,7 +164,7 @@
         for row in rows.rows:
             if row.key == self._member.member_id:
                 continue
-            entry = decode_entry(row)
+            entry = self._reader.read(row)
             if entry is None:
                 continue
             age = rows.store_time - entry.renewed_at
--- /dev/null
+++ b/gypsumline/tests/platform/test_entry_rows.py
@@ -0,0 +1,96 @@
+"""Tests of the rows through which agents discover the entries."""
+
+import json
+
+import pytest
+
+from gypsumline.platform.entry_rows import EntryDirectory
+from gypsumline.platform.rejections import REMEMBERED_INPUTS
+from gypsumline.platform.store import RowSet, StoredRow
+from gypsumline.runtime import metrics
+
+VALID = {"address": "10.0.0.1:7720", "incarnation": 1, "renewed_at": 1.0}
+INVALID_VALUES = [
+    b"",
+    b"\xff",
+    b"[]",
+    b'{"address":"10.0.0.1:7720","incarnation":1',
+    b'{"address":"10.0.0.1:7720","incarnation":1,"renewed_at":NaN}',
+    b'{"address":"10.0.0.1:7720","incarnation":1,"renewed_at":1e999}',
+    b'{"address":"10.0.0.1:7720","incarnation":1,"renewed_at":1,"x":'
+    + b"[" * 100_000,
+    *(
+        json.dumps({**VALID, **change}).encode()
+        for change in (
+            {"incarnation": 10**400},
+            {"incarnation": 2**63},
+            {"incarnation": -1},
+            {"address": 1},
+            {"address": "10.0.0.1"},
+            {"address": "10.0.0.1:"},
+            {"address": ":7720"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "10.0.0.1:" + "7" * 5000},
+            {"address": "10.0.0.1:\u0667\u0667"},
+            {"address": "10.0.0.1\x00:7720"},
+            {"address": "a" * 300 + ":7720"},
+        )
+    ),
+]
+
+
+def make_row(key, value, version=1, is_removed=False):
+    if isinstance(value, dict):
+        value = json.dumps(value).encode()
+    return StoredRow(
+        key=key, value=value, version=version, is_removed=is_removed
+    )
+
+
+def make_rows(*rows):
+    return RowSet(rows=rows, version=1, store_time=1.0)
+
+
+@pytest.mark.parametrize("value", INVALID_VALUES)
+def test_invalid_row_names_no_entry_and_hides_none(value):
+    """Guards against one row that agents dial for ever or that hides others."""
+    seen = []
+    directory = EntryDirectory(seen.append)
+    directory.replace(
+        make_rows(make_row("entry-0", value), make_row("entry-1", VALID))
+    )
+    assert seen == [["10.0.0.1:7720"]]
+
+
+@pytest.mark.parametrize("update", ["replace", "apply"])
+def test_last_valid_address_of_an_entry_stays_in_use(update):
+    """Guards against an entry that is lost when its row is overwritten."""
+    seen = []
+    directory = EntryDirectory(seen.append)
+    directory.replace(make_rows(make_row("entry-0", VALID)))
+    getattr(directory, update)(make_rows(make_row("entry-0", b"{")))
+    assert seen[-1] == ["10.0.0.1:7720"]
+    directory.apply(make_rows(make_row("entry-0", None, is_removed=True)))
+    assert seen[-1] == []
+
+
+def test_invalid_row_is_logged_and_counted_once(caplog):
+    """Guards against a log line at each reading of the same row."""
+    counter = metrics.REJECTED_INPUTS.labels("entry_row")
+    before = counter._value.get()
+    directory = EntryDirectory(lambda addresses: None)
+    for _ in range(3):
+        directory.replace(make_rows(make_row("entry-0", b"{")))
+    assert (len(caplog.records), counter._value.get() - before) == (1, 1)
+    directory.replace(make_rows(make_row("entry-0", b"[")))
+    assert (len(caplog.records), counter._value.get() - before) == (2, 2)
+
+
+def test_memory_for_invalid_rows_is_bounded():
+    """Guards against memory that grows with each distinct invalid row."""
+    directory = EntryDirectory(lambda addresses: None)
+    for number in range(2 * REMEMBERED_INPUTS):
+        row = make_row("entry-0", str(number).encode())
+        directory.apply(make_rows(row))
+    assert len(directory._reader._rejections._seen) == REMEMBERED_INPUTS
