Reject heartbeats whose names or numbers no order can carry

Orders carry the name of the executor in a header. A heartbeat for a name with a character outside Latin-1 was accepted, and the next hold request raised UnicodeEncodeError in the hold loop, which ended the agent; a name with a line break added a header. `seq_no` had no bound and `born` one in the year 287396, after which each later incarnation looks older. A target such as `//[` raised in the handler, and its caller got no response. Labels without a bound were repeated to each entry with each ping.

Names are now printable ASCII of up to 200 characters, numbers and labels have bounds, and heartbeats with the same fault are logged and counted once.

Of the list of outside names the phrases `state is` and `service is` go: the same text now comes from the error.

--- a/gypsumline/platform/heartbeats.py
+++ b/gypsumline/platform/heartbeats.py
@@ -5,19 +5,31 @@
 import http
 import logging
 import urllib.parse
+from typing import Annotated
 
 import msgspec
 
 from gypsumline.agent.leased_node import LeasedAgentNode
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.leases.effects import Announcement
 from gypsumline.core.leases.resources import Resources
-from gypsumline.platform.wire_types import Amount, Milliseconds
-from gypsumline.runtime import metrics
+from gypsumline.platform.rejections import RejectionLog
+from gypsumline.platform.wire_types import (
+    Amount,
+    Milliseconds,
+    Name,
+    Sequence,
+    UnixMilliseconds,
+)
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import Exchange
 
 _PATH_PREFIX = "/v1/instances/"
 _STATES = ("ready", "draining")
+# Orders carry the name of the executor in a header.
+_EXECUTOR_CHARACTERS_MAX = 200
+# The agent repeats the labels to each entry with each ping.
+_LABELS_MAX = 64
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -29,15 +41,15 @@
 
 
 class _WireHeartbeat(msgspec.Struct):
-    service: str
-    zone: str
-    state: str
-    seq_no: int
+    service: Name
+    zone: Name
+    state: Name
+    seq_no: Sequence
     capacity: _WireCapacity
-    labels: list[str] = []
+    labels: Annotated[list[Name], msgspec.Meta(max_length=_LABELS_MAX)] = []
     clock_ms: Milliseconds = 0.0
-    # Start of the executor's incarnation, in Unix milliseconds.
-    born: Milliseconds = 0.0
+    # Start of the executor's incarnation.
+    born: UnixMilliseconds = 0.0
     # Minimum time until the executor stops; set only while draining.
     remaining_ms: Milliseconds = 0.0
 
@@ -53,6 +65,9 @@
     def __init__(self, node: LeasedAgentNode, service: str) -> None:
         self._node = node
         self._service = service
+        self._rejections = RejectionLog(
+            "heartbeat", "heartbeat rejected", _LOGGER
+        )
 
     def __call__(self, exchange: Exchange) -> None:
         """Handles a request."""
@@ -60,32 +75,37 @@
 
     def _handle(self, exchange: Exchange) -> int:
         request = exchange.request
-        path = urllib.parse.urlsplit(request.target).path
+        path = request.path
         executor = urllib.parse.unquote(path.removeprefix(_PATH_PREFIX))
         if not path.startswith(_PATH_PREFIX) or not executor:
             return http.HTTPStatus.NOT_FOUND
-        if request.method == "DELETE":
-            self._node.on_leave(executor)
-            return http.HTTPStatus.OK
-        if request.method != "PUT":
+        if request.method not in ("PUT", "DELETE"):
             return http.HTTPStatus.METHOD_NOT_ALLOWED
-        announcement = self._decode_announcement(executor, request.body)
-        if announcement is None:
+        try:
+            _check_executor_name(executor)
+            if request.method == "DELETE":
+                self._node.on_leave(executor)
+            else:
+                announcement = self._decode_announcement(executor, request.body)
+                self._node.on_announcement(announcement)
+        except InvalidInputError as error:
+            # Without the given value, which may hold the sequence number.
+            identity = (executor, error.field, error.allowed)
+            self._rejections.record(
+                identity, str(error), executor=executor[:80]
+            )
             return http.HTTPStatus.BAD_REQUEST
-        self._node.on_announcement(announcement)
         return http.HTTPStatus.OK
 
-    def _decode_announcement(
-        self, executor: str, body: bytes
-    ) -> Announcement | None:
+    def _decode_announcement(self, executor: str, body: bytes) -> Announcement:
         try:
             wire = msgspec.json.decode(body, type=_WireHeartbeat)
         except (msgspec.DecodeError, RecursionError) as error:
-            return self._reject(executor, str(error))
+            raise InvalidInputError("heartbeat", body, str(error)) from error
         if wire.state not in _STATES:
-            return self._reject(executor, f"state is {wire.state[:40]!r}")
+            raise InvalidInputError("state", wire.state, ", ".join(_STATES))
         if self._service and wire.service != self._service:
-            return self._reject(executor, f"service is {wire.service[:40]!r}")
+            raise InvalidInputError("service", wire.service, self._service)
         return Announcement(
             executor=executor,
             started_at=int(wire.born),
@@ -103,10 +123,12 @@
             clock=int(wire.clock_ms),
         )
 
-    def _reject(self, executor: str, detail: str) -> Announcement | None:
-        metrics.REJECTED_INPUTS.labels("heartbeat").inc()
-        _LOGGER.warning(
-            "heartbeat rejected",
-            extra={"executor": executor[:80], "detail": detail},
+
+def _check_executor_name(text: str) -> None:
+    is_allowed = text.isascii() and text.isprintable()
+    if not is_allowed or len(text) > _EXECUTOR_CHARACTERS_MAX:
+        raise InvalidInputError(
+            "executor",
+            text,
+            f"up to {_EXECUTOR_CHARACTERS_MAX} printable ASCII characters",
         )
-        return None
--- a/gypsumline/runtime/http_messages.py
+++ b/gypsumline/runtime/http_messages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import http
+import urllib.parse
 from collections.abc import Mapping
 
 from gypsumline.core.errors import GypsumlineError
@@ -43,6 +44,14 @@
     headers: Mapping[str, str]
     body: bytes = b""
 
+    @property
+    def path(self) -> str:
+        """Path of the target; "" if the target cannot be parsed."""
+        try:
+            return urllib.parse.urlsplit(self.target).path
+        except ValueError:
+            return ""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HttpResponse:
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -130,3 +130,84 @@
         receiver(RecordingExchange(request, statuses))
     assert statuses == [200, 400]
     assert [a.capacity.processor for a in seen] == [0]
+
+
+HEARTBEAT = {
+    "service": "ordering",
+    "zone": "north",
+    "state": "ready",
+    "seq_no": 1,
+    "capacity": {"cpu": 1, "mem_mb": 1},
+}
+
+
+def send_heartbeat(receiver, name="x-1", **changes):
+    statuses = []
+    request = HttpRequest(
+        method="PUT",
+        target=f"/v1/instances/{name}",
+        headers={},
+        body=json.dumps({**HEARTBEAT, **changes}).encode(),
+    )
+    receiver(RecordingExchange(request, statuses))
+    return statuses[0]
+
+
+@pytest.mark.parametrize(
+    ("name", "status"),
+    [
+        ("x-1", 200),
+        ("x%2F1", 200),
+        ("%E4%B8%AD", 400),
+        ("%FF", 400),
+        ("x%0D%0AX-Other:%201", 400),
+        ("x%00", 400),
+        ("x" * 201, 400),
+        ("[", 200),
+    ],
+)
+def test_executor_name_that_no_header_can_carry_is_rejected(name, status):
+    """Guards against a heartbeat that ends the agent at its next order."""
+    seen = []
+    receiver = HeartbeatReceiver(RecordingNode(seen), "")
+    assert send_heartbeat(receiver, name) == status
+    assert len(seen) == (status == 200)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"seq_no": 10**400},
+        {"seq_no": 2**64},
+        {"seq_no": -1},
+        {"born": 2**53},
+        {"labels": ["a"] * 1000},
+        {"labels": ["a" * 1000]},
+        {"service": "s" * 1000},
+    ],
+)
+def test_heartbeat_out_of_bounds_is_rejected(changes):
+    """Guards against numbers that make all next heartbeats look older."""
+    seen = []
+    receiver = HeartbeatReceiver(RecordingNode(seen), "")
+    assert send_heartbeat(receiver, **changes) == 400
+    assert send_heartbeat(receiver) == 200
+    assert len(seen) == 1
+
+
+@pytest.mark.parametrize("changes", [{"state": "other"}, {"capacity": None}])
+def test_heartbeats_with_the_same_fault_are_logged_once(caplog, changes):
+    """Guards against a log line for each heartbeat of another writer."""
+    receiver = HeartbeatReceiver(RecordingNode([]), "")
+    for number in range(3):
+        assert send_heartbeat(receiver, seq_no=number, **changes) == 400
+    assert len(caplog.records) == 1
+
+
+def test_target_that_cannot_be_parsed_gets_a_response():
+    """Guards against a request that is never answered."""
+    statuses = []
+    request = HttpRequest(method="PUT", target="//[", headers={})
+    receiver = HeartbeatReceiver(RecordingNode([]), "")
+    receiver(RecordingExchange(request, statuses))
+    assert statuses == [404]
