Report impossible addresses and bounds in the settings file

`nan` and `inf` passed as bounds, since only values up to 0 were refused. A port of more than 4,300 digits and a file that is not UTF-8 raised ValueError, which neither the start nor the reload of the settings handles. Addresses were not checked, so that a port of 99999 ended the start with a traceback of the event loop.

--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import os
 import pathlib
 from collections.abc import Mapping
 
 from gypsumline.core.errors import InvalidInputError, InvalidInputGroup
 from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.runtime.addresses import PORT_MAX, parse_address
 from gypsumline.table.follow_settings import (
     FollowSettings,
     derive_follow_settings,
@@ -34,6 +36,8 @@
 _DEFAULT_REMOTE_FACTOR = 1.5
 _DEFAULT_CONTACT_MS = 3000.0
 _DEFAULT_CONFIG_APPLY_MS = 2000.0
+# Upper limit of all bounds, whatever their unit; timers take no longer times.
+_NUMBER_MAX = 1e9
 # Time limit of the agents' feed of entries, in contact limits. It is long since
 # there are many agents, each of their requests costs money, and an entry that
 # one agent does not know yet is served by the other agents.
@@ -93,7 +97,14 @@
       InvalidInputGroup: Fields are missing or invalid.
       OSError: The file cannot be read.
     """
-    return parse_settings(path.read_text(encoding="utf-8"))
+    try:
+        text = path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        invalid = InvalidInputError("text", error.object[:80], "UTF-8")
+        raise InvalidInputGroup(
+            "settings file is invalid", [invalid]
+        ) from error
+    return parse_settings(text)
 
 
 def parse_settings(text: str) -> ProcessSettings:
@@ -109,12 +120,12 @@
         "availability_zone": fields.required("zone"),
         "address": fields.required("ip"),
         "stream_port": fields.port(ports[0] if ports else ""),
-        "caller_address": fields.optional("listen.front"),
-        "readiness_address": fields.optional("listen.ready"),
-        "heartbeat_address": fields.optional("listen.control"),
-        "executor_address": fields.optional("app"),
+        "caller_address": fields.address("listen.front"),
+        "readiness_address": fields.address("listen.ready"),
+        "heartbeat_address": fields.address("listen.control"),
+        "executor_address": fields.address("app"),
         "service": fields.optional("service"),
-        "store_address": fields.required("platform.address"),
+        "store_address": fields.address("platform.address", is_required=True),
         "stop_limit": fields.number("bounds.grace_s", _DEFAULT_GRACE_S),
         "remote_factor": fields.number(
             "bounds.remote_factor", _DEFAULT_REMOTE_FACTOR
@@ -209,14 +220,28 @@
             value = float(text)
         except ValueError:
             value = -1.0
-        if value <= 0.0:
-            error = InvalidInputError(name, text, "a number above 0")
+        if not (math.isfinite(value) and 0.0 < value <= _NUMBER_MAX):
+            allowed = f"a number above 0, up to {_NUMBER_MAX:.0f}"
+            error = InvalidInputError(name, text, allowed)
             self.errors.append(error)
             return default
         return value
 
+    def address(self, name: str, *, is_required: bool = False) -> str:
+        """Returns an address; "" if the field is missing or invalid."""
+        text = self.required(name) if is_required else self.optional(name)
+        if not text:
+            return ""
+        try:
+            parse_address(text, name)
+        except InvalidInputError as error:
+            self.errors.append(error)
+            return ""
+        return text
+
     def port(self, text: str) -> int:
-        if text.isascii() and text.isdigit() and 0 < int(text) < 65536:
+        is_number = text.isascii() and text.isdigit() and len(text) <= 5
+        if is_number and 0 < int(text) <= PORT_MAX:
             return int(text)
         allowed = "ports from 1 to 65535"
         self.errors.append(InvalidInputError("port_range", text, allowed))
--- a/gypsumline/tests/platform/test_settings_file.py
+++ b/gypsumline/tests/platform/test_settings_file.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gypsumline.core.errors import InvalidInputGroup
-from gypsumline.platform.settings_file import parse_settings
+from gypsumline.platform.settings_file import parse_settings, read_settings
 
 TEXT = """
 node=front-a-1
@@ -61,3 +61,34 @@
     text = TEXT + "bounds.contact_ms=100\n"
     with pytest.raises(InvalidInputGroup):
         parse_settings(text)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "port_range=" + "7" * 5000,
+        "port_range=99999",
+        "listen.front=10.1.0.13:99999",
+        "listen.ready=10.1.0.13",
+        "platform.address=10.200.1.7:" + "8" * 5000,
+        "app=:1",
+        "bounds.grace_s=nan",
+        "bounds.retransmit_ms=inf",
+        "bounds.contact_ms=1e300",
+        "bounds.hold_max_ms=" + "9" * 5000,
+    ],
+)
+def test_impossible_ports_and_numbers_are_reported(line):
+    """Guards against a start that fails without naming the field."""
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_settings(f"{TEXT}{line}\n")
+    fields = {error.field for error in caught.value.exceptions}
+    assert fields == {line.partition("=")[0]}
+
+
+def test_file_that_is_not_utf8_is_reported(tmp_path):
+    """Guards against a reload of the settings that raises in the loop."""
+    path = tmp_path / "boot.conf"
+    path.write_bytes(TEXT.encode() + b"service=\xff\n")
+    with pytest.raises(InvalidInputGroup):
+        read_settings(path)
