Raise typed errors for addresses and headers that cannot be sent

`HttpClient` took any port: one above 65535 raised OverflowError at each call, which the client did not expect, and one that is no number raised ValueError at its creation. A header with a character outside Latin-1 raised UnicodeEncodeError in the caller, and a line break in a value added a header.

The address is parsed at the creation of the client (InvalidInputError); a line that HTTP cannot carry raises HttpUnsentError, since nothing was sent.

--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from gypsumline.runtime.addresses import parse_address
 from gypsumline.runtime.http_messages import (
     NO_HEADERS,
     HttpRefusedError,
@@ -126,11 +127,13 @@
     Args:
       address: Host and port of the server.
       connections: Maximum number of connections.
+
+    Raises:
+      InvalidInputError: The address is invalid.
     """
 
     def __init__(self, address: str, connections: int) -> None:
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._host, self._port = parse_address(address)
         self._address = address
         self._idle: list[HttpConnection] = []
         self._slots = asyncio.Semaphore(connections)
@@ -163,7 +166,8 @@
 
         Raises:
           HttpRefusedError: No process listens at the address.
-          HttpUnsentError: No connection was available in time.
+          HttpUnsentError: No connection was available in time, or a header
+            cannot be encoded.
           HttpUnansweredError: There was no valid response in time.
         """
         data = encode_request(method, self._address, target, headers, body)
--- a/gypsumline/runtime/http_messages.py
+++ b/gypsumline/runtime/http_messages.py
@@ -4,12 +4,15 @@
 
 import dataclasses
 import http
+import re
 import urllib.parse
 from collections.abc import Mapping
 
 from gypsumline.core.errors import GypsumlineError
 
 NO_HEADERS: Mapping[str, str] = {}
+# Latin-1 without control characters.
+_LINE_PATTERN = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
 class HttpError(GypsumlineError):
@@ -84,11 +87,18 @@
       target: Path and query.
       headers: Further headers; `Content-Length` is added if needed.
       body: Body.
+
+    Raises:
+      HttpUnsentError: The target or a header has a character that HTTP cannot
+        carry, or a line break.
     """
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body or method in ("POST", "PUT"):
         lines.append(f"Content-Length: {len(body)}")
+    for line in lines:
+        if not _LINE_PATTERN.fullmatch(line):
+            raise HttpUnsentError(f"line {line[:80]!r} cannot be sent")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
     HttpResponse,
@@ -139,3 +140,22 @@
         (await pending.get()).respond(HttpResponse(status=204))
         await reader.readuntil(b"204")
         writer.close()
+
+
+@pytest.mark.parametrize(
+    "address", ["", "h", "h:", ":1", "h:0", "h:99999", "h:" + "9" * 5000]
+)
+def test_invalid_address_of_a_server_raises_a_typed_error(address):
+    """Guards against a port that raises only when it is dialled."""
+    with pytest.raises(InvalidInputError):
+        HttpClient(address, 1)
+
+
+@pytest.mark.parametrize("value", ["\u4e2d", "a\r\nX-Other: 1", "a\x00"])
+async def test_header_that_cannot_be_sent_raises_a_typed_error(value):
+    """Guards against an error that no caller of the client expects."""
+    async with serve(echo) as (_, client):
+        with pytest.raises(HttpUnsentError):
+            await client.request(
+                "GET", "/", timeout=1.0, headers={"X-A": value}
+            )
