Close connections that send a response without a request

A server that answers a request twice left the start of its second response in the parser of an idle connection. Its rest was then taken for the response to the next request on that connection, so a list of runs or the rows of a table could be those of an earlier request.

A response that begins while no request awaits one now closes the connection. The new test got the body `other` for its second request before.

--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import cast
 
 import httptools
 
+from gypsumline.runtime import metrics
 from gypsumline.runtime.addresses import parse_address
 from gypsumline.runtime.http_messages import (
     NO_HEADERS,
@@ -27,6 +29,8 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class HttpConnection(asyncio.Protocol):
     """A connection for one request at a time."""
@@ -88,7 +92,14 @@
     # Callbacks from the HTTP parser.
 
     def on_message_begin(self) -> None:
-        """Starts a new response."""
+        """Starts a new response; one that no request awaits is an error.
+
+        Its rest could be taken for the response to a later request.
+        """
+        if self._waiter is None or self._waiter.done():
+            metrics.REJECTED_INPUTS.labels("response").inc()
+            _LOGGER.warning("response without a request, connection closed")
+            self.close()
         self._headers = {}
         self._body = bytearray()
 
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -159,3 +159,26 @@
             await client.request(
                 "GET", "/", timeout=1.0, headers={"X-A": value}
             )
+
+
+async def test_response_that_nobody_awaits_closes_the_connection():
+    """Guards against its rest being taken for the next response."""
+    first = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+    unexpected = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first + unexpected)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"other")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = HttpClient(f"127.0.0.1:{port}", 1)
+    for _ in range(2):
+        response = await client.request("GET", "/", timeout=1.0)
+        assert response.body == b"1"
+    client.close()
+    server.close()
