Log an error in a request handler and answer its caller

The HTTP parser turns an error in one of its callbacks into an error of its own, which the server took for a malformed request. The error of the handler was in no log, the request stayed open, and the connection was never closed, since it counted as busy. A caller met this with the target `//[`.

The error is now logged with its traceback and the caller gets status 500. The new test failed before: no answer within 1 s.

--- a/gypsumline/runtime/light_http_server.py
+++ b/gypsumline/runtime/light_http_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
 from collections.abc import AsyncIterator, Callable
 from typing import cast
 
@@ -22,6 +23,8 @@
 
 _TIMEOUT_CHECK_SECONDS = 0.5
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class HttpLimits:
@@ -195,8 +198,13 @@
             self._queued.append(request)
 
     def _handle(self, request: HttpRequest) -> None:
-        self._open = Exchange(request, self)
-        self._server.handler(self._open)
+        exchange = self._open = Exchange(request, self)
+        try:
+            self._server.handler(exchange)
+        except Exception:
+            # The parser would hide the error, and the client would wait.
+            _LOGGER.exception("request handler failed")
+            self.respond(exchange, HttpResponse(status=500))
 
     def _check_header_size(self, size: int) -> None:
         self._header_bytes += size
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -182,3 +182,20 @@
         assert response.body == b"1"
     client.close()
     server.close()
+
+
+async def test_failing_handler_is_logged_and_answered(caplog):
+    """Guards against a caller that waits for ever after an internal error."""
+
+    def fail(exchange):
+        if exchange.request.target == "/fail":
+            raise RuntimeError("expected failure")
+        echo(exchange)
+
+    async with serve(fail) as (server, client):
+        response = await client.request("GET", "/fail", timeout=1.0)
+        assert response.status == 500
+        assert "expected failure" in caplog.text
+        response = await client.request("GET", "/", timeout=1.0)
+        assert response.status == 200
+        assert len(server.connections) == 1
