Bound the pipelined requests of a connection

Requests behind an open one were kept without a limit, up to 256 KiB each, as long as the open one had no answer. They were also handled from within each other's response, so a few hundred quick ones exceeded the recursion limit.

More than 64 waiting requests now close the connection, with one log line. The new test failed before: all requests were kept.

--- a/gypsumline/runtime/light_http_server.py
+++ b/gypsumline/runtime/light_http_server.py
@@ -15,12 +15,15 @@
 
 import httptools
 
+from gypsumline.runtime import metrics
 from gypsumline.runtime.http_messages import (
     HttpRequest,
     HttpResponse,
     encode_response,
 )
 
+# Requests of one connection that may wait behind an open one.
+QUEUED_REQUESTS_MAX = 64
 _TIMEOUT_CHECK_SECONDS = 0.5
 
 _LOGGER = logging.getLogger(__name__)
@@ -194,8 +197,13 @@
         )
         if self._open is None:
             self._handle(request)
-        else:
+        elif len(self._queued) < QUEUED_REQUESTS_MAX:
             self._queued.append(request)
+        else:
+            self._is_last = True
+            metrics.REJECTED_INPUTS.labels("pipeline").inc()
+            _LOGGER.warning("too many pipelined requests, connection closed")
+            self.abort()
 
     def _handle(self, request: HttpRequest) -> None:
         exchange = self._open = Exchange(request, self)
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -14,6 +14,7 @@
     HttpUnsentError,
 )
 from gypsumline.runtime.light_http_server import (
+    QUEUED_REQUESTS_MAX,
     HttpLimits,
     running_light_server,
 )
@@ -199,3 +200,22 @@
         response = await client.request("GET", "/", timeout=1.0)
         assert response.status == 200
         assert len(server.connections) == 1
+
+
+async def test_pipelined_requests_are_bounded(caplog):
+    """Guards against a client that fills the memory behind an open request."""
+    closed = asyncio.Event()
+
+    def handler(exchange):
+        exchange.on_closed = closed.set
+
+    async with serve(handler) as (_, client):
+        host, port = client.address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        request = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+        for _ in range(5 * QUEUED_REQUESTS_MAX):
+            writer.write(request)
+        async with asyncio.timeout(3.0):
+            await closed.wait()
+        assert len(caplog.records) == 1
+        writer.close()
