Check the store's responses row by row

One row with a field of another type made the whole response invalid, so that the table was not followed as long as the row was there. A version of 20 or 400 digits was taken, after which each other response was older than the known version, for good; agents could not be told of it either, since a message between processes carries no such integer. Rows of another table or partition were taken for those asked for: feeds include all partitions. A page that came again made a read endless.

Rows are decoded one by one; a row whose value is invalid is still there, so that its zone stays out of service. Versions and times have bounds. Rows of other partitions are left out, rows of other tables make the response invalid, and pages have to advance.

--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -13,7 +13,7 @@
 from gypsumline.core.identity import Member
 from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
-from gypsumline.platform.wire_types import Name, Version
+from gypsumline.platform.wire_types import Incarnation, Name
 from gypsumline.runtime.addresses import parse_address
 
 ENTRIES_TABLE = "gypsumline-entries"
@@ -35,7 +35,7 @@
     """
 
     address: Name
-    incarnation: Version
+    incarnation: Incarnation
     renewed_at: float
 
 
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -7,13 +7,22 @@
 import dataclasses
 import enum
 import http
+import logging
 import math
 import urllib.parse
 from collections.abc import Mapping
+from typing import NamedTuple
 
 import msgspec
 
 from gypsumline.core.errors import GypsumlineError
+from gypsumline.platform.rejections import RejectionLog
+from gypsumline.platform.wire_types import (
+    SEQUENCE_MAX,
+    Milliseconds,
+    Name,
+    Sequence,
+)
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
     NO_HEADERS,
@@ -25,8 +34,11 @@
 
 WRITE_TIMEOUT_SECONDS = 1.0
 _ROWS_PER_READ = 500
+_PAGES_MAX = 200
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class StoreError(GypsumlineError):
     """A call to the store failed."""
@@ -95,19 +107,32 @@
 
 
 class _WireRow(msgspec.Struct):
-    key: str = ""
-    value: str = ""
-    ver: int = 0
+    key: Name
+    table: Name = ""
+    part: Name = ""
+    # Checked by `_decode_row`: a row counts by its key alone, too.
+    value: object = ""
+    ver: object = 0
     removed: bool = False
 
 
 class _WireRows(msgspec.Struct):
-    rows: list[_WireRow] = []
-    ver: int = 0
-    now_ms: float = 0.0
+    # Decoded one by one, so that an invalid row does not hide the others.
+    rows: list[msgspec.Raw] = []
+    ver: Sequence = 0
+    now_ms: Milliseconds = 0.0
     has_more: bool = False
 
 
+class _RowPage(NamedTuple):
+    """The valid rows of a response, and its other fields."""
+
+    rows: list[_WireRow]
+    ver: int
+    now_ms: float
+    has_more: bool
+
+
 class Store:
     """Reads, writes and follows rows that have no partition.
 
@@ -123,6 +148,9 @@
         # One counter versions all tables, so the version of a response shows
         # which later responses are stale, whatever their table.
         self._newest_version = 0
+        self._rejections = RejectionLog(
+            "store_row", "row of the store is invalid", _LOGGER
+        )
 
     async def read(self, table: str) -> RowSet:
         """Returns all rows of a table.
@@ -136,7 +164,7 @@
           StoreUnavailableError: The store did not respond with rows.
         """
         min_version = self._newest_version
-        pages: list[_WireRows] = []
+        pages: list[_RowPage] = []
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_READ)}
@@ -145,13 +173,13 @@
             target = f"/v1/rows-get?{urllib.parse.urlencode(query)}"
             timeout = self._settings.request_limit
             response = await self._get(self._client, target, timeout)
-            page = _decode_rows(response)
+            page = self._decode_rows(response, table)
             pages.append(page)
-            if not page.has_more or not page.rows:
+            if not page.has_more:
                 break
-            # The range includes its first key, so the next page starts at the
-            # smallest key after the last one.
-            start = page.rows[-1].key + "\0"
+            start = _next_start(page, start)
+            if len(pages) == _PAGES_MAX:
+                raise StoreUnavailableError(f"over {_PAGES_MAX} pages")
         self._record_version(pages[0].ver, min_version)
         rows = [_decode_row(row) for page in pages for row in page.rows]
         return _make_row_set(rows, pages[0], RowSource.READ)
@@ -173,7 +201,8 @@
         }
         target = f"/v1/rows-feed?{urllib.parse.urlencode(query)}"
         timeout = self._settings.request_limit
-        page = _decode_rows(await self._get(self._feed_client, target, timeout))
+        response = await self._get(self._feed_client, target, timeout)
+        page = self._decode_rows(response, table)
         self._record_version(page.ver, after)
         rows = [_decode_row(row) for row in page.rows]
         return _make_row_set(rows, page, RowSource.FEED)
@@ -225,7 +254,7 @@
         if response.status == http.HTTPStatus.PRECONDITION_FAILED:
             raise StoreConflictError(f"table {table!r}: a row has changed")
         _raise_for_status(response)
-        self._record_version(_decode_rows(response).ver, 0)
+        self._record_version(self._decode_rows(response, table).ver, 0)
 
     def _record_version(self, version: int, min_version: int) -> None:
         """Records the version of a response.
@@ -246,6 +275,31 @@
         self._client.close()
         self._feed_client.close()
 
+    def _decode_rows(self, response: HttpResponse, table: str) -> _RowPage:
+        """Returns the valid rows of a table that have no partition.
+
+        Raises:
+          StoreUnavailableError: The response is invalid, or its rows are those
+            of another table.
+        """
+        try:
+            wire = msgspec.json.decode(response.body, type=_WireRows)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise StoreUnavailableError(f"invalid rows: {error}") from error
+        rows = []
+        for raw in wire.rows:
+            try:
+                row = msgspec.json.decode(raw, type=_WireRow)
+            except (msgspec.DecodeError, RecursionError) as error:
+                self._rejections.record(bytes(raw), str(error), table=table)
+                continue
+            if row.table and row.table != table:
+                raise StoreUnavailableError("the rows are of another table")
+            # A feed includes the rows of all partitions.
+            if not row.part:
+                rows.append(row)
+        return _RowPage(rows, wire.ver, wire.now_ms, wire.has_more)
+
     async def _get(
         self, client: HttpClient, target: str, timeout: float
     ) -> HttpResponse:
@@ -284,15 +338,23 @@
         )
 
 
-def _decode_rows(response: HttpResponse) -> _WireRows:
-    try:
-        return msgspec.json.decode(response.body, type=_WireRows)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise StoreUnavailableError(f"invalid rows: {error}") from error
+def _next_start(page: _RowPage, start: str) -> str:
+    """Returns the first key of the page after a page.
+
+    The range includes its first key, so this is the smallest key after the
+    last one.
+
+    Raises:
+      StoreUnavailableError: The page does not lead beyond its own start.
+    """
+    next_start = page.rows[-1].key + "\0" if page.rows else ""
+    if next_start <= start:
+        raise StoreUnavailableError("the store sent a page again")
+    return next_start
 
 
 def _make_row_set(
-    rows: list[StoredRow], page: _WireRows, source: RowSource
+    rows: list[StoredRow], page: _RowPage, source: RowSource
 ) -> RowSet:
     return RowSet(
         rows=tuple(rows),
@@ -304,12 +366,15 @@
 
 def _decode_row(row: _WireRow) -> StoredRow:
     value: bytes | None = None
-    if not row.removed:
+    if not row.removed and isinstance(row.value, str):
         try:
             value = base64.b64decode(row.value, validate=True)
         except (binascii.Error, ValueError):
             # The reader of the row counts and logs invalid values.
             value = None
+    version = 0
+    if isinstance(row.ver, int) and 0 <= row.ver <= SEQUENCE_MAX:
+        version = row.ver
     return StoredRow(
-        key=row.key, value=value, version=row.ver, is_removed=row.removed
+        key=row.key, value=value, version=version, is_removed=row.removed
     )
--- a/gypsumline/platform/wire_types.py
+++ b/gypsumline/platform/wire_types.py
@@ -14,10 +14,11 @@
 # Unix times in milliseconds, up to the year 2248. A later start of an executor
 # would make all its next incarnations look older.
 UnixMilliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**43)]
-# Numbers that only rise. The bound is that of the whole numbers which JSON
-# carries exactly.
-Sequence = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-# Versions and incarnations, within the integers that a message can carry.
-Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Numbers that only rise: versions, ends, attempts. JSON carries whole numbers
+# up to the bound exactly, and a message between processes carries them, too.
+SEQUENCE_MAX = 2**53
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=SEQUENCE_MAX)]
+# Incarnations, in nanoseconds, within the integers that a message can carry.
+Incarnation = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # Names, keys and labels; the platform's are texts of at most 200 bytes.
 Name = Annotated[str, msgspec.Meta(max_length=200)]
