Bound the numbers of the operator's configuration

A version of 400 digits raised OverflowError when its metric was set, which ended the entry, and each next one at its first read of the table. A priority of 20 digits raised as soon as a message to an agent carried it, which ended the stream to that agent. `nan` and `inf` passed as a stretch, and limits of 0 or below refused each request. An invalid row was logged and counted again at each read.

--- a/gypsumline/platform/routes.py
+++ b/gypsumline/platform/routes.py
@@ -4,13 +4,15 @@
 
 import dataclasses
 import logging
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from gypsumline.core.leases.job import QueueRules
 from gypsumline.core.leases.messages import ZonesOut
+from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, StoredRow
+from gypsumline.platform.wire_types import Milliseconds, Name, Sequence
 from gypsumline.runtime import metrics
 from gypsumline.runtime.light_http_server import HttpLimits
 from gypsumline.runtime.logs import rounded_seconds
@@ -24,27 +26,34 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+_Number = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+_Factor = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+# With a limit of 0 every request would be refused.
+_Bytes = Annotated[int, msgspec.Meta(ge=1, le=2**53)]
+_Timeout = Annotated[float, msgspec.Meta(gt=0.0, le=2.0**53)]
+
+
 class _WireRoute(msgspec.Struct):
-    name: str
+    name: Name
     host: str
     path_prefix: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    service: Name
+    priority: _Number = 0
+    max_attempts: _Number = 1
+    stretch: _Factor = 1.0
     # Latency objective in addition to the stretched run time.
-    target_latency_ms: float = 0.0
+    target_latency_ms: Milliseconds = 0.0
 
 
 class _WireLimits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: _Bytes = 16384
+    max_body_bytes: _Bytes = 262144
+    header_timeout_ms: _Timeout = 3000.0
+    idle_timeout_ms: _Timeout = 15000.0
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: Sequence
     # Decoded one by one, so that an invalid part does not block the others.
     routes: list[object] | None = None
     limits: object = None
@@ -81,6 +90,12 @@
         self._zones_out: set[str] = set()
         self._table_version = -1
         self.limits = HttpLimits()
+        self._rejections = RejectionLog(
+            "configuration",
+            "configuration cannot be decoded; the last one stays in force",
+            _LOGGER,
+            logging.ERROR,
+        )
 
     @property
     def version(self) -> int:
@@ -151,10 +166,8 @@
                 row.value or b"", type=_WireConfiguration, strict=False
             )
         except (msgspec.DecodeError, RecursionError) as error:
-            metrics.REJECTED_INPUTS.labels("configuration").inc()
-            _LOGGER.error(
-                "configuration cannot be decoded; the last one stays in force",
-                extra={"row_version": row.version, "detail": str(error)},
+            self._rejections.record(
+                row.value, str(error), row_version=row.version
             )
             return
         if wire.version <= self._version:
@@ -186,19 +199,17 @@
         """Returns a route, or its last valid version if it is invalid."""
         try:
             return _decode_part(value, _WireRoute)
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, RecursionError) as error:
             name = value.get("name", "") if isinstance(value, dict) else ""
-            _log_invalid_part(f"route {str(name)[:80]}".strip(), error)
-            return (
-                self._routes_by_name.get(name)
-                if isinstance(name, str)
-                else None
-            )
+            if not isinstance(name, str):
+                name = ""
+            _log_invalid_part(f"route {name[:80]}".strip(), error)
+            return self._routes_by_name.get(name)
 
     def _apply_limits(self, value: object) -> None:
         try:
             self._wire_limits = _decode_part(value or {}, _WireLimits)
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, RecursionError) as error:
             _log_invalid_part("limits", error)
         limits = self._wire_limits
         self.limits.header_bytes = limits.max_header_bytes
@@ -214,13 +225,14 @@
 
     Raises:
       msgspec.ValidationError: The part is invalid.
+      RecursionError: The part is nested too deeply.
     """
     if isinstance(value, dict):
         value = {name: v for name, v in value.items() if v is not None}
     return msgspec.convert(value, part_type, strict=False)
 
 
-def _log_invalid_part(part: str, error: msgspec.ValidationError) -> None:
+def _log_invalid_part(part: str, error: Exception) -> None:
     metrics.REJECTED_INPUTS.labels("configuration").inc()
     _LOGGER.error(
         "part of the configuration cannot be read",
--- a/gypsumline/tests/platform/test_routes.py
+++ b/gypsumline/tests/platform/test_routes.py
@@ -1,5 +1,7 @@
 """Tests of the operator's configuration rows."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -176,3 +178,72 @@
         if line.message == "part of the configuration cannot be read"
     ]
     assert invalid_parts == ["route r2", "route r4", "route", "limits"]
+
+
+@pytest.mark.parametrize("version", [10**400, 2**64, 1e300, -1, [1], None])
+def test_impossible_version_leaves_the_last_configuration(version):
+    """Guards against a version that ends the entry when its metric is set."""
+    operator = OperatorConfiguration()
+    content = make_configuration(5, ("r5", "h", "/"))
+    operator.replace(make_row_set(make_row("config", content)))
+    text = json.dumps({**content, "version": version}).encode()
+    operator.apply(make_row_set(make_row("config", text)))
+    assert operator.version == 5
+    assert operator.find_route("h", "/").queue.name == "r5"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"priority": 10**400},
+        {"priority": 2**64},
+        {"max_attempts": 10**400},
+        {"stretch": -1},
+        {"stretch": "nan"},
+        {"stretch": "inf"},
+        {"target_latency_ms": 1e300},
+        {"target_latency_ms": -1},
+        {"name": [[["r2"]]]},
+        {"name": 10**400},
+        {"service": "s" * 1000},
+    ],
+)
+def test_route_out_of_bounds_is_left_out(change):
+    """Guards against numbers that no message to an agent can carry."""
+    content = make_configuration(1, ("r1", "h", "/a/"), ("r2", "h", "/b/"))
+    content["routes"][1] |= change
+    operator = OperatorConfiguration()
+    text = json.dumps(content).encode()
+    operator.apply(make_row_set(make_row("config", text)))
+    assert operator.find_route("h", "/a/").queue.name == "r1"
+    assert operator.find_route("h", "/b/") is None
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [
+        {"max_body_bytes": 0},
+        {"max_header_bytes": -1},
+        {"max_body_bytes": 10**400},
+        {"header_timeout_ms": 0},
+        {"idle_timeout_ms": "nan"},
+        {"idle_timeout_ms": 1e300},
+        [[]],
+    ],
+)
+def test_impossible_limits_leave_the_last_ones(limits):
+    """Guards against limits with which every request is refused."""
+    operator = OperatorConfiguration()
+    content = {**make_configuration(1), "limits": {"max_body_bytes": 7}}
+    operator.apply(make_row_set(make_row("config", content)))
+    text = json.dumps({**make_configuration(2), "limits": limits}).encode()
+    operator.apply(make_row_set(make_row("config", text)))
+    assert (operator.version, operator.limits.body_bytes) == (2, 7)
+
+
+def test_invalid_configuration_is_logged_once(caplog):
+    """Guards against a log line at each reading of the same row."""
+    operator = OperatorConfiguration()
+    for _ in range(3):
+        operator.replace(make_row_set(make_row("config", b"{")))
+    assert len(caplog.records) == 1
