Bound the numbers and names in an executor's list of runs

An executor's list could hold attempts of 400 digits, names that were lists, and a start in the year 287396. A report of such an attempt raises in the encoding of the message to its owner, an end of such a number makes all next ends look known, and after such a start each later incarnation looks older. An invalid list was logged as an error at each hold request, up to twenty times a second.

--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -16,7 +16,13 @@
     OrderStart,
     OrderStop,
 )
-from gypsumline.platform.wire_types import Milliseconds
+from gypsumline.platform.rejections import RejectionLog
+from gypsumline.platform.wire_types import (
+    NAME_CHARACTERS_MAX,
+    SEQUENCE_MAX,
+    Milliseconds,
+    UnixMilliseconds,
+)
 from gypsumline.runtime import metrics
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
@@ -82,7 +88,7 @@
     running: list[list[object]] = []
     # Items: number, task, attempt, outcome and checkpoint.
     ended: list[list[object]] = []
-    born: Milliseconds = 0.0
+    born: UnixMilliseconds = 0.0
 
 
 class ExecutorClient:
@@ -96,6 +102,12 @@
     def __init__(self, address: str, timeout: float) -> None:
         self._client = HttpClient(address, connections=_CONNECTIONS)
         self._timeout = timeout
+        self._rejections = RejectionLog(
+            "executor",
+            "hold reply of the executor is invalid",
+            _LOGGER,
+            logging.ERROR,
+        )
 
     async def start(self, order: OrderStart) -> OrderAnswer:
         """Starts a run."""
@@ -135,10 +147,9 @@
                 msgspec.json.decode(response.body, type=_WireHoldReply)
             )
         except _INVALID_REPLY_ERRORS as error:
-            metrics.REJECTED_INPUTS.labels("executor").inc()
-            _LOGGER.error(
-                "hold reply of the executor is invalid",
-                extra={"executor": order.executor, "detail": str(error)},
+            detail = str(error)
+            self._rejections.record(
+                (order.executor, detail), detail, executor=order.executor
             )
             return OrderAnswer.UNANSWERED
 
@@ -207,21 +218,28 @@
         started_at=int(wire.born),
         clock=int(wire.clock_ms),
         running=frozenset(
-            (str(row[0]), _require_integer(row[1])) for row in wire.running
+            (_require_name(row[0]), _require_number(row[1]))
+            for row in wire.running
         ),
         ended=tuple(
             EndedRun(
-                number=_require_integer(row[0]),
-                task=str(row[1]),
-                attempt=_require_integer(row[2]),
-                outcome=str(row[3]),
+                number=_require_number(row[0]),
+                task=_require_name(row[1]),
+                attempt=_require_number(row[2]),
+                outcome=_require_name(row[3]),
             )
             for row in wire.ended
         ),
     )
 
 
-def _require_integer(value: object) -> int:
-    if isinstance(value, int):
+def _require_number(value: object) -> int:
+    if type(value) is int and 0 <= value <= SEQUENCE_MAX:
+        return value
+    raise TypeError("a number is out of bounds or not an integer")
+
+
+def _require_name(value: object) -> str:
+    if isinstance(value, str) and len(value) <= NAME_CHARACTERS_MAX:
         return value
-    raise TypeError(f"{value!r} is not an integer")
+    raise TypeError("a name is too long or not a text")
--- a/gypsumline/platform/heartbeats.py
+++ b/gypsumline/platform/heartbeats.py
@@ -15,6 +15,7 @@
 from gypsumline.core.leases.resources import Resources
 from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.wire_types import (
+    NAME_CHARACTERS_MAX,
     Amount,
     Milliseconds,
     Name,
@@ -26,8 +27,6 @@
 
 _PATH_PREFIX = "/v1/instances/"
 _STATES = ("ready", "draining")
-# Orders carry the name of the executor in a header.
-_EXECUTOR_CHARACTERS_MAX = 200
 # The agent repeats the labels to each entry with each ping.
 _LABELS_MAX = 64
 
@@ -125,10 +124,11 @@
 
 
 def _check_executor_name(text: str) -> None:
+    """Checks that a header can carry a name, as orders do."""
     is_allowed = text.isascii() and text.isprintable()
-    if not is_allowed or len(text) > _EXECUTOR_CHARACTERS_MAX:
+    if not is_allowed or len(text) > NAME_CHARACTERS_MAX:
         raise InvalidInputError(
             "executor",
             text,
-            f"up to {_EXECUTOR_CHARACTERS_MAX} printable ASCII characters",
+            f"up to {NAME_CHARACTERS_MAX} printable ASCII characters",
         )
--- a/gypsumline/platform/wire_types.py
+++ b/gypsumline/platform/wire_types.py
@@ -24,4 +24,5 @@
 # Incarnations, in nanoseconds, within the integers that a message can carry.
 Incarnation = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # Names, keys and labels; the platform's are texts of at most 200 bytes.
-Name = Annotated[str, msgspec.Meta(max_length=200)]
+NAME_CHARACTERS_MAX = 200
+Name = Annotated[str, msgspec.Meta(max_length=NAME_CHARACTERS_MAX)]
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -85,6 +85,14 @@
         b'{"clock_ms":1,"born":null}',
         b'{"clock_ms":1e300}',
         b'{"clock_ms":-1}',
+        b'{"clock_ms":1,"born":9007199254740992}',
+        b'{"clock_ms":1,"running":[["t",true]]}',
+        b'{"clock_ms":1,"running":[["t",-1]]}',
+        b'{"clock_ms":1,"running":[["t",' + b"9" * 400 + b"]]}",
+        b'{"clock_ms":1,"running":[[["t"],1]]}',
+        b'{"clock_ms":1,"running":[["' + b"t" * 1000 + b'",1]]}',
+        b'{"clock_ms":1,"ended":[[' + b"9" * 400 + b',"t",1,"done"]]}',
+        b'{"clock_ms":1,"ended":[[1,"t",1,{"done":1}]]}',
     ],
 )
 async def test_invalid_hold_reply_counts_as_no_answer(body):
@@ -94,6 +102,15 @@
     assert await client.hold(ORDER) is OrderAnswer.UNANSWERED
 
 
+async def test_hold_replies_with_the_same_fault_are_logged_once(caplog):
+    """Guards against an error line for each of twenty replies a second."""
+    client = ExecutorClient("127.0.0.1:1", 1.0)
+    client._client = CannedClient(b'{"clock_ms":1,"running":[["t"]]}')
+    for _ in range(3):
+        await client.hold(ORDER)
+    assert len(caplog.records) == 1
+
+
 @pytest.mark.parametrize(
     "capacity",
     [
