Check times in messages, and type the errors of their encoding

The encoding of an integer over 64 bits raised OverflowError, which is no FrameError: it went through the hub into the timer, the follower of the store or the connection that sent the message. A stamp of infinity counted as contact with its owner for ever, and a run time of NaN made the estimate of its queue NaN for good. Errors about frames repeated a message name of up to 4 MiB in the log.

A message that cannot be encoded is logged, counted and dropped, like one that is too long. Times in the messages about leased runs have bounds.

--- a/gypsumline/core/errors.py
+++ b/gypsumline/core/errors.py
@@ -59,12 +59,17 @@
         super().__init__(f"frame of {size} bytes; allowed: up to {limit}")
 
 
+class MessageEncodingError(FrameError):
+    """A message has a value that no frame can carry."""
+
+
 class ProtocolVersionError(FrameError):
     """A peer supports no protocol version that this process supports."""
 
     def __init__(self, given: object, lowest: int, highest: int) -> None:
         super().__init__(
-            f"protocol version {given!r}; allowed: {lowest} to {highest}"
+            f"protocol version {_shorten(given)}; "
+            f"allowed: {lowest} to {highest}"
         )
 
 
@@ -72,7 +77,7 @@
     """A frame names a message type that is not registered."""
 
     def __init__(self, name: object) -> None:
-        super().__init__(f"message type {name!r} is not known")
+        super().__init__(f"message type {_shorten(name)} is not known")
 
 
 class TableError(GypsumlineError):
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -4,10 +4,19 @@
 
 import dataclasses
 import enum
+from typing import Annotated
+
+import msgspec
 
 from gypsumline.core.leases.resources import NO_RESOURCES, Resources
 from gypsumline.core.message import Message, register_message
 
+# A stamp in the infinite future would count as contact for ever. One in the
+# infinite past is that of an owner that has received none.
+Stamp = Annotated[float, msgspec.Meta(le=2.0**53)]
+# The limits leave out infinity and NaN.
+Seconds = Annotated[float, msgspec.Meta(ge=-1e300, le=1e300)]
+
 
 class RunEnd(enum.StrEnum):
     """How a run ended, or why it never started.
@@ -67,7 +76,7 @@
     task: str
     attempt: int
     end: RunEnd
-    run_time: float = 0.0
+    run_time: Seconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,7 +91,7 @@
     """
 
     priority: int
-    slack: float
+    slack: Seconds
     processor: int
 
 
@@ -111,7 +120,7 @@
     free: Resources = NO_RESOURCES
     labels: tuple[str, ...] = ()
     taking: bool = False
-    leaving_in: float = -1.0
+    leaving_in: Seconds = -1.0
     orders_seen: int = 0
     yours: int = 0
     owners: int = 1
@@ -134,7 +143,7 @@
     task: str
     attempt: int
     queue: str
-    age: float
+    age: Seconds
     is_started: bool
 
 
@@ -151,7 +160,7 @@
 
     executor: str
     started_at: int
-    seconds_ago: float
+    seconds_ago: Seconds
     runs: tuple[CrashedRun, ...]
 
 
@@ -164,7 +173,7 @@
       load: State of the executor.
     """
 
-    stamp: float
+    stamp: Stamp
     load: ExecutorLoad
 
 
@@ -177,7 +186,7 @@
       wish: Capacity request of the owner's most urgent waiting job.
     """
 
-    stamp: float
+    stamp: Stamp
     wish: CapacityRequest | None = None
 
 
@@ -208,7 +217,7 @@
     """
 
     key: str
-    stamp: float
+    stamp: Stamp
     spec: str
     orders: tuple[RunOrder, ...]
     wish: CapacityRequest | None = None
--- a/gypsumline/tests/wire/test_codec.py
+++ b/gypsumline/tests/wire/test_codec.py
@@ -1,14 +1,25 @@
 """Tests of the frame codec."""
 
+import math
+
 import msgpack
 import pytest
 
 from gypsumline.core.errors import (
     FrameError,
     FrameTooLargeError,
+    MessageEncodingError,
     ProtocolVersionError,
     UnknownMessageError,
 )
+from gypsumline.core.leases.messages import (
+    ContactPong,
+    ExecutorLoad,
+    RunEnd,
+    RunReport,
+    RunReports,
+    ZonesOut,
+)
 from gypsumline.core.message import Goodbye
 from gypsumline.core.messages import StartTasks
 from gypsumline.core.task import TaskSpec
@@ -71,3 +82,49 @@
     """Guards against a length header that leads to unbounded memory use."""
     with pytest.raises(FrameTooLargeError):
         decode_length(LENGTH.pack(FRAME_LIMIT_BYTES + 1))
+
+
+@pytest.mark.parametrize("stamp", [math.nan, math.inf, 1e300])
+def test_stamp_out_of_bounds_is_rejected(stamp):
+    """Guards against an owner that counts as in contact for ever."""
+    body = encode_frame(ContactPong(stamp=stamp))[4:]
+    with pytest.raises(FrameError):
+        decode_body(body)
+
+
+@pytest.mark.parametrize("run_time", [math.nan, math.inf, -math.inf])
+def test_run_time_that_is_no_number_is_rejected(run_time):
+    """Guards against an estimate that no later run time can correct."""
+    report = RunReport(task="t", attempt=1, end=RunEnd.DONE, run_time=run_time)
+    message = RunReports(reports=(report,), load=ExecutorLoad())
+    with pytest.raises(FrameError):
+        decode_body(encode_frame(message)[4:])
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        ZonesOut(version=10**400, zones=()),
+        ZonesOut(version=1, zones=("\ud800",)),
+        ZonesOut(version=1, zones=(object(),)),
+    ],
+)
+def test_message_that_cannot_be_encoded_raises_a_typed_error(message):
+    """Guards against an error that ends the task of the sender."""
+    with pytest.raises(MessageEncodingError):
+        encode_frame(message)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        msgpack.packb([1, "x" * 100_000, {}]),
+        msgpack.packb(["x" * 100_000, "goodbye", {}]),
+        b"\x93" + b"\x91" * 900 + b"\x01\x01\x01",
+    ],
+)
+def test_error_about_a_frame_is_short(body):
+    """Guards against log lines as long as a peer likes."""
+    with pytest.raises(FrameError) as caught:
+        decode_body(body)
+    assert len(str(caught.value)) < 300
--- a/gypsumline/tests/wire/test_hub_faults.py
+++ b/gypsumline/tests/wire/test_hub_faults.py
@@ -173,6 +173,16 @@
         assert running.send("agent-1", HandOverAck(count=1))
 
 
+async def test_message_that_cannot_be_encoded_keeps_the_connection(caplog):
+    """Guards against a sender that fails, and with it its timer or reader."""
+    async with hub_and_peer() as (running, recorder, peer):
+        peer.writer.write(encode_hello())
+        await wait_until(lambda: recorder.connected)
+        assert not running.send("agent-1", HandOverAck(count=2**64))
+        assert "message cannot be encoded" in caplog.text
+        assert running.send("agent-1", HandOverAck(count=1))
+
+
 async def test_newer_peer_may_send_unknown_types_and_fields():
     """Guards against incompatibility between releases during an upgrade."""
     before = metrics.UNKNOWN_MESSAGES._value.get()
--- a/gypsumline/wire/codec.py
+++ b/gypsumline/wire/codec.py
@@ -13,6 +13,7 @@
 from gypsumline.core.errors import (
     FrameError,
     FrameTooLargeError,
+    MessageEncodingError,
     ProtocolVersionError,
     UnknownMessageError,
 )
@@ -38,8 +39,15 @@
 
     Raises:
       FrameTooLargeError: The encoded message exceeds the limit.
+      MessageEncodingError: A value is not of its type, or is an integer of
+        more than 64 bits.
     """
-    body = _ENCODER.encode((version, message.wire_name, message))
+    try:
+        body = _ENCODER.encode((version, message.wire_name, message))
+    except (OverflowError, TypeError, ValueError, RecursionError) as error:
+        raise MessageEncodingError(
+            f"message {message.wire_name!r} cannot be encoded: {error}"
+        ) from error
     if len(body) > FRAME_LIMIT_BYTES:
         raise FrameTooLargeError(len(body), FRAME_LIMIT_BYTES)
     return LENGTH.pack(len(body)) + body
--- a/gypsumline/wire/connection.py
+++ b/gypsumline/wire/connection.py
@@ -96,6 +96,7 @@
 
         Raises:
           FrameTooLargeError: The encoded message exceeds the frame limit.
+          MessageEncodingError: The message cannot be encoded.
           SlowPeerError: The send buffer exceeds its limit.
         """
         transport = self._transport
--- a/gypsumline/wire/hub.py
+++ b/gypsumline/wire/hub.py
@@ -9,7 +9,11 @@
 from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Protocol
 
-from gypsumline.core.errors import FrameError, FrameTooLargeError
+from gypsumline.core.errors import (
+    FrameError,
+    FrameTooLargeError,
+    MessageEncodingError,
+)
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.message import Goodbye, Message
 from gypsumline.runtime import metrics
@@ -28,6 +32,11 @@
 # Further incoming connections are closed while this many have not sent a hello.
 PENDING_HANDSHAKES_MAX = 512
 
+_UNSENT_EVENTS: dict[type[FrameError], str] = {
+    FrameTooLargeError: "message is too long to be sent",
+    MessageEncodingError: "message cannot be encoded",
+}
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -83,18 +92,19 @@
     def send(self, member_id: str, message: Message) -> bool:
         """Sends a message; returns False if it could not be sent.
 
-        A message over the frame limit means that the sender does not bound its
-        messages correctly. This is logged, and the connection stays open.
+        A message that is too long or cannot be encoded means that the sender
+        does not bound its messages correctly. This is logged, and the
+        connection stays open.
         """
         connection = self._connections.get(member_id)
         if connection is None:
             return False
         try:
             connection.send(message)
-        except FrameTooLargeError as error:
+        except (FrameTooLargeError, MessageEncodingError) as error:
             _count_unsent(message, error)
             _LOGGER.error(
-                "message is too long to be sent",
+                _UNSENT_EVENTS[type(error)],
                 extra={
                     "type": message.wire_name,
                     "to": member_id,
