Keep following the store when rows cannot be applied

An error in the code that applies rows went through the follower into the task group of the daemon and ended it, and again at the same rows after each start. The callback's error is now logged with its traceback, once for each version, and the table is read again after a pause.

--- a/gypsumline/platform/follower.py
+++ b/gypsumline/platform/follower.py
@@ -13,6 +13,7 @@
     FeedGapError,
     RowSet,
     Store,
+    StoreError,
     StoreUnavailableError,
 )
 from gypsumline.runtime import metrics
@@ -24,9 +25,24 @@
 RowsCallback = Callable[[RowSet], None]
 
 
+class RowsNotAppliedError(StoreError):
+    """A callback failed.
+
+    Attributes:
+      version: Version of the rows.
+    """
+
+    def __init__(self, version: int) -> None:
+        super().__init__(f"the rows of version {version} were not applied")
+        self.version = version
+
+
 class TableFollower:
     """Reads a table, follows its changes, and reads it again after a gap.
 
+    An error in a callback is logged once for each version, and the table is
+    read again: the process would otherwise end at the same rows at each start.
+
     Args:
       store: Client of the store.
       table: Name of the table.
@@ -54,6 +70,7 @@
         self._version: int | None = None
         self._backoff = settings.first_pause
         self._is_store_unavailable = False
+        self._failed_version = -1
         self._last_response_is_read = False
         self._last_response_at = -math.inf
         metrics.STORE_SILENCE.labels(table).set_function(lambda: self.silence)
@@ -75,6 +92,11 @@
                     # The version that was read precedes the remaining history,
                     # so another read at once may be as old.
                     await self._pause()
+            except RowsNotAppliedError as error:
+                # A read of the whole table restores what was not applied.
+                self._version = None
+                self._log_unapplied_rows(error)
+                await self._pause()
             except StoreUnavailableError as error:
                 if not self._is_store_unavailable:
                     self._is_store_unavailable = True
@@ -93,14 +115,14 @@
             rows = self._record_response(
                 await self._store.read(self._table), requested_at
             )
-            self._on_replaced(rows)
+            _apply(self._on_replaced, rows)
             self._last_response_is_read = True
         else:
             changes = await self._store.follow(self._table, self._version)
             rows = self._record_response(changes, requested_at)
             self._last_response_is_read = False
             if rows.rows:
-                self._on_changed(rows)
+                _apply(self._on_changed, rows)
         self._version = rows.version
 
     def _record_response(self, rows: RowSet, requested_at: float) -> RowSet:
@@ -118,6 +140,12 @@
         await asyncio.sleep(self._backoff * self._rng.uniform(0.5, 1.0))
         self._backoff = min(2.0 * self._backoff, self._settings.last_pause)
 
+    def _log_unapplied_rows(self, error: RowsNotAppliedError) -> None:
+        if self._failed_version != error.version:
+            self._failed_version = error.version
+            metrics.REJECTED_INPUTS.labels("rows").inc()
+            _LOGGER.error("rows of the store were not applied", exc_info=error)
+
     def _log_event(self, event: str, detail: str) -> None:
         _LOGGER.info(
             event,
@@ -128,3 +156,15 @@
                 "detail": detail,
             },
         )
+
+
+def _apply(callback: RowsCallback, rows: RowSet) -> None:
+    """Passes rows to a callback.
+
+    Raises:
+      RowsNotAppliedError: The callback failed.
+    """
+    try:
+        callback(rows)
+    except Exception as error:
+        raise RowsNotAppliedError(rows.version) from error
