Renew an entry's row even if expired rows cannot be removed

The renewal and the removal of expired rows of other entries are one transaction. More than 49 expired rows made it too large for the store, and one that another entry had removed, or whose version could not be read, made it fail; the entry's own row then was not written and no agent found it.

At most 40 rows are removed at a time, rows without a version are left alone, and after a conflict the own row is written by itself. The 3 new cases failed before.

--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -12,7 +12,13 @@
 from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.identity import Member
 from gypsumline.platform.rejections import RejectionLog
-from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
+from gypsumline.platform.store import (
+    RowSet,
+    Store,
+    StoreConflictError,
+    StoredRow,
+    StoreError,
+)
 from gypsumline.platform.wire_types import Incarnation, Name
 from gypsumline.runtime.addresses import parse_address
 
@@ -21,6 +27,8 @@
 # Rows that have not been renewed for this long belong to entries that are gone.
 EXPIRY_SECONDS = 70.0
 _RETRY_SECONDS = 0.3
+# A transaction holds at most 100 entries, of which a removal takes two.
+_REMOVALS_MAX = 40
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -148,19 +156,25 @@
             incarnation=self._member.incarnation,
             renewed_at=rows.store_time,
         )
-        value = msgspec.json.encode(row)
+        puts = {self._member.member_id: msgspec.json.encode(row)}
         expired = self._find_expired(rows)
-        await self._store.write(
-            ENTRIES_TABLE, {self._member.member_id: value}, expired
-        )
+        try:
+            await self._store.write(ENTRIES_TABLE, puts, expired)
+        except StoreConflictError:
+            # Another entry removed or renewed one of the expired rows.
+            await self._store.write(ENTRIES_TABLE, puts)
+            return
         if expired:
             _LOGGER.info(
                 "expired entry rows removed", extra={"entries": sorted(expired)}
             )
 
     def _find_expired(self, rows: RowSet) -> dict[str, int]:
-        """Returns the versions of the expired rows, by key."""
-        expired = {}
+        """Returns the versions of the expired rows, by key.
+
+        They are as many as one transaction may remove.
+        """
+        expired: dict[str, int] = {}
         for row in rows.rows:
             if row.key == self._member.member_id:
                 continue
@@ -169,6 +183,8 @@
                 continue
             age = rows.store_time - entry.renewed_at
             # A negative age means that the store and its clock have restarted.
-            if not 0.0 <= age <= EXPIRY_SECONDS:
+            if not 0.0 <= age <= EXPIRY_SECONDS and row.version:
                 expired[row.key] = row.version
+            if len(expired) == _REMOVALS_MAX:
+                break
         return expired
--- a/gypsumline/tests/platform/test_entry_rows.py
+++ b/gypsumline/tests/platform/test_entry_rows.py
@@ -1,12 +1,14 @@
 """Tests of the rows through which agents discover the entries."""
 
 import json
+import random
 
 import pytest
 
-from gypsumline.platform.entry_rows import EntryDirectory
+from gypsumline.core.identity import Member, Role
+from gypsumline.platform.entry_rows import EntryAnnouncer, EntryDirectory
 from gypsumline.platform.rejections import REMEMBERED_INPUTS
-from gypsumline.platform.store import RowSet, StoredRow
+from gypsumline.platform.store import RowSet, StoreConflictError, StoredRow
 from gypsumline.runtime import metrics
 
 VALID = {"address": "10.0.0.1:7720", "incarnation": 1, "renewed_at": 1.0}
@@ -94,3 +96,63 @@
         row = make_row("entry-0", str(number).encode())
         directory.apply(make_rows(row))
     assert len(directory._reader._rejections._seen) == REMEMBERED_INPUTS
+
+
+class FakeStore:
+    """Serves rows, and refuses what a transaction of the platform may not do.
+
+    Attributes:
+      written: Keys of the rows that were written.
+      removed: Keys of the rows that were removed.
+    """
+
+    def __init__(self, rows):
+        self._rows = rows
+        self.written = []
+        self.removed = []
+
+    async def read(self, table):
+        return make_rows(*self._rows)
+
+    async def write(self, table, puts, removals=None):
+        removals = removals or {}
+        assert len(puts) + 2 * len(removals) <= 100
+        versions = {row.key: row.version for row in self._rows}
+        # A version of 0 means that the row must not exist.
+        if any(
+            versions[key] != version or not version or key == "busy"
+            for key, version in removals.items()
+        ):
+            raise StoreConflictError("changed")
+        self.written += puts
+        self.removed += removals
+
+
+def make_announcer(store):
+    member = Member(
+        member_id="entry-0",
+        incarnation=1,
+        role=Role.ENTRY,
+        availability_zone="a",
+        address="10.0.0.9:7720",
+    )
+    return EntryAnnouncer(store, member, random.Random(1))
+
+
+EXPIRED = {**VALID, "renewed_at": -100.0}
+
+
+async def test_many_expired_rows_do_not_block_the_renewal():
+    """Guards against a transaction that is too large for the store."""
+    store = FakeStore([make_row(f"old-{n}", EXPIRED) for n in range(200)])
+    await make_announcer(store)._renew()
+    assert store.written == ["entry-0"]
+    assert store.removed
+
+
+@pytest.mark.parametrize("row", [("busy", 1), ("unversioned", 0)])
+async def test_row_that_cannot_be_removed_does_not_block_the_renewal(row):
+    """Guards against an entry that no agent finds, for the row of another."""
+    store = FakeStore([make_row(row[0], EXPIRED, row[1])])
+    await make_announcer(store)._renew()
+    assert store.written == ["entry-0"]
