Answer versions and sizes of thousands of digits with their status

The conversion of a text with more than 4,300 digits to a number raises ValueError. A version of that kind in the query of the configuration was answered with status 500 in place of 400, and a declared body size in place of 413.

--- a/gypsumline/entry/configuration_http.py
+++ b/gypsumline/entry/configuration_http.py
@@ -39,6 +39,7 @@
 _ACCEPTANCE_TIMEOUT_SECONDS = 5.0
 _ACCEPTANCE_POLL_SECONDS = 0.05
 _RETRY_AFTER_SECONDS = 2
+_VERSION_DIGITS_MAX = 18
 
 
 class ConfigurationRoutes:
@@ -188,7 +189,8 @@
         text = request.query_params.get("version")
         if text is None:
             return self._node.record.configuration_version
-        if not text.isascii() or not text.isdigit():
+        is_number = text.isascii() and text.isdigit()
+        if not is_number or len(text) > _VERSION_DIGITS_MAX:
             raise InvalidInputError("version", text, "a number from 1")
         return int(text)
 
--- a/gypsumline/runtime/request_body.py
+++ b/gypsumline/runtime/request_body.py
@@ -6,6 +6,8 @@
 
 from gypsumline.core.errors import InvalidInputError
 
+_DIGITS_MAX = 18
+
 
 class BodyTooLargeError(InvalidInputError):
     """A request body exceeds the size limit (HTTP status 413)."""
@@ -27,8 +29,11 @@
         end of the body.
     """
     declared = request.headers.get("content-length", "")
-    if declared.isascii() and declared.isdigit() and int(declared) > limit:
-        raise BodyTooLargeError(int(declared), limit)
+    if declared.isascii() and declared.isdigit():
+        # The conversion of a number with too many digits raises ValueError.
+        size = int(declared[:_DIGITS_MAX])
+        if size > limit:
+            raise BodyTooLargeError(size, limit)
     body = bytearray()
     async for chunk in request.stream():
         body += chunk
--- a/gypsumline/tests/entry/test_configuration_http.py
+++ b/gypsumline/tests/entry/test_configuration_http.py
@@ -5,10 +5,12 @@
 import time
 
 import pytest
+from starlette.requests import Request
 
 from gypsumline.core.effects import ConfigurationRow
 from gypsumline.entry import configuration_http
 from gypsumline.interface.http_models import CONFIGURATION_BYTES_MAX
+from gypsumline.runtime.request_body import BodyTooLargeError, read_body
 from gypsumline.tests.core.builders import make_record
 from gypsumline.tests.entry.entry_server import entry_server
 
@@ -143,3 +145,23 @@
         status, _, problem = await entry.call(method, path, json=body)
         assert status == 400
         assert problem["errors"][0]["line"] >= 1
+
+
+@pytest.mark.parametrize(
+    "version", ["", "x", "-1", "\u0661", "1" * 19, "1" * 4300, "1" * 5000]
+)
+async def test_impossible_version_is_rejected(version):
+    """Guards against a version that the conversion to a number refuses."""
+    async with entry_server() as entry:
+        set_state(entry, 2, (make_row(2), make_row(1)))
+        status, _, _ = await entry.call(
+            "GET", "/v1/configuration", params={"version": version}
+        )
+        assert status == 400
+
+
+async def test_declared_size_with_too_many_digits_is_refused():
+    """Guards against an error in place of the status for a long body."""
+    scope = {"type": "http", "headers": [(b"content-length", b"9" * 5000)]}
+    with pytest.raises(BodyTooLargeError):
+        await read_body(Request(scope), 100)
