Fuzz the running daemons with odd inputs

One entry and one agent run as processes against the stand-ins of the store and the executor. Groups of odd inputs go to every reader of foreign bytes: rows, the operator's configuration, responses of the store, heartbeats, replies of the executor, jobs, raw HTTP, frames in both directions and the settings file. After each group the daemons have to run, follow both tables and complete a job, twice, and the logs may hold no traceback. Each group has its own source of random choices, so that one can be sent again.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	$(PYTHON) -m properties.control_walk --seed $(SEED) --walks $(WALKS)
 	$(PYTHON) -m properties.submission_walk --seed $(SEED) --walks $(WALKS)
 	$(PYTHON) -m properties.lease_walk --seed $(SEED) --walks $(WALKS)
+	$(PYTHON) -m soak.odd_inputs --seed $(SEED) --groups $(WALKS)
 
 soak: setup
 	$(PYTHON) -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- a/gypsumline/testing/rows_store.py
+++ b/gypsumline/testing/rows_store.py
@@ -10,6 +10,7 @@
 import base64
 import collections
 import contextlib
+import dataclasses
 import json
 import random
 import urllib.parse
@@ -25,6 +26,8 @@
 
 _RowMap = dict[tuple[str, str], tuple[bytes, int]]
 Put = tuple[str, str, bytes]
+# Returns a changed body of a response, from its path and body.
+Alteration = Callable[[str, bytes], bytes]
 # Returns the value that one reader gets, from (table, key, stored value).
 Translator = Callable[[str, str, bytes], bytes]
 
@@ -112,6 +115,7 @@
         response; "late" does the same after a delay of 1 to 4 seconds.
       latency: Seconds by which each call is delayed.
       read_lag: Staleness of reads in seconds; feeds are never stale.
+      alter: Changes the body of each response to a reader; None changes none.
       calls: Number of calls by path, except those made while the endpoint was
         "busy" or "silent".
     """
@@ -126,6 +130,7 @@
         self.fault = ""
         self.latency = 0.0
         self.read_lag = 0.0
+        self.alter: Alteration | None = None
         self.calls: collections.Counter[str] = collections.Counter()
 
     def __call__(self, exchange: Exchange) -> None:
@@ -149,18 +154,24 @@
         fields = dict(urllib.parse.parse_qsl(query))
         self.calls[path] += 1
         if path == "/v1/rows-get":
-            self._send(exchange, self._get(fields))
+            self._send(exchange, path, self._get(fields))
         elif path == "/v1/rows-feed":
-            self._send(exchange, await self._feed(fields))
+            self._send(exchange, path, await self._feed(fields))
         elif path == "/v1/rows-tx":
             await self._write(exchange, fault)
         else:
             exchange.respond(HttpResponse(status=404))
 
-    def _send(self, exchange: Exchange, response: HttpResponse) -> None:
+    def _send(
+        self, exchange: Exchange, path: str, response: HttpResponse
+    ) -> None:
         """Responds unless the endpoint has become silent since the call."""
-        if self.fault != "silent":
-            exchange.respond(response)
+        if self.fault == "silent":
+            return
+        if self.alter is not None:
+            body = self.alter(path, response.body)
+            response = dataclasses.replace(response, body=body)
+        exchange.respond(response)
 
     def _get(self, fields: dict[str, str]) -> HttpResponse:
         now = self._rows.now_ms / 1000.0
