Reject orders with negative amounts and unnamed attempts

An order of a run with a negative amount freed capacity at the agent, and a capacity request with one let starts exceed it. Lists of tasks and attempts of different lengths raised ValueError in the agent, which logged a defect and dialled the entry again after 2 s. All of these are now invalid frames. The 4 new cases failed before.

--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -16,6 +16,7 @@
 Stamp = Annotated[float, msgspec.Meta(le=2.0**53)]
 # The limits leave out infinity and NaN.
 Seconds = Annotated[float, msgspec.Meta(ge=-1e300, le=1e300)]
+Amount = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class RunEnd(enum.StrEnum):
@@ -61,6 +62,10 @@
     attempt: int
     resources: Resources
 
+    def __post_init__(self) -> None:
+        if not NO_RESOURCES.fits(self.resources):
+            raise ValueError("an amount of the resources is negative")
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunReport:
@@ -92,7 +97,7 @@
 
     priority: int
     slack: Seconds
-    processor: int
+    processor: Amount
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -231,6 +236,9 @@
     tasks: tuple[str, ...]
     attempts: tuple[int, ...]
 
+    def __post_init__(self) -> None:
+        _check_pairs(self.tasks, self.attempts)
+
 
 @register_message("claim_runs")
 class ClaimRuns(Message):
@@ -243,6 +251,9 @@
     tasks: tuple[str, ...]
     attempts: tuple[int, ...]
 
+    def __post_init__(self) -> None:
+        _check_pairs(self.tasks, self.attempts)
+
 
 @register_message("run_reports")
 class RunReports(Message):
@@ -258,3 +269,8 @@
     reports: tuple[RunReport, ...]
     load: ExecutorLoad
     crashes: tuple[ExecutorCrash, ...] = ()
+
+
+def _check_pairs(tasks: tuple[str, ...], attempts: tuple[int, ...]) -> None:
+    if len(tasks) != len(attempts):
+        raise ValueError(f"{len(tasks)} tasks and {len(attempts)} attempts")
--- a/gypsumline/tests/wire/test_codec.py
+++ b/gypsumline/tests/wire/test_codec.py
@@ -128,3 +128,25 @@
     with pytest.raises(FrameError) as caught:
         decode_body(body)
     assert len(str(caught.value)) < 300
+
+
+ORDER = {"task": "t", "attempt": 1, "resources": {"processor": -1}}
+WISH = {"priority": 0, "slack": 0.0, "processor": -1}
+
+
+@pytest.mark.parametrize(
+    ("name", "fields"),
+    [
+        (
+            "start_runs",
+            {"key": "k", "stamp": 0.0, "spec": "s", "orders": [ORDER]},
+        ),
+        ("contact_pong", {"stamp": 0.0, "wish": WISH}),
+        ("stop_runs", {"tasks": ["t"], "attempts": []}),
+        ("claim_runs", {"tasks": [], "attempts": [1]}),
+    ],
+)
+def test_message_with_impossible_contents_is_rejected(name, fields):
+    """Guards against an order that frees capacity, and unnamed attempts."""
+    with pytest.raises(FrameError):
+        decode_body(msgpack.packb([1, name, fields]))
