Handle pipelined requests one for each turn of the event loop

A request that asked for the end of its connection also cut those in front of it.

Each request is handled in a turn of its own, the limit of 64 waiting ones applies to quick ones too, and the last response ends the connection. The new test failed before.

--- a/gypsumline/runtime/light_http_server.py
+++ b/gypsumline/runtime/light_http_server.py
@@ -88,6 +88,7 @@
         self._body = bytearray()
         self._open: Exchange | None = None
         self._queued: list[HttpRequest] = []
+        self._next: asyncio.Handle | None = None
         self._is_last = False
         self.reading_since: float | None = None
         self.idle_since = 0.0
@@ -95,7 +96,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request awaits its response."""
-        return self._open is not None
+        return self._open is not None or bool(self._queued)
 
     def close(self) -> None:
         """Closes the connection after sending buffered data."""
@@ -123,12 +124,14 @@
             return
         self._open = None
         self.idle_since = asyncio.get_running_loop().time()
-        is_last = self._is_last or self._server.is_draining
+        is_last = self._server.is_draining or (
+            self._is_last and not self._queued
+        )
         self._transport.write(encode_response(response, is_last))
         if is_last:
             self._transport.close()
         elif self._queued:
-            self._handle(self._queued.pop(0))
+            self._schedule_next()
 
     # Callbacks from asyncio.
 
@@ -195,16 +198,30 @@
             headers=self._headers,
             body=bytes(self._body),
         )
-        if self._open is None:
-            self._handle(request)
-        elif len(self._queued) < QUEUED_REQUESTS_MAX:
+        if len(self._queued) < QUEUED_REQUESTS_MAX:
             self._queued.append(request)
+            if self._open is None:
+                self._schedule_next()
         else:
             self._is_last = True
             metrics.REJECTED_INPUTS.labels("pipeline").inc()
             _LOGGER.warning("too many pipelined requests, connection closed")
             self.abort()
 
+    def _schedule_next(self) -> None:
+        """Handles the next request in a later turn of the event loop.
+
+        Quick ones that arrive together would otherwise block the loop.
+        """
+        if self._next is None:
+            loop = asyncio.get_running_loop()
+            self._next = loop.call_soon(self._handle_next)
+
+    def _handle_next(self) -> None:
+        self._next = None
+        if self._open is None and self._queued:
+            self._handle(self._queued.pop(0))
+
     def _handle(self, request: HttpRequest) -> None:
         exchange = self._open = Exchange(request, self)
         try:
@@ -222,13 +239,13 @@
     def _reject(self, status: int) -> None:
         """Rejects an invalid request and closes the connection.
 
-        If an earlier request is still open, the connection is closed after its
-        response instead.
+        If earlier requests await their responses, the connection is closed
+        after the last of these instead.
         """
         if self._transport is None or self._is_last:
             return
         self._is_last = True
-        if self._open is None:
+        if not self.is_busy:
             response = HttpResponse(status=status)
             self._transport.write(encode_response(response, is_last=True))
             self._transport.close()
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -219,3 +219,31 @@
             await closed.wait()
         assert len(caplog.records) == 1
         writer.close()
+
+
+async def test_pipelined_requests_leave_turns_to_other_work():
+    """Guards against quick requests that block the event loop together."""
+    loop = asyncio.get_running_loop()
+    turns, handled_at = 0, []
+
+    def count_turn():
+        nonlocal turns
+        turns += 1
+        if len(handled_at) < QUEUED_REQUESTS_MAX:
+            loop.call_soon(count_turn)
+
+    def handler(exchange):
+        handled_at.append(turns)
+        echo(exchange)
+
+    async with serve(handler) as (_, client):
+        host, port = client.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        last = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
+        writer.write((QUEUED_REQUESTS_MAX - 1) * request + last)
+        loop.call_soon(count_turn)
+        response = await asyncio.wait_for(reader.read(), 3.0)
+        writer.close()
+    assert response.count(b"HTTP/1.1 200") == QUEUED_REQUESTS_MAX
+    assert len(set(handled_at)) == QUEUED_REQUESTS_MAX
