--- a/gypsumline/testing/rows_store.py
+++ b/gypsumline/testing/rows_store.py
@@ -115,7 +115,7 @@
         response; "late" does the same after a delay of 1 to 4 seconds.
       latency: Seconds by which each call is delayed.
       read_lag: Staleness of reads in seconds; feeds are never stale.
-      alter: Changes the body of each response to a reader; None changes none.
+      alter: Changes the body of each response; None changes none.
       calls: Number of calls by path, except those made while the endpoint was
         "busy" or "silent".
     """
@@ -158,7 +158,7 @@
         elif path == "/v1/rows-feed":
             self._send(exchange, path, await self._feed(fields))
         elif path == "/v1/rows-tx":
-            await self._write(exchange, fault)
+            await self._write(exchange, path, fault)
         else:
             exchange.respond(HttpResponse(status=404))
 
@@ -216,14 +216,15 @@
             if name == table and version > after
         ]
 
-    async def _write(self, exchange: Exchange, fault: str) -> None:
+    async def _write(self, exchange: Exchange, path: str, fault: str) -> None:
         body = json.loads(exchange.request.body)
         if fault == "late":
             await asyncio.sleep(self._rng.uniform(1.0, 4.0))
         for row in body["expected_rev"]:
             found = self._rows.rows.get((row["table"], row["key"]), ("", 0))
             if found[1] != row["ver"]:
-                exchange.respond(_json_response({"rows": []}, status=412))
+                refusal = _json_response({"rows": []}, status=412)
+                self._send(exchange, path, refusal)
                 return
         self._rows.write(
             [
@@ -233,7 +234,8 @@
             [(r["table"], r["key"]) for r in body["remove"]],
         )
         if fault not in ("lost", "late"):
-            exchange.respond(_json_response({"ver": self._rows.version}))
+            answer = _json_response({"ver": self._rows.version})
+            self._send(exchange, path, answer)
 
     def _row(
         self, table: str, key: str, value: bytes | None, version: int
--- a/soak/odd_sources.py
+++ b/soak/odd_sources.py
@@ -201,7 +201,9 @@
             bodies.append(json.dumps({**document, "rows": [row]}).encode())
         else:
             row = {"table": "op", "part": "", "key": "odd", "ver": 1}
-            document["rows"].append({**row, "value": "", "removed": False})
+            document.setdefault("rows", []).append(
+                {**row, "value": "", "removed": False}
+            )
             bodies.append(make_odd(rng, document))
         return bodies[-1]
 
