Remove an entry's row at the end of its planned stop

The removal was there but nothing called it, so agents dialled the address of a stopped entry until another entry removed its row after 70 s, and an agent that started in that time took it for an entry again. A renewal in progress could also have written the row again.

The entry removes its row after its last answers, within 5% of the time to the kill, unless a next incarnation has written it; renewals and the removal exclude each other.

--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -28,9 +28,11 @@
 from gypsumline.wire.hub import Hub, running_hub
 
 # Fractions of the time from the stop signal to the kill: the first ends the
-# acceptance of new jobs, the second the wait for running jobs.
+# acceptance of new jobs, the second the wait for running jobs, and the third is
+# left for the removal of the entry's row.
 _ACCEPTING_FRACTION = 0.4
 _FINISHING_FRACTION = 0.85
+_REMOVAL_FRACTION = 0.05
 _FINAL_WRITE_SECONDS = 0.1
 
 _LOGGER = logging.getLogger(__name__)
@@ -77,6 +79,9 @@
         ):
             await daemon.signals.wait()
             await self._stop(caller_server)
+            await announcer.remove(
+                _REMOVAL_FRACTION * daemon.settings.stop_limit
+            )
         self._store.close()
 
     @contextlib.asynccontextmanager
--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -121,12 +121,16 @@
         self._member = member
         self._rng = rng
         self._reader = _EntryReader()
+        self._is_removed = False
+        # A renewal must not write the row again after its removal.
+        self._lock = asyncio.Lock()
 
     async def run(self) -> None:
-        """Renews the row until cancelled."""
-        while True:
+        """Renews the row until it is removed, or until cancelled."""
+        while not self._is_removed:
             try:
-                await self._renew()
+                async with self._lock:
+                    await self._renew()
             except StoreError as error:
                 _LOGGER.info(
                     "entry row not renewed", extra={"detail": str(error)}
@@ -138,16 +142,37 @@
                 spread = self._rng.uniform(0.8, 1.0)
                 await asyncio.sleep(RENEWAL_SECONDS * spread)
 
-    async def remove(self) -> None:
-        """Removes the row of this entry, for a planned stop."""
+    async def remove(self, limit: float) -> None:
+        """Removes the row at the end of a planned stop.
+
+        Agents then do not dial the address any more, at which another process
+        may listen later. A row that is left expires.
+
+        Args:
+          limit: Maximum time, in seconds.
+        """
         try:
-            rows = await self._store.read(ENTRIES_TABLE)
-            own_rows = [r for r in rows.rows if r.key == self._member.member_id]
-            versions = {row.key: row.version for row in own_rows}
-            if versions:
-                await self._store.write(ENTRIES_TABLE, {}, versions)
-        except StoreError as error:
-            _LOGGER.info("entry row not removed", extra={"detail": str(error)})
+            async with asyncio.timeout(limit), self._lock:
+                self._is_removed = True
+                await self._remove()
+        except (StoreError, TimeoutError) as error:
+            _LOGGER.info(
+                "entry row not removed",
+                extra={"detail": str(error) or type(error).__name__},
+            )
+
+    async def _remove(self) -> None:
+        rows = await self._store.read(ENTRIES_TABLE)
+        for row in rows.rows:
+            if row.key != self._member.member_id:
+                continue
+            entry = self._reader.read(row)
+            # A next incarnation may have written the row already.
+            if entry and entry.incarnation == self._member.incarnation:
+                await self._store.write(
+                    ENTRIES_TABLE, {}, {row.key: row.version}
+                )
+                _LOGGER.info("entry row removed")
 
     async def _renew(self) -> None:
         rows = await self._store.read(ENTRIES_TABLE)
--- a/gypsumline/tests/platform/test_entry_rows.py
+++ b/gypsumline/tests/platform/test_entry_rows.py
@@ -1,5 +1,6 @@
 """Tests of the rows through which agents discover the entries."""
 
+import asyncio
 import json
 import random
 
@@ -156,3 +157,35 @@
     store = FakeStore([make_row(row[0], EXPIRED, row[1])])
     await make_announcer(store)._renew()
     assert store.written == ["entry-0"]
+
+
+@pytest.mark.parametrize(("incarnation", "is_removed"), [(1, True), (2, False)])
+async def test_own_row_is_removed_unless_it_is_of_a_next_incarnation(
+    incarnation, is_removed
+):
+    """Guards against agents that dial an entry which has left."""
+    row = make_row("entry-0", {**VALID, "incarnation": incarnation})
+    store = FakeStore([row, make_row("entry-1", VALID)])
+    await make_announcer(store).remove(1.0)
+    assert store.removed == (["entry-0"] if is_removed else [])
+
+
+async def test_row_is_not_renewed_after_its_removal():
+    """Guards against a renewal that brings a removed row back."""
+    store = FakeStore([make_row("entry-0", VALID)])
+    announcer = make_announcer(store)
+    await announcer.remove(1.0)
+    await asyncio.wait_for(announcer.run(), 1.0)
+    assert store.written == []
+
+
+async def test_removal_ends_at_its_limit(caplog):
+    """Guards against a planned stop that waits for the store."""
+
+    class SilentStore(FakeStore):
+        async def read(self, table):
+            await asyncio.Event().wait()
+
+    with caplog.at_level("INFO"):
+        await asyncio.wait_for(make_announcer(SilentStore([])).remove(0.05), 1)
+    assert "entry row not removed" in caplog.text
