--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -247,3 +247,41 @@
         writer.close()
     assert response.count(b"HTTP/1.1 200") == QUEUED_REQUESTS_MAX
     assert len(set(handled_at)) == QUEUED_REQUESTS_MAX
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x00\xff" * 100,
+        b"HTTP/1.1 99999 OK\r\n\r\n",
+        b"HTTP/1.1 -1 OK\r\n\r\n",
+        b"HTTP/9.9 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffff",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nA: " + b"\xff" * 100_000,
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n!",
+    ],
+)
+async def test_odd_response_raises_a_typed_error_or_is_returned(data):
+    """Guards against bytes of a server that raise any other error."""
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = HttpClient(f"127.0.0.1:{port}", 1)
+    for _ in range(2):
+        with contextlib.suppress(HttpUnansweredError):
+            await client.request("GET", "/", timeout=1.0)
+    client.close()
+    server.close()
