--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -9,15 +9,26 @@
 
 import msgspec
 
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.identity import Member
-from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
-from gypsumline.runtime import metrics
+from gypsumline.platform.rejections import RejectionLog
+from gypsumline.platform.store import (
+    RowSet,
+    Store,
+    StoreConflictError,
+    StoredRow,
+    StoreError,
+)
+from gypsumline.platform.wire_types import Incarnation, Name
+from gypsumline.runtime.addresses import parse_address
 
 ENTRIES_TABLE = "gypsumline-entries"
 RENEWAL_SECONDS = 20.0
 # Rows that have not been renewed for this long belong to entries that are gone.
 EXPIRY_SECONDS = 70.0
 _RETRY_SECONDS = 0.3
+# A transaction holds at most 100 entries, of which a removal takes two.
+_REMOVALS_MAX = 40
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,27 +42,49 @@
       renewed_at: Time of the last renewal, in seconds on the store's clock.
     """
 
-    address: str
-    incarnation: int
+    address: Name
+    incarnation: Incarnation
     renewed_at: float
 
 
-def decode_entry(row: StoredRow) -> EntryRow | None:
-    """Returns the value of a row; None, logged and counted, if invalid."""
+def decode_entry(row: StoredRow) -> EntryRow:
+    """Returns the value of a row.
+
+    Raises:
+      InvalidInputError: The value is not that of an entry.
+    """
     try:
-        return msgspec.json.decode(row.value or b"", type=EntryRow)
+        entry = msgspec.json.decode(row.value or b"", type=EntryRow)
     except (msgspec.DecodeError, RecursionError) as error:
-        metrics.REJECTED_INPUTS.labels("entry_row").inc()
-        _LOGGER.warning(
-            "entry row is invalid",
-            extra={"key": row.key[:80], "detail": str(error)},
+        raise InvalidInputError("row", row.value, str(error)) from error
+    parse_address(entry.address)
+    return entry
+
+
+class _EntryReader:
+    """Decodes rows; logs and counts each distinct invalid one once."""
+
+    def __init__(self) -> None:
+        self._rejections = RejectionLog(
+            "entry_row", "entry row is invalid", _LOGGER
         )
-        return None
+
+    def read(self, row: StoredRow) -> EntryRow | None:
+        """Returns the value of a row, or None if it is invalid."""
+        try:
+            return decode_entry(row)
+        except InvalidInputError as error:
+            self._rejections.record(
+                (row.key, row.value), str(error), key=row.key[:80]
+            )
+            return None
 
 
 class EntryDirectory:
     """Tracks the addresses of the entries listed in the table.
 
+    While the row of an entry is invalid, its last valid address stays in use.
+
     Args:
       on_changed: Receives the sorted addresses after each update.
     """
@@ -59,19 +92,21 @@
     def __init__(self, on_changed: Callable[[list[str]], None]) -> None:
         self._addresses: dict[str, str] = {}
         self._on_changed = on_changed
+        self._reader = _EntryReader()
 
     def replace(self, rows: RowSet) -> None:
         """Replaces all addresses by those of a full read."""
-        self._addresses.clear()
+        listed = {row.key for row in rows.rows}
+        for key in self._addresses.keys() - listed:
+            del self._addresses[key]
         self.apply(rows)
 
     def apply(self, rows: RowSet) -> None:
         """Applies changed rows."""
         for row in rows.rows:
-            entry = None if row.is_removed else decode_entry(row)
-            if entry is None:
+            if row.is_removed:
                 self._addresses.pop(row.key, None)
-            else:
+            elif (entry := self._reader.read(row)) is not None:
                 self._addresses[row.key] = entry.address
         self._on_changed(sorted(self._addresses.values()))
 
@@ -85,12 +120,17 @@
         self._store = store
         self._member = member
         self._rng = rng
+        self._reader = _EntryReader()
+        self._is_removed = False
+        # A renewal must not write the row again after its removal.
+        self._lock = asyncio.Lock()
 
     async def run(self) -> None:
-        """Renews the row until cancelled."""
-        while True:
+        """Renews the row until it is removed, or until cancelled."""
+        while not self._is_removed:
             try:
-                await self._renew()
+                async with self._lock:
+                    await self._renew()
             except StoreError as error:
                 _LOGGER.info(
                     "entry row not renewed", extra={"detail": str(error)}
@@ -102,16 +142,37 @@
                 spread = self._rng.uniform(0.8, 1.0)
                 await asyncio.sleep(RENEWAL_SECONDS * spread)
 
-    async def remove(self) -> None:
-        """Removes the row of this entry, for a planned stop."""
+    async def remove(self, limit: float) -> None:
+        """Removes the row at the end of a planned stop.
+
+        Agents then do not dial the address any more, at which another process
+        may listen later. A row that is left expires.
+
+        Args:
+          limit: Maximum time, in seconds.
+        """
         try:
-            rows = await self._store.read(ENTRIES_TABLE)
-            own_rows = [r for r in rows.rows if r.key == self._member.member_id]
-            versions = {row.key: row.version for row in own_rows}
-            if versions:
-                await self._store.write(ENTRIES_TABLE, {}, versions)
-        except StoreError as error:
-            _LOGGER.info("entry row not removed", extra={"detail": str(error)})
+            async with asyncio.timeout(limit), self._lock:
+                self._is_removed = True
+                await self._remove()
+        except (StoreError, TimeoutError) as error:
+            _LOGGER.info(
+                "entry row not removed",
+                extra={"detail": str(error) or type(error).__name__},
+            )
+
+    async def _remove(self) -> None:
+        rows = await self._store.read(ENTRIES_TABLE)
+        for row in rows.rows:
+            if row.key != self._member.member_id:
+                continue
+            entry = self._reader.read(row)
+            # A next incarnation may have written the row already.
+            if entry and entry.incarnation == self._member.incarnation:
+                await self._store.write(
+                    ENTRIES_TABLE, {}, {row.key: row.version}
+                )
+                _LOGGER.info("entry row removed")
 
     async def _renew(self) -> None:
         rows = await self._store.read(ENTRIES_TABLE)
@@ -120,27 +181,35 @@
             incarnation=self._member.incarnation,
             renewed_at=rows.store_time,
         )
-        value = msgspec.json.encode(row)
+        puts = {self._member.member_id: msgspec.json.encode(row)}
         expired = self._find_expired(rows)
-        await self._store.write(
-            ENTRIES_TABLE, {self._member.member_id: value}, expired
-        )
+        try:
+            await self._store.write(ENTRIES_TABLE, puts, expired)
+        except StoreConflictError:
+            # Another entry removed or renewed one of the expired rows.
+            await self._store.write(ENTRIES_TABLE, puts)
+            return
         if expired:
             _LOGGER.info(
                 "expired entry rows removed", extra={"entries": sorted(expired)}
             )
 
     def _find_expired(self, rows: RowSet) -> dict[str, int]:
-        """Returns the versions of the expired rows, by key."""
-        expired = {}
+        """Returns the versions of the expired rows, by key.
+
+        They are as many as one transaction may remove.
+        """
+        expired: dict[str, int] = {}
         for row in rows.rows:
             if row.key == self._member.member_id:
                 continue
-            entry = decode_entry(row)
+            entry = self._reader.read(row)
             if entry is None:
                 continue
             age = rows.store_time - entry.renewed_at
             # A negative age means that the store and its clock have restarted.
-            if not 0.0 <= age <= EXPIRY_SECONDS:
+            if not 0.0 <= age <= EXPIRY_SECONDS and row.version:
                 expired[row.key] = row.version
+            if len(expired) == _REMOVALS_MAX:
+                break
         return expired
--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import cast
 
 import httptools
 
+from gypsumline.runtime import metrics
+from gypsumline.runtime.addresses import parse_address
 from gypsumline.runtime.http_messages import (
     NO_HEADERS,
     HttpRefusedError,
@@ -26,6 +29,8 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class HttpConnection(asyncio.Protocol):
     """A connection for one request at a time."""
@@ -87,7 +92,14 @@
     # Callbacks from the HTTP parser.
 
     def on_message_begin(self) -> None:
-        """Starts a new response."""
+        """Starts a new response; one that no request awaits is an error.
+
+        Its rest could be taken for the response to a later request.
+        """
+        if self._waiter is None or self._waiter.done():
+            metrics.REJECTED_INPUTS.labels("response").inc()
+            _LOGGER.warning("response without a request, connection closed")
+            self.close()
         self._headers = {}
         self._body = bytearray()
 
@@ -126,11 +138,13 @@
     Args:
       address: Host and port of the server.
       connections: Maximum number of connections.
+
+    Raises:
+      InvalidInputError: The address is invalid.
     """
 
     def __init__(self, address: str, connections: int) -> None:
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._host, self._port = parse_address(address)
         self._address = address
         self._idle: list[HttpConnection] = []
         self._slots = asyncio.Semaphore(connections)
@@ -163,7 +177,8 @@
 
         Raises:
           HttpRefusedError: No process listens at the address.
-          HttpUnsentError: No connection was available in time.
+          HttpUnsentError: No connection was available in time, or a header
+            cannot be encoded.
           HttpUnansweredError: There was no valid response in time.
         """
         data = encode_request(method, self._address, target, headers, body)
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.runtime.http_client import HttpClient
 from gypsumline.runtime.http_messages import (
     HttpResponse,
@@ -13,6 +14,7 @@
     HttpUnsentError,
 )
 from gypsumline.runtime.light_http_server import (
+    QUEUED_REQUESTS_MAX,
     HttpLimits,
     running_light_server,
 )
@@ -139,3 +141,147 @@
         (await pending.get()).respond(HttpResponse(status=204))
         await reader.readuntil(b"204")
         writer.close()
+
+
+@pytest.mark.parametrize(
+    "address", ["", "h", "h:", ":1", "h:0", "h:99999", "h:" + "9" * 5000]
+)
+def test_invalid_address_of_a_server_raises_a_typed_error(address):
+    """Guards against a port that raises only when it is dialled."""
+    with pytest.raises(InvalidInputError):
+        HttpClient(address, 1)
+
+
+@pytest.mark.parametrize("value", ["\u4e2d", "a\r\nX-Other: 1", "a\x00"])
+async def test_header_that_cannot_be_sent_raises_a_typed_error(value):
+    """Guards against an error that no caller of the client expects."""
+    async with serve(echo) as (_, client):
+        with pytest.raises(HttpUnsentError):
+            await client.request(
+                "GET", "/", timeout=1.0, headers={"X-A": value}
+            )
+
+
+async def test_response_that_nobody_awaits_closes_the_connection():
+    """Guards against its rest being taken for the next response."""
+    first = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+    unexpected = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first + unexpected)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"other")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = HttpClient(f"127.0.0.1:{port}", 1)
+    for _ in range(2):
+        response = await client.request("GET", "/", timeout=1.0)
+        assert response.body == b"1"
+    client.close()
+    server.close()
+
+
+async def test_failing_handler_is_logged_and_answered(caplog):
+    """Guards against a caller that waits for ever after an internal error."""
+
+    def fail(exchange):
+        if exchange.request.target == "/fail":
+            raise RuntimeError("expected failure")
+        echo(exchange)
+
+    async with serve(fail) as (server, client):
+        response = await client.request("GET", "/fail", timeout=1.0)
+        assert response.status == 500
+        assert "expected failure" in caplog.text
+        response = await client.request("GET", "/", timeout=1.0)
+        assert response.status == 200
+        assert len(server.connections) == 1
+
+
+async def test_pipelined_requests_are_bounded(caplog):
+    """Guards against a client that fills the memory behind an open request."""
+    closed = asyncio.Event()
+
+    def handler(exchange):
+        exchange.on_closed = closed.set
+
+    async with serve(handler) as (_, client):
+        host, port = client.address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        request = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+        for _ in range(5 * QUEUED_REQUESTS_MAX):
+            writer.write(request)
+        async with asyncio.timeout(3.0):
+            await closed.wait()
+        assert len(caplog.records) == 1
+        writer.close()
+
+
+async def test_pipelined_requests_leave_turns_to_other_work():
+    """Guards against quick requests that block the event loop together."""
+    loop = asyncio.get_running_loop()
+    turns, handled_at = 0, []
+
+    def count_turn():
+        nonlocal turns
+        turns += 1
+        if len(handled_at) < QUEUED_REQUESTS_MAX:
+            loop.call_soon(count_turn)
+
+    def handler(exchange):
+        handled_at.append(turns)
+        echo(exchange)
+
+    async with serve(handler) as (_, client):
+        host, port = client.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        last = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
+        writer.write((QUEUED_REQUESTS_MAX - 1) * request + last)
+        loop.call_soon(count_turn)
+        response = await asyncio.wait_for(reader.read(), 3.0)
+        writer.close()
+    assert response.count(b"HTTP/1.1 200") == QUEUED_REQUESTS_MAX
+    assert len(set(handled_at)) == QUEUED_REQUESTS_MAX
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x00\xff" * 100,
+        b"HTTP/1.1 99999 OK\r\n\r\n",
+        b"HTTP/1.1 -1 OK\r\n\r\n",
+        b"HTTP/9.9 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffff",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nA: " + b"\xff" * 100_000,
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n!",
+    ],
+)
+async def test_odd_response_raises_a_typed_error_or_is_returned(data):
+    """Guards against bytes of a server that raise any other error."""
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = HttpClient(f"127.0.0.1:{port}", 1)
+    for _ in range(2):
+        with contextlib.suppress(HttpUnansweredError):
+            await client.request("GET", "/", timeout=1.0)
+    client.close()
+    server.close()
