Let a job wait out a pause of its agents

Each check of the waiting jobs answered one without a run "not run" when no agent of its pool was usable, also where no queue is confined: after refused starts all agents are paused for 0.3 s, and excluded zones or ejected executors count as unusable too. The reason named a suspicion that did not exist.

Only a part of the executors that a suspicion sets apart is now checked, and only agents that are away count, not paused ones. The reason names the part. A submission that finds no agent just now is judged by the usable agents of the service, as before containment.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -13,6 +13,7 @@
 
 NO_EXECUTOR = "no executor takes runs"
 CONFINED_AWAY = "executors of a queue under suspicion are away"
+OPEN_AWAY = "executors outside those of a queue under suspicion are away"
 
 
 class Backlog:
@@ -49,7 +50,10 @@
         if len(waiting) >= self._settings.jobs_limit:
             return self._refuse(job, "too many open jobs", 1.0)
         if not agents:
-            return self._refuse_without_agents(job, now)
+            return dataclasses.replace(
+                self.refuse_without_agents(job, NO_EXECUTOR, now),
+                outcome=JobOutcome.ELSEWHERE,
+            )
         fastest_speed = self._fastest_speed
         sort_key = job.sort_key(now, fastest_speed)
         ahead = [
@@ -72,13 +76,11 @@
             return None
         return self._refuse(job, "backlog", wait)
 
-    def _refuse_without_agents(self, job: LeasedJob, now: float) -> JobEnded:
-        wait = self.retry_after(job, now)
-        if self._fleet.has_usable(job.service, now):
-            # Other entries confine its queue to the same agents.
-            return self._refuse(job, CONFINED_AWAY, wait)
-        refusal = self._refuse(job, NO_EXECUTOR, wait)
-        return dataclasses.replace(refusal, outcome=JobOutcome.ELSEWHERE)
+    def refuse_without_agents(
+        self, job: LeasedJob, reason: str, now: float
+    ) -> JobEnded:
+        """Returns the refusal of a job whose agents are all away."""
+        return self._refuse(job, reason, self.retry_after(job, now))
 
     def would_end_too_late(self, job: LeasedJob, now: float) -> bool:
         """Returns whether a job started now would end too late to be useful."""
--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -186,6 +186,12 @@
             return [a for a in agents if a.member.member_id not in members]
         return [a for a in agents if a.member.member_id in members]
 
+    def is_part(self, pool: Pool) -> bool:
+        """Returns whether a suspicion keeps a pool from the other executors."""
+        if pool.part is Part.OPEN:
+            return any(s == pool.service for s, _ in self._suspected)
+        return pool.part is Part.CONFINED
+
     def may_use(self, job: LeasedJob, agent: AgentView) -> bool:
         """Returns whether an agent belongs to the pool of a job."""
         if not self._suspected and not job.is_suspect:
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -140,12 +140,20 @@
         is_usable = only.service == service and self.is_usable(only, now)
         return [only] if is_usable else []
 
-    def has_usable(self, service: str, now: float) -> bool:
-        """Returns whether any agent can be given runs of a service."""
-        return any(True for _ in self._usable(service, now))
+    def reachable(self, service: str, now: float) -> list[AgentView]:
+        """Returns the agents of a service that are usable or only paused."""
+        return [
+            view
+            for view in self._agents.values()
+            if view.service == service and self._is_reachable(view, now)
+        ]
 
     def is_usable(self, view: AgentView, now: float) -> bool:
-        """Returns whether an agent can be given runs.
+        """Returns whether an agent can be given runs."""
+        return view.paused_until <= now and self._is_reachable(view, now)
+
+    def _is_reachable(self, view: AgentView, now: float) -> bool:
+        """Returns whether an agent takes runs, apart from a pause.
 
         An agent at rest sends little, so its silence says nothing at first. One
         that does not take up an order is paused or cut off.
@@ -154,7 +162,6 @@
         return (
             view.is_connected
             and view.load.taking
-            and view.paused_until <= now
             and now - view.last_message_at <= settings.silence_limit
             and view.unanswered_time(now) <= settings.order_answer_limit
         )
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -11,9 +11,10 @@
 from gypsumline.core.leases.backlog import (
     CONFINED_AWAY,
     NO_EXECUTOR,
+    OPEN_AWAY,
     Backlog,
 )
-from gypsumline.core.leases.containment import Pool
+from gypsumline.core.leases.containment import Part, Pool
 from gypsumline.core.leases.crash_history import job_key
 from gypsumline.core.leases.crash_response import CrashResponse
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
@@ -148,9 +149,7 @@
             return effects + self._give_up(job, now)
         self._containment.add_work(job, self._backlog.pending_work(job))
         pool = self._containment.pool(job)
-        refusal = self._backlog.refusal(
-            job, self._rivals(pool), self._usable(pool, now, None), now
-        )
+        refusal = self._refusal(job, pool, now)
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
             return [*effects, refusal, line]
@@ -160,6 +159,32 @@
         # latest pass.
         return effects + self._place_jobs([job], now)
 
+    def _refusal(
+        self, job: LeasedJob, pool: Pool, now: float
+    ) -> JobEnded | None:
+        reason = self._away_reason(pool, now)
+        if reason:
+            return self._backlog.refuse_without_agents(job, reason, now)
+        # Excluded zones and ejected executors may leave none just now.
+        agents = self._usable(pool, now, None) or self._containment.filter(
+            pool, self._fleet.usable(pool.service, now)
+        )
+        return self._backlog.refusal(job, self._rivals(pool), agents, now)
+
+    def _away_reason(self, pool: Pool, now: float) -> str:
+        """Returns why the jobs of a pool are not to wait; "" if they are.
+
+        All owners confine a queue to the same executors, so no other entry can
+        serve a job whose part is away. An agent that is only paused takes runs
+        again soon.
+        """
+        if not self._containment.is_part(pool):
+            return ""
+        reachable = self._fleet.reachable(pool.service, now)
+        if not reachable or self._containment.filter(pool, reachable):
+            return ""
+        return CONFINED_AWAY if pool.part is Part.CONFINED else OPEN_AWAY
+
     def abandon(self, key: str, now: float) -> list[Effect]:
         """Drops a job whose last caller has disconnected and stops its runs."""
         job = self._jobs.get(key)
@@ -266,11 +291,9 @@
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
-        has_agents = functools.cache(
-            lambda pool: bool(self._usable(pool, now, None))
-        )
+        away_reason = functools.cache(lambda pool: self._away_reason(pool, now))
         for job in list(self._jobs.values()):
-            effects += self._check_job(job, is_isolated, has_agents, now)
+            effects += self._check_job(job, is_isolated, away_reason, now)
         self._fleet.prune_silent(now, self._settings.forget_after)
         self._sync_health()
         self._attempts.expire(now)
@@ -562,7 +585,7 @@
         self,
         job: LeasedJob,
         is_isolated: bool,
-        has_agents: Callable[[Pool], bool],
+        away_reason: Callable[[Pool], str],
         now: float,
     ) -> list[Effect]:
         if is_isolated:
@@ -571,8 +594,9 @@
             return self._end_unfinished(job, "time limit reached", now)
         if job.has_started or job not in self._waiting:
             return []
-        if not has_agents(self._containment.pool(job)):
-            return self._end_unfinished(job, CONFINED_AWAY, now)
+        reason = away_reason(self._containment.pool(job))
+        if reason:
+            return self._end_unfinished(job, reason, now)
         if not self._backlog.would_end_too_late(job, now):
             return []
         return self._end_unfinished(job, "no room in time", now)
