Count only the agents that are there for a suspicion

The share of crashes from which a queue is confined was taken of all known agents of its service, and the executors that it is confined to were chosen among them. Agents that left stay known for 30 s, so a queue was not confined after a scale-down, or to executors that were gone.

Agents without a stream now count for as long as an agent may be silent.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -100,6 +100,7 @@
         self._open_pools: dict[str, Pool] = {}
         self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
+        self._updated_at = -math.inf
 
     @property
     def suspected_queues(self) -> dict[tuple[str, str], float]:
@@ -121,7 +122,7 @@
         name = service, queue
         is_new = name not in self._suspected
         blame = history.queue_blame(queue, now - self._settings.suspicion_time)
-        executors = sum(view.service == service for view in self._fleet)
+        executors = len(self._fleet.present(service, now))
         if is_new and blame < self._settings.suspicion_share * executors:
             return False
         self._suspected[name] = now + self._settings.suspicion_time
@@ -132,6 +133,7 @@
     def update(self, now: float) -> list[tuple[str, str]]:
         """Updates rates and members; returns the queues that are cleared."""
         self._rates.update(now)
+        self._updated_at = now
         self._members.clear()
         cleared = [n for n, until in self._suspected.items() if until <= now]
         for name in cleared:
@@ -215,7 +217,7 @@
 
         At least one, and not all as long as other queues have work.
         """
-        agents = [view for view in self._fleet if view.service == service]
+        agents = self._fleet.present(service, self._updated_at)
         agents.sort(key=lambda view: _rank(view.member.member_id))
         capacity = sum(view.load.capacity.processor for view in agents)
         limit = len(agents) if share >= 1.0 else max(1, len(agents) - 1)
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -140,6 +140,19 @@
         is_usable = only.service == service and self.is_usable(only, now)
         return [only] if is_usable else []
 
+    def present(self, service: str, now: float) -> list[AgentView]:
+        """Returns the agents of a service that have not gone for good.
+
+        One that was lost stays known for a while after its stream has ended.
+        """
+        limit = now - self._settings.silence_limit
+        return [
+            view
+            for view in self._agents.values()
+            if view.service == service
+            and (view.is_connected or view.last_message_at >= limit)
+        ]
+
     def reachable(self, service: str, now: float) -> list[AgentView]:
         """Returns the agents of a service that are usable or only paused."""
         return [
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -241,6 +241,39 @@
     assert set(leased.suspected_queues) == {("ordering", "cards")}
 
 
+def owner_after_a_scale_down(agents, gone):
+    """Returns an owner whose last agents left three seconds ago."""
+    leased = owner()
+    for number in range(1, agents + 1):
+        join(leased, agent(number), executor=f"x-{number}")
+    for number in range(agents - gone + 1, agents + 1):
+        leased.on_disconnected(agent(number))
+    for number in range(1, agents - gone + 1):
+        join(leased, agent(number), 3.0, executor=f"x-{number}")
+    leased.tick(3.0)
+    return leased
+
+
+def test_agents_that_left_do_not_count_as_executors():
+    """Guards against a queue that is never confined after a scale-down."""
+    leased = owner_after_a_scale_down(30, 20)
+    report_culprit(leased, now=3.1)
+    assert set(leased.suspected_queues) == {("ordering", "cards")}
+
+
+def test_queue_is_confined_to_agents_that_are_there():
+    """Guards against a part of the executors that has left."""
+    leased = owner_after_a_scale_down(30, 20)
+    for number, name in enumerate(["cards", "labels", "labels", "labels"]):
+        work = request(f"{number:016x}", rules=queue(name))
+        leased.submit(work, 3.0)
+        leased.cancel(work.key, 3.0)
+    for number in range(1, 9):
+        report_culprit(leased, f"{number:016x}.0.0.0", 3.1, first=number)
+    assert len(used_agents(leased, "cards", 30, 3.2)) == 4
+    assert len(used_agents(leased, "labels", 40, 3.2)) == 6
+
+
 @pytest.mark.parametrize("shares", [(), (0.5, 0.3, 1.0), (0.3, 0.5)])
 def test_confined_shares_out_of_order_are_refused(shares):
     """Guards against settings that leave a queue without executors."""
