Confine no queue to executors in an excluded zone

The executors of a confined queue were chosen without regard to the zones that operators have excluded. Where all of them were in such a zone, each job of the queue was refused while other executors were free.

Agents in an excluded zone belong to no part now; the part is chosen among the others, and returns when the zone does.

Seen failing before: test_confined_queue_uses_other_zones_than_the_excluded, both orders.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -100,6 +100,7 @@
         self._open_pools: dict[str, Pool] = {}
         self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
+        self._zones_out: frozenset[str] = frozenset()
         self._updated_at = -math.inf
 
     @property
@@ -142,6 +143,14 @@
             self._set_confined_share(service)
         return cleared
 
+    def set_zones_out(self, zones: Iterable[str]) -> None:
+        """Sets the excluded zones, whose executors belong to no part.
+
+        Otherwise a queue could be confined to executors that take no runs.
+        """
+        self._zones_out = frozenset(zones)
+        self._members.clear()
+
     def _set_confined_share(self, service: str) -> None:
         """Sets the share that the suspected queues of a service are left.
 
@@ -217,7 +226,11 @@
 
         At least one, and not all as long as other queues have work.
         """
-        agents = self._fleet.present(service, self._updated_at)
+        agents = [
+            view
+            for view in self._fleet.present(service, self._updated_at)
+            if view.member.availability_zone not in self._zones_out
+        ]
         agents.sort(key=lambda view: _rank(view.member.member_id))
         capacity = sum(view.load.capacity.processor for view in agents)
         limit = len(agents) if share >= 1.0 else max(1, len(agents) - 1)
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -215,6 +215,7 @@
         if message.version <= self._zones_out.version:
             return []
         self._zones_out = message
+        self._containment.set_zones_out(message.zones)
         sends: list[Effect] = [
             Send(to=view.member.member_id, message=message)
             for view in self._fleet
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -42,15 +42,21 @@
     )
 
 
-def new_owner():
+def add_work(leased, now=0.0):
+    """Submits jobs of two queues, a quarter of them of the first."""
+    for number, name in enumerate(["cards", "labels", "labels", "labels"]):
+        work = request(f"{number:016x}", rules=queue(name))
+        leased.submit(work, now)
+        leased.cancel(work.key, now)
+
+
+def new_owner(south=()):
     """Returns an owner that has been given work of two queues."""
     leased = owner()
     for number in AGENTS:
-        join(leased, agent(number), executor=f"x-{number}")
-    for number, name in enumerate(["cards", "labels", "labels", "labels"]):
-        work = request(f"{number:016x}", rules=queue(name))
-        leased.submit(work, 0.0)
-        leased.cancel(work.key, 0.0)
+        zone = "south" if number in south else "north"
+        join(leased, agent(number, zone=zone), executor=f"x-{number}")
+    add_work(leased)
     return leased
 
 
@@ -104,9 +110,7 @@
         leased = owner()
         for number in joined:
             join(leased, agent(number), executor=f"x-{number}")
-        for number, name in enumerate(["cards", "labels", "labels", "labels"]):
-            leased.submit(request(f"{number:016x}", rules=queue(name)), 0.0)
-            leased.cancel(f"{number:016x}", 0.0)
+        add_work(leased)
         report_culprit(leased)
         confined.add(frozenset(used_agents(leased, "cards", 30)))
     assert len(confined) == 1
@@ -264,10 +268,7 @@
 def test_queue_is_confined_to_agents_that_are_there():
     """Guards against a part of the executors that has left."""
     leased = owner_after_a_scale_down(30, 20)
-    for number, name in enumerate(["cards", "labels", "labels", "labels"]):
-        work = request(f"{number:016x}", rules=queue(name))
-        leased.submit(work, 3.0)
-        leased.cancel(work.key, 3.0)
+    add_work(leased, 3.0)
     for number in range(1, 9):
         report_culprit(leased, f"{number:016x}.0.0.0", 3.1, first=number)
     assert len(used_agents(leased, "cards", 30, 3.2)) == 4
--- a/gypsumline/tests/core/leases/test_waiting_under_suspicion.py
+++ b/gypsumline/tests/core/leases/test_waiting_under_suspicion.py
@@ -79,6 +79,27 @@
     assert sends(effects, StartRuns)
 
 
+@pytest.mark.parametrize("is_excluded_first", [True, False])
+def test_confined_queue_uses_other_zones_than_the_excluded(is_excluded_first):
+    """Guards against a queue refused for executors that take no runs."""
+    leased = new_owner()
+    report_culprit(leased)
+    confined = used_agents(leased, "cards", 30)
+    south = {n for n in AGENTS if f"agent-{n}" in confined}
+    leased = new_owner(south)
+    zones_out = ZonesOut(version=1, zones=("south",))
+    if is_excluded_first:
+        leased.set_zones_out(zones_out, 0.0)
+    north = (n for n in AGENTS if not {n, n + 1} & south)
+    report_culprit(leased, first=next(north))
+    leased.set_zones_out(zones_out, 0.1)
+    confined = used_agents(leased, "cards", 30)
+    others = used_agents(leased, "labels", 30)
+    assert confined
+    assert others
+    assert not confined & others
+
+
 @pytest.mark.parametrize(
     ("name", "reason"),
     [
