Keep the parts of the executors while a capacity changes

The executors that a queue is confined to are the first that hold its share of the capacity. It was taken from the newest loads, so an executor that shrank or grew during a suspicion moved another one to the other part, and the next crash reached the runs of the other queues there.

The capacity of each agent is kept from when a suspicion first needs it until the service has none.

Seen failing before: test_changed_capacity_moves_no_agent_between_the_parts, both sizes.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -97,6 +97,8 @@
         # End of the suspicion by service and queue.
         self._suspected: dict[tuple[str, str], float] = {}
         self._confined_shares: dict[str, float] = {}
+        # Processor capacity by agent and service, as first seen in a suspicion.
+        self._capacities: dict[str, dict[str, int]] = {}
         self._open_pools: dict[str, Pool] = {}
         self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
@@ -167,6 +169,7 @@
             )
         else:
             self._confined_shares.pop(service, None)
+            self._capacities.pop(service, None)
 
     def pool(self, job: LeasedJob) -> Pool:
         """Returns the pool of the agents that a job may use."""
@@ -224,7 +227,8 @@
     def _choose(self, service: str, share: float) -> frozenset[str]:
         """Returns the agents that hold a share of the capacity.
 
-        At least one, and not all as long as other queues have work.
+        At least one, and not all as long as other queues have work. A capacity
+        that changes during a suspicion moves no agent to the other part.
         """
         agents = [
             view
@@ -232,14 +236,21 @@
             if view.member.availability_zone not in self._zones_out
         ]
         agents.sort(key=lambda view: _rank(view.member.member_id))
-        capacity = sum(view.load.capacity.processor for view in agents)
+        known = {
+            view.member.member_id: view.load.capacity.processor
+            for view in agents
+        }
+        if service in self._confined_shares:
+            known |= self._capacities.get(service, {})
+            self._capacities[service] = known
+        total = sum(known[view.member.member_id] for view in agents)
         limit = len(agents) if share >= 1.0 else max(1, len(agents) - 1)
         chosen: list[str] = []
         held = 0
         for view in agents[:limit]:
             chosen.append(view.member.member_id)
-            held += view.load.capacity.processor
-            if held >= share * capacity:
+            held += known[view.member.member_id]
+            if held >= share * total:
                 break
         return frozenset(chosen)
 
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -245,6 +245,27 @@
     assert set(leased.suspected_queues) == {("ordering", "cards")}
 
 
+@pytest.mark.parametrize("capacity", [2000, 40_000])
+def test_changed_capacity_moves_no_agent_between_the_parts(capacity):
+    """Guards against a crash among the other queues after a resize."""
+    leased = new_owner()
+    report_culprit(leased)
+    confined = used_agents(leased, "cards", 30)
+    leased = new_owner()
+    report_culprit(leased)
+    leased.tick(0.1)
+    used_agents(leased, "cards", 1)
+    for name in (min(confined), max(confined)):
+        number = int(name.removeprefix("agent-"))
+        changed = load(
+            executor=f"x-{number}", free=2000, seen=100, capacity=capacity
+        )
+        leased.on_reports(agent(number), reports(now_load=changed), 0.3)
+    leased.tick(0.4)
+    assert used_agents(leased, "cards", 40, 0.5) <= confined
+    assert not used_agents(leased, "labels", 40, 0.5) & confined
+
+
 def owner_after_a_scale_down(agents, gone):
     """Returns an owner whose last agents left three seconds ago."""
     leased = owner()
