Reduce rates of work when they are read

A rate now keeps the time of its latest change and loses its weight when it is read, which a suspicion needs; rates without weight are dropped each time that their number doubles.

Seen failing before: test_tick_does_not_look_at_queues_without_new_work (166 lines executed with 4 queues, 462 with 300; now the same).

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import functools
@@ -44,9 +43,20 @@
     queue: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    """A rate at the time of its latest change."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+
 class WorkRates:
     """Rates at which work is submitted, by service and queue.
 
+    A rate loses its weight when it is read, so that queues without new work
+    cost nothing.
+
     Args:
       memory: Time after which earlier work has lost 1 - 1/e of its weight, in
         seconds.
@@ -54,30 +64,39 @@
 
     def __init__(self, memory: float) -> None:
         self._memory = memory
-        self._rates: dict[str, dict[str, float]] = {}
-        self._updated_at = 0.0
+        self._rates: dict[str, dict[str, _Rate]] = {}
 
-    def add(self, service: str, queue: str, work: float) -> None:
+    def add(self, service: str, queue: str, work: float, now: float) -> None:
         """Adds submitted work, in processor-seconds."""
-        rates = self._rates.setdefault(service, collections.defaultdict(float))
-        rates[queue] += work / self._memory
-
-    def update(self, now: float) -> None:
-        """Reduces the weight of earlier work."""
-        factor = math.exp((self._updated_at - now) / self._memory)
-        self._updated_at = now
-        for service, rates in self._rates.items():
-            kept = {q: r * factor for q, r in rates.items() if r > _LEAST_RATE}
-            self._rates[service] = collections.defaultdict(float, kept)
-
-    def share(self, service: str, queues: Iterable[str]) -> float:
+        rates = self._rates.setdefault(service, {})
+        rate = rates.get(queue)
+        if rate is None:
+            self._drop_old(rates, now)
+            rate = rates[queue] = _Rate()
+        rate.value = self._current(rate, now) + work / self._memory
+        rate.at = now
+
+    def share(self, service: str, queues: Iterable[str], now: float) -> float:
         """Returns the share of some queues, from 0 to 1; 1 if unknown."""
-        rates = self._rates.get(service, {})
+        rates = {
+            queue: self._current(rate, now)
+            for queue, rate in self._rates.get(service, {}).items()
+        }
         total = sum(rates.values())
-        if not total:
+        if total < _LEAST_RATE:
             return 1.0
         return sum(rates.get(queue, 0.0) for queue in queues) / total
 
+    def _current(self, rate: _Rate, now: float) -> float:
+        return rate.value * math.exp((rate.at - now) / self._memory)
+
+    def _drop_old(self, rates: dict[str, _Rate], now: float) -> None:
+        """Drops rates without weight, each time that their number doubles."""
+        if (len(rates) & (len(rates) - 1)) == 0:
+            for queue, rate in list(rates.items()):
+                if self._current(rate, now) < _LEAST_RATE:
+                    del rates[queue]
+
 
 class Containment:
     """Keeps queues under suspicion away from the executors of the others.
@@ -110,9 +129,9 @@
         """End of the suspicion by service and queue."""
         return self._suspected
 
-    def add_work(self, job: LeasedJob, work: float) -> None:
+    def add_work(self, job: LeasedJob, work: float, now: float) -> None:
         """Records the work of a submitted job, in processor-seconds."""
-        self._rates.add(job.service, job.request.queue.name, work)
+        self._rates.add(job.service, job.request.queue.name, work, now)
 
     def suspect(
         self, service: str, queue: str, history: CrashHistory, now: float
@@ -130,19 +149,18 @@
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
-            self._set_confined_share(service)
+            self._set_confined_share(service, now)
         return is_new
 
     def update(self, now: float) -> list[tuple[str, str]]:
-        """Updates rates and members; returns the queues that are cleared."""
-        self._rates.update(now)
+        """Updates the members; returns the queues that are cleared."""
         self._updated_at = now
         self._members.clear()
         cleared = [n for n, until in self._suspected.items() if until <= now]
         for name in cleared:
             del self._suspected[name]
         for service, _ in cleared:
-            self._set_confined_share(service)
+            self._set_confined_share(service, now)
         return cleared
 
     def set_zones_out(self, zones: Iterable[str]) -> None:
@@ -153,7 +171,7 @@
         self._zones_out = frozenset(zones)
         self._members.clear()
 
-    def _set_confined_share(self, service: str) -> None:
+    def _set_confined_share(self, service: str, now: float) -> None:
         """Sets the share that the suspected queues of a service are left.
 
         It changes with these queues alone: an executor that changed sides would
@@ -162,7 +180,7 @@
         self._members.clear()
         queues = [q for s, q in self._suspected if s == service]
         if queues:
-            share = self._rates.share(service, queues)
+            share = self._rates.share(service, queues, now)
             shares = self._settings.confined_shares
             self._confined_shares[service] = next(
                 (s for s in shares if s >= share), 1.0
@@ -217,7 +235,9 @@
         found = self._members.get(pool)
         if found is None:
             if pool.part is Part.TRIAL:
-                share = self._rates.share(pool.service, [pool.queue])
+                share = self._rates.share(
+                    pool.service, [pool.queue], self._updated_at
+                )
             else:
                 share = self._confined_shares.get(pool.service, 0.0)
             found = self._choose(pool.service, share) if share else frozenset()
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -147,7 +147,8 @@
         self._attempts.restore(job)
         if self._crashes.is_given_up(job):
             return effects + self._give_up(job, now)
-        self._containment.add_work(job, self._backlog.pending_work(job))
+        work = self._backlog.pending_work(job)
+        self._containment.add_work(job, work, now)
         pool = self._containment.pool(job)
         refusal = self._refusal(job, pool, now)
         if refusal is not None:
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -4,11 +4,13 @@
 """
 
 import dataclasses
+import math
 
 import pytest
 
 from gypsumline.core.effects import Decision
 from gypsumline.core.errors import InvalidInputError
+from gypsumline.core.leases.containment import WorkRates
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.messages import (
@@ -296,6 +298,23 @@
     assert len(used_agents(leased, "labels", 40, 3.2)) == 6
 
 
+def test_rates_of_work_forget_old_work_and_old_queues():
+    """Guards against a share of work long past, and state without a bound."""
+    rates = WorkRates(memory=10.0)
+    rates.add("ordering", "cards", 3.0, 0.0)
+    rates.add("ordering", "labels", 1.0, 0.0)
+    assert rates.share("ordering", ["cards"], 5.0) == pytest.approx(0.75)
+    rates.add("ordering", "labels", 2.0, 10.0)
+    cards = 3.0 / math.e
+    assert rates.share("ordering", ["cards"], 10.0) == pytest.approx(
+        cards / (cards + 1.0 / math.e + 2.0)
+    )
+    assert rates.share("ordering", ["cards"], 1000.0) == 1.0
+    for number in range(1000):
+        rates.add("ordering", f"queue-{number}", 1.0, 200.0 * number)
+    assert len(rates._rates["ordering"]) < 5
+
+
 @pytest.mark.parametrize("shares", [(), (0.5, 0.3, 1.0), (0.3, 0.5)])
 def test_confined_shares_out_of_order_are_refused(shares):
     """Guards against settings that leave a queue without executors."""
--- a/gypsumline/tests/core/leases/test_decision_cost.py
+++ b/gypsumline/tests/core/leases/test_decision_cost.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import sys
 
 import pytest
 
@@ -205,6 +206,41 @@
     assert [job.has_started for job in leased.jobs.values()] == [True]
 
 
+def count_lines(function, *arguments):
+    """Calls a function and returns the number of lines that it executes."""
+    lines = 0
+
+    def trace(frame, event, argument):
+        nonlocal lines
+        lines += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        function(*arguments)
+    finally:
+        sys.settrace(before)
+    return lines
+
+
+def test_tick_does_not_look_at_queues_without_new_work():
+    """Guards against a check whose cost grows with the queues."""
+    counts = []
+    for queues in (4, 300):
+        leased = owner()
+        join(leased, agent())
+        for number in range(queues):
+            work = request(f"{number:016x}", rules=queue(f"queue-{number}"))
+            leased.submit(work, 0.0)
+            leased.cancel(work.key, 0.0)
+        leased.on_ping(agent(), ping(1, 0.01), 0.01)
+        # The first check forgets what the cancelled jobs left behind.
+        leased.tick(0.03)
+        counts.append(count_lines(leased.tick, 0.06))
+    assert counts[0] == counts[1]
+
+
 def test_unchanged_ping_tries_no_task(ranked_tasks):
     """Guards against a pass for each ping while a job waits for a label."""
     leased = owner()
