Work out the capacity requests of a pass once

A pass worked out the request of the most urgent job for each agent that it places runs at, also where nothing is confined. It is now found once for each pool, as far as the agents need it.

While nothing was confined the request ignored the service of the agent: an agent offered freed capacity to an owner whose most urgent job belongs to another service, and the jobs of its own service got no offer.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -224,11 +224,11 @@
             return any(s == pool.service for s, _ in self._suspected)
         return pool.part is Part.CONFINED
 
-    def may_use(self, job: LeasedJob, agent: AgentView) -> bool:
-        """Returns whether an agent belongs to the pool of a job."""
-        if not self._suspected and not job.is_suspect:
-            return True
-        return bool(self.filter(self.pool(job), [agent]))
+    def has(self, pool: Pool, agent: AgentView) -> bool:
+        """Returns whether an agent belongs to a pool."""
+        if agent.service != pool.service:
+            return False
+        return bool(self.filter(pool, [agent]))
 
     def _members_of(self, pool: Pool) -> frozenset[str]:
         """Returns the ids of the agents that a pool has, or lacks if OPEN."""
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -14,6 +14,7 @@
     OPEN_AWAY,
     Backlog,
 )
+from gypsumline.core.leases.capacity_requests import CapacityRequests
 from gypsumline.core.leases.containment import Part, Pool
 from gypsumline.core.leases.crash_history import job_key
 from gypsumline.core.leases.crash_response import CrashResponse
@@ -30,7 +31,6 @@
     new_job,
 )
 from gypsumline.core.leases.messages import (
-    CapacityRequest,
     ContactPing,
     ContactPong,
     ExecutorCrash,
@@ -331,8 +331,11 @@
             pool = self._containment.pool(job)
             if this_pass.may_fit(pool, job.smallest_need):
                 effects += self._place_job(job, pool, this_pass, now)
+        if not this_pass.runs:
+            return effects
+        requests = self._capacity_requests(now)
         return effects + [
-            start_message(runs, self._capacity_request(runs[0].view, now))
+            start_message(runs, requests.find(runs[0].view))
             for runs in this_pass.runs
         ]
 
@@ -452,31 +455,13 @@
         return run
 
     def _pong(self, view: AgentView, now: float) -> Send:
-        request = self._capacity_request(view, now)
+        request = self._capacity_requests(now).find(view)
         pong = ContactPong(stamp=view.stamp, wish=request)
         return Send(to=view.member.member_id, message=pong)
 
-    def _capacity_request(
-        self, view: AgentView, now: float
-    ) -> CapacityRequest | None:
-        """Returns the request of the most urgent job that waits for an agent.
-
-        None if no job does.
-        """
-        for job in self._waiting.in_order(now):
-            if not self._containment.may_use(job, view):
-                continue
-            processor = sum(
-                count * step.resources.processor
-                for step, count in job.ready_steps()
-            )
-            if processor:
-                return CapacityRequest(
-                    priority=job.request.queue.priority,
-                    slack=job.due_at - now - job.longest_work,
-                    processor=processor,
-                )
-        return None
+    def _capacity_requests(self, now: float) -> CapacityRequests:
+        jobs = self._waiting.in_order(now)
+        return CapacityRequests(jobs, self._containment, now)
 
     # Ends of runs.
 
--- a/gypsumline/tests/core/leases/test_decision_cost.py
+++ b/gypsumline/tests/core/leases/test_decision_cost.py
@@ -9,10 +9,11 @@
 
 import pytest
 
-from gypsumline.core.leases import fleet, placement
+from gypsumline.core.leases import fleet, job, placement
 from gypsumline.core.leases.job import JobStep
 from gypsumline.core.leases.messages import (
     ContactPing,
+    ContactPong,
     RunEnd,
     StartRuns,
 )
@@ -206,6 +207,52 @@
     assert [job.has_started for job in leased.jobs.values()] == [True]
 
 
+def test_pass_works_out_the_capacity_request_once(monkeypatch):
+    """Guards against a cost of each pass that grows with its agents."""
+    counts = []
+    ready_steps = job.LeasedJob.ready_steps
+    for agents in (5, 65):
+        leased = owner()
+        for number in range(agents):
+            join(leased, agent(number), executor=f"x-{number}", free=0)
+        for name in "ab":
+            wide = request(name * 16, count=4 * agents, rules=PATIENT)
+            leased.submit(wide, 0.0)
+        for number in range(agents):
+            room = load(executor=f"x-{number}")
+            leased._fleet.find(agent(number)).update_load(room, 0.01)
+        calls = []
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                job.LeasedJob,
+                "ready_steps",
+                lambda self, calls=calls: (
+                    calls.append(self) or ready_steps(self)
+                ),
+            )
+            effects = leased.place_waiting(0.02)
+        assert len(sends(effects, StartRuns)) == agents
+        counts.append(len(calls))
+    assert counts[0] == counts[1]
+
+
+def test_agent_gets_the_request_of_its_own_service():
+    """Guards against capacity offered to a job that can't use it."""
+    leased = owner()
+    rules = dataclasses.replace(PATIENT, service="billing", priority=3)
+    for number, service in ((1, "ordering"), (2, "billing")):
+        full = dataclasses.replace(
+            load(executor=f"x-{number}", free=1000), service=service
+        )
+        leased.on_connected(agent(number), 0.0)
+        leased.on_ping(agent(number), ContactPing(stamp=0.0, load=full), 0.0)
+    leased.submit(request("a" * 16, rules=PATIENT), 0.1)
+    leased.submit(request("b" * 16, rules=rules), 0.1)
+    effects = leased.on_ping(agent(2), ContactPing(stamp=0.2, load=full), 0.2)
+    ((_, pong),) = sends(effects, ContactPong)
+    assert pong.wish.priority == 3
+
+
 def count_lines(function, *arguments):
     """Calls a function and returns the number of lines that it executes."""
     lines = 0
