Close an agent whose executor has fallen silent

An executor that is silent, not down, stayed open for orders until its lease lapsed: up to 0.66 s, and again after each order to an executor at rest. Each order there waits for order_timeout and is placed again later.

An agent now closes for starts, and tells all owners at once, when its executor has answered none of several calls and nothing else for order_timeout (0.25 s). One lost answer is no silence, nor are several beside others that arrive. Any answer opens the agent again; one without runs asks until it is answered.

--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -13,6 +13,9 @@
 from gypsumline.core.leases.run import Run
 from gypsumline.core.leases.settings import LeaseSettings
 
+# Calls without an answer after which an executor counts as silent.
+_CALLS_UNTIL_SILENT = 2
+
 
 class ExecutorState:
     """Announcement, clock and lease of one incarnation of an executor."""
@@ -37,6 +40,9 @@
         self._responded_at = now
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
+        self._answered_at = now
+        self._unanswered_calls = 0
+        self._is_silent = False
         self.update(announcement, now)
 
     @property
@@ -99,6 +105,11 @@
         """Whether no process listens at its address."""
         return self._refused_since < math.inf
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it has answered none of several calls for a while."""
+        return self._is_silent
+
     @property
     def unresponsive_since(self) -> float:
         """Time of the first unanswered request after the latest answer."""
@@ -121,6 +132,31 @@
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.has_crashed = False
+        self.record_answer(now)
+
+    def record_answer(self, now: float) -> bool:
+        """Records an answer to any call; returns whether it was silent."""
+        was_silent = self._is_silent
+        self._answered_at = now
+        self._unanswered_calls = 0
+        self._is_silent = False
+        return was_silent
+
+    def record_unanswered(self, now: float) -> bool:
+        """Records a call without an answer; returns whether it became silent.
+
+        A single lost answer is no silence, nor are several beside others that
+        arrive.
+        """
+        self._unanswered_calls += 1
+        if (
+            self._is_silent
+            or self._unanswered_calls < _CALLS_UNTIL_SILENT
+            or now - self._answered_at < self._settings.order_timeout
+        ):
+            return False
+        self._is_silent = True
+        return True
 
     def mark_unresponsive(self, now: float) -> None:
         """Stops lease renewals after a hold request without an answer."""
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -55,6 +55,10 @@
 STOP_RETRY_SECONDS = 0.1
 # Number of the stop order at which the missing confirmation is logged, once.
 UNCONFIRMED_STOP_ORDERS = 4
+# Answers that say nothing about whether the executor is there.
+_ANSWERS_OF_THE_CLIENT = frozenset(
+    {OrderAnswer.NO_LISTENER, OrderAnswer.REFUSED}
+)
 
 
 class RunTable:
@@ -132,7 +136,9 @@
         executor = self._executor
         if executor is None or executor.has_left or self._is_stopping:
             return False
-        if executor.announcement.leaving or executor.is_down:
+        if executor.announcement.leaving:
+            return False
+        if executor.is_down or executor.is_silent:
             return False
         if not self._is_open:
             return False
@@ -302,7 +308,7 @@
         executor = self._executor
         if executor is None or executor.has_left:
             return None
-        if self.is_idle and self._is_open:
+        if self.is_idle and self._is_open and not executor.is_silent:
             return None
         may_renew = bool(self._runs) and self._may_renew_lease(now)
         wait = self._settings.hold_wait if may_renew else STOP_RETRY_SECONDS
@@ -327,7 +333,7 @@
             if reply.started_at > executor.announcement.started_at:
                 return self._begin_incarnation(announcement, now)
             return []
-        is_back = executor.is_down
+        is_back = executor.is_down or executor.is_silent
         executor.mark_responsive(now)
         executor.set_clock(reply.clock, now)
         self._has_unacknowledged_ends = bool(reply.ended)
@@ -355,12 +361,32 @@
         if answer is OrderAnswer.NO_LISTENER:
             return self._on_no_listener(executor, now)
         executor.mark_unresponsive(now)
-        return []
+        return self._on_call_ended(request.executor, answer, now)
+
+    def _on_call_ended(
+        self, executor: str, answer: OrderAnswer, now: float
+    ) -> list[Effect]:
+        """Tells owners when the executor becomes silent or answers again."""
+        current = self._executor
+        if current is None or current.name != executor:
+            return []
+        has_changed = False
+        if answer is OrderAnswer.UNANSWERED:
+            has_changed = current.record_unanswered(now)
+        elif answer not in _ANSWERS_OF_THE_CLIENT:
+            has_changed = current.record_answer(now)
+        return self._reports.broadcast(now) if has_changed else []
 
     def on_start_answer(
         self, order: OrderStart, answer: OrderAnswer, now: float
     ) -> list[Effect]:
         """Handles the executor's answer to a start order."""
+        effects = self._on_call_ended(order.executor, answer, now)
+        return effects + self._on_start_answer(order, answer, now)
+
+    def _on_start_answer(
+        self, order: OrderStart, answer: OrderAnswer, now: float
+    ) -> list[Effect]:
         run = self._runs.get(order.task)
         if run is None or run.order.attempt != order.attempt:
             return []
@@ -392,17 +418,18 @@
         self, order: OrderStop, answer: OrderAnswer, now: float
     ) -> list[Effect]:
         """Handles the executor's answer to a stop order."""
+        effects = self._on_call_ended(order.executor, answer, now)
         if answer is OrderAnswer.UNANSWERED:
             self._token.advance()
-            return []
+            return effects
         if answer is OrderAnswer.FENCED:
-            return self._on_fenced(order.token)
+            return effects + self._on_fenced(order.token)
         run = self._runs.get(order.task)
         is_current = run is not None and run.order.attempt == order.attempt
         # After any other answer the run may still be there.
         if run is not None and is_current and answer is OrderAnswer.DONE:
             run.on_stop_confirmed(now)
-        return []
+        return effects
 
     def tick(self, now: float) -> list[Effect]:
         """Stops runs without a live owner, retries stops and pings owners."""
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -71,6 +71,7 @@
         self.hung_until = -1.0
         # Most stops are lost or refused until then; the other calls work.
         self.loses_stops_until = -1.0
+        self.silent_until = -1.0  # calls get no answer until then
         # At most 2% slower than the clocks of the agents.
         self.clock_rate = world.rng.choice((1.0, 0.98))
         self.sequence = 0
@@ -123,7 +124,8 @@
     def announce_once(self):
         """Sends a heartbeat to the agent if both are running."""
         node = self.world.agents[self.name]
-        if not self.up or not node.alive:
+        is_silent = self.world.now < self.silent_until
+        if not self.up or is_silent or not node.alive:
             return
         self.sequence += 1
         announcement = Announcement(
@@ -175,6 +177,8 @@
         if not self.up:
             answer(OrderAnswer.NO_LISTENER)
             return
+        if world.now < self.silent_until:
+            return
         if world.now < self.delays_orders_until and world.rng.random() < 0.5:
             world.at(world.rng.uniform(2.0, 12.0), self._apply, order, True)
             return
@@ -281,6 +285,8 @@
         if not self.up:
             answer(OrderAnswer.NO_LISTENER)
             return
+        if world.now < self.silent_until:
+            return
         if request.executor != self.announced_name:
             answer(OrderAnswer.OTHER_EXECUTOR)
             return
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -310,6 +310,30 @@
     return 1.0
 
 
+def _half_of_the_executors(world):
+    executors = [world.executors[name] for name in sorted(world.executors)]
+    return executors[: len(executors) // 2]
+
+
+@load_pattern
+def half_of_the_executors_silent(world, now):
+    """Lets half of the executors answer nothing from second 5 to 8."""
+    if 5.0 <= now < 8.0:
+        for executor in _half_of_the_executors(world):
+            executor.silent_until = 8.0
+    return 1.0
+
+
+@load_pattern
+def half_of_the_executors_crash(world, now):
+    """Lets half of the executors crash at second 5; they are back at 8."""
+    if 5.0 <= now < 8.0:
+        for executor in _half_of_the_executors(world):
+            if executor.up:
+                executor.restart(8.0 - now)
+    return 1.0
+
+
 def run_pattern(
     name,
     seed,
