Start likely causes of a crash together on an executor kept for them

Each culprit crashed a second executor to be convicted: 0.12 s after the first, beside whatever ran there. While a stream of them lasts that takes as many executors away as the first crashes do, and the runs of innocents with them.

A job with blame from 0.3 (strong_blame) now starts again only on executors that are kept for such jobs, one of 20 and at least one, none in services of fewer than four. They are the first of those that a confined queue uses, so the other queues keep theirs. While they are away the suspects wait, and start together, up to three on one executor: one crash clears or convicts them all. A suspect is answered (outcome unknown) once its result is useless to the caller; one that the kept executors can't run goes elsewhere as before. Without a crash nothing changes.

Rates of work have a module of their own.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -13,6 +13,7 @@
 
 NO_EXECUTOR = "no executor takes runs"
 CONFINED_AWAY = "executors of a queue under suspicion are away"
+ISOLATED_AWAY = "executors kept for likely causes of a crash are away"
 OPEN_AWAY = "executors outside those of a queue under suspicion are away"
 
 
--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -14,9 +14,7 @@
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.job import LeasedJob
-
-# Rates below this, in thousandths of a core, are dropped.
-_LEAST_RATE = 1e-3
+from gypsumline.core.leases.work_rates import WorkRates
 
 
 class Part(enum.Enum):
@@ -28,6 +26,8 @@
     CONFINED = enum.auto()
     # The share of its own queue, which other jobs use too.
     TRIAL = enum.auto()
+    # Those that are kept for strong suspects.
+    ISOLATED = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -43,61 +43,6 @@
     queue: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class _Rate:
-    """A rate at the time of its latest change."""
-
-    value: float = 0.0
-    at: float = 0.0
-
-
-class WorkRates:
-    """Rates at which work is submitted, by service and queue.
-
-    A rate loses its weight when it is read, so that queues without new work
-    cost nothing.
-
-    Args:
-      memory: Time after which earlier work has lost 1 - 1/e of its weight, in
-        seconds.
-    """
-
-    def __init__(self, memory: float) -> None:
-        self._memory = memory
-        self._rates: dict[str, dict[str, _Rate]] = {}
-
-    def add(self, service: str, queue: str, work: float, now: float) -> None:
-        """Adds submitted work, in processor-seconds."""
-        rates = self._rates.setdefault(service, {})
-        rate = rates.get(queue)
-        if rate is None:
-            self._drop_old(rates, now)
-            rate = rates[queue] = _Rate()
-        rate.value = self._current(rate, now) + work / self._memory
-        rate.at = now
-
-    def share(self, service: str, queues: Iterable[str], now: float) -> float:
-        """Returns the share of some queues, from 0 to 1; 1 if unknown."""
-        rates = {
-            queue: self._current(rate, now)
-            for queue, rate in self._rates.get(service, {}).items()
-        }
-        total = sum(rates.values())
-        if total < _LEAST_RATE:
-            return 1.0
-        return sum(rates.get(queue, 0.0) for queue in queues) / total
-
-    def _current(self, rate: _Rate, now: float) -> float:
-        return rate.value * math.exp((rate.at - now) / self._memory)
-
-    def _drop_old(self, rates: dict[str, _Rate], now: float) -> None:
-        """Drops rates without weight, each time that their number doubles."""
-        if (len(rates) & (len(rates) - 1)) == 0:
-            for queue, rate in list(rates.items()):
-                if self._current(rate, now) < _LEAST_RATE:
-                    del rates[queue]
-
-
 class Containment:
     """Keeps queues under suspicion away from the executors of the others.
 
@@ -121,6 +66,9 @@
         self._open_pools: dict[str, Pool] = {}
         self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
+        # End of the isolation of strong suspects by service.
+        self._isolated_until: dict[str, float] = {}
+        self._isolated_agents: dict[str, list[AgentView]] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._updated_at = -math.inf
 
@@ -152,10 +100,24 @@
             self._set_confined_share(service, now)
         return is_new
 
+    def isolate(self, service: str, now: float) -> None:
+        """Keeps executors for strong suspects after a crash.
+
+        Owners do this on the same crash, so each of them starts the suspects
+        that it holds there. While these executors are away the suspects wait,
+        and start together once they are back.
+        """
+        if service not in self._isolated_until:
+            self._forget_members()
+        self._isolated_until[service] = now + self._settings.isolation_time
+
     def update(self, now: float) -> list[tuple[str, str]]:
         """Updates the members; returns the queues that are cleared."""
+        for service, until in list(self._isolated_until.items()):
+            if until <= now:
+                del self._isolated_until[service]
         self._updated_at = now
-        self._members.clear()
+        self._forget_members()
         cleared = [n for n, until in self._suspected.items() if until <= now]
         for name in cleared:
             del self._suspected[name]
@@ -169,7 +131,7 @@
         Otherwise a queue could be confined to executors that take no runs.
         """
         self._zones_out = frozenset(zones)
-        self._members.clear()
+        self._forget_members()
 
     def _set_confined_share(self, service: str, now: float) -> None:
         """Sets the share that the suspected queues of a service are left.
@@ -177,7 +139,7 @@
         It changes with these queues alone: an executor that changed sides would
         bring the crashes to the other queues.
         """
-        self._members.clear()
+        self._forget_members()
         queues = [q for s, q in self._suspected if s == service]
         if queues:
             share = self._rates.share(service, queues, now)
@@ -192,6 +154,8 @@
     def pool(self, job: LeasedJob) -> Pool:
         """Returns the pool of the agents that a job may use."""
         queue = job.request.queue.name
+        if job.is_strong_suspect and self._can_isolate(job):
+            return self._other_pool(job.service, Part.ISOLATED, "")
         if self._suspected and (job.service, queue) in self._suspected:
             return self._other_pool(job.service, Part.CONFINED, "")
         if job.is_suspect:
@@ -211,7 +175,7 @@
 
     def filter(self, pool: Pool, agents: list[AgentView]) -> list[AgentView]:
         """Returns the agents of a service that belong to a pool."""
-        if pool.part is Part.OPEN and not self._suspected:
+        if pool.part is Part.OPEN and not self._is_divided(pool.service):
             return agents
         members = self._members_of(pool)
         if pool.part is Part.OPEN:
@@ -221,8 +185,27 @@
     def is_part(self, pool: Pool) -> bool:
         """Returns whether a suspicion keeps a pool from the other executors."""
         if pool.part is Part.OPEN:
-            return any(s == pool.service for s, _ in self._suspected)
-        return pool.part is Part.CONFINED
+            return self._is_divided(pool.service)
+        return pool.part is not Part.TRIAL
+
+    def _is_divided(self, service: str) -> bool:
+        return service in self._confined_shares or (
+            service in self._isolated_until
+        )
+
+    def _can_isolate(self, job: LeasedJob) -> bool:
+        """Returns whether a job can run on the executors that are kept."""
+        if job.service not in self._isolated_until:
+            return False
+        isolated = self._find_isolated(job.service)
+        return all(
+            any(
+                step.resources.fits(view.load.capacity)
+                and step.required_label in ("", *view.load.labels)
+                for view in isolated
+            )
+            for step in job.request.steps
+        )
 
     def has(self, pool: Pool, agent: AgentView) -> bool:
         """Returns whether an agent belongs to a pool."""
@@ -230,32 +213,64 @@
             return False
         return bool(self.filter(pool, [agent]))
 
+    def _forget_members(self) -> None:
+        self._members.clear()
+        self._isolated_agents.clear()
+
     def _members_of(self, pool: Pool) -> frozenset[str]:
         """Returns the ids of the agents that a pool has, or lacks if OPEN."""
         found = self._members.get(pool)
         if found is None:
-            if pool.part is Part.TRIAL:
-                share = self._rates.share(
-                    pool.service, [pool.queue], self._updated_at
-                )
-            else:
-                share = self._confined_shares.get(pool.service, 0.0)
-            found = self._choose(pool.service, share) if share else frozenset()
-            self._members[pool] = found
+            found = self._members[pool] = self._find_members(pool)
         return found
 
-    def _choose(self, service: str, share: float) -> frozenset[str]:
-        """Returns the agents that hold a share of the capacity.
+    def _find_members(self, pool: Pool) -> frozenset[str]:
+        service = pool.service
+        isolated = frozenset(
+            view.member.member_id for view in self._find_isolated(service)
+        )
+        if pool.part is Part.ISOLATED:
+            return isolated
+        if pool.part is Part.TRIAL:
+            share = self._rates.share(service, [pool.queue], self._updated_at)
+        else:
+            share = self._confined_shares.get(service, 0.0)
+        chosen = self._choose(service, share) if share else frozenset()
+        if pool.part is Part.OPEN:
+            return chosen | isolated
+        # The executors that are kept come first, so most of the other queues
+        # keep theirs.
+        return chosen - isolated or chosen
+
+    def _find_isolated(self, service: str) -> list[AgentView]:
+        """Returns the agents that are kept for strong suspects."""
+        if service not in self._isolated_until:
+            return []
+        found = self._isolated_agents.get(service)
+        if found is None:
+            agents = self._ranked_agents(service)
+            count = math.ceil(self._settings.isolation_share * len(agents))
+            found = agents[: min(count, len(agents) // 4)]
+            self._isolated_agents[service] = found
+        return found
 
-        At least one, and not all as long as other queues have work. A capacity
-        that changes during a suspicion moves no agent to the other part.
-        """
+    def _ranked_agents(self, service: str) -> list[AgentView]:
+        """Returns the agents of a service in the order of all owners."""
         agents = [
             view
             for view in self._fleet.present(service, self._updated_at)
             if view.member.availability_zone not in self._zones_out
         ]
         agents.sort(key=lambda view: _rank(view.member.member_id))
+        return agents
+
+    def _choose(self, service: str, share: float) -> frozenset[str]:
+        """Returns the agents that hold a share of the capacity.
+
+        At least one, and not all as long as other queues have work. A capacity
+        that changes during a suspicion moves no agent to the other part.
+        """
+        agents = self._ranked_agents(service)
         known = {
             view.member.member_id: view.load.capacity.processor
             for view in agents
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -93,6 +93,11 @@
                 verdict = Verdict.SUSPECT
         return verdict
 
+    def blame(self, tasks: Iterable[str]) -> float:
+        """Returns the highest sum of blame of some tasks."""
+        found = (self._tasks.get(name) for name in tasks)
+        return max((t.blame for t in found if t is not None), default=0.0)
+
     def _is_over_limit(self, task: TaskCrashes) -> bool:
         settings = self._settings
         return (
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -18,6 +18,7 @@
     """Judges jobs by the crashes under their tasks, and confines queues."""
 
     def __init__(self, settings: CrashSettings, fleet: Fleet) -> None:
+        self._settings = settings
         self._history = CrashHistory(settings)
         self._containment = Containment(settings, fleet)
 
@@ -29,11 +30,14 @@
     def is_given_up(self, job: LeasedJob) -> bool:
         """Returns whether no task of a job may start any more.
 
-        Also updates whether the job is a suspect.
+        Also updates whether the job is a suspect, and a strong one.
         """
         verdict = Verdict.CLEAR
+        blame = 0.0
         if self._history:
             verdict = self._history.verdict(task.name for task in job.tasks)
+            blame = self._history.blame(task.name for task in job.tasks)
+        job.is_strong_suspect = blame >= self._settings.strong_blame
         job.is_suspect = verdict is Verdict.SUSPECT
         return verdict is Verdict.GIVEN_UP
 
@@ -58,6 +62,8 @@
         blame = self._history.add(crash, now)
         if not blame:
             return [], []
+        if max(blame.values()) >= self._settings.strong_blame:
+            self._containment.isolate(service, now)
         lines = [crash_line(crash, blame, self._history)]
         for queue in sorted(self._history.causes(crash)):
             if self._containment.suspect(service, queue, self._history, now):
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -21,6 +21,14 @@
         counts as their cause. Its blame for a single crash is below 1.
       suspect_blame: Sum of a task's blame from which its job is kept apart from
         other suspects.
+      strong_blame: Sum of a task's blame from which its job is a strong
+        suspect. It starts again only on executors that are kept for such jobs.
+      isolation_share: Share of a service's executors that are kept for strong
+        suspects, rounded up, but not more than a quarter; 0 for none.
+      isolation_time: Time for which they are kept after the latest crash with a
+        strong suspect; longer than an executor takes to return.
+      isolated_jobs: Maximum number of strong suspects on one executor, so that
+        one crash clears or convicts several.
       start_scale: Age of a run within which a crash is mostly caused by its
         start.
       start_weight: Weight of a run that has just started, relative to causes
@@ -46,6 +54,10 @@
     confirming_crashes: int = 2
     confirming_blame: float = 1.2
     suspect_blame: float = 0.1
+    strong_blame: float = 0.3
+    isolation_share: float = 0.05
+    isolation_time: float = 3.5
+    isolated_jobs: int = 3
     start_scale: float = 0.03
     start_weight: float = 20.0
     base_weight: float = 0.1
@@ -64,6 +76,14 @@
                 self.confirming_crashes,
                 f"from 1 to crash_limit ({self.crash_limit})",
             )
+        if not 0.0 <= self.isolation_share <= 1.0:
+            raise InvalidInputError(
+                "isolation_share", self.isolation_share, "from 0 to 1"
+            )
+        if self.isolated_jobs < 1:
+            raise InvalidInputError(
+                "isolated_jobs", self.isolated_jobs, "at least 1"
+            )
         shares = self.confined_shares
         if list(shares) != sorted(shares) or not shares or shares[-1] != 1.0:
             raise InvalidInputError(
--- a/gypsumline/core/leases/job.py
+++ b/gypsumline/core/leases/job.py
@@ -162,6 +162,7 @@
       may_have_run: Whether a run of an earlier job with this key may have
         started here.
       is_suspect: Whether one of its tasks may crash its executors.
+      is_strong_suspect: Whether that is likely.
       smallest_need: Smallest amount of each resource that a step needs.
       tasks: All its tasks.
     """
@@ -184,6 +185,7 @@
         self.started_runs = 0
         self.may_have_run = False
         self.is_suspect = False
+        self.is_strong_suspect = False
         self.tasks = [
             Task(
                 name=f"{request.key}.0.{number}.{index}",
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -10,6 +10,7 @@
 from gypsumline.core.leases.attempt_history import AttemptHistory
 from gypsumline.core.leases.backlog import (
     CONFINED_AWAY,
+    ISOLATED_AWAY,
     NO_EXECUTOR,
     OPEN_AWAY,
     Backlog,
@@ -65,6 +66,11 @@
 ATTEMPT_STEP = 8
 # Reason of a job that is given up for the crashes under its tasks.
 CRASHED_EXECUTORS = "executors crashed under a task"
+_AWAY_REASONS = {
+    Part.OPEN: OPEN_AWAY,
+    Part.CONFINED: CONFINED_AWAY,
+    Part.ISOLATED: ISOLATED_AWAY,
+}
 # Outcomes whose answers tell the caller when to retry.
 _RETRYABLE_OUTCOMES = (
     JobOutcome.NOT_RUN,
@@ -184,7 +190,7 @@
         reachable = self._fleet.reachable(pool.service, now)
         if not reachable or self._containment.filter(pool, reachable):
             return ""
-        return CONFINED_AWAY if pool.part is Part.CONFINED else OPEN_AWAY
+        return _AWAY_REASONS[pool.part]
 
     def abandon(self, key: str, now: float) -> list[Effect]:
         """Drops a job whose last caller has disconnected and stops its runs."""
@@ -375,7 +381,10 @@
         if this_pass.lacks_capacity(pool, step.resources):
             return None
         agents = self._runs.within_step_limit(task, this_pass.agents(pool))
-        if task.job.is_suspect:
+        if pool.part is Part.ISOLATED:
+            limit = self._settings.crashes.isolated_jobs
+            agents = self._runs.for_isolated(task.job, agents, limit)
+        elif task.job.is_suspect:
             agents = self._runs.without_other_suspects(task.job, agents)
         choice = self._placement.choose(task, agents, now)
         if choice is None:
@@ -579,15 +588,27 @@
             return self._end_job(job, JobOutcome.ELSEWHERE, NO_EXECUTOR, now)
         if now >= job.expires_at:
             return self._end_unfinished(job, "time limit reached", now)
-        if job.has_started or job not in self._waiting:
+        if job not in self._waiting:
             return []
-        reason = away_reason(self._containment.pool(job))
+        pool = self._containment.pool(job)
+        if job.has_started:
+            return self._check_isolated(job, pool, now)
+        reason = away_reason(pool)
         if reason:
             return self._end_unfinished(job, reason, now)
         if not self._backlog.would_end_too_late(job, now):
             return []
         return self._end_unfinished(job, "no room in time", now)
 
+    def _check_isolated(
+        self, job: LeasedJob, pool: Pool, now: float
+    ) -> list[Effect]:
+        """Ends a strong suspect whose result is no longer useful."""
+        is_useless = self._backlog.would_end_too_late(job, now)
+        if pool.part is not Part.ISOLATED or not is_useless:
+            return []
+        return self._end_unfinished(job, ISOLATED_AWAY, now)
+
     def _end_unfinished(
         self, job: LeasedJob, reason: str, now: float
     ) -> list[Effect]:
--- a/gypsumline/core/leases/placed_runs.py
+++ b/gypsumline/core/leases/placed_runs.py
@@ -59,6 +59,23 @@
         }
         return [view for view in agents if view.member.member_id not in taken]
 
+    def for_isolated(
+        self, job: LeasedJob, agents: list[AgentView], limit: int
+    ) -> list[AgentView]:
+        """Returns the agents for a strong suspect.
+
+        Agents that have others, up to the limit, are used first: one crash
+        then clears or convicts several jobs.
+        """
+        jobs: dict[str, set[str]] = collections.defaultdict(set)
+        for run in self._runs.values():
+            other = run.task.job
+            if other.is_strong_suspect and other is not job:
+                jobs[run.agent.member_id].add(other.key)
+        counts = {view: len(jobs[view.member.member_id]) for view in agents}
+        allowed = [view for view in agents if counts[view] < limit]
+        return [view for view in allowed if counts[view]] or allowed
+
     def within_step_limit(
         self, task: Task, agents: list[AgentView]
     ) -> list[AgentView]:
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -10,7 +10,6 @@
 
 from gypsumline.core.effects import Decision
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.core.leases.containment import WorkRates
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.messages import (
@@ -20,6 +19,7 @@
     RunReports,
     StartRuns,
 )
+from gypsumline.core.leases.work_rates import WorkRates
 from gypsumline.tests.core.leases.builders import (
     agent,
     join,
@@ -52,9 +52,9 @@
         leased.cancel(work.key, now)
 
 
-def new_owner(south=()):
+def new_owner(south=(), **crashes):
     """Returns an owner that has been given work of two queues."""
-    leased = owner()
+    leased = owner(crashes=CrashSettings(**crashes))
     for number in AGENTS:
         zone = "south" if number in south else "north"
         join(leased, agent(number, zone=zone), executor=f"x-{number}")
@@ -98,7 +98,7 @@
 
 def test_queue_under_suspicion_gets_its_share_of_the_work():
     """Guards against a suspicion that stops a queue or starves the others."""
-    leased = new_owner()
+    leased = new_owner(isolation_share=0.0)
     report_culprit(leased)
     # A quarter of the work, on ten executors of one size.
     assert len(used_agents(leased, "cards", 30)) == 4
@@ -120,7 +120,7 @@
 
 def test_one_crash_puts_no_queue_under_suspicion():
     """Guards against containment on days with ordinary crashes."""
-    leased = new_owner()
+    leased = new_owner(isolation_share=0.0)
     message = RunReports(
         reports=(),
         load=load(executor="x-1"),
@@ -146,7 +146,7 @@
 
 def test_only_queue_of_a_service_keeps_all_executors():
     """Guards against capacity that nobody may use."""
-    leased = owner()
+    leased = owner(crashes=CrashSettings(isolation_share=0.0))
     for number in AGENTS:
         join(leased, agent(number), executor=f"x-{number}")
     leased.submit(request("1" * 16), 0.0)
@@ -156,7 +156,7 @@
 
 def test_suspects_run_apart_from_each_other():
     """Guards against two suspects whose next crash blames neither."""
-    leased = new_owner()
+    leased = new_owner(isolation_share=0.0)
     keys = ["a" * 16, "b" * 16]
     for number, key in enumerate(keys, start=1):
         message = RunReports(
@@ -215,7 +215,7 @@
 
 def test_lost_runs_of_a_suspect_return_to_its_share():
     """Guards against a suspect that crashes an executor of another queue."""
-    leased = new_owner()
+    leased = new_owner(isolation_share=0.0)
     key = "f" * 16
     ((to, _),) = sends(leased.submit(request(key), 0.0), StartRuns)
     number = int(to.removeprefix("agent-"))
@@ -268,9 +268,9 @@
     assert not used_agents(leased, "labels", 40, 0.5) & confined
 
 
-def owner_after_a_scale_down(agents, gone):
+def owner_after_a_scale_down(agents, gone, **crashes):
     """Returns an owner whose last agents left three seconds ago."""
-    leased = owner()
+    leased = owner(crashes=CrashSettings(**crashes))
     for number in range(1, agents + 1):
         join(leased, agent(number), executor=f"x-{number}")
     for number in range(agents - gone + 1, agents + 1):
@@ -290,7 +290,7 @@
 
 def test_queue_is_confined_to_agents_that_are_there():
     """Guards against a part of the executors that has left."""
-    leased = owner_after_a_scale_down(30, 20)
+    leased = owner_after_a_scale_down(30, 20, isolation_share=0.0)
     add_work(leased, 3.0)
     for number in range(1, 9):
         report_culprit(leased, f"{number:016x}.0.0.0", 3.1, first=number)
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -101,6 +101,7 @@
       late_refusal_value: Value of jobs that were refused late.
       possible: Value of all submitted jobs.
       earned: Value of the answers.
+      delays: Response times of the completed jobs, relative to the objective.
     """
 
     submitted: int = 0
@@ -110,6 +111,7 @@
     late_refusal_value: float = 0.0
     possible: float = 0.0
     earned: float = 0.0
+    delays: list[float] = dataclasses.field(default_factory=list)
 
 
 class LoadWorld(LeaseWorld):
@@ -136,6 +138,8 @@
         # Share of the jobs of the first class with a task that crashes its
         # executors, shortly after it has started.
         self.culprit_share = 0.0
+        # Number of queues that have culprits, from the first class.
+        self.poisoned_queues = 1
         self.poisoned_share = 0.1
         self.culprit_jobs = set()
         self.given_up = 0
@@ -174,7 +178,8 @@
         count = max(
             1, round(job_class.mean_tasks * rng.lognormvariate(-0.08, 0.4))
         )
-        if job_class is self.classes[0] and rng.random() < self.culprit_share:
+        is_poisoned = job_class in self.classes[: self.poisoned_queues]
+        if is_poisoned and rng.random() < self.culprit_share:
             self.culprits[f"{key}.0.0.0"] = CULPRIT_CRASH_SECONDS
             self.culprit_jobs.add(key)
         self.work[key] = work
@@ -232,6 +237,8 @@
             self.by_queue[job_class.queue.name],
             self.by_entry[name],
         ):
+            if ended.outcome is JobOutcome.COMPLETED:
+                results.delays.append(response_time / objective)
             if ended.outcome is not JobOutcome.COMPLETED:
                 results.refused += 1
                 if response_time > QUICK_REFUSAL_SHARE * objective:
