Show queues under suspicion and jobs given up to operators

Operators saw a gauge and log lines, and callers of a confined queue a Retry-After from the objective of their job, while its executors need seconds to return.

GET /v1/status at the metrics port of an entry lists the queues under suspicion and the jobs given up (100 at most, for an hour), each with the time since when. Crashes caused and jobs given up are counted by service and queue, 100 series at most. Owners learn the time that crashed executors need to return; Retry-After is the time until the first one of the part that is away is expected. The design calls for no command to clear a suspicion, which ends by itself; a queue is held back by its route.

Test changed: the mutant count_silence passes the view that the owner's method now takes.

--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -52,7 +52,7 @@
             return self._refuse(job, "too many open jobs", 1.0)
         if not agents:
             return dataclasses.replace(
-                self.refuse_without_agents(job, NO_EXECUTOR, now),
+                self.refuse_without_agents(job, NO_EXECUTOR),
                 outcome=JobOutcome.ELSEWHERE,
             )
         fastest_speed = self._fastest_speed
@@ -78,10 +78,19 @@
         return self._refuse(job, "backlog", wait)
 
     def refuse_without_agents(
-        self, job: LeasedJob, reason: str, now: float
+        self,
+        job: LeasedJob,
+        reason: str,
+        wait: float | None = None,
     ) -> JobEnded:
-        """Returns the refusal of a job whose agents are all away."""
-        return self._refuse(job, reason, self.retry_after(job, now))
+        """Returns the refusal of a job whose agents are all away.
+
+        Args:
+          job: The job.
+          reason: Short reason.
+          wait: Seconds until an agent is expected back; None if unknown.
+        """
+        return self._refuse(job, reason, self.retry_after(job, wait))
 
     def would_end_too_late(self, job: LeasedJob, now: float) -> bool:
         """Returns whether a job started now would end too late to be useful."""
@@ -103,9 +112,14 @@
         fastest_speed = self._fastest_speed
         return sorted(jobs, key=lambda job: job.sort_key(now, fastest_speed))
 
-    def retry_after(self, job: LeasedJob, now: float) -> float:
-        """Returns the seconds after which a retry may succeed."""
-        return self._clamp_retry_after(job.objective)
+    def retry_after(self, job: LeasedJob, wait: float | None = None) -> float:
+        """Returns the seconds after which a retry may succeed.
+
+        Args:
+          job: The job.
+          wait: Seconds until there is room again; None if unknown.
+        """
+        return self._clamp_retry_after(job.objective if wait is None else wait)
 
     def _refuse(self, job: LeasedJob, reason: str, wait: float) -> JobEnded:
         return JobEnded(
--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -58,8 +58,9 @@
         self._settings = settings
         self._fleet = fleet
         self._rates = WorkRates(settings.rate_memory)
-        # End of the suspicion by service and queue.
+        # End and start of the suspicion by service and queue.
         self._suspected: dict[tuple[str, str], float] = {}
+        self._suspected_since: dict[tuple[str, str], float] = {}
         self._confined_shares: dict[str, float] = {}
         # Processor capacity by agent and service, as first seen in a suspicion.
         self._capacities: dict[str, dict[str, int]] = {}
@@ -77,6 +78,16 @@
         """End of the suspicion by service and queue."""
         return self._suspected
 
+    @property
+    def suspected_since(self) -> dict[tuple[str, str], float]:
+        """Start of the suspicion by service and queue."""
+        return self._suspected_since
+
+    def agents_of(self, pool: Pool) -> list[str]:
+        """Returns the ids of all agents of a pool, present or away."""
+        agents = self._fleet.present(pool.service, self._updated_at)
+        return [view.member.member_id for view in self.filter(pool, agents)]
+
     def add_work(self, job: LeasedJob, work: float, now: float) -> None:
         """Records the work of a submitted job, in processor-seconds."""
         self._rates.add(job.service, job.request.queue.name, work, now)
@@ -97,6 +108,7 @@
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
+            self._suspected_since[name] = now
             self._set_confined_share(service, now)
         return is_new
 
@@ -121,6 +133,7 @@
         cleared = [n for n, until in self._suspected.items() if until <= now]
         for name in cleared:
             del self._suspected[name]
+            del self._suspected_since[name]
         for service, _ in cleared:
             self._set_confined_share(service, now)
         return cleared
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -98,6 +98,11 @@
         found = (self._tasks.get(name) for name in tasks)
         return max((t.blame for t in found if t is not None), default=0.0)
 
+    def crashes(self, tasks: Iterable[str]) -> int:
+        """Returns the highest number of crashes under one of some tasks."""
+        found = (self._tasks.get(name) for name in tasks)
+        return max((t.count for t in found if t is not None), default=0)
+
     def _is_over_limit(self, task: TaskCrashes) -> bool:
         settings = self._settings
         return (
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -4,11 +4,18 @@
 
 from collections.abc import Mapping
 
-from gypsumline.core.effects import Decision
-from gypsumline.core.leases.containment import Containment
+from gypsumline.core.effects import Decision, Effect
+from gypsumline.core.leases.containment import Containment, Pool
 from gypsumline.core.leases.crash_history import CrashHistory, Verdict
 from gypsumline.core.leases.crash_settings import CrashSettings
-from gypsumline.core.leases.fleet import Fleet
+from gypsumline.core.leases.crash_status import (
+    GivenUpJob,
+    GivenUpJobs,
+    SuspectedQueue,
+)
+from gypsumline.core.leases.downtime import ExecutorDowntime
+from gypsumline.core.leases.effects import QueueBlamed
+from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.job import LeasedJob
 from gypsumline.core.leases.messages import ExecutorCrash
 from gypsumline.core.leases.owner_effects import crash_line, suspicion_line
@@ -21,6 +28,10 @@
         self._settings = settings
         self._history = CrashHistory(settings)
         self._containment = Containment(settings, fleet)
+        self._downtime = ExecutorDowntime(settings.return_limit)
+        self._given_up = GivenUpJobs(
+            settings.max_given_up, settings.given_up_memory
+        )
 
     @property
     def containment(self) -> Containment:
@@ -44,36 +55,89 @@
     def on_crash(
         self,
         crash: ExecutorCrash,
-        service: str,
+        view: AgentView,
         jobs: Mapping[str, LeasedJob],
         now: float,
-    ) -> tuple[list[Decision], list[LeasedJob]]:
+    ) -> tuple[list[Effect], list[LeasedJob]]:
         """Counts a crash, unless it is known already.
 
         Args:
           crash: The crash.
-          service: Service of the executor.
+          view: The agent beside the executor.
           jobs: Open jobs by key.
           now: Current time.
 
         Returns:
-          Log lines, and the open jobs to be given up.
+          Log lines and counts, and the open jobs to be given up.
         """
+        service = view.service
         blame = self._history.add(crash, now)
         if not blame:
             return [], []
         if max(blame.values()) >= self._settings.strong_blame:
             self._containment.isolate(service, now)
-        lines = [crash_line(crash, blame, self._history)]
+        if not view.load.taking:
+            at = now - crash.seconds_ago
+            self._downtime.on_crash(view.member.member_id, at)
+        lines: list[Effect] = [crash_line(crash, blame, self._history)]
         for queue in sorted(self._history.causes(crash)):
+            lines.append(
+                QueueBlamed(service=service, queue=queue, is_given_up=False)
+            )
             if self._containment.suspect(service, queue, self._history, now):
                 lines.append(suspicion_line("queue_suspected", service, queue))
         found = [jobs[key] for key in blame if key in jobs]
         return lines, [job for job in found if self.is_given_up(job)]
 
+    def on_load(self, view: AgentView, now: float) -> None:
+        """Learns from an agent whose executor is back after a crash."""
+        if view.load.taking:
+            self._downtime.on_return(view.member.member_id, now)
+
+    def return_in(self, pool: Pool, now: float) -> float | None:
+        """Returns the seconds until an agent of a pool is back, if known."""
+        agents = self._containment.agents_of(pool)
+        return self._downtime.return_in(agents, now)
+
+    def on_given_up(self, job: LeasedJob, now: float) -> QueueBlamed:
+        """Lists a job as given up and returns its count."""
+        queue = job.request.queue.name
+        self._given_up.add(
+            GivenUpJob(
+                job=job.key,
+                service=job.service,
+                queue=queue,
+                since=now,
+                crashes=self._history.crashes(t.name for t in job.tasks),
+            )
+        )
+        return QueueBlamed(service=job.service, queue=queue, is_given_up=True)
+
+    def given_up_jobs(self, now: float) -> list[GivenUpJob]:
+        """Returns the jobs that were given up, oldest first."""
+        return self._given_up.recent(now)
+
+    def suspected_queues(self, now: float) -> list[SuspectedQueue]:
+        """Returns the queues under suspicion."""
+        since = self._containment.suspected_since
+        start = now - self._settings.suspicion_time
+        return [
+            SuspectedQueue(
+                service=service,
+                queue=queue,
+                since=since[service, queue],
+                until=until,
+                blame=self._history.queue_blame(queue, start),
+            )
+            for (service, queue), until in sorted(
+                self._containment.suspected_queues.items()
+            )
+        ]
+
     def update(self, now: float) -> list[Decision]:
         """Forgets old crashes; returns the lines of queues that are cleared."""
         self._history.expire(now)
+        self._downtime.expire(now)
         return [
             suspicion_line("queue_cleared", service, queue)
             for service, queue in self._containment.update(now)
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -47,6 +47,10 @@
       rate_memory: Time over which the rate of a queue's work is known.
       memory: Time for which a crash counts.
       max_crashes: Maximum number of crashes that an owner keeps.
+      max_given_up: Maximum number of jobs given up that an owner lists.
+      given_up_memory: Time for which it lists them.
+      return_limit: Time after which a crashed executor is no longer expected
+        back.
     """
 
     crash_limit: int = 3
@@ -68,6 +72,9 @@
     rate_memory: float = 10.0
     memory: float = 60.0
     max_crashes: int = 256
+    max_given_up: int = 100
+    given_up_memory: float = 3600.0
+    return_limit: float = 60.0
 
     def __post_init__(self) -> None:
         if not 1 <= self.confirming_crashes <= self.crash_limit:
--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -42,6 +42,21 @@
     retry_after: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueBlamed(Effect):
+    """Counts a crash that a job of a queue caused, or a job given up for it.
+
+    Attributes:
+      service: Service of the queue.
+      queue: Name of the queue.
+      is_given_up: Whether a job was given up; otherwise a crash was caused.
+    """
+
+    service: str
+    queue: str
+    is_given_up: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OrderStart(Effect):
     """Orders the executor to start a run.
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -118,6 +118,11 @@
         """End of the suspicion by service and queue, for crashes."""
         return self._containment.suspected_queues
 
+    @property
+    def crashes(self) -> CrashResponse:
+        """How jobs and queues that crash executors are treated."""
+        return self._crashes
+
     @property
     def next_tick_in(self) -> float:
         """Seconds after which `tick` must be called again."""
@@ -171,7 +176,8 @@
     ) -> JobEnded | None:
         reason = self._away_reason(pool, now)
         if reason:
-            return self._backlog.refuse_without_agents(job, reason, now)
+            wait = self._crashes.return_in(pool, now)
+            return self._backlog.refuse_without_agents(job, reason, wait)
         # Excluded zones and ejected executors may leave none just now.
         agents = self._usable(pool, now, None) or self._containment.filter(
             pool, self._fleet.usable(pool.service, now)
@@ -279,7 +285,7 @@
         self._update_load(view, message, now)
         effects: list[Effect] = []
         for crash in message.crashes:
-            effects += self._on_crash(crash, view.service, now)
+            effects += self._on_crash(crash, view, now)
         for report in message.reports:
             run = self._runs.find(report.task)
             is_known = run is not None and run.attempt == report.attempt
@@ -432,6 +438,7 @@
         was_unusable = not self._fleet.is_usable(view, now)
         is_new = view.load.executor != message.load.executor
         may_fit_more = view.update_load(message.load, now)
+        self._crashes.on_load(view, now)
         if is_new:
             self._sync_health()
         return may_fit_more or was_unusable
@@ -561,19 +568,20 @@
         return [run_ended_line(run, report, now)]
 
     def _on_crash(
-        self, crash: ExecutorCrash, service: str, now: float
+        self, crash: ExecutorCrash, view: AgentView, now: float
     ) -> list[Effect]:
         """Blames the jobs that were there and gives up those that caused it."""
-        lines, given_up = self._crashes.on_crash(
-            crash, service, self._jobs, now
-        )
+        lines, given_up = self._crashes.on_crash(crash, view, self._jobs, now)
         effects: list[Effect] = [*lines]
         for job in given_up:
             effects += self._give_up(job, now)
         return effects
 
     def _give_up(self, job: LeasedJob, now: float) -> list[Effect]:
-        return self._end_job(job, JobOutcome.FAILED, CRASHED_EXECUTORS, now)
+        return [
+            self._crashes.on_given_up(job, now),
+            *self._end_job(job, JobOutcome.FAILED, CRASHED_EXECUTORS, now),
+        ]
 
     # Ends of jobs.
 
@@ -595,7 +603,9 @@
             return self._check_isolated(job, pool, now)
         reason = away_reason(pool)
         if reason:
-            return self._end_unfinished(job, reason, now)
+            wait = self._crashes.return_in(pool, now)
+            outcome = job.outcome_if_unfinished
+            return self._end_job(job, outcome, reason, now, wait)
         if not self._backlog.would_end_too_late(job, now):
             return []
         return self._end_unfinished(job, "no room in time", now)
@@ -615,11 +625,16 @@
         return self._end_job(job, job.outcome_if_unfinished, reason, now)
 
     def _end_job(
-        self, job: LeasedJob, outcome: JobOutcome, reason: str, now: float
+        self,
+        job: LeasedJob,
+        outcome: JobOutcome,
+        reason: str,
+        now: float,
+        wait: float | None = None,
     ) -> list[Effect]:
         retry_after = 0.0
         if outcome in _RETRYABLE_OUTCOMES:
-            retry_after = self._backlog.retry_after(job, now)
+            retry_after = self._backlog.retry_after(job, wait)
         ended = JobEnded(
             key=job.key,
             outcome=outcome,
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -6,12 +6,13 @@
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.leases.effects import JobEnded
+from gypsumline.core.leases.effects import JobEnded, QueueBlamed
 from gypsumline.core.leases.job import JobRequest
 from gypsumline.core.leases.messages import ContactPing, RunReports, ZonesOut
 from gypsumline.core.leases.owner import CRASHED_EXECUTORS, LeasedOwner
 from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
+from gypsumline.runtime.bounded_labels import BoundedLabels
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.logs import DecisionLog
 from gypsumline.runtime.timers import Subscription, TimerService
@@ -19,6 +20,9 @@
 
 OnEnded = Callable[[JobEnded], None]
 
+# Queues with counters of their own.
+_QUEUE_LABELS = BoundedLabels(100)
+
 
 class LeasedEntryNode:
     """Passes inputs to the owner and applies its effects."""
@@ -113,6 +117,8 @@
                         self._hub.send(effect.to, effect.message)
                 case JobEnded():
                     self._answer_callers(effect)
+                case QueueBlamed():
+                    _count(effect)
                 case Decision():
                     self._log.write(effect)
         if self._timer is not None:
@@ -124,3 +130,10 @@
             metrics.JOBS_GIVEN_UP.inc()
         for on_ended in self._callers.pop(ended.key, []):
             on_ended(ended)
+
+
+def _count(blamed: QueueBlamed) -> None:
+    counter = metrics.QUEUE_CRASHES
+    if blamed.is_given_up:
+        counter = metrics.QUEUE_JOBS_GIVEN_UP
+    counter.labels(*_QUEUE_LABELS(blamed.service, blamed.queue)).inc()
--- a/gypsumline/platform/daemon.py
+++ b/gypsumline/platform/daemon.py
@@ -11,10 +11,9 @@
 import sys
 from collections.abc import AsyncIterator, Coroutine
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
 from gypsumline.core.errors import InvalidInputGroup
 from gypsumline.core.identity import Member, Role
+from gypsumline.platform.operator_pages import OperatorPages
 from gypsumline.platform.settings_file import (
     ProcessSettings,
     read_settings,
@@ -22,9 +21,7 @@
 )
 from gypsumline.runtime import logs
 from gypsumline.runtime.clock import new_incarnation
-from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import (
-    Exchange,
     HttpLimits,
     running_light_server,
 )
@@ -51,6 +48,7 @@
       timers: Periodic callbacks.
       signals: Stop signals that the process receives.
       decision_log: Rate-limited log of decisions.
+      pages: Pages for operators.
     """
 
     settings: ProcessSettings
@@ -59,6 +57,7 @@
     timers: TimerService
     signals: StopSignals
     decision_log: logs.DecisionLog
+    pages: OperatorPages
 
 
 @contextlib.asynccontextmanager
@@ -79,10 +78,11 @@
         "started", extra={"role": role.value, "incarnation": member.incarnation}
     )
     metrics_address = f"{settings.address}:{METRICS_PORT}"
+    pages = OperatorPages()
     try:
         async with (
             running_timers() as timers,
-            running_light_server(metrics_address, _serve_metrics, HttpLimits()),
+            running_light_server(metrics_address, pages, HttpLimits()),
         ):
             timers.subscribe(_FLUSH_SECONDS, logs.flush_logs)
             loop = asyncio.get_running_loop()
@@ -94,6 +94,7 @@
                 timers=timers,
                 signals=StopSignals(),
                 decision_log=logs.DecisionLog(DECISION_LINES_PER_SECOND),
+                pages=pages,
             )
     finally:
         _LOGGER.info("stopped")
@@ -128,13 +129,3 @@
         if getattr(newest, field.name) != getattr(settings, field.name)
     ]
     _LOGGER.info("settings reloaded", extra={"changed_at_next_start": changed})
-
-
-def _serve_metrics(exchange: Exchange) -> None:
-    exchange.respond(
-        HttpResponse(
-            status=200,
-            headers={"Content-Type": CONTENT_TYPE_LATEST},
-            body=generate_latest(),
-        )
-    )
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -11,6 +11,7 @@
 from gypsumline.core.leases.owner import LeasedOwner
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.entry.leased_node import LeasedEntryNode
+from gypsumline.platform.crash_page import crash_status
 from gypsumline.platform.daemon import Daemon, running_daemon, running_tasks
 from gypsumline.platform.entry_rows import EntryAnnouncer
 from gypsumline.platform.follower import TableFollower
@@ -66,6 +67,7 @@
             lambda: self._follower.silence,
         )
         self._is_stopping = False
+        daemon.pages.status = lambda: crash_status(owner.crashes)
 
     async def run(self) -> None:
         """Serves until a planned stop has finished."""
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -79,6 +79,16 @@
     "gypsumline_jobs_given_up_total",
     "Jobs given up because executors crashed under a task.",
 )
+QUEUE_CRASHES = Counter(
+    "gypsumline_queue_crashes_total",
+    "Crashes of executors that a job of a queue caused.",
+    ["service", "queue"],
+)
+QUEUE_JOBS_GIVEN_UP = Counter(
+    "gypsumline_queue_jobs_given_up_total",
+    "Jobs given up because executors crashed under a task, by queue.",
+    ["service", "queue"],
+)
 EXECUTOR_CRASHES = Counter(
     "gypsumline_executor_crashes_total",
     "Crashes of the executor beside the agent.",
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -71,7 +71,7 @@
             seconds_ago=0.0,
             runs=(silent,),
         )
-        effects = self._on_crash(crash, run.view.service, now)
+        effects = self._on_crash(crash, run.view, now)
         return effects + lose_run(self, run, report, now)
 
     monkeypatch.setattr(LeasedOwner, "_on_run_lost", lose_and_count)
