Suspect a queue once its jobs are likely causes of crashes

A queue came under suspicion only with a crash under a job that was convicted.

Seen failing before: test_several_likely_causes_put_their_queue_under_suspicion. Test changed: the new test of a suspect with a label sets suspicion_share=1, since its two crashes now confine the queue.

--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -141,12 +141,14 @@
         return record.blame
 
     def causes(self, crash: ExecutorCrash) -> set[str]:
-        """Returns the queues of the tasks there that count as causes."""
+        """Returns the queues of the tasks there that are likely causes."""
         tasks = [self._tasks.get(run.task) for run in crash.runs]
         return {
             task.queue
             for task in tasks
-            if task is not None and task.queue and self._is_cause(task)
+            if task is not None
+            and task.queue
+            and task.blame >= self._settings.strong_blame
         }
 
     def queue_blame(self, queue: str, since: float) -> float:
--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -44,12 +44,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class QueueBlamed(Effect):
-    """Counts a crash that a job of a queue caused, or a job given up for it.
+    """Counts a crash that a job of a queue likely caused, or one given up.
 
     Attributes:
       service: Service of the queue.
       queue: Name of the queue.
-      is_given_up: Whether a job was given up; otherwise a crash was caused.
+      is_given_up: Whether a job was given up, and not a crash caused.
     """
 
     service: str
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -81,7 +81,7 @@
 )
 QUEUE_CRASHES = Counter(
     "gypsumline_queue_crashes_total",
-    "Crashes of executors that a job of a queue caused.",
+    "Crashes of executors of which a job of a queue is a likely cause.",
     ["service", "queue"],
 )
 QUEUE_JOBS_GIVEN_UP = Counter(
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -130,6 +130,23 @@
     assert len(used_agents(leased, "cards", 40)) == len(AGENTS)
 
 
+def test_several_likely_causes_put_their_queue_under_suspicion():
+    """Guards against a stream of culprits none of which has crashed twice.
+
+    While likely causes wait for a kept executor, none of them is convicted.
+    """
+    leased = new_owner()
+    for number in (1, 2):
+        task = f"{number:x}" * 16 + ".0.0.0"
+        message = RunReports(
+            reports=(),
+            load=load(executor=f"x-{number}"),
+            crashes=(crash(number, task),),
+        )
+        leased.on_reports(agent(number), message, 0.1)
+    assert set(leased.suspected_queues) == {("ordering", "cards")}
+
+
 def test_suspicion_ends_after_its_time():
     """Guards against a queue that stays confined after its last culprit."""
     leased = new_owner()
--- a/gypsumline/tests/core/leases/test_isolated_suspects.py
+++ b/gypsumline/tests/core/leases/test_isolated_suspects.py
@@ -49,9 +49,9 @@
     return leased.on_reports(agent(number), message, now)
 
 
-def isolated_owner():
+def isolated_owner(**crashes):
     """Returns an owner after one crash, and the agent that is kept."""
-    leased = new_owner()
+    leased = new_owner(**crashes)
     report_crash(leased, 1, suspect(10))
     ((kept, _),) = sends(leased.submit(request(suspect(10)), 0.1), StartRuns)
     return leased, int(kept.removeprefix("agent-"))
@@ -119,7 +119,7 @@
 
 def test_suspect_that_no_kept_executor_can_run_goes_elsewhere():
     """Guards against a suspect that waits for a label in vain."""
-    leased, kept = isolated_owner()
+    leased, kept = isolated_owner(suspicion_share=1.0)
     other = next(n for n in AGENTS if n != kept)
     labelled = load(executor=f"x-{other}", seen=100, labels=("gpu",))
     leased.on_reports(agent(other), reports(now_load=labelled), 0.2)
