--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import functools
@@ -15,9 +14,7 @@
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.fleet import AgentView, Fleet
 from gypsumline.core.leases.job import LeasedJob
-
-# Rates below this, in thousandths of a core, are dropped.
-_LEAST_RATE = 1e-3
+from gypsumline.core.leases.work_rates import WorkRates
 
 
 class Part(enum.Enum):
@@ -29,6 +26,8 @@
     CONFINED = enum.auto()
     # The share of its own queue, which other jobs use too.
     TRIAL = enum.auto()
+    # Those that are kept for strong suspects.
+    ISOLATED = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -44,41 +43,6 @@
     queue: str = ""
 
 
-class WorkRates:
-    """Rates at which work is submitted, by service and queue.
-
-    Args:
-      memory: Time after which earlier work has lost 1 - 1/e of its weight, in
-        seconds.
-    """
-
-    def __init__(self, memory: float) -> None:
-        self._memory = memory
-        self._rates: dict[str, dict[str, float]] = {}
-        self._updated_at = 0.0
-
-    def add(self, service: str, queue: str, work: float) -> None:
-        """Adds submitted work, in processor-seconds."""
-        rates = self._rates.setdefault(service, collections.defaultdict(float))
-        rates[queue] += work / self._memory
-
-    def update(self, now: float) -> None:
-        """Reduces the weight of earlier work."""
-        factor = math.exp((self._updated_at - now) / self._memory)
-        self._updated_at = now
-        for service, rates in self._rates.items():
-            kept = {q: r * factor for q, r in rates.items() if r > _LEAST_RATE}
-            self._rates[service] = collections.defaultdict(float, kept)
-
-    def share(self, service: str, queues: Iterable[str]) -> float:
-        """Returns the share of some queues, from 0 to 1; 1 if unknown."""
-        rates = self._rates.get(service, {})
-        total = sum(rates.values())
-        if not total:
-            return 1.0
-        return sum(rates.get(queue, 0.0) for queue in queues) / total
-
-
 class Containment:
     """Keeps queues under suspicion away from the executors of the others.
 
@@ -94,21 +58,39 @@
         self._settings = settings
         self._fleet = fleet
         self._rates = WorkRates(settings.rate_memory)
-        # End of the suspicion by service and queue.
+        # End and start of the suspicion by service and queue.
         self._suspected: dict[tuple[str, str], float] = {}
+        self._suspected_since: dict[tuple[str, str], float] = {}
         self._confined_shares: dict[str, float] = {}
+        # Processor capacity by agent and service, as first seen in a suspicion.
+        self._capacities: dict[str, dict[str, int]] = {}
         self._open_pools: dict[str, Pool] = {}
         self._other_pools: dict[tuple[str, Part, str], Pool] = {}
         self._members: dict[Pool, frozenset[str]] = {}
+        # End of the isolation of strong suspects by service.
+        self._isolated_until: dict[str, float] = {}
+        self._isolated_agents: dict[str, list[AgentView]] = {}
+        self._zones_out: frozenset[str] = frozenset()
+        self._updated_at = -math.inf
 
     @property
     def suspected_queues(self) -> dict[tuple[str, str], float]:
         """End of the suspicion by service and queue."""
         return self._suspected
 
-    def add_work(self, job: LeasedJob, work: float) -> None:
+    @property
+    def suspected_since(self) -> dict[tuple[str, str], float]:
+        """Start of the suspicion by service and queue."""
+        return self._suspected_since
+
+    def agents_of(self, pool: Pool) -> list[str]:
+        """Returns the ids of all agents of a pool, present or away."""
+        agents = self._fleet.present(pool.service, self._updated_at)
+        return [view.member.member_id for view in self.filter(pool, agents)]
+
+    def add_work(self, job: LeasedJob, work: float, now: float) -> None:
         """Records the work of a submitted job, in processor-seconds."""
-        self._rates.add(job.service, job.request.queue.name, work)
+        self._rates.add(job.service, job.request.queue.name, work, now)
 
     def suspect(
         self, service: str, queue: str, history: CrashHistory, now: float
@@ -121,45 +103,72 @@
         name = service, queue
         is_new = name not in self._suspected
         blame = history.queue_blame(queue, now - self._settings.suspicion_time)
-        executors = sum(view.service == service for view in self._fleet)
+        executors = len(self._fleet.present(service, now))
         if is_new and blame < self._settings.suspicion_share * executors:
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
-            self._set_confined_share(service)
+            self._suspected_since[name] = now
+            self._set_confined_share(service, now)
         return is_new
 
+    def isolate(self, service: str, now: float) -> None:
+        """Keeps executors for strong suspects after a crash.
+
+        Owners do this on the same crash, so each of them starts the suspects
+        that it holds there. While these executors are away the suspects wait,
+        and start together once they are back.
+        """
+        if service not in self._isolated_until:
+            self._forget_members()
+        self._isolated_until[service] = now + self._settings.isolation_time
+
     def update(self, now: float) -> list[tuple[str, str]]:
-        """Updates rates and members; returns the queues that are cleared."""
-        self._rates.update(now)
-        self._members.clear()
+        """Updates the members; returns the queues that are cleared."""
+        for service, until in list(self._isolated_until.items()):
+            if until <= now:
+                del self._isolated_until[service]
+        self._updated_at = now
+        self._forget_members()
         cleared = [n for n, until in self._suspected.items() if until <= now]
         for name in cleared:
             del self._suspected[name]
+            del self._suspected_since[name]
         for service, _ in cleared:
-            self._set_confined_share(service)
+            self._set_confined_share(service, now)
         return cleared
 
-    def _set_confined_share(self, service: str) -> None:
+    def set_zones_out(self, zones: Iterable[str]) -> None:
+        """Sets the excluded zones, whose executors belong to no part.
+
+        Otherwise a queue could be confined to executors that take no runs.
+        """
+        self._zones_out = frozenset(zones)
+        self._forget_members()
+
+    def _set_confined_share(self, service: str, now: float) -> None:
         """Sets the share that the suspected queues of a service are left.
 
         It changes with these queues alone: an executor that changed sides would
         bring the crashes to the other queues.
         """
-        self._members.clear()
+        self._forget_members()
         queues = [q for s, q in self._suspected if s == service]
         if queues:
-            share = self._rates.share(service, queues)
+            share = self._rates.share(service, queues, now)
             shares = self._settings.confined_shares
             self._confined_shares[service] = next(
                 (s for s in shares if s >= share), 1.0
             )
         else:
             self._confined_shares.pop(service, None)
+            self._capacities.pop(service, None)
 
     def pool(self, job: LeasedJob) -> Pool:
         """Returns the pool of the agents that a job may use."""
         queue = job.request.queue.name
+        if job.is_strong_suspect and self._can_isolate(job):
+            return self._other_pool(job.service, Part.ISOLATED, "")
         if self._suspected and (job.service, queue) in self._suspected:
             return self._other_pool(job.service, Part.CONFINED, "")
         if job.is_suspect:
@@ -179,46 +188,117 @@
 
     def filter(self, pool: Pool, agents: list[AgentView]) -> list[AgentView]:
         """Returns the agents of a service that belong to a pool."""
-        if pool.part is Part.OPEN and not self._suspected:
+        if pool.part is Part.OPEN and not self._is_divided(pool.service):
             return agents
         members = self._members_of(pool)
         if pool.part is Part.OPEN:
             return [a for a in agents if a.member.member_id not in members]
         return [a for a in agents if a.member.member_id in members]
 
-    def may_use(self, job: LeasedJob, agent: AgentView) -> bool:
-        """Returns whether an agent belongs to the pool of a job."""
-        if not self._suspected and not job.is_suspect:
-            return True
-        return bool(self.filter(self.pool(job), [agent]))
+    def is_part(self, pool: Pool) -> bool:
+        """Returns whether a suspicion keeps a pool from the other executors."""
+        if pool.part is Part.OPEN:
+            return self._is_divided(pool.service)
+        return pool.part is not Part.TRIAL
+
+    def _is_divided(self, service: str) -> bool:
+        return service in self._confined_shares or (
+            service in self._isolated_until
+        )
+
+    def _can_isolate(self, job: LeasedJob) -> bool:
+        """Returns whether a job can run on the executors that are kept."""
+        if job.service not in self._isolated_until:
+            return False
+        isolated = self._find_isolated(job.service)
+        return all(
+            any(
+                step.resources.fits(view.load.capacity)
+                and step.required_label in ("", *view.load.labels)
+                for view in isolated
+            )
+            for step in job.request.steps
+        )
+
+    def has(self, pool: Pool, agent: AgentView) -> bool:
+        """Returns whether an agent belongs to a pool."""
+        if agent.service != pool.service:
+            return False
+        return bool(self.filter(pool, [agent]))
+
+    def _forget_members(self) -> None:
+        self._members.clear()
+        self._isolated_agents.clear()
 
     def _members_of(self, pool: Pool) -> frozenset[str]:
         """Returns the ids of the agents that a pool has, or lacks if OPEN."""
         found = self._members.get(pool)
         if found is None:
-            if pool.part is Part.TRIAL:
-                share = self._rates.share(pool.service, [pool.queue])
-            else:
-                share = self._confined_shares.get(pool.service, 0.0)
-            found = self._choose(pool.service, share) if share else frozenset()
-            self._members[pool] = found
+            found = self._members[pool] = self._find_members(pool)
         return found
 
+    def _find_members(self, pool: Pool) -> frozenset[str]:
+        service = pool.service
+        isolated = frozenset(
+            view.member.member_id for view in self._find_isolated(service)
+        )
+        if pool.part is Part.ISOLATED:
+            return isolated
+        if pool.part is Part.TRIAL:
+            share = self._rates.share(service, [pool.queue], self._updated_at)
+        else:
+            share = self._confined_shares.get(service, 0.0)
+        chosen = self._choose(service, share) if share else frozenset()
+        if pool.part is Part.OPEN:
+            return chosen | isolated
+        # The executors that are kept come first, so most of the other queues
+        # keep theirs.
+        return chosen - isolated or chosen
+
+    def _find_isolated(self, service: str) -> list[AgentView]:
+        """Returns the agents that are kept for strong suspects."""
+        if service not in self._isolated_until:
+            return []
+        found = self._isolated_agents.get(service)
+        if found is None:
+            agents = self._ranked_agents(service)
+            count = math.ceil(self._settings.isolation_share * len(agents))
+            found = agents[: min(count, len(agents) // 4)]
+            self._isolated_agents[service] = found
+        return found
+
+    def _ranked_agents(self, service: str) -> list[AgentView]:
+        """Returns the agents of a service in the order of all owners."""
+        agents = [
+            view
+            for view in self._fleet.present(service, self._updated_at)
+            if view.member.availability_zone not in self._zones_out
+        ]
+        agents.sort(key=lambda view: _rank(view.member.member_id))
+        return agents
+
     def _choose(self, service: str, share: float) -> frozenset[str]:
         """Returns the agents that hold a share of the capacity.
 
-        At least one, and not all as long as other queues have work.
+        At least one, and not all as long as other queues have work. A capacity
+        that changes during a suspicion moves no agent to the other part.
         """
-        agents = [view for view in self._fleet if view.service == service]
-        agents.sort(key=lambda view: _rank(view.member.member_id))
-        capacity = sum(view.load.capacity.processor for view in agents)
+        agents = self._ranked_agents(service)
+        known = {
+            view.member.member_id: view.load.capacity.processor
+            for view in agents
+        }
+        if service in self._confined_shares:
+            known |= self._capacities.get(service, {})
+            self._capacities[service] = known
+        total = sum(known[view.member.member_id] for view in agents)
         limit = len(agents) if share >= 1.0 else max(1, len(agents) - 1)
         chosen: list[str] = []
         held = 0
         for view in agents[:limit]:
             chosen.append(view.member.member_id)
-            held += view.load.capacity.processor
-            if held >= share * capacity:
+            held += known[view.member.member_id]
+            if held >= share * total:
                 break
         return frozenset(chosen)
 
