Give hold requests connections of their own, and orders measured limits

An order without an answer kept one of eight connections for its whole time limit. Holds waited behind such starts, and orders that found no connection were reported as refused by the executor, although nothing had been sent.

Holds have a client of their own. A hung call leaves its connection apart from those in use, so its neighbours go on; if the answer comes late, the connection is used again and its round trip counts. Limits follow the round trips between bounds of the settings; the lower one equals the upper one until starts may be repeated. A call that found no connection is an answer of its own, and a histogram counts and times all orders.

With holds on the starts' connections the test of the hold fails, without late round trips that of the limit; both pass now.

--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -107,6 +107,8 @@
     OTHER_EXECUTOR = enum.auto()
     # No process listens at the executor's address.
     NO_LISTENER = enum.auto()
+    # No connection was free or could be opened in time, so nothing was sent.
+    UNSENT = enum.auto()
     UNANSWERED = enum.auto()
 
 
--- a/gypsumline/core/leases/run.py
+++ b/gypsumline/core/leases/run.py
@@ -21,6 +21,7 @@
     OrderAnswer.LATE: RunEnd.NOT_TAKEN,
     OrderAnswer.REFUSED: RunEnd.REFUSED,
     OrderAnswer.NO_LISTENER: RunEnd.REFUSED,
+    OrderAnswer.UNSENT: RunEnd.NO_ROOM,
     OrderAnswer.OTHER_EXECUTOR: RunEnd.NOT_TAKEN,
 }
 
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from gypsumline.core.errors import InvalidInputError
+from gypsumline.core.leases.call_times import CallLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,8 +33,10 @@
       tick_interval: Time between the checks of an agent that is not at rest.
       hold_wait: Time for which the executor may wait for an end of a run before
         it answers a hold request.
-      order_timeout: Time after which an order to the executor counts as
-        unanswered.
+      order_timeout: Maximum time after which an order to the executor counts
+        as unanswered.
+      order_timeout_min: Minimum of that time, which follows the measured round
+        trips.
       crash_confirmation: Time between two refused connections that prove that
         the executor's process is gone.
       crash_memory: Time for which the runs of a crash remain suspects.
@@ -53,6 +56,7 @@
     tick_interval: float = 0.03
     hold_wait: float = 0.2
     order_timeout: float = 0.25
+    order_timeout_min: float = 0.25
     crash_confirmation: float = 0.04
     crash_memory: float = 60.0
     crash_records: int = 32
@@ -85,6 +89,13 @@
         """
         return self.contact_limit - self.ping_answer_time
 
+    @property
+    def order_limits(self) -> CallLimits:
+        """Bounds of the time limit of orders."""
+        return CallLimits(
+            shortest=self.order_timeout_min, longest=self.order_timeout
+        )
+
     @property
     def max_run_time_after_contact(self) -> float:
         """Maximum time that runs continue after their owner's last contact."""
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -39,7 +39,7 @@
     settings = daemon.settings
     table = RunTable(daemon.member, settings.lease, make_fencing_token())
     executor = ExecutorClient(
-        settings.executor_address, settings.lease.order_timeout
+        settings.executor_address, settings.lease.order_limits
     )
     node = LeasedAgentNode(table, executor, daemon.decision_log)
     store = Store(settings.store_address, settings.entries_feed)
--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gypsumline.core.leases.call_times import CallLimits, CallTimes
 from gypsumline.core.leases.effects import (
     EndedRun,
     HoldReply,
@@ -24,7 +25,8 @@
     UnixMilliseconds,
 )
 from gypsumline.runtime import metrics
-from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.clock import boot_time
+from gypsumline.runtime.http_client import HttpClient, LateResponse
 from gypsumline.runtime.http_messages import (
     HttpRefusedError,
     HttpResponse,
@@ -32,7 +34,11 @@
     HttpUnsentError,
 )
 
-_CONNECTIONS = 8
+# Calls that hang keep a connection until their time limit, so there are more of
+# them than starts at a time.
+_CONNECTIONS = 16
+# Connections for hold requests, which never wait behind other orders.
+_HOLD_CONNECTIONS = 4
 _EXPECTED_EXECUTOR_HEADER = "X-Gypsumline-Expected-Instance"
 _JSON_CONTENT_TYPE = "application/json"
 
@@ -104,14 +110,23 @@
 class ExecutorClient:
     """Sends orders to the executor and decodes its responses.
 
+    Each kind of order has its own time limit, which follows the round trips of
+    its answers. An answer after the limit still counts as a round trip, and its
+    connection is used again; the order itself was reported as unanswered.
+
     Args:
       address: Host and port of the executor.
-      timeout: Time for one response, in seconds.
+      limits: Bounds of the time limits.
     """
 
-    def __init__(self, address: str, timeout: float) -> None:
-        self._client = HttpClient(address, connections=_CONNECTIONS)
-        self._timeout = timeout
+    def __init__(self, address: str, limits: CallLimits) -> None:
+        self._clients = {
+            "run-start": HttpClient(address, _CONNECTIONS),
+            "hold": HttpClient(address, _HOLD_CONNECTIONS),
+        }
+        self._clients["run-stop"] = self._clients["run-start"]
+        self._limits = limits
+        self._times = {name: CallTimes(limits) for name in self._clients}
         self._rejections = RejectionLog(
             "executor",
             "hold reply of the executor is invalid",
@@ -165,38 +180,74 @@
 
     def close(self) -> None:
         """Closes the connections."""
-        self._client.close()
+        for client in self._clients.values():
+            client.close()
 
     async def _call(
         self, name: str, executor: str, body: msgspec.Struct, wait: float
     ) -> HttpResponse | OrderAnswer:
+        started_at = boot_time()
+        response = await self._exchange(name, executor, body, wait)
+        seconds = boot_time() - started_at
+        answer = OrderAnswer.DONE
+        if isinstance(response, OrderAnswer):
+            answer = response
+        else:
+            self._record_round_trip(name, seconds, wait)
+            if not response.is_success:
+                answer = self._record_failure(
+                    name,
+                    _decode_refusal(response),
+                    f"status {response.status}",
+                )
+        metrics.ORDER_SECONDS.labels(name, answer.name.lower()).observe(seconds)
+        return response if answer is OrderAnswer.DONE else answer
+
+    async def _exchange(
+        self, name: str, executor: str, body: msgspec.Struct, wait: float
+    ) -> HttpResponse | OrderAnswer:
+        """Returns the response, or why there is none."""
         headers: Mapping[str, str] = {
             "Content-Type": _JSON_CONTENT_TYPE,
             _EXPECTED_EXECUTOR_HEADER: executor,
         }
+        sent_at = boot_time()
+
+        def record_late(_: HttpResponse) -> None:
+            metrics.LATE_ORDER_ANSWERS.labels(name).inc()
+            self._record_round_trip(name, boot_time() - sent_at, wait)
+
+        limit = self._times[name].limit
         try:
-            response = await self._client.request(
+            return await self._clients[name].request(
                 "POST",
                 f"/v1/{name}",
-                timeout=self._timeout + wait,
+                timeout=limit + wait,
                 headers=headers,
                 body=msgspec.json.encode(body),
+                late=LateResponse(
+                    patience=self._limits.longest - limit,
+                    on_response=record_late,
+                ),
             )
         except HttpRefusedError as error:
-            return self._record_failure(
-                name, OrderAnswer.NO_LISTENER, str(error)
-            )
+            answer, detail = OrderAnswer.NO_LISTENER, str(error)
         except HttpUnsentError as error:
-            return self._record_failure(name, OrderAnswer.REFUSED, str(error))
+            answer, detail = OrderAnswer.UNSENT, str(error)
         except HttpUnansweredError as error:
-            return self._record_failure(
-                name, OrderAnswer.UNANSWERED, str(error)
-            )
-        if response.is_success:
-            return response
-        return self._record_failure(
-            name, _decode_refusal(response), f"status {response.status}"
-        )
+            answer, detail = OrderAnswer.UNANSWERED, str(error)
+        return self._record_failure(name, answer, detail)
+
+    def _record_round_trip(
+        self, name: str, seconds: float, wait: float
+    ) -> None:
+        """Records an answer's round trip.
+
+        The answer to a hold request that did not wait to its end says nothing,
+        since the end of a run may have come at any time.
+        """
+        if seconds >= wait:
+            self._times[name].record(seconds - wait)
 
     def _record_failure(
         self, name: str, answer: OrderAnswer, detail: str
--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -159,6 +159,7 @@
             busy_ping_interval=0.4 * _CONTACT_LIMIT_FRACTION * available,
             hold_wait=lease / 3.0,
             order_timeout=0.4 * lease,
+            order_timeout_min=0.4 * lease,
         )
     except InvalidInputError as error:
         fields.errors.append(error)
--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import socket
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import cast
 
 import httptools
@@ -48,21 +49,17 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
-    async def request(self, data: bytes) -> HttpResponse:
-        """Sends an encoded request and returns its response.
+    def send(self, data: bytes) -> asyncio.Future[HttpResponse]:
+        """Sends an encoded request.
 
-        Raises:
-          HttpUnansweredError: The connection ended before the response, or the
-            response is malformed or too long.
+        Returns:
+          The response, or HttpUnansweredError if the connection ends before it,
+          or if it is malformed or too long.
         """
         assert self._transport is not None
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
+        self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
-        try:
-            return await self._waiter
-        finally:
-            self._waiter = None
+        return self._waiter
 
     def close(self) -> None:
         """Aborts the connection."""
@@ -132,12 +129,29 @@
             self._waiter.set_exception(HttpUnansweredError(reason))
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LateResponse:
+    """What to do with a response that comes after the time limit.
+
+    Attributes:
+      patience: Seconds for which the connection is kept after the time limit.
+      on_response: Called with the response if there is one by then.
+    """
+
+    patience: float
+    on_response: Callable[[HttpResponse], None]
+
+
 class HttpClient:
     """Client of one server with a bounded pool of connections.
 
+    A connection whose response is late may be kept for some more time. It does
+    not count as in use; there are at most as many of them as others, and the
+    oldest is closed for the next.
+
     Args:
       address: Host and port of the server.
-      connections: Maximum number of connections.
+      connections: Maximum number of connections in use.
 
     Raises:
       InvalidInputError: The address is invalid.
@@ -148,6 +162,8 @@
         self._address = address
         self._idle: list[HttpConnection] = []
         self._slots = asyncio.Semaphore(connections)
+        self._late: dict[HttpConnection, asyncio.TimerHandle] = {}
+        self._late_limit = connections
 
     @property
     def address(self) -> str:
@@ -162,6 +178,7 @@
         timeout: float,
         headers: Mapping[str, str] = NO_HEADERS,
         body: bytes = b"",
+        late: LateResponse | None = None,
     ) -> HttpResponse:
         """Sends a request and returns its response.
 
@@ -174,6 +191,8 @@
           timeout: Time for connecting and the response, in seconds.
           headers: Request headers.
           body: Request body.
+          late: What to do with a response after the timeout; None to close the
+            connection at once.
 
         Raises:
           HttpRefusedError: No process listens at the address.
@@ -184,24 +203,36 @@
         data = encode_request(method, self._address, target, headers, body)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        async with self._acquire_connection(deadline) as connection:
+        async with self._slot(deadline):
+            connection = await self._open_connection(deadline)
+            response = connection.send(data)
             try:
-                async with asyncio.timeout_at(deadline):
-                    return await connection.request(data)
-            except TimeoutError as error:
+                # Unlike a cancellation, this does not drop a response that
+                # arrives in the turn of the event loop in which time runs out.
+                await asyncio.wait(
+                    (response,), timeout=max(0.0, deadline - loop.time())
+                )
+            except asyncio.CancelledError:
+                response.cancel()
+                connection.close()
+                raise
+            if not response.done():
+                self._wait_longer(connection, response, late)
                 raise HttpUnansweredError(
-                    f"{method} {target}: no answer within {timeout} s"
-                ) from error
+                    f"{method} {target}: no answer within {timeout:.3f} s"
+                )
+            self._release(connection)
+            return response.result()
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes the connections that are idle or wait for late responses."""
         while self._idle:
             self._idle.pop().close()
+        for connection in list(self._late):
+            connection.close()
 
     @contextlib.asynccontextmanager
-    async def _acquire_connection(
-        self, deadline: float
-    ) -> AsyncIterator[HttpConnection]:
+    async def _slot(self, deadline: float) -> AsyncIterator[None]:
         try:
             async with asyncio.timeout_at(deadline):
                 await self._slots.acquire()
@@ -210,19 +241,45 @@
                 f"{self._address}: all connections are in use"
             ) from error
         try:
-            connection = await self._open_connection(deadline)
-            is_reusable = False
-            try:
-                yield connection
-                is_reusable = True
-            finally:
-                if is_reusable and connection.is_open:
-                    self._idle.append(connection)
-                else:
-                    connection.close()
+            yield
         finally:
             self._slots.release()
 
+    def _release(self, connection: HttpConnection) -> None:
+        """Keeps a connection for the next request if it is still open."""
+        if connection.is_open:
+            self._idle.append(connection)
+
+    def _wait_longer(
+        self,
+        connection: HttpConnection,
+        response: asyncio.Future[HttpResponse],
+        late: LateResponse | None,
+    ) -> None:
+        """Keeps a connection until its late response, or closes it."""
+        if late is None:
+            response.cancel()
+            connection.close()
+            return
+        if len(self._late) >= self._late_limit:
+            oldest = next(iter(self._late))
+            self._late.pop(oldest).cancel()
+            oldest.close()
+        loop = asyncio.get_running_loop()
+        self._late[connection] = loop.call_later(
+            late.patience, connection.close
+        )
+
+        def finish(response: asyncio.Future[HttpResponse]) -> None:
+            timer = self._late.pop(connection, None)
+            if timer is not None:
+                timer.cancel()
+            if response.exception() is None:
+                self._release(connection)
+                late.on_response(response.result())
+
+        response.add_done_callback(finish)
+
     async def _open_connection(self, deadline: float) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
--- a/gypsumline/runtime/metrics.py
+++ b/gypsumline/runtime/metrics.py
@@ -92,6 +92,17 @@
     "Orders that the executor did not carry out, by order and answer.",
     ["order", "answer"],
 )
+ORDER_SECONDS = Histogram(
+    "gypsumline_executor_order_seconds",
+    "Time to the answer or the time limit of an order, by order and answer.",
+    ["order", "answer"],
+    buckets=_RESPONSE_BUCKETS_SECONDS,
+)
+LATE_ORDER_ANSWERS = Counter(
+    "gypsumline_executor_late_answers_total",
+    "Answers of the executor after the time limit of their order.",
+    ["order"],
+)
 REJECTED_INPUTS = Counter(
     "gypsumline_rejected_inputs_total",
     "Inputs that could not be read, by where they came from.",
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -1,11 +1,16 @@
 """Tests of heartbeats and replies of an executor that cannot be read."""
 
+import asyncio
+import contextlib
 import json
+import socket
 
 import msgspec
 import pytest
 
+from gypsumline.core.leases.call_times import CallLimits
 from gypsumline.core.leases.effects import (
+    HoldReply,
     HoldRequest,
     OrderAnswer,
     OrderStart,
@@ -14,6 +19,10 @@
 from gypsumline.platform.executor_calls import ExecutorClient
 from gypsumline.platform.heartbeats import HeartbeatReceiver
 from gypsumline.runtime.http_messages import HttpRequest, HttpResponse
+from gypsumline.runtime.light_http_server import (
+    HttpLimits,
+    running_light_server,
+)
 
 ORDER = HoldRequest(
     executor="x-1", token=1, acknowledged_end=0, lease_until=None, wait=0.0
@@ -22,6 +31,18 @@
     executor="x-1", task="t", attempt=1, spec="s", token=1, lease_until=1
 )
 STOP = OrderStop(executor="x-1", task="t", attempt=1, token=1)
+LIMITS = CallLimits(shortest=0.02, longest=0.2)
+
+
+def start_order(number):
+    return OrderStart(
+        executor="x-1",
+        task=f"{number}",
+        attempt=1,
+        spec="s",
+        token=1,
+        lease_until=1,
+    )
 
 
 class RecordingNode:
@@ -52,6 +73,68 @@
         return self._response
 
 
+def canned_client(body, status=200):
+    """Returns an executor's client that gets the same answer to each order."""
+    client = ExecutorClient("127.0.0.1:1", LIMITS)
+    canned = CannedClient(body, status)
+    client._clients = dict.fromkeys(client._clients, canned)
+    return client
+
+
+@contextlib.asynccontextmanager
+async def serving(handler):
+    """Yields a client of an executor that handles exchanges as given."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    async with running_light_server(address, handler, HttpLimits()):
+        client = ExecutorClient(address, LIMITS)
+        yield client
+        client.close()
+
+
+def respond(exchange, **fields):
+    body = msgspec.json.encode({"clock_ms": 1, **fields})
+    exchange.respond(HttpResponse(status=200, body=body))
+
+
+async def test_hold_does_not_wait_behind_starts_that_hang():
+    """Guards against a lease that lapses because starts get no answer."""
+
+    def handler(exchange):
+        if exchange.request.target == "/v1/hold":
+            respond(exchange)
+
+    async with serving(handler) as client:
+        hanging = [
+            asyncio.create_task(client.start(start_order(n))) for n in range(40)
+        ]
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(LIMITS.longest / 2.0):
+            assert isinstance(await client.hold(ORDER), HoldReply)
+        answers = set(await asyncio.gather(*hanging))
+        # Some starts found no connection, and nothing of them was sent.
+        assert answers == {OrderAnswer.UNANSWERED, OrderAnswer.UNSENT}
+
+
+async def test_time_limit_follows_the_answers_of_the_executor():
+    """Guards against a limit that stays below the pace of a slow executor."""
+    delay = 0.0
+    loop = asyncio.get_running_loop()
+
+    async with serving(lambda e: loop.call_later(delay, respond, e)) as client:
+        for number in range(5):
+            assert await client.start(start_order(number)) is OrderAnswer.DONE
+        assert client._times["run-start"].limit < 0.1
+        delay = 0.12
+        answers = []
+        for number in range(8):
+            answers.append(await client.start(start_order(number)))
+            await asyncio.sleep(0.13)
+        assert answers[0] is OrderAnswer.UNANSWERED
+        assert answers[-1] is OrderAnswer.DONE
+
+
 @pytest.mark.parametrize(
     "field", ["clock_ms", "born", "remaining_ms", "seq_no"]
 )
@@ -106,15 +189,13 @@
 )
 async def test_invalid_hold_reply_counts_as_no_answer(body):
     """Guards against one malformed reply that ends the agent."""
-    client = ExecutorClient("127.0.0.1:1", 1.0)
-    client._client = CannedClient(body)
+    client = canned_client(body)
     assert await client.hold(ORDER) is OrderAnswer.UNANSWERED
 
 
 async def test_hold_replies_with_the_same_fault_are_logged_once(caplog):
     """Guards against an error line for each of twenty replies a second."""
-    client = ExecutorClient("127.0.0.1:1", 1.0)
-    client._client = CannedClient(b'{"clock_ms":1,"running":[["t"]]}')
+    client = canned_client(b'{"clock_ms":1,"running":[["t"]]}')
     for _ in range(3):
         await client.hold(ORDER)
     assert len(caplog.records) == 1
@@ -139,8 +220,7 @@
     status, answer
 ):
     """Guards against a second run of a task whose start got an error."""
-    client = ExecutorClient("127.0.0.1:1", 1.0)
-    client._client = CannedClient(b"", status)
+    client = canned_client(b"", status)
     assert await client.start(START) is answer
     assert await client.stop(STOP) is answer
     assert await client.hold(ORDER) is answer
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.http_client import HttpClient, LateResponse
 from gypsumline.runtime.http_messages import (
     HttpResponse,
     HttpUnansweredError,
@@ -64,6 +65,63 @@
         assert (await second).body == b"right"
 
 
+async def test_connection_of_a_late_response_is_used_again():
+    """Guards against a new connection for each response that is merely late."""
+    pending = asyncio.Queue()
+    late = asyncio.Queue()
+    async with serve(pending.put_nowait) as (server, client):
+        with pytest.raises(HttpUnansweredError):
+            await client.request(
+                "GET",
+                "/first",
+                timeout=0.02,
+                late=LateResponse(patience=5.0, on_response=late.put_nowait),
+            )
+        (await pending.get()).respond(HttpResponse(status=200, body=b"late"))
+        assert (await late.get()).body == b"late"
+        second = asyncio.create_task(
+            client.request("GET", "/second", timeout=1.0)
+        )
+        (await pending.get()).respond(HttpResponse(status=200, body=b"right"))
+        assert (await second).body == b"right"
+        assert len(server.connections) == 1
+
+
+async def test_connections_without_responses_are_bounded():
+    """Guards against a connection for each request that hangs, or none free."""
+    pending = asyncio.Queue()
+    late = LateResponse(patience=60.0, on_response=pending.put_nowait)
+    async with serve(pending.put_nowait, connections=2) as (server, client):
+        neighbour = asyncio.create_task(
+            client.request("GET", "/neighbour", timeout=5.0)
+        )
+        exchange = await pending.get()
+        for _ in range(6):
+            with pytest.raises(HttpUnansweredError):
+                await client.request("GET", "/", timeout=0.01, late=late)
+        await asyncio.sleep(0.05)
+        assert len(server.connections) == 3
+        exchange.respond(HttpResponse(status=200, body=b"right"))
+        assert (await neighbour).body == b"right"
+
+
+async def test_cancelled_request_leaves_no_error_behind():
+    """Guards against an error line for each request that is given up."""
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    pending = asyncio.Queue()
+    async with serve(pending.put_nowait) as (_, client):
+        request = asyncio.create_task(client.request("GET", "/", timeout=5.0))
+        await pending.get()
+        request.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await request
+        await asyncio.sleep(0.05)
+    gc.collect()
+    assert errors == []
+
+
 async def test_refused_connection_is_reported_as_unsent():
     """Guards against treating an unsent request as possibly processed."""
     client = HttpClient(free_address(), 1)
