Place fewer runs where orders go unanswered

Owners did not know that an executor lost orders: its runs only took longer. Agents now report the share of their orders without an answer with the load; an owner counts the expected repeats in the time of a run and prefers executors that answer. The last executor of a service is still used, and the share is forgotten within seconds without orders.

--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -117,6 +117,7 @@
       owners: Number of owners connected to the agent.
       offered: Whether capacity is offered to the receiver, which answers with
         a start or declines with a pong.
+      unanswered: Share of its orders to the executor that go unanswered.
     """
 
     executor: str = ""
@@ -130,6 +131,7 @@
     yours: int = 0
     owners: int = 1
     offered: bool = False
+    unanswered: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/gypsumline/core/leases/owner_settings.py
+++ b/gypsumline/core/leases/owner_settings.py
@@ -30,6 +30,9 @@
         the caller.
       fast_reserve: Free share of capacity by which a slower executor that is
         still in time is preferred over one of twice its speed.
+      repeat_time: Expected time that each order without an answer costs a run.
+      unanswered_reserve: Free share of capacity by which an executor that
+        answers all orders is preferred over one that answers none.
       remote_factor: Factor on the run time away from the rack of the data.
       candidates_limit: Maximum number of agents with free capacity compared for
         a task. In larger fleets the next task starts with the following agents.
@@ -51,6 +54,8 @@
     overdue_extra: float = 0.3
     late_factor: float = 3.0
     fast_reserve: float = 0.25
+    repeat_time: float = 0.02
+    unanswered_reserve: float = 1.0
     remote_factor: float = 1.5
     candidates_limit: int = 100
     jobs_limit: int = 20_000
--- a/gypsumline/core/leases/placement.py
+++ b/gypsumline/core/leases/placement.py
@@ -12,6 +12,10 @@
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.core.placement.estimate import RunTimeEstimates
 
+# Share of unanswered orders up to which the expected repeats count, so that an
+# executor that answers nothing is still used if it is the last one.
+_MAX_COUNTED_SHARE = 0.95
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
@@ -109,11 +113,16 @@
     def _rank(
         self, task: Task, agent: AgentView, time: float, slack: float
     ) -> tuple[int, float]:
+        share = agent.load.unanswered
+        # A start and the list with the end are each repeated until answered.
+        lost = share / (1.0 - min(share, _MAX_COUNTED_SHARE))
+        time += 2.0 * lost * self._settings.repeat_time
         if time > slack:
             return 1, time
         free = agent.free.processor - task.step.resources.processor
         used = 1.0 - free / max(1, agent.load.capacity.processor)
         reserve = self._settings.fast_reserve * math.log2(self.speed(agent))
+        reserve += self._settings.unanswered_reserve * share
         return 0, used + reserve
 
 
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -834,6 +834,7 @@
             yours=self._usage.processor_used_by(owner),
             owners=len(self._contacts.connected),
             offered=self._offers.is_pending(owner, now),
+            unanswered=round(self._unanswered.value(now), 2),
         )
 
     def _flush_reports(self, now: float) -> list[Effect]:
