--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -69,6 +69,9 @@
         self.leaving = False
         self.delays_orders_until = -1.0  # some orders are delayed until then
         self.hung_until = -1.0
+        # Share of all calls that get no answer until then.
+        self.lost_share = 0.0
+        self.loses_answers_until = -1.0
         # Most stops are lost or refused until then; the other calls work.
         self.loses_stops_until = -1.0
         # At most 2% slower than the clocks of the agents.
@@ -183,11 +186,33 @@
             return
         if isinstance(order, OrderStop) and self._loses_stop(answer):
             return
+        if self._loses_answer():
+            self._lose(lambda reply: reply(self._apply(order, True)), answer)
+            return
         result = self._apply(order)
         if world.now < self.delays_orders_until and world.rng.random() < 0.2:
             return  # the answer is lost
         world.at(0.001, answer, result)
 
+    def _loses_answer(self):
+        world = self.world
+        if world.now >= self.loses_answers_until:
+            return False
+        return world.rng.random() < self.lost_share
+
+    def _lose(self, call, answer):
+        """Carries a call out seconds later, or answers it late or never."""
+        world = self.world
+        kind = world.rng.choice(("late order", "late answer", "no answer"))
+        if kind == "late order":
+            delay = world.rng.uniform(2.0, 12.0)
+            world.at(delay, call, lambda result: None)
+        elif kind == "late answer":
+            delay = world.rng.uniform(0.0, 0.5)
+            call(lambda result: world.at(delay, answer, result))
+        else:
+            call(lambda result: None)
+
     def _loses_stop(self, answer):
         world = self.world
         if world.now >= self.loses_stops_until or world.rng.random() >= 0.9:
@@ -286,6 +311,14 @@
             return
         if world.now < self.delays_orders_until and world.rng.random() < 0.1:
             return
+        if self._loses_answer():
+            self._lose(lambda reply: self._hold(request, reply), answer)
+            return
+        self._hold(request, answer)
+
+    def _hold(self, request, answer):
+        if not self.up or request.executor != self.announced_name:
+            return
         if request.token < self.token:
             answer(OrderAnswer.FENCED)
             return
@@ -295,7 +328,7 @@
         self.ended = [
             end for end in self.ended if end.number > request.acknowledged_end
         ]
-        self._list(request, answer, world.now + request.wait)
+        self._list(request, answer, self.world.now + request.wait)
 
     def _list(self, request, answer, until):
         if not self.up:
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -76,6 +76,15 @@
         executor.loses_stops_until = world.now + 3.0
 
 
+def lose_answers(world, rng):
+    """Loses a share of all calls to all executors, or to one."""
+    share = rng.choice((0.1, 0.5, 0.8))
+    executors = list(world.executors.values())
+    for executor in rng.choice((executors, executors[:1])):
+        executor.lost_share = share
+        executor.loses_answers_until = world.now + 3.0
+
+
 def hang(world, rng):
     executor = rng.choice(list(world.executors.values()))
     executor.hung_until = world.now + 2.0
@@ -141,6 +150,14 @@
 )
 
 
+LOST_ANSWER_ACTIONS = (
+    *ACTIONS,
+    submit,
+    submit,
+    lose_answers,
+    lose_answers,
+    lose_answers,
+)
 # Owners that are lost while stops are.
 STOP_LOSS_ACTIONS = (
     *ACTIONS,
@@ -228,11 +245,13 @@
     parser.add_argument("--clocks-restart", action="store_true")
     parser.add_argument("--crashes", action="store_true")
     parser.add_argument("--lost-stops", action="store_true")
+    parser.add_argument("--lost-answers", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
         actions = CRASH_ACTIONS if options.crashes else ACTIONS
         actions = STOP_LOSS_ACTIONS if options.lost_stops else actions
+        actions = LOST_ANSWER_ACTIONS if options.lost_answers else actions
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -11,6 +11,7 @@
 WALKS = 15
 DELAYED_ORDER_WALKS = 10
 LOST_STOP_WALKS = 10
+LOST_ANSWER_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -32,6 +33,13 @@
     assert _walk_with_lost_stops(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, LOST_ANSWER_WALKS + 1))
+def test_lost_answers_violate_no_guarantee(seed):
+    """Guards against second runs by repeated orders and overlapping holds."""
+    actions = lease_walk.LOST_ANSWER_ACTIONS
+    assert lease_walk.walk(seed, actions=actions).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, DELAYED_ORDER_WALKS + 1))
 def test_delayed_orders_do_not_reach_a_restarted_executor(seed):
     """Guards against orders for an earlier incarnation after a clock reset."""
