--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -93,6 +93,8 @@
     """Asks the executor for its runs and ends, and renews its lease.
 
     Attributes:
+      number: Number among the requests of the agent.
+      sent_at: Time of the request.
       executor: Name of the target executor.
       token: Fencing token.
       acknowledged_end: Number of the newest end that the agent has processed.
@@ -101,6 +103,8 @@
       wait: Seconds for which the executor may wait for an end.
     """
 
+    number: int
+    sent_at: float
     executor: str
     token: int
     acknowledged_end: int
@@ -122,6 +126,8 @@
     OTHER_EXECUTOR = enum.auto()
     # No process listens at the executor's address.
     NO_LISTENER = enum.auto()
+    # No connection was free or could be opened in time, so nothing was sent.
+    UNSENT = enum.auto()
     UNANSWERED = enum.auto()
 
 
