Let odd agents of the fuzz report crashes of a service of their own

A valid crash is believed, so this is no odd input; the effect on a service with one executor is a matter of the containment and goes to its owner. The odd agents now report another service.

A run that fails now waits until the daemons have written their last log lines.

--- a/soak/odd_inputs.py
+++ b/soak/odd_inputs.py
@@ -26,6 +26,7 @@
 FOLLOW_LIMIT_SECONDS = 5.0
 CHECK_SECONDS = 0.01
 RUN_SECONDS = 0.02
+LOG_SECONDS = 0.6
 _MARKERS = (b"Traceback", b"exc_info")
 
 
@@ -197,6 +198,8 @@
             if problems:
                 shown = [str(item)[:300] for item in sent]
                 violations += [f"group {number}, {name}: {shown}", *problems]
+                # The daemons write their log lines at this interval.
+                await asyncio.sleep(LOG_SECONDS)
                 break
     return OddInputsResult(seed=seed, inputs=counts, violations=violations)
 
--- a/soak/odd_sources.py
+++ b/soak/odd_sources.py
@@ -53,7 +53,8 @@
 }
 _LOAD = {
     "executor": "odd",
-    "service": "ordering",
+    # A valid crash is believed, and would confine the queues of its service.
+    "service": "odd",
     "capacity": {"processor": 8000, "memory": 4096},
     "free": {"processor": 0, "memory": 0},
     "labels": ["a"],
