--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -34,9 +34,7 @@
     HttpUnsentError,
 )
 
-# Calls that hang keep a connection until their time limit, so there are more of
-# them than starts at a time.
-_CONNECTIONS = 16
+_CONNECTIONS = 8
 # Connections for hold requests, which never wait behind other orders.
 _HOLD_CONNECTIONS = 4
 _EXPECTED_EXECUTOR_HEADER = "X-Gypsumline-Expected-Instance"
