--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--agents", type=int, default=3)
     parser.add_argument("--crashes", action="store_true")
+    parser.add_argument("--lost-answers", action="store_true")
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
@@ -28,6 +29,7 @@
                 options.entries,
                 options.agents,
                 options.crashes,
+                options.lost_answers,
             )
         )
         sys.stdout.write(f"{result}\n")
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 RECOVERY_LIMIT_SECONDS = 15.0
 FAULTS = []
 CRASH_FAULTS = []
+LOSS_FAULTS = []
 
 
 @dataclasses.dataclass
@@ -194,15 +195,42 @@
     executor.announce_once()
 
 
+def loss_fault(function):
+    """Registers a fault of executors, for soaks with lost answers."""
+    LOSS_FAULTS.append(function)
+    return function
+
+
+@loss_fault
+async def lose_answers(world):
+    """Loses a share of all calls to all executors, or to one."""
+    executors = list(world.executors.values())
+    share = world.rng.choice((0.1, 0.5, 0.8))
+    for executor in world.rng.choice((executors, executors[:1])):
+        executor.lost_share = share
+        executor.loses_answers_until = world.now + 3.0
+
+
 @fault
 async def change_zone_out(world):
     """Takes a zone out of service, or returns all to service."""
     world.set_zone_out(world.rng.choice(("", "", *ZONES)))
 
 
-async def run_soak(seed, seconds, entries=2, agents=3, with_crashes=False):
+async def run_soak(
+    seed,
+    seconds,
+    entries=2,
+    agents=3,
+    with_crashes=False,
+    with_lost_answers=False,
+):
     """Runs a soak with faults for some seconds and returns its result."""
-    registered = FAULTS + 2 * CRASH_FAULTS if with_crashes else FAULTS
+    registered = (
+        FAULTS
+        + 2 * CRASH_FAULTS * with_crashes
+        + 6 * LOSS_FAULTS * with_lost_answers
+    )
     world = SoakWorld(
         seed, entries, agents, ROOT / "build" / "soak" / str(seed)
     )
