Keep crashes of executors in the store

Cause: crashes are counted in the memory of owners and agents alone, so a kill of all of them starts the count at zero.

Change: the agent that sees a crash stores it (one row a crash, none without one; batched, bounded and removed later), and entries read the rows when they start and after streams of agents have ended. Crashes that are older than the time of suspicion, or that an owner restores before it knows executors, confine no queue.

The mutant lose_count_with_owner now disables the stored crashes too, which otherwise hide it; that the agents' own records are enough while the store is away is tested separately.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Protocol
 
 from gypsumline.core.effects import Decision, Effect, Send
@@ -60,17 +60,26 @@
 
 
 class LeasedAgentNode:
-    """Passes inputs to the run table and applies its effects."""
+    """Passes inputs to the run table and applies its effects.
+
+    Args:
+      table: State machine of the agent's runs.
+      executor: Calls to the executor.
+      decision_log: Log of decisions.
+      on_crash: Called at each crash of the executor.
+    """
 
     def __init__(
         self,
         table: RunTable,
         executor: LeasedExecutor,
         decision_log: DecisionLog,
+        on_crash: Callable[[CrashDetected], None],
     ) -> None:
         self._table = table
         self._executor = executor
         self._log = decision_log
+        self._on_crash = on_crash
         self._hub: Hub | None = None
         self._timer: Subscription | None = None
         self._calls: set[asyncio.Task[None]] = set()
@@ -205,6 +214,7 @@
                     metrics.EXECUTOR_CRASHES.inc()
                     metrics.CRASHED_RUNS.inc(len(effect.crash.runs))
                     self._log.write(crash_line(effect))
+                    self._on_crash(effect)
                 case Decision():
                     self._log.write(effect)
         if not self._wake.is_set():
--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -122,7 +122,9 @@
         is_new = name not in self._suspected
         blame = history.queue_blame(queue, now - self._settings.suspicion_time)
         executors = sum(view.service == service for view in self._fleet)
-        if is_new and blame < self._settings.suspicion_share * executors:
+        limit = self._settings.suspicion_share * executors
+        # An owner that has just started knows no executors yet.
+        if is_new and (not executors or blame < limit):
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -66,7 +66,11 @@
             ),
         )
         self._crashes.append((at, crash))
-        return CrashDetected(crash=crash, evidence=evidence)
+        return CrashDetected(
+            service=executor.announcement.service,
+            crash=crash,
+            evidence=evidence,
+        )
 
     def recent(self, now: float) -> tuple[ExecutorCrash, ...]:
         """Returns the crashes that owners still take into account."""
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -20,6 +20,7 @@
     def __init__(self, settings: CrashSettings, fleet: Fleet) -> None:
         self._history = CrashHistory(settings)
         self._containment = Containment(settings, fleet)
+        self._suspicion_time = settings.suspicion_time
 
     @property
     def containment(self) -> Containment:
@@ -59,11 +60,20 @@
         if not blame:
             return [], []
         lines = [crash_line(crash, blame, self._history)]
+        if crash.seconds_ago <= self._suspicion_time:
+            lines += self._confine(crash, service, now)
+        found = [jobs[key] for key in blame if key in jobs]
+        return lines, [job for job in found if self.is_given_up(job)]
+
+    def _confine(
+        self, crash: ExecutorCrash, service: str, now: float
+    ) -> list[Decision]:
+        """Confines the queues whose jobs caused a recent crash."""
+        lines = []
         for queue in sorted(self._history.causes(crash)):
             if self._containment.suspect(service, queue, self._history, now):
                 lines.append(suspicion_line("queue_suspected", service, queue))
-        found = [jobs[key] for key in blame if key in jobs]
-        return lines, [job for job in found if self.is_given_up(job)]
+        return lines
 
     def update(self, now: float) -> list[Decision]:
         """Forgets old crashes; returns the lines of queues that are cleared."""
--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -149,10 +149,12 @@
     """Logs and counts a crash of the executor.
 
     Attributes:
+      service: Service of the executor.
       crash: The crash and the runs that were there.
       evidence: What proves it.
     """
 
+    service: str
     crash: ExecutorCrash
     evidence: str
 
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
@@ -260,6 +260,20 @@
             effects.append(self._pong(view, now))
         return effects
 
+    def restore_crashes(
+        self, crashes: Iterable[tuple[str, ExecutorCrash]], now: float
+    ) -> list[Effect]:
+        """Counts crashes that may have been seen before this owner started.
+
+        Args:
+          crashes: Service and crash; known ones are counted once.
+          now: Current time.
+        """
+        effects: list[Effect] = []
+        for service, crash in crashes:
+            effects += self._on_crash(crash, service, now)
+        return effects
+
     def tick(self, now: float) -> list[Effect]:
         """Ends overdue jobs, stops overdue runs and gives up lost ones."""
         effects: list[Effect] = [*self._crashes.update(now)]
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -8,7 +8,12 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import JobEnded
 from gypsumline.core.leases.job import JobRequest
-from gypsumline.core.leases.messages import ContactPing, RunReports, ZonesOut
+from gypsumline.core.leases.messages import (
+    ContactPing,
+    ExecutorCrash,
+    RunReports,
+    ZonesOut,
+)
 from gypsumline.core.leases.owner import CRASHED_EXECUTORS, LeasedOwner
 from gypsumline.core.message import Message
 from gypsumline.runtime import metrics
@@ -21,11 +26,23 @@
 
 
 class LeasedEntryNode:
-    """Passes inputs to the owner and applies its effects."""
-
-    def __init__(self, owner: LeasedOwner, decision_log: DecisionLog) -> None:
+    """Passes inputs to the owner and applies its effects.
+
+    Args:
+      owner: State machine of the owner.
+      decision_log: Log of decisions.
+      on_agent_lost: Called at the end of each stream to an agent.
+    """
+
+    def __init__(
+        self,
+        owner: LeasedOwner,
+        decision_log: DecisionLog,
+        on_agent_lost: Callable[[], None],
+    ) -> None:
         self._owner = owner
         self._log = decision_log
+        self._on_agent_lost = on_agent_lost
         self._hub: Hub | None = None
         self._timer: Subscription | None = None
         self._callers: dict[str, list[OnEnded]] = {}
@@ -84,6 +101,12 @@
         """Sets the availability zones that are out of service."""
         self._apply_effects(self._owner.set_zones_out(message, boot_time()))
 
+    def restore_crashes(
+        self, crashes: Sequence[tuple[str, ExecutorCrash]]
+    ) -> None:
+        """Counts crashes of executors, by service, that were stored."""
+        self._apply_effects(self._owner.restore_crashes(crashes, boot_time()))
+
     def tick(self) -> None:
         """Runs the due timers of the owner."""
         self._apply_effects(self._owner.tick(boot_time()))
@@ -96,6 +119,7 @@
     def on_disconnected(self, member: Member) -> None:
         """Handles the end of a stream to an agent."""
         self._owner.on_disconnected(member)
+        self._on_agent_lost()
 
     def on_message(self, member: Member, message: Message) -> None:
         """Handles a message from an agent."""
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -7,7 +7,9 @@
 
 from gypsumline.agent.leased_node import LeasedAgentNode
 from gypsumline.core.identity import Role
+from gypsumline.core.leases.crash_records import CrashOutbox
 from gypsumline.core.leases.run_table import RunTable
+from gypsumline.platform.crash_rows import CrashWriter
 from gypsumline.platform.daemon import Daemon, running_daemon, running_tasks
 from gypsumline.platform.entry_rows import ENTRIES_TABLE, EntryDirectory
 from gypsumline.platform.executor_calls import ExecutorClient
@@ -41,8 +43,12 @@
     executor = ExecutorClient(
         settings.executor_address, settings.lease.order_timeout
     )
-    node = LeasedAgentNode(table, executor, daemon.decision_log)
     store = Store(settings.store_address, settings.entries_feed)
+    outbox = CrashOutbox(settings.member_id, settings.lease)
+    crash_writer = CrashWriter(store, outbox, daemon.rng)
+    node = LeasedAgentNode(
+        table, executor, daemon.decision_log, crash_writer.on_crash
+    )
     receiver = HeartbeatReceiver(node, settings.service)
     async with running_hub(daemon.member, node, daemon.rng) as hub:
         node.attach(hub)
@@ -60,7 +66,9 @@
             running_light_server(
                 settings.heartbeat_address, receiver, HttpLimits()
             ),
-            running_tasks(follower.run(), node.run_hold_loop()),
+            running_tasks(
+                follower.run(), node.run_hold_loop(), crash_writer.run()
+            ),
         ):
             _LOGGER.info(
                 "listening", extra={"address": settings.heartbeat_address}
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -11,6 +11,7 @@
 from gypsumline.core.leases.owner import LeasedOwner
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.entry.leased_node import LeasedEntryNode
+from gypsumline.platform.crash_rows import CrashReader
 from gypsumline.platform.daemon import Daemon, running_daemon, running_tasks
 from gypsumline.platform.entry_rows import EntryAnnouncer
 from gypsumline.platform.follower import TableFollower
@@ -46,9 +47,17 @@
             settings.lease,
             LeasedOwnerSettings(remote_factor=settings.remote_factor),
         )
-        self._node = LeasedEntryNode(owner, daemon.decision_log)
-        self._configuration = OperatorConfiguration()
         self._store = Store(settings.store_address, settings.operator_feed)
+        self._crash_reader = CrashReader(
+            self._store,
+            settings.lease.crash_memory,
+            lambda crashes: self._node.restore_crashes(crashes),
+            daemon.rng,
+        )
+        self._node = LeasedEntryNode(
+            owner, daemon.decision_log, self._crash_reader.request_read
+        )
+        self._configuration = OperatorConfiguration()
         self._follower = TableFollower(
             self._store,
             OPERATOR_TABLE,
@@ -73,7 +82,11 @@
         async with (
             self._running_hub(),
             self._running_servers() as caller_server,
-            running_tasks(self._follower.run(), announcer.run()),
+            running_tasks(
+                self._crash_reader.run(),
+                self._follow_operator(),
+                announcer.run(),
+            ),
         ):
             await daemon.signals.wait()
             await self._stop(caller_server)
@@ -125,6 +138,11 @@
         caller_server.drain()
         await asyncio.sleep(_FINAL_WRITE_SECONDS)
 
+    async def _follow_operator(self) -> None:
+        """Follows the configuration, without which no job is accepted."""
+        await self._crash_reader.wait_for_first_read()
+        await self._follower.run()
+
     def _replace_rows(self, rows: RowSet) -> None:
         self._configuration.replace(rows)
         self._node.set_zones_out(self._configuration.zones_out)
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import dataclasses
@@ -123,6 +124,15 @@
         # One counter versions all tables, so the version of a response shows
         # which later responses are stale, whatever their table.
         self._newest_version = 0
+        self._clock_offset: float | None = None
+
+    @property
+    def clock_offset(self) -> float | None:
+        """Seconds by which the store's clock is ahead of the event loop's.
+
+        None before the first response that shows it.
+        """
+        return self._clock_offset
 
     async def read(self, table: str) -> RowSet:
         """Returns all rows of a table.
@@ -154,7 +164,7 @@
             start = page.rows[-1].key + "\0"
         self._record_version(pages[0].ver, min_version)
         rows = [_decode_row(row) for page in pages for row in page.rows]
-        return _make_row_set(rows, pages[0], RowSource.READ)
+        return self._make_row_set(rows, pages[0], RowSource.READ)
 
     async def follow(self, table: str, after: int) -> RowSet:
         """Returns the rows that changed after a version.
@@ -176,20 +186,21 @@
         page = _decode_rows(await self._get(self._feed_client, target, timeout))
         self._record_version(page.ver, after)
         rows = [_decode_row(row) for row in page.rows]
-        return _make_row_set(rows, page, RowSource.FEED)
+        return self._make_row_set(rows, page, RowSource.FEED)
 
     async def write(
         self,
         table: str,
         puts: dict[str, bytes],
-        removals: dict[str, int] | None = None,
+        removals: Mapping[str, int | None] | None = None,
     ) -> None:
         """Writes rows and removes others, in one transaction.
 
         Args:
           table: Name of the table.
           puts: Values to write, by key.
-          removals: Versions that the rows to remove must have, by key.
+          removals: Versions that the rows to remove must have, by key; None to
+            remove whatever is there.
 
         Raises:
           StoreConflictError: A row to remove has another version.
@@ -200,6 +211,7 @@
             "expected_rev": [
                 {"table": table, "part": "", "key": key, "ver": version}
                 for key, version in removals.items()
+                if version is not None
             ],
             "puts": [
                 {
@@ -241,6 +253,19 @@
             raise OldRowsError(f"version {version} is older than {min_version}")
         self._newest_version = max(self._newest_version, version)
 
+    def _make_row_set(
+        self, rows: list[StoredRow], page: _WireRows, source: RowSource
+    ) -> RowSet:
+        store_time = page.now_ms / 1000.0
+        now = asyncio.get_running_loop().time()
+        self._clock_offset = store_time - now
+        return RowSet(
+            rows=tuple(rows),
+            version=page.ver,
+            store_time=store_time,
+            source=source,
+        )
+
     def close(self) -> None:
         """Closes the idle connections."""
         self._client.close()
@@ -291,17 +316,6 @@
         raise StoreUnavailableError(f"invalid rows: {error}") from error
 
 
-def _make_row_set(
-    rows: list[StoredRow], page: _WireRows, source: RowSource
-) -> RowSet:
-    return RowSet(
-        rows=tuple(rows),
-        version=page.ver,
-        store_time=page.now_ms / 1000.0,
-        source=source,
-    )
-
-
 def _decode_row(row: _WireRow) -> StoredRow:
     value: bytes | None = None
     if not row.removed:
--- a/gypsumline/tests/core/leases/test_crashes_at_owners.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_owners.py
@@ -121,3 +121,26 @@
     for record in (odd, crash(2, task=""), crash(3, task="no-such.9.9.9")):
         message = RunReports(reports=(), load=load(), crashes=(record,))
         assert outcomes(leased.on_reports(agent(1), message, 0.0)) == []
+
+
+def test_restored_crashes_count_once_and_confine_no_queue_when_old():
+    """Guards against stored crashes that count twice or confine a queue."""
+    leased = owner_with_agents(2)
+    old = [
+        ("ordering", dataclasses.replace(crash(number), seconds_ago=20.0))
+        for number in (1, 2)
+    ]
+    leased.restore_crashes(old[:1], 0.0)
+    leased.restore_crashes(old[:1], 1.0)
+    assert outcomes(leased.submit(request(), 1.0)) == []
+    effects = leased.restore_crashes(old, 2.0)
+    assert outcomes(effects) == [JobOutcome.FAILED]
+    assert leased.suspected_queues == {}
+
+
+def test_restored_crash_confines_no_queue_before_executors_are_known():
+    """Guards against a queue that an owner confines because it has started."""
+    leased = owner()
+    recent = [("ordering", crash(number)) for number in (1, 2)]
+    leased.restore_crashes(recent, 0.0)
+    assert leased.suspected_queues == {}
--- a/gypsumline/tests/entry/test_leased_node.py
+++ b/gypsumline/tests/entry/test_leased_node.py
@@ -19,7 +19,7 @@
 def fixture_node():
     leased = owner()
     join(leased, agent(), boot_time())
-    return LeasedEntryNode(leased, DecisionLog(0))
+    return LeasedEntryNode(leased, DecisionLog(0), lambda: None)
 
 
 def test_cancelled_job_answers_all_its_callers(node):
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -10,6 +10,8 @@
 import random
 import sys
 
+from gypsumline.core.leases.job import JobStep
+from gypsumline.core.leases.resources import Resources
 from properties.lease_world import QUEUE, TIMEOUTS, ZONES, LeaseWorld
 
 STEP = 0.25  # seconds of virtual time between actions
@@ -18,6 +20,9 @@
 RECOVERY_SECONDS = MAX_ORDER_DELAY_SECONDS + 4.0
 OVERLOAD_INTERVAL_SECONDS = 0.1
 OVERLOAD_JOBS = 3
+# More than a task that crashes its executors may cause.
+MAX_CRASHES = 8
+CRASH_INTERVAL_SECONDS = 6.0
 
 
 def submit(world, rng):
@@ -39,6 +44,12 @@
     world.kill(rng.choice(list(world.agents.values())))
 
 
+def kill_all(world):
+    """Kills all processes at the same time."""
+    for node in [*world.entries.values(), *world.agents.values()]:
+        world.kill(node)
+
+
 def pause(world, rng):
     nodes = [*world.entries.values(), *world.agents.values()]
     node = rng.choice(nodes)
@@ -192,6 +203,35 @@
     return world
 
 
+def walk_killed_between_crashes(seed):
+    """Runs a walk in which all processes are killed after each crash.
+
+    Nothing that counts the crashes of the culprits outlives the processes,
+    other than what was stored.
+
+    Returns:
+      The world after the walk.
+    """
+    rng = random.Random(seed)
+    world = LeaseWorld(seed, entries=2, agents=3)
+    world.run_until(1.0)
+    step = JobStep(count=1, resources=Resources(processor=500), run_time=0.2)
+    key = "c" * 16
+    world.sizes[key] = step.resources.processor
+    world.culprits[f"{key}.0.0.0"] = rng.choice((0.005, 0.02))
+    caller = (step, world.now + MAX_CRASHES * CRASH_INTERVAL_SECONDS, (10.0,))
+    world.submit_to_any_entry(key, caller)
+    for _ in range(MAX_CRASHES):
+        known = world.detected_crashes
+        end = world.now + CRASH_INTERVAL_SECONDS
+        while world.detected_crashes == known and world.now < end:
+            world.run_until(world.now + 0.005)
+        # Before the next crash under the task is detected too.
+        world.run_until(world.now + rng.uniform(0.02, 0.04))
+        kill_all(world)
+    return world
+
+
 def overload(world, seconds):
     """Submits more jobs than the executors can run."""
     end = world.now + seconds
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -12,6 +12,7 @@
 from gypsumline.core.effects import Send
 from gypsumline.core.identity import Member, Role
 from gypsumline.core.leases.effects import (
+    CrashDetected,
     HoldReply,
     HoldRequest,
     JobEnded,
@@ -44,6 +45,10 @@
 
 TICK = 0.03
 DIAL_DELAY = 0.05
+# Duration of a call to the store.
+STORE_DELAY = 0.005
+# Delay of a read of the stored crashes after the loss of an agent.
+CRASH_READ_DELAY = 1.0
 # Time without faults after which a process must know the current state, such as
 # excluded zones.
 PROPAGATION_LIMIT_SECONDS = 3.0
@@ -177,6 +182,8 @@
         # Task -> seconds after its start at which it crashes its executor.
         self.culprits = {}
         self.crash_downtime = 1.0
+        self.detected_crashes = 0
+        self.stored_crashes = []  # (time of the crash, service, crash)
         for number in range(agents):
             zone = ZONES[number % len(ZONES)]
             name = f"agent-{number}"
@@ -224,6 +231,7 @@
         self.entries[name] = node
         self.undisturbed_since[name] = self.now
         # Entries read the platform's table when they start.
+        self.at(STORE_DELAY, self._read_crashes, node)
         self.at(DIAL_DELAY, self._set_zones, node, self.zones)
         self.at(TICK, self._tick, node)
         for agent in self.agents:
@@ -373,6 +381,8 @@
     def _disconnected(self, node, peer):
         node.streams.pop(peer.member_id, None)
         node.machine.on_disconnected(peer)
+        if node.member.role is Role.ENTRY:
+            self.at(CRASH_READ_DELAY, self._read_crashes, node)
 
     def _send(self, node, to, message):
         name = node.member.member_id
@@ -441,9 +451,29 @@
                     self._answer(node, effect)
                 case OrderStart() | OrderStop():
                     self._send_order(node, effect)
+                case CrashDetected():
+                    self.detected_crashes += 1
+                    self.at(STORE_DELAY, self._store_crash, node, effect)
         if node.member.role is Role.AGENT:
             self._send_hold_request(node)
 
+    def _store_crash(self, node, detected):
+        """Stores a crash unless its agent has been killed meanwhile."""
+        if node.alive:
+            at = self.now - STORE_DELAY
+            self.stored_crashes.append((at, detected.service, detected.crash))
+
+    def _read_crashes(self, node):
+        crashes = [
+            (service, dataclasses.replace(crash, seconds_ago=self.now - at))
+            for at, service, crash in self.stored_crashes
+        ]
+        self.when_running(node, self._restore_crashes, node, crashes)
+
+    def _restore_crashes(self, node, crashes):
+        effects = node.machine.restore_crashes(crashes, self.now)
+        self.apply_effects(node, effects)
+
     def _send_order(self, node, order):
         executor = self.executors[node.member.member_id]
         answer = self._answer_callback(node, order)
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -41,6 +41,13 @@
     assert world.oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, WALKS + 1))
+def test_count_of_crashes_outlives_all_processes(seed):
+    """Guards against a count that is lost when all processes are killed."""
+    world = lease_walk.walk_killed_between_crashes(seed)
+    assert world.oracle.violations == []
+
+
 def ignore_count(monkeypatch):
     """Starts a task again however many executors crashed under it."""
     monkeypatch.setattr(
@@ -48,8 +55,16 @@
     )
 
 
+def lose_stored_crashes(monkeypatch):
+    """Counts no crashes that were stored, as while the store is away."""
+    monkeypatch.setattr(
+        LeasedOwner, "restore_crashes", lambda self, crashes, now: []
+    )
+
+
 def lose_count_with_owner(monkeypatch):
     """Tells crashes only to the owners that are connected at that time."""
+    lose_stored_crashes(monkeypatch)
     monkeypatch.setattr(CrashLog, "recent", lambda self, now: ())
 
 
@@ -100,21 +115,37 @@
     )
 
 
+def walk_with_crashes(seed):
+    return lease_walk.walk(seed, actions=lease_walk.CRASH_ACTIONS)
+
+
+def walk_with_lost_owners(seed):
+    return lease_walk.walk(seed, actions=LOST_OWNER_ACTIONS)
+
+
+def test_agents_tell_crashes_while_the_store_is_away(monkeypatch):
+    """Guards against a count that depends on the store alone."""
+    lose_stored_crashes(monkeypatch)
+    for seed in MUTANT_SEEDS:
+        assert walk_with_lost_owners(seed).oracle.violations == []
+
+
 @pytest.mark.parametrize(
-    ("disable", "actions"),
+    ("disable", "walk"),
     [
-        (ignore_count, lease_walk.CRASH_ACTIONS),
-        (lose_count_with_owner, LOST_OWNER_ACTIONS),
-        (count_silence, lease_walk.CRASH_ACTIONS),
-        (ignore_reduced_capacity, lease_walk.CRASH_ACTIONS),
-        (give_up_after_one_crash, lease_walk.CRASH_ACTIONS),
+        (ignore_count, walk_with_crashes),
+        (lose_count_with_owner, walk_with_lost_owners),
+        (lose_stored_crashes, lease_walk.walk_killed_between_crashes),
+        (count_silence, walk_with_crashes),
+        (ignore_reduced_capacity, walk_with_crashes),
+        (give_up_after_one_crash, walk_with_crashes),
     ],
 )
-def test_oracle_detects_a_disabled_mechanism(disable, actions, monkeypatch):
+def test_oracle_detects_a_disabled_mechanism(disable, walk, monkeypatch):
     """Guards against walks that cannot detect a violation."""
     disable(monkeypatch)
     for seed in MUTANT_SEEDS:
-        world = lease_walk.walk(seed, actions=actions)
+        world = walk(seed)
         if world.oracle.violations:
             return
     pytest.fail(f"no walk of the seeds {MUTANT_SEEDS} found a violation")
--- a/soak/run.py
+++ b/soak/run.py
@@ -232,6 +232,30 @@
     )
 
 
+async def run_kills_between_crashes(seed):
+    """Kills all processes after each crash under a task.
+
+    With one executor, which is away for a while, each life of the processes
+    sees one crash.
+
+    Returns:
+      Result that the caller of the task got, and the violations.
+    """
+    world = SoakWorld(seed, 2, 1, ROOT / "build" / "soak" / f"kills-{seed}")
+    world.crash_downtime = 2.0
+    async with world.running(), running_programs(world.programs):
+        await asyncio.sleep(START_SECONDS)
+        caller = world.submit(timeout=15.0, crash_delay=0.02)
+        known = 0
+        while not caller.done():
+            await asyncio.sleep(0.02)
+            if len(world.oracle.crash_sizes) > known:
+                known = len(world.oracle.crash_sizes)
+                await asyncio.sleep(world.rng.uniform(0.6, 0.9))
+                await kill_all(world)
+        return caller.result(), world.oracle.violations
+
+
 async def _submit_jobs(world):
     while True:
         world.submit()
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.run import run_soak
+from soak.run import run_kills_between_crashes, run_soak
 
 SECONDS = 10.0
 
@@ -24,3 +24,10 @@
     result = await run_soak(seed, SECONDS, with_crashes=True)
     assert result.violations == []
     assert result.completed > 0
+
+
+async def test_count_of_crashes_outlives_all_processes():
+    """Guards against a task whose crashes are forgotten with the processes."""
+    result, violations = await run_kills_between_crashes(1)
+    assert violations == []
+    assert result == "failed"
