--- a/gypsumline/tests/core/leases/test_crashes_at_owners.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_owners.py
@@ -138,6 +138,17 @@
     assert leased.suspected_queues == {}
 
 
+def test_old_crash_does_not_prolong_a_suspicion():
+    """Guards against a queue that is confined for crashes of long ago."""
+    leased = owner_with_agents(2)
+    for number in (1, 2):
+        report_crash(leased, number, 0.1)
+    ((name, until),) = leased.suspected_queues.items()
+    old = dataclasses.replace(crash(3), seconds_ago=20.0)
+    leased.restore_crashes([("ordering", old)], 3.0)
+    assert leased.suspected_queues == {name: until}
+
+
 def test_restored_crash_confines_no_queue_before_executors_are_known():
     """Guards against a queue that an owner confines because it has started."""
     leased = owner()
