Count crashes under an open job however long ago they were

A task that runs for over a minute before it crashes its executor was started without end: each crash was forgotten, 60 s after it, before the next one. Found by reading, for the bound on starts after crashes.

Owners now keep a crash as long as a job that was there is open, and for the memory after. Records expire by the time at which the owner learned of them, so that they expire in the order in which they are kept. Not covered: an owner that is lost over 60 s after a crash; the records of the agents are as old by then.

The new test failed before: the second crash, 70 s after the first, did not end the job.

--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
@@ -49,6 +49,7 @@
     """A crash as counted, with the share of blame of each job."""
 
     at: float
+    expires_at: float
     runs: tuple[CrashedRun, ...]
     blame: dict[str, float]
 
@@ -68,7 +69,7 @@
 
     def __init__(self, settings: CrashSettings) -> None:
         self._settings = settings
-        # By executor incarnation, oldest first.
+        # By executor incarnation, the one that expires first in front.
         self._records: dict[tuple[str, int], _Record] = {}
         self._tasks: dict[str, TaskCrashes] = {}
 
@@ -113,12 +114,12 @@
         Returns:
           Blame in this crash by job key, highest first; empty if not counted.
         """
-        self.expire(now)
         name = crash.executor, crash.started_at
         at = now - crash.seconds_ago
         if name in self._records or now - at > self._settings.memory:
             return {}
-        record = _Record(at, crash.runs, self._shares(crash.runs))
+        expires_at = now + self._settings.memory
+        record = _Record(at, expires_at, crash.runs, self._shares(crash.runs))
         self._records[name] = record
         for run in crash.runs:
             task = self._tasks.setdefault(run.task, TaskCrashes())
@@ -149,14 +150,25 @@
             total += sum(record.blame[key] for key in keys)
         return total
 
-    def expire(self, now: float) -> None:
-        """Forgets crashes that no longer count."""
-        limit = now - self._settings.memory
+    def expire(self, now: float, open_jobs: Container[str] = ()) -> None:
+        """Forgets crashes that no longer count.
+
+        Those under a job that is still open count on, since its tasks may run
+        for longer than a crash is remembered.
+
+        Args:
+          now: Current time.
+          open_jobs: Keys of the open jobs.
+        """
         while self._records:
-            oldest = next(iter(self._records.values()))
-            if oldest.at >= limit:
+            name, oldest = next(iter(self._records.items()))
+            if oldest.expires_at >= now:
                 return
-            self._remove_oldest()
+            if any(key in open_jobs for key in oldest.blame):
+                oldest.expires_at = now + self._settings.memory
+                self._records[name] = self._records.pop(name)
+            else:
+                self._remove_oldest()
 
     def _remove_oldest(self) -> None:
         record = self._records.pop(next(iter(self._records)))
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -75,9 +75,16 @@
                 lines.append(suspicion_line("queue_suspected", service, queue))
         return lines
 
-    def update(self, now: float) -> list[Decision]:
-        """Forgets old crashes; returns the lines of queues that are cleared."""
-        self._history.expire(now)
+    def update(
+        self, jobs: Mapping[str, LeasedJob], now: float
+    ) -> list[Decision]:
+        """Forgets old crashes; returns the lines of queues that are cleared.
+
+        Args:
+          jobs: Open jobs by key.
+          now: Current time.
+        """
+        self._history.expire(now, jobs)
         return [
             suspicion_line("queue_cleared", service, queue)
             for service, queue in self._containment.update(now)
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -37,7 +37,8 @@
         ascending order. The first that holds their share of the work is used;
         owners, whose estimates differ, thus mostly choose alike.
       rate_memory: Time over which the rate of a queue's work is known.
-      memory: Time for which a crash counts.
+      memory: Time for which a crash counts after an owner has learned of it,
+        and while a job that was there is open.
       max_crashes: Maximum number of crashes that an owner keeps.
     """
 
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -276,7 +276,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Ends overdue jobs, stops overdue runs and gives up lost ones."""
-        effects: list[Effect] = [*self._crashes.update(now)]
+        effects: list[Effect] = [*self._crashes.update(self._jobs, now)]
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
--- a/gypsumline/tests/core/leases/test_crashes_at_owners.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_owners.py
@@ -155,3 +155,16 @@
     recent = [("ordering", crash(number)) for number in (1, 2)]
     leased.restore_crashes(recent, 0.0)
     assert leased.suspected_queues == {}
+
+
+def test_crashes_under_an_open_job_count_however_long_ago():
+    """Guards against a task that runs for a minute before each crash."""
+    leased = owner_with_agents(3)
+    long_request = dataclasses.replace(request(), timeout=600.0)
+    ((to, _),) = sends(leased.submit(long_request, 0.0), StartRuns)
+    effects = report_crash(leased, int(to.removeprefix("agent-")), 70.0)
+    assert outcomes(effects) == []
+    for now in range(71, 140):
+        leased.tick(float(now))
+    effects = report_crash(leased, 3, 140.0)
+    assert outcomes(effects) == [JobOutcome.FAILED]
