Count crashes that are proved after the lease has lapsed

Cause, traced: the culprit crashed its executor before the start was answered, so each of its crashes counted as possible only (four end the job). On one agent calls on a connection that was still open were answered with status 503 in place of a refusal, until the runs had lapsed 0.66 s later. The next incarnation then proved a crash, but no run was left to count it under. Three of seven crashes were missed this way. An executor whose connections are silent, or an agent that is paused, leads to the same.

Change: the agent keeps the runs that lapsed until the executor responds again, and counts a crash that is proved before under them, as a possible one.

--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -26,6 +26,21 @@
         # Time and record of each crash, oldest first.
         self._crashes: collections.deque[tuple[float, ExecutorCrash]]
         self._crashes = collections.deque(maxlen=settings.crash_records)
+        # Runs that lapsed at an executor which has not responded since.
+        self._lapsed_runs: list[Run] = []
+
+    @property
+    def has_lapsed_runs(self) -> bool:
+        """Whether runs have lapsed that a crash may have ended."""
+        return bool(self._lapsed_runs)
+
+    def on_lapsed(self, runs: Iterable[Run]) -> None:
+        """Keeps runs that lapsed, as a crash may be proved only later."""
+        self._lapsed_runs = list(runs)
+
+    def on_responsive(self) -> None:
+        """Forgets lapsed runs: the executor that ended them is still there."""
+        self._lapsed_runs.clear()
 
     def add(
         self,
@@ -45,7 +60,9 @@
         executor.has_crashed = True
         at = min(executor.unresponsive_since, now)
         suspects = [
-            run for run in runs if run.may_have_run_since(executor.responded_at)
+            run
+            for run in [*self._lapsed_runs, *runs]
+            if run.may_have_run_since(executor.responded_at)
         ]
         for run in suspects:
             run.is_crash_reported = True
@@ -65,6 +82,7 @@
             ),
         )
         self._crashes.append((at, crash))
+        self._lapsed_runs.clear()
         return CrashDetected(
             service=executor.announcement.service,
             crash=crash,
@@ -81,7 +99,8 @@
         response_limit = settings.hold_wait + 0.5 * settings.order_timeout
         responded_at = max(run.started_at, executor.responded_at)
         return (
-            run.started_at < math.inf
+            not any(run is lapsed for lapsed in self._lapsed_runs)
+            and run.started_at < math.inf
             and at <= executor.lease_until
             and at <= responded_at + response_limit
             and at < run.stopped_at + settings.stop_time
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -333,6 +333,7 @@
         self._has_unacknowledged_ends = bool(reply.ended)
         effects = self._apply_ends(executor, reply.ended, now)
         effects += self._reconcile_running(executor, reply, sent_at, now)
+        self._crashes.on_responsive()
         if request.token == self._token.value and not self._unowned_runs:
             self._token.on_accepted()
             if not self._is_open:
@@ -413,6 +414,7 @@
             and self._runs
             and executor.has_lease_lapsed(now)
         ):
+            self._crashes.on_lapsed(self._runs.values())
             effects += self._lose_all_runs("lease lapsed")
             effects += self._reports.broadcast(now)
         effects += self.check_runs(now)
@@ -631,7 +633,8 @@
         self, earlier: ExecutorState, runs: Collection[Run], now: float
     ) -> list[Effect]:
         """Tells the owners of a crash that a new incarnation proves."""
-        if not runs or earlier.is_expected_gone(now):
+        is_known = not runs and not self._crashes.has_lapsed_runs
+        if is_known or earlier.is_expected_gone(now):
             return []
         detected = self._crashes.add(earlier, runs, "restarted", now)
         return [detected, *self._reports.broadcast(now, (detected.crash,))]
@@ -646,8 +649,9 @@
         has_same_name = (
             earlier is not None and earlier.name == announcement.executor
         )
-        if self._runs and not has_same_name and earlier is not None:
+        if earlier is not None and not has_same_name:
             effects += self._on_restarted(earlier, self._runs.values(), now)
+        if self._runs and not has_same_name:
             effects += self._lose_all_runs("another executor started")
         self._executor = ExecutorState(announcement, self._settings, now)
         if earlier is not None and has_same_name:
--- a/gypsumline/tests/core/leases/test_crashes_at_agents.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -111,6 +111,51 @@
     assert crashes(effects) == []
 
 
+def silent_table():
+    """Returns a table whose runs have lapsed at a silent executor."""
+    table = table_with_runs()
+    for now in (0.4, 0.6, 0.8, 1.0, 1.2):
+        hold(table, OrderAnswer.UNANSWERED, now)
+        table.tick(now)
+    assert table.runs == {}
+    return table
+
+
+@pytest.mark.parametrize("executor", ["x-1", "x-2"])
+def test_crash_of_a_silent_executor_counts_under_its_lapsed_runs(executor):
+    """Guards against crashes that are proved after the lease has lapsed."""
+    table = silent_table()
+    restarted = announcement(executor=executor, started_at=2000)
+    effects = table.on_announcement(restarted, 1.5)
+    request = table.next_hold_request(1.5)
+    reply = hold_reply(started_at=2000)
+    effects += table.on_hold_reply(request, reply, 1.5, 1.51)
+    (crash,) = crashes(effects)
+    assert [(r.task, r.is_started) for r in crash.runs] == [
+        (TASK, False),
+        (LATE_TASK, False),
+    ]
+
+
+def test_refusals_after_the_lease_count_under_its_lapsed_runs():
+    """Guards against crashes that are proved after the lease has lapsed."""
+    table = silent_table()
+    hold(table, OrderAnswer.NO_LISTENER, 1.3)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 1.4))
+    assert [r.task for r in crash.runs] == [TASK, LATE_TASK]
+    restarted = announcement(executor="x-2", started_at=2000)
+    assert crashes(table.on_announcement(restarted, 1.5)) == []
+
+
+def test_lapsed_runs_are_not_blamed_once_the_executor_responds():
+    """Guards against blame for a crash long after the runs had ended."""
+    table = silent_table()
+    request = table.next_hold_request(1.3)
+    table.on_hold_reply(request, hold_reply(), 1.3, 1.31)
+    restarted = announcement(executor="x-2", started_at=2000)
+    assert crashes(table.on_announcement(restarted, 1.5)) == []
+
+
 def test_planned_departure_is_no_crash():
     """Guards against tasks blamed for an executor that was drained."""
     table = table_with_runs()
