Close connections that are accepted while a light server ends

A connection that was accepted in the same turn of the loop in which its server ended was served on.

The new test failed before with one turn between the connect and the end.

--- a/gypsumline/runtime/light_http_server.py
+++ b/gypsumline/runtime/light_http_server.py
@@ -132,6 +132,9 @@
         self._transport = cast(asyncio.Transport, transport)
         self.idle_since = asyncio.get_running_loop().time()
         self._server.connections.add(self)
+        if self._server.is_closed:
+            # It was accepted before the listener was closed.
+            self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notifies the handler of the open request that its client is gone."""
@@ -231,6 +234,7 @@
         self.limits = limits
         self.connections: set[_Connection] = set()
         self.is_draining = False
+        self.is_closed = False
 
     def drain(self) -> None:
         """Closes idle connections now and the others after their response."""
@@ -269,5 +273,6 @@
     finally:
         watcher.cancel()
         listener.close()
+        server.is_closed = True
         for connection in list(server.connections):
             connection.close()
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -139,3 +139,24 @@
         (await pending.get()).respond(HttpResponse(status=204))
         await reader.readuntil(b"204")
         writer.close()
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_connection_accepted_during_the_end_is_closed(turns):
+    """Guards against a connection that a server which has ended still serves.
+
+    Its peer would take the process for one that is alive.
+    """
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    async with running_light_server(address, echo, HttpLimits()):
+        client = socket.create_connection((host, int(port)))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+    with client:
+        client.settimeout(1.0)
+        await asyncio.sleep(0.05)
+        with contextlib.suppress(ConnectionError):
+            client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(0.05)
+            assert client.recv(1) == b""
