Confine queues for stored crashes once executors are known

An owner that had just started learned of the crashes from the store before it knew any executor, and so never confined the queue that had caused them: when the agents told it the same crashes later, it knew them already.

Such crashes are kept for the time of suspicion and weighed once the owner knows executors of their service.

The new test failed before.

--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -110,6 +110,10 @@
         """Records the work of a submitted job, in processor-seconds."""
         self._rates.add(job.service, job.request.queue.name, work)
 
+    def has_executors(self, service: str) -> bool:
+        """Returns whether any executor of a service is known."""
+        return any(view.service == service for view in self._fleet)
+
     def suspect(
         self, service: str, queue: str, history: CrashHistory, now: float
     ) -> bool:
@@ -123,8 +127,7 @@
         blame = history.queue_blame(queue, now - self._settings.suspicion_time)
         executors = sum(view.service == service for view in self._fleet)
         limit = self._settings.suspicion_share * executors
-        # An owner that has just started knows no executors yet.
-        if is_new and (not executors or blame < limit):
+        if is_new and blame < limit:
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -21,6 +21,8 @@
         self._history = CrashHistory(settings)
         self._containment = Containment(settings, fleet)
         self._suspicion_time = settings.suspicion_time
+        # Time, service and crash of those told before any executor was known.
+        self._early_crashes: list[tuple[float, str, ExecutorCrash]] = []
 
     @property
     def containment(self) -> Containment:
@@ -60,15 +62,23 @@
         if not blame:
             return [], []
         lines = [crash_line(crash, blame, self._history)]
-        if crash.seconds_ago <= self._suspicion_time:
-            lines += self._confine(crash, service, now)
+        lines += self._confine(crash, service, now - crash.seconds_ago, now)
         found = [jobs[key] for key in blame if key in jobs]
         return lines, [job for job in found if self.is_given_up(job)]
 
     def _confine(
-        self, crash: ExecutorCrash, service: str, now: float
+        self, crash: ExecutorCrash, service: str, crashed_at: float, now: float
     ) -> list[Decision]:
-        """Confines the queues whose jobs caused a recent crash."""
+        """Confines the queues whose jobs caused a recent crash.
+
+        What share of the executors has crashed is not known to an owner that
+        has just started, so it confines them once it knows some.
+        """
+        if now - crashed_at > self._suspicion_time:
+            return []
+        if not self._containment.has_executors(service):
+            self._early_crashes.append((crashed_at, service, crash))
+            return []
         lines = []
         for queue in sorted(self._history.causes(crash)):
             if self._containment.suspect(service, queue, self._history, now):
@@ -82,14 +92,18 @@
     def update(
         self, jobs: Mapping[str, LeasedJob], now: float
     ) -> list[Decision]:
-        """Forgets old crashes; returns the lines of queues that are cleared.
+        """Forgets old crashes; returns the lines of queues whose state changed.
 
         Args:
           jobs: Open jobs by key.
           now: Current time.
         """
         self._history.expire(now, jobs)
-        return [
+        lines = []
+        early, self._early_crashes = self._early_crashes, []
+        for crashed_at, service, crash in early:
+            lines += self._confine(crash, service, crashed_at, now)
+        return lines + [
             suspicion_line("queue_cleared", service, queue)
             for service, queue in self._containment.update(now)
         ]
--- a/gypsumline/tests/core/leases/test_crashes_at_owners.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_owners.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from gypsumline.core.effects import Decision
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.messages import (
@@ -149,11 +151,20 @@
     assert leased.suspected_queues == {name: until}
 
 
-def test_restored_crash_confines_no_queue_before_executors_are_known():
-    """Guards against a queue that an owner confines because it has started."""
+@pytest.mark.parametrize(("joined_at", "is_confined"), [(1.0, 1), (9.0, 0)])
+def test_restored_crash_confines_its_queue_once_executors_are_known(
+    joined_at, is_confined
+):
+    """Guards against a restarted owner that confines no queue, or for long."""
     leased = owner()
     recent = [("ordering", crash(number)) for number in (1, 2)]
     leased.restore_crashes(recent, 0.0)
+    leased.tick(0.5)
+    assert leased.suspected_queues == {}
+    join(leased, agent(3), joined_at, executor="x-3")
+    leased.tick(joined_at)
+    assert len(leased.suspected_queues) == is_confined
+    leased.tick(joined_at + 6.0)
     assert leased.suspected_queues == {}
 
 
