Keep the counts of a task while many executors crash

An owner kept 256 crashes. Where hundreds of executors crash and come back within seconds, the crashes of one task were dropped for those of others before its next one, so that it was started without end. Found by reading.

It keeps 4096 now. The blame of a queue is read from the newest records only, so that its cost follows the crashes within the time of suspicion and not the number of records.

--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -151,7 +151,11 @@
     def queue_blame(self, queue: str, since: float) -> float:
         """Returns the sum of a queue's blame for crashes after a time."""
         total = 0.0
-        for record in self._records.values():
+        for record in reversed(self._records.values()):
+            # No earlier record is of a crash after that time: an owner learns
+            # of a crash only once it has happened.
+            if record.expires_at - self._settings.memory < since:
+                break
             if record.at < since:
                 continue
             keys = {job_key(r.task) for r in record.runs if r.queue == queue}
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -41,7 +41,9 @@
       rate_memory: Time over which the rate of a queue's work is known.
       memory: Time for which a crash counts after an owner has learned of it,
         and while a job that was there is open.
-      max_crashes: Maximum number of crashes that an owner keeps.
+      max_crashes: Maximum number of crashes that an owner keeps. Beyond it, the
+        counts of the oldest are lost, so it covers `memory` for 200 executors
+        that each crash again as soon as they are back.
     """
 
     crash_limit: int = 3
@@ -58,7 +60,7 @@
     confined_shares: tuple[float, ...] = (0.35, 0.5, 0.75, 1.0)
     rate_memory: float = 10.0
     memory: float = 60.0
-    max_crashes: int = 256
+    max_crashes: int = 4096
 
     def __post_init__(self) -> None:
         if not 1 <= self.confirming_crashes <= self.crash_limit:
--- a/gypsumline/tests/core/leases/test_crash_history.py
+++ b/gypsumline/tests/core/leases/test_crash_history.py
@@ -3,7 +3,11 @@
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.core.leases.crash_history import CrashHistory, Verdict
+from gypsumline.core.leases.crash_history import (
+    CrashHistory,
+    Verdict,
+    job_key,
+)
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
 
@@ -87,6 +91,30 @@
     assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
 
 
+def test_crashes_of_a_large_fleet_hide_none_of_a_task():
+    """Guards against a count that is dropped while many executors crash."""
+    crashes = history()
+    crashes.add(crash(0, (TASK, 0.0)), 0.0)
+    for number in range(1, 3000):
+        others = (f"{number}.0.0.0", 0.0), (f"{number}.0.0.1", 0.0)
+        crashes.add(crash(number, *others), number / 100)
+    crashes.add(crash(9999, (TASK, 0.0)), 31.0)
+    assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
+
+
+def test_blame_of_a_queue_covers_late_and_kept_records():
+    """Guards against blame that depends on when a crash was learned of."""
+    crashes = history()
+    crashes.add(crash(1, (TASK, 0.0)), 0.0)
+    crashes.add(crash(2, (TASK, 0.0)), 58.0)
+    crashes.add(crash(3, (TASK, 0.0), seconds_ago=30.0), 58.5)
+    crashes.expire(61.0, {job_key(TASK)})
+    newest = crashes.add(crash(4, (TASK, 0.0)), 62.0)[job_key(TASK)]
+    assert crashes.queue_blame("cards", 61.0) == pytest.approx(newest)
+    blames = [crashes.queue_blame("cards", since) for since in (57, 28, -1)]
+    assert [round(blame) for blame in blames] == [2, 3, 4]
+
+
 def test_lost_run_counts_beside_two_known_crashes():
     """Guards against a crash that nobody saw, as its agent was lost too."""
     crashes = history()
