Take the time of a list, not of its reading, as proof of a run

Cause, traced: the agent was paused; the list that it read when it was back was a second old, but counted as a fresh proof that the run was still there when the executor crashed next.

A list now proves runs as of the time at which it was due, and a start as of its order, whose answer may have been read late too.

The new unit test failed before.

--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -97,7 +97,8 @@
         """
         settings = self._settings
         response_limit = settings.hold_wait + 0.5 * settings.order_timeout
-        responded_at = max(run.started_at, executor.responded_at)
+        # An answer to the start may have been read late.
+        responded_at = max(run.ordered_at, executor.responded_at)
         return (
             not any(run is lapsed for lapsed in self._lapsed_runs)
             and run.started_at < math.inf
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -110,13 +110,17 @@
 
     @property
     def responded_at(self) -> float:
-        """Time of the latest list of runs."""
+        """Time of the latest list of runs; earlier if it was read late."""
         return self._responded_at
 
-    def mark_responsive(self, now: float) -> None:
-        """Records an answered hold request, which allows lease renewals."""
+    def mark_responsive(self, listed_at: float) -> None:
+        """Records an answered hold request, which allows lease renewals.
+
+        Args:
+          listed_at: Time of the list, as far as it is known.
+        """
         self._is_responsive = True
-        self._responded_at = now
+        self._responded_at = listed_at
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.has_crashed = False
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -328,7 +328,7 @@
                 return self._begin_incarnation(announcement, now)
             return []
         is_back = executor.is_down
-        executor.mark_responsive(now)
+        executor.mark_responsive(min(now, sent_at + request.wait))
         executor.set_clock(reply.clock, now)
         self._has_unacknowledged_ends = bool(reply.ended)
         effects = self._apply_ends(executor, reply.ended, now)
--- a/gypsumline/tests/core/leases/test_crashes_at_agents.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -200,6 +200,16 @@
     assert not crash.runs[0].is_started
 
 
+def test_list_that_was_read_late_is_no_proof_that_a_run_was_there():
+    """Guards against a job given up for a run that ended during a pause."""
+    table = table_with_runs()
+    request = table.next_hold_request(0.32)
+    table.on_hold_reply(request, reply_with_run(), 0.32, 0.85)
+    hold(table, OrderAnswer.NO_LISTENER, 0.86)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 0.91))
+    assert not crash.runs[0].is_started
+
+
 def test_one_refused_connection_is_no_crash():
     """Guards against a listener that is only being replaced."""
     table = table_with_runs()
