Give up culprits that crash executors before they answer

Such crashes count as possible only, since no start is confirmed, and four of them end a job; with two more that nobody sees, that is too late.

Three possible crashes now end a job whose task has nearly all the blame for them (2.0). A start that only happens to be on its way at a crash of another cause would have to meet three of them within milliseconds of each order.

The stand-in no longer answers an order that it received before it crashed.

--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -14,13 +14,16 @@
     Attributes:
       crash_limit: Number of crashes under one task at which its job is given up
         whoever is blamed, if it is known to have been at `confirming_crashes`
-        of them. Its runs that were lost with their agents count too.
+        of them.
       possible_crash_limit: Number of crashes at which it is given up even if it
         is not known to have been at any.
+      possible_blame: Sum of a task's blame from which `crash_limit` crashes are
+        enough for that: hardly any other run had just been ordered there.
       confirming_crashes: Minimum number of crashes under one task, known to
         have been there, at which its job is given up if it has enough blame.
       confirming_blame: Sum of a task's blame over all crashes from which it
-        counts as their cause. Its blame for a single crash is below 1.
+        counts as their cause. Its blame for a single crash is below 1; a run
+        that was lost with its agent adds 1.
       suspect_blame: Sum of a task's blame from which its job is kept apart from
         other suspects.
       start_scale: Age of a run within which a crash is mostly caused by its
@@ -48,6 +51,7 @@
 
     crash_limit: int = 3
     possible_crash_limit: int = 4
+    possible_blame: float = 2.0
     confirming_crashes: int = 2
     confirming_blame: float = 1.2
     suspect_blame: float = 0.1
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -186,7 +186,13 @@
         result = self._apply(order)
         if world.now < self.delays_orders_until and world.rng.random() < 0.2:
             return  # the answer is lost
-        world.at(0.001, answer, result)
+        world.at(0.001, self._answer, answer, result, self.started_at)
+
+    def _answer(self, answer, result, incarnation):
+        """Answers an order unless it has crashed since."""
+        if not self.up or incarnation != self.started_at:
+            result = OrderAnswer.UNANSWERED
+        answer(result)
 
     def _loses_stop(self, answer):
         world = self.world
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -128,6 +128,17 @@
     world.culprits[f"{key}.0.0.0"] = rng.choice((0.005, 0.02, 0.3))
 
 
+def submit_fast_culprit(world, rng):
+    """Submits a job with a task that crashes before its start is answered."""
+    world.culprits[f"{world.submit_new()}.0.0.0"] = 0.0
+
+
+FAST_CRASH_ACTIONS = (
+    *ACTIONS,
+    submit_fast_culprit,
+    submit_fast_culprit,
+    submit_fast_culprit,
+)
 # Culprits whose jobs move between owners while processes are lost.
 MOVING_ACTIONS = (
     submit_culprit,
@@ -285,12 +296,14 @@
     parser.add_argument("--crashes", action="store_true")
     parser.add_argument("--lost-stops", action="store_true")
     parser.add_argument("--moving", action="store_true")
+    parser.add_argument("--fast-crashes", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
         actions = CRASH_ACTIONS if options.crashes else ACTIONS
         actions = STOP_LOSS_ACTIONS if options.lost_stops else actions
         actions = MOVING_ACTIONS if options.moving else actions
+        actions = FAST_CRASH_ACTIONS if options.fast_crashes else actions
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -58,6 +58,14 @@
     assert world.oracle.violations == []
 
 
+# 3, 75: two crashes that nobody saw, and three where starts were unanswered.
+@pytest.mark.parametrize("seed", [*range(1, WALKS + 1), 75])
+def test_walk_with_culprits_that_crash_before_they_answer(seed):
+    """Guards against a culprit whose starts are never confirmed."""
+    world = lease_walk.walk(seed, actions=lease_walk.FAST_CRASH_ACTIONS)
+    assert world.oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, WALKS + 1))
 def test_count_of_crashes_outlives_all_processes(seed):
     """Guards against a count that is lost when all processes are killed."""
