--- a/gypsumline/core/leases/backlog.py
+++ b/gypsumline/core/leases/backlog.py
@@ -13,6 +13,8 @@
 
 NO_EXECUTOR = "no executor takes runs"
 CONFINED_AWAY = "executors of a queue under suspicion are away"
+ISOLATED_AWAY = "executors kept for likely causes of a crash are away"
+OPEN_AWAY = "executors outside those of a queue under suspicion are away"
 
 
 class Backlog:
@@ -49,7 +51,10 @@
         if len(waiting) >= self._settings.jobs_limit:
             return self._refuse(job, "too many open jobs", 1.0)
         if not agents:
-            return self._refuse_without_agents(job, now)
+            return dataclasses.replace(
+                self.refuse_without_agents(job, NO_EXECUTOR),
+                outcome=JobOutcome.ELSEWHERE,
+            )
         fastest_speed = self._fastest_speed
         sort_key = job.sort_key(now, fastest_speed)
         ahead = [
@@ -72,13 +77,20 @@
             return None
         return self._refuse(job, "backlog", wait)
 
-    def _refuse_without_agents(self, job: LeasedJob, now: float) -> JobEnded:
-        wait = self.retry_after(job, now)
-        if self._fleet.has_usable(job.service, now):
-            # Other entries confine its queue to the same agents.
-            return self._refuse(job, CONFINED_AWAY, wait)
-        refusal = self._refuse(job, NO_EXECUTOR, wait)
-        return dataclasses.replace(refusal, outcome=JobOutcome.ELSEWHERE)
+    def refuse_without_agents(
+        self,
+        job: LeasedJob,
+        reason: str,
+        wait: float | None = None,
+    ) -> JobEnded:
+        """Returns the refusal of a job whose agents are all away.
+
+        Args:
+          job: The job.
+          reason: Short reason.
+          wait: Seconds until an agent is expected back; None if unknown.
+        """
+        return self._refuse(job, reason, self.retry_after(job, wait))
 
     def would_end_too_late(self, job: LeasedJob, now: float) -> bool:
         """Returns whether a job started now would end too late to be useful."""
@@ -100,9 +112,14 @@
         fastest_speed = self._fastest_speed
         return sorted(jobs, key=lambda job: job.sort_key(now, fastest_speed))
 
-    def retry_after(self, job: LeasedJob, now: float) -> float:
-        """Returns the seconds after which a retry may succeed."""
-        return self._clamp_retry_after(job.objective)
+    def retry_after(self, job: LeasedJob, wait: float | None = None) -> float:
+        """Returns the seconds after which a retry may succeed.
+
+        Args:
+          job: The job.
+          wait: Seconds until there is room again; None if unknown.
+        """
+        return self._clamp_retry_after(job.objective if wait is None else wait)
 
     def _refuse(self, job: LeasedJob, reason: str, wait: float) -> JobEnded:
         return JobEnded(
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -97,6 +97,16 @@
                 verdict = Verdict.SUSPECT
         return verdict
 
+    def blame(self, tasks: Iterable[str]) -> float:
+        """Returns the highest sum of blame of some tasks."""
+        found = (self._tasks.get(name) for name in tasks)
+        return max((t.blame for t in found if t is not None), default=0.0)
+
+    def crashes(self, tasks: Iterable[str]) -> int:
+        """Returns the highest number of crashes under one of some tasks."""
+        found = (self._tasks.get(name) for name in tasks)
+        return max((t.count for t in found if t is not None), default=0)
+
     def _is_over_limit(self, task: TaskCrashes) -> bool:
         settings = self._settings
         if task.confirmed >= settings.confirming_crashes:
@@ -142,12 +152,14 @@
             found.lost += 1
 
     def causes(self, crash: ExecutorCrash) -> set[str]:
-        """Returns the queues of the tasks there that count as causes."""
+        """Returns the queues of the tasks there that are likely causes."""
         tasks = [self._tasks.get(run.task) for run in crash.runs]
         return {
             task.queue
             for task in tasks
-            if task is not None and task.queue and self._is_cause(task)
+            if task is not None
+            and task.queue
+            and task.blame >= self._settings.strong_blame
         }
 
     def queue_blame(self, queue: str, since: float) -> float:
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -6,6 +6,7 @@
 
 from gypsumline.core.leases.effects import (
     Announcement,
+    HoldReply,
     HoldRequest,
     OrderStart,
     OrderStop,
@@ -13,6 +14,9 @@
 from gypsumline.core.leases.run import Run
 from gypsumline.core.leases.settings import LeaseSettings
 
+# Calls without an answer after which an executor counts as silent.
+_CALLS_UNTIL_SILENT = 2
+
 
 class ExecutorState:
     """Announcement, clock and lease of one incarnation of an executor."""
@@ -35,8 +39,12 @@
         self._ordered_lease_until = announcement.clock
         self._is_responsive = True
         self._responded_at = now
+        self._listed_clock = announcement.clock
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
+        self._answered_at = now
+        self._unanswered_calls = 0
+        self._is_silent = False
         self.update(announcement, now)
 
     @property
@@ -81,7 +89,8 @@
         settings = self._settings
         until = now + settings.lease * (1.0 + settings.clock_drift)
         self._lease_until = max(self._lease_until, until)
-        elapsed = now - self._clock_read_at
+        # On a slow clock less time has passed since the reading.
+        elapsed = (now - self._clock_read_at) * (1.0 - settings.clock_drift)
         ordered = self._clock + int(1000.0 * (elapsed + settings.lease))
         self._ordered_lease_until = max(self._ordered_lease_until, ordered)
         return ordered
@@ -98,6 +107,11 @@
         """Whether no process listens at its address."""
         return self._refused_since < math.inf
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it has answered none of several calls for a while."""
+        return self._is_silent
+
     @property
     def unresponsive_since(self) -> float:
         """Time of the first unanswered request after the latest answer."""
@@ -113,23 +127,69 @@
         """Time of the latest list of runs; earlier if it was read late."""
         return self._responded_at
 
-    def mark_responsive(self, listed_at: float) -> None:
+    def mark_responsive(self, listed_at: float, now: float) -> None:
         """Records an answered hold request, which allows lease renewals.
 
         Args:
           listed_at: Time of the list, as far as it is known.
+          now: Current time.
         """
         self._is_responsive = True
         self._responded_at = listed_at
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.has_crashed = False
+        self.record_answer(now)
+
+    def record_answer(self, now: float) -> bool:
+        """Records an answer to any call; returns whether it was silent."""
+        was_silent = self._is_silent
+        self._answered_at = now
+        self._unanswered_calls = 0
+        self._is_silent = False
+        return was_silent
+
+    def record_unanswered(self, now: float) -> bool:
+        """Records a call without an answer; returns whether it became silent.
+
+        A single lost answer is no silence, nor are several beside others that
+        arrive.
+        """
+        self._unanswered_calls += 1
+        if (
+            self._is_silent
+            or self._unanswered_calls < _CALLS_UNTIL_SILENT
+            or now - self._answered_at < self._settings.order_timeout
+        ):
+            return False
+        self._is_silent = True
+        return True
 
     def mark_unresponsive(self, now: float) -> None:
-        """Stops lease renewals after a hold request without an answer."""
+        """Stops lease renewals after hold requests without an answer."""
         self._is_responsive = False
+        self.record_silence(now)
+
+    def record_silence(self, now: float) -> None:
+        """Records a hold request without an answer."""
         self._unresponsive_since = min(self._unresponsive_since, now)
 
+    def take_list(self, request: HoldRequest, reply: HoldReply) -> bool:
+        """Returns whether a list of runs is newer than the latest one.
+
+        Answers on different connections overtake each other. One to a request
+        that was sent after the latest list had arrived is always newer.
+        """
+        seen = max(
+            [request.acknowledged_end, *(end.number for end in reply.ended)]
+        )
+        is_overtaken = request.sent_at < self._responded_at and (
+            reply.clock < self._listed_clock or seen < self.acknowledged_end
+        )
+        if not is_overtaken:
+            self._listed_clock = reply.clock
+        return not is_overtaken
+
     def record_refusal(self, now: float) -> bool:
         """Records a refused connection; returns whether the process is gone.
 
@@ -178,14 +238,21 @@
         )
 
     def hold_request(
-        self, token: int, may_renew: bool, wait: float, now: float
+        self,
+        number: int,
+        token: int,
+        may_renew: bool,
+        wait: float,
+        now: float,
     ) -> HoldRequest:
         """Returns the next hold request.
 
-        After an unanswered request the lease is not renewed, so that the time
-        of its expiry is known.
+        Once the executor is unresponsive the lease is not renewed, so that the
+        time of its expiry is known. Until then a renewal without an answer
+        counts as given.
 
         Args:
+          number: Number of the request.
           token: Fencing token.
           may_renew: Whether there are runs whose lease may be renewed.
           wait: Seconds for which the executor may wait for an end.
@@ -193,6 +260,8 @@
         """
         renews = self._is_responsive and may_renew
         return HoldRequest(
+            number=number,
+            sent_at=now,
             executor=self.name,
             token=token,
             acknowledged_end=self.acknowledged_end,
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -10,10 +10,13 @@
 from gypsumline.core.leases.attempt_history import AttemptHistory
 from gypsumline.core.leases.backlog import (
     CONFINED_AWAY,
+    ISOLATED_AWAY,
     NO_EXECUTOR,
+    OPEN_AWAY,
     Backlog,
 )
-from gypsumline.core.leases.containment import Pool
+from gypsumline.core.leases.capacity_requests import CapacityRequests
+from gypsumline.core.leases.containment import Part, Pool
 from gypsumline.core.leases.crash_history import job_key
 from gypsumline.core.leases.crash_response import CrashResponse
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
@@ -29,7 +32,6 @@
     new_job,
 )
 from gypsumline.core.leases.messages import (
-    CapacityRequest,
     ContactPing,
     ContactPong,
     ExecutorCrash,
@@ -64,6 +66,11 @@
 ATTEMPT_STEP = 8
 # Reason of a job that is given up for the crashes under its tasks.
 CRASHED_EXECUTORS = "executors crashed under a task"
+_AWAY_REASONS = {
+    Part.OPEN: OPEN_AWAY,
+    Part.CONFINED: CONFINED_AWAY,
+    Part.ISOLATED: ISOLATED_AWAY,
+}
 # Outcomes whose answers tell the caller when to retry.
 _RETRYABLE_OUTCOMES = (
     JobOutcome.NOT_RUN,
@@ -111,6 +118,11 @@
         """End of the suspicion by service and queue, for crashes."""
         return self._containment.suspected_queues
 
+    @property
+    def crashes(self) -> CrashResponse:
+        """How jobs and queues that crash executors are treated."""
+        return self._crashes
+
     @property
     def next_tick_in(self) -> float:
         """Seconds after which `tick` must be called again."""
@@ -146,11 +158,10 @@
         self._attempts.restore(job)
         if self._crashes.is_given_up(job):
             return effects + self._give_up(job, now)
-        self._containment.add_work(job, self._backlog.pending_work(job))
+        work = self._backlog.pending_work(job)
+        self._containment.add_work(job, work, now)
         pool = self._containment.pool(job)
-        refusal = self._backlog.refusal(
-            job, self._rivals(pool), self._usable(pool, now, None), now
-        )
+        refusal = self._refusal(job, pool, now)
         if refusal is not None:
             line = refused_line(refusal, job, len(self._waiting))
             return [*effects, refusal, line]
@@ -160,6 +171,33 @@
         # latest pass.
         return effects + self._place_jobs([job], now)
 
+    def _refusal(
+        self, job: LeasedJob, pool: Pool, now: float
+    ) -> JobEnded | None:
+        reason = self._away_reason(pool, now)
+        if reason:
+            wait = self._crashes.return_in(pool, now)
+            return self._backlog.refuse_without_agents(job, reason, wait)
+        # Excluded zones and ejected executors may leave none just now.
+        agents = self._usable(pool, now, None) or self._containment.filter(
+            pool, self._fleet.usable(pool.service, now)
+        )
+        return self._backlog.refusal(job, self._rivals(pool), agents, now)
+
+    def _away_reason(self, pool: Pool, now: float) -> str:
+        """Returns why the jobs of a pool are not to wait; "" if they are.
+
+        All owners confine a queue to the same executors, so no other entry can
+        serve a job whose part is away. An agent that is only paused takes runs
+        again soon.
+        """
+        if not self._containment.is_part(pool):
+            return ""
+        reachable = self._fleet.reachable(pool.service, now)
+        if not reachable or self._containment.filter(pool, reachable):
+            return ""
+        return _AWAY_REASONS[pool.part]
+
     def abandon(self, key: str, now: float) -> list[Effect]:
         """Drops a job whose last caller has disconnected and stops its runs."""
         job = self._jobs.get(key)
@@ -190,6 +228,7 @@
         if message.version <= self._zones_out.version:
             return []
         self._zones_out = message
+        self._containment.set_zones_out(message.zones)
         sends: list[Effect] = [
             Send(to=view.member.member_id, message=message)
             for view in self._fleet
@@ -246,7 +285,7 @@
         self._update_load(view, message, now)
         effects: list[Effect] = []
         for crash in message.crashes:
-            effects += self._on_crash(crash, view.service, now)
+            effects += self._on_crash(crash, view.service, now, view)
         for report in message.reports:
             run = self._runs.find(report.task)
             is_known = run is not None and run.attempt == report.attempt
@@ -280,11 +319,9 @@
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
-        has_agents = functools.cache(
-            lambda pool: bool(self._usable(pool, now, None))
-        )
+        away_reason = functools.cache(lambda pool: self._away_reason(pool, now))
         for job in list(self._jobs.values()):
-            effects += self._check_job(job, is_isolated, has_agents, now)
+            effects += self._check_job(job, is_isolated, away_reason, now)
         self._fleet.prune_silent(now, self._settings.forget_after)
         self._sync_health()
         self._attempts.expire(now)
@@ -320,8 +357,11 @@
             pool = self._containment.pool(job)
             if this_pass.may_fit(pool, job.smallest_need):
                 effects += self._place_job(job, pool, this_pass, now)
+        if not this_pass.runs:
+            return effects
+        requests = self._capacity_requests(now)
         return effects + [
-            start_message(runs, self._capacity_request(runs[0].view, now))
+            start_message(runs, requests.find(runs[0].view))
             for runs in this_pass.runs
         ]
 
@@ -361,7 +401,10 @@
         if this_pass.lacks_capacity(pool, step.resources):
             return None
         agents = self._runs.within_step_limit(task, this_pass.agents(pool))
-        if task.job.is_suspect:
+        if pool.part is Part.ISOLATED:
+            limit = self._settings.crashes.isolated_jobs
+            agents = self._runs.for_isolated(task.job, agents, limit)
+        elif task.job.is_suspect:
             agents = self._runs.without_other_suspects(task.job, agents)
         choice = self._placement.choose(task, agents, now)
         if choice is None:
@@ -409,6 +452,7 @@
         was_unusable = not self._fleet.is_usable(view, now)
         is_new = view.load.executor != message.load.executor
         may_fit_more = view.update_load(message.load, now)
+        self._crashes.on_load(view, now)
         if is_new:
             self._sync_health()
         return may_fit_more or was_unusable
@@ -441,31 +485,13 @@
         return run
 
     def _pong(self, view: AgentView, now: float) -> Send:
-        request = self._capacity_request(view, now)
+        request = self._capacity_requests(now).find(view)
         pong = ContactPong(stamp=view.stamp, wish=request)
         return Send(to=view.member.member_id, message=pong)
 
-    def _capacity_request(
-        self, view: AgentView, now: float
-    ) -> CapacityRequest | None:
-        """Returns the request of the most urgent job that waits for an agent.
-
-        None if no job does.
-        """
-        for job in self._waiting.in_order(now):
-            if not self._containment.may_use(job, view):
-                continue
-            processor = sum(
-                count * step.resources.processor
-                for step, count in job.ready_steps()
-            )
-            if processor:
-                return CapacityRequest(
-                    priority=job.request.queue.priority,
-                    slack=job.due_at - now - job.longest_work,
-                    processor=processor,
-                )
-        return None
+    def _capacity_requests(self, now: float) -> CapacityRequests:
+        jobs = self._waiting.in_order(now)
+        return CapacityRequests(jobs, self._containment, now)
 
     # Ends of runs.
 
@@ -557,11 +583,15 @@
         return [run_ended_line(run, report, now)]
 
     def _on_crash(
-        self, crash: ExecutorCrash, service: str, now: float
+        self,
+        crash: ExecutorCrash,
+        service: str,
+        now: float,
+        view: AgentView | None = None,
     ) -> list[Effect]:
         """Blames the jobs that were there and gives up those that caused it."""
         lines, given_up = self._crashes.on_crash(
-            crash, service, self._jobs, now
+            crash, service, self._jobs, now, view
         )
         effects: list[Effect] = [*lines]
         for job in given_up:
@@ -569,7 +599,10 @@
         return effects
 
     def _give_up(self, job: LeasedJob, now: float) -> list[Effect]:
-        return self._end_job(job, JobOutcome.FAILED, CRASHED_EXECUTORS, now)
+        return [
+            self._crashes.on_given_up(job, now),
+            *self._end_job(job, JobOutcome.FAILED, CRASHED_EXECUTORS, now),
+        ]
 
     # Ends of jobs.
 
@@ -577,32 +610,52 @@
         self,
         job: LeasedJob,
         is_isolated: bool,
-        has_agents: Callable[[Pool], bool],
+        away_reason: Callable[[Pool], str],
         now: float,
     ) -> list[Effect]:
         if is_isolated:
             return self._end_job(job, JobOutcome.ELSEWHERE, NO_EXECUTOR, now)
         if now >= job.expires_at:
             return self._end_unfinished(job, "time limit reached", now)
-        if job.has_started or job not in self._waiting:
+        if job not in self._waiting:
             return []
-        if not has_agents(self._containment.pool(job)):
-            return self._end_unfinished(job, CONFINED_AWAY, now)
+        pool = self._containment.pool(job)
+        if job.has_started:
+            return self._check_isolated(job, pool, now)
+        reason = away_reason(pool)
+        if reason:
+            wait = self._crashes.return_in(pool, now)
+            outcome = job.outcome_if_unfinished
+            return self._end_job(job, outcome, reason, now, wait)
         if not self._backlog.would_end_too_late(job, now):
             return []
         return self._end_unfinished(job, "no room in time", now)
 
+    def _check_isolated(
+        self, job: LeasedJob, pool: Pool, now: float
+    ) -> list[Effect]:
+        """Ends a strong suspect whose result is no longer useful."""
+        is_useless = self._backlog.would_end_too_late(job, now)
+        if pool.part is not Part.ISOLATED or not is_useless:
+            return []
+        return self._end_unfinished(job, ISOLATED_AWAY, now)
+
     def _end_unfinished(
         self, job: LeasedJob, reason: str, now: float
     ) -> list[Effect]:
         return self._end_job(job, job.outcome_if_unfinished, reason, now)
 
     def _end_job(
-        self, job: LeasedJob, outcome: JobOutcome, reason: str, now: float
+        self,
+        job: LeasedJob,
+        outcome: JobOutcome,
+        reason: str,
+        now: float,
+        wait: float | None = None,
     ) -> list[Effect]:
         retry_after = 0.0
         if outcome in _RETRYABLE_OUTCOMES:
-            retry_after = self._backlog.retry_after(job, now)
+            retry_after = self._backlog.retry_after(job, wait)
         ended = JobEnded(
             key=job.key,
             outcome=outcome,
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from gypsumline.core.errors import InvalidInputError
+from gypsumline.core.leases.call_times import CallLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -22,6 +23,8 @@
       stop_time: Maximum time that a stop takes at the executor.
       resubmit_delay: Minimum time from the loss of a connection to the
         resubmission at another entry.
+      ping_answer_time: Time from the check that sends a ping to its answer, for
+        an owner without delay.
       busy_ping_interval: Time between pings to an owner that has runs here.
       idle_ping_interval: Minimum time between pings to any other owner.
       idle_ping_rate: Maximum number of pings per second to such owners, as long
@@ -30,7 +33,12 @@
       tick_interval: Time between the checks of an agent that is not at rest.
       hold_wait: Time for which the executor may wait for an end of a run before
         it answers a hold request.
-      order_timeout: Time after which an order to the executor counts as
+      order_timeout: Maximum time after which an order to the executor counts
+        as unanswered.
+      order_timeout_min: Minimum of that time, which follows the measured round
+        trips.
+      start_repeat_limit: Time for which a start without an answer is repeated.
+      lossy_hold_interval: Time between hold requests while orders go
         unanswered.
       crash_confirmation: Time between two refused connections that prove that
         the executor's process is gone.
@@ -43,6 +51,7 @@
     clock_drift: float = 0.02
     stop_time: float = 0.05
     resubmit_delay: float = 1.3
+    ping_answer_time: float = 0.1
     busy_ping_interval: float = 0.2
     idle_ping_interval: float = 0.8
     idle_ping_rate: float = 20.0
@@ -50,6 +59,9 @@
     tick_interval: float = 0.03
     hold_wait: float = 0.2
     order_timeout: float = 0.25
+    order_timeout_min: float = 0.00625
+    start_repeat_limit: float = 0.5
+    lossy_hold_interval: float = 0.03
     crash_confirmation: float = 0.04
     crash_memory: float = 60.0
     crash_records: int = 32
@@ -61,6 +73,12 @@
                 self.max_run_time_after_contact,
                 f"less than resubmit_delay ({self.resubmit_delay} s)",
             )
+        if self.ping_answer_time >= self.contact_limit:
+            raise InvalidInputError(
+                "ping_answer_time",
+                self.ping_answer_time,
+                f"less than contact_limit ({self.contact_limit} s)",
+            )
         if self.hold_wait + self.order_timeout >= self.lease:
             raise InvalidInputError(
                 "hold_wait + order_timeout",
@@ -68,6 +86,21 @@
                 f"less than lease ({self.lease} s)",
             )
 
+    @property
+    def max_start_stamp_age(self) -> float:
+        """Maximum age of the ping that a start names.
+
+        The next ping can then be answered before the contact limit.
+        """
+        return self.contact_limit - self.ping_answer_time
+
+    @property
+    def order_limits(self) -> CallLimits:
+        """Bounds of the time limit of orders."""
+        return CallLimits(
+            shortest=self.order_timeout_min, longest=self.order_timeout
+        )
+
     @property
     def max_run_time_after_contact(self) -> float:
         """Maximum time that runs continue after their owner's last contact."""
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -11,6 +11,7 @@
 from gypsumline.core.leases.owner import LeasedOwner
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.entry.leased_node import LeasedEntryNode
+from gypsumline.platform.crash_page import crash_status
 from gypsumline.platform.crash_rows import CrashReader
 from gypsumline.platform.daemon import Daemon, running_daemon, running_tasks
 from gypsumline.platform.entry_rows import EntryAnnouncer
@@ -29,9 +30,11 @@
 from gypsumline.wire.hub import Hub, running_hub
 
 # Fractions of the time from the stop signal to the kill: the first ends the
-# acceptance of new jobs, the second the wait for running jobs.
+# acceptance of new jobs, the second the wait for running jobs, and the third is
+# left for the removal of the entry's row.
 _ACCEPTING_FRACTION = 0.4
 _FINISHING_FRACTION = 0.85
+_REMOVAL_FRACTION = 0.05
 _FINAL_WRITE_SECONDS = 0.1
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,6 +76,7 @@
             lambda: self._follower.silence,
         )
         self._is_stopping = False
+        daemon.pages.status = lambda: crash_status(owner.crashes)
 
     async def run(self) -> None:
         """Serves until a planned stop has finished."""
@@ -90,6 +94,9 @@
         ):
             await daemon.signals.wait()
             await self._stop(caller_server)
+            await announcer.remove(
+                _REMOVAL_FRACTION * daemon.settings.stop_limit
+            )
         self._store.close()
 
     @contextlib.asynccontextmanager
--- a/gypsumline/platform/executor_calls.py
+++ b/gypsumline/platform/executor_calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gypsumline.core.leases.call_times import CallLimits, CallTimes
 from gypsumline.core.leases.effects import (
     EndedRun,
     HoldReply,
@@ -16,9 +17,16 @@
     OrderStart,
     OrderStop,
 )
-from gypsumline.platform.wire_types import Milliseconds
+from gypsumline.platform.rejections import RejectionLog
+from gypsumline.platform.wire_types import (
+    NAME_CHARACTERS_MAX,
+    SEQUENCE_MAX,
+    Milliseconds,
+    UnixMilliseconds,
+)
 from gypsumline.runtime import metrics
-from gypsumline.runtime.http_client import HttpClient
+from gypsumline.runtime.clock import boot_time
+from gypsumline.runtime.http_client import HttpClient, LateResponse
 from gypsumline.runtime.http_messages import (
     HttpRefusedError,
     HttpResponse,
@@ -26,7 +34,11 @@
     HttpUnsentError,
 )
 
-_CONNECTIONS = 8
+# Calls that hang keep a connection until their time limit, so there are more of
+# them than starts at a time.
+_CONNECTIONS = 16
+# Connections for hold requests, which never wait behind other orders.
+_HOLD_CONNECTIONS = 4
 _EXPECTED_EXECUTOR_HEADER = "X-Gypsumline-Expected-Instance"
 _JSON_CONTENT_TYPE = "application/json"
 
@@ -37,6 +49,16 @@
     "room": OrderAnswer.REFUSED,
     "ticket": OrderAnswer.REFUSED,
 }
+# Statuses of an executor that has done nothing. After any other status that is
+# not a success the order may have been carried out.
+_REFUSAL_STATUSES = frozenset(
+    {
+        http.HTTPStatus.BAD_REQUEST,
+        http.HTTPStatus.CONFLICT,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 # Raised by a body that is not of the right shape: a DecodeError for its types,
 # the others for rows that are too short, mixed or nested too deeply.
@@ -82,20 +104,35 @@
     running: list[list[object]] = []
     # Items: number, task, attempt, outcome and checkpoint.
     ended: list[list[object]] = []
-    born: Milliseconds = 0.0
+    born: UnixMilliseconds = 0.0
 
 
 class ExecutorClient:
     """Sends orders to the executor and decodes its responses.
 
+    Each kind of order has its own time limit, which follows the round trips of
+    its answers. An answer after the limit still counts as a round trip, and its
+    connection is used again; the order itself was reported as unanswered.
+
     Args:
       address: Host and port of the executor.
-      timeout: Time for one response, in seconds.
+      limits: Bounds of the time limits.
     """
 
-    def __init__(self, address: str, timeout: float) -> None:
-        self._client = HttpClient(address, connections=_CONNECTIONS)
-        self._timeout = timeout
+    def __init__(self, address: str, limits: CallLimits) -> None:
+        self._clients = {
+            "run-start": HttpClient(address, _CONNECTIONS),
+            "hold": HttpClient(address, _HOLD_CONNECTIONS),
+        }
+        self._clients["run-stop"] = self._clients["run-start"]
+        self._limits = limits
+        self._times = {name: CallTimes(limits) for name in self._clients}
+        self._rejections = RejectionLog(
+            "executor",
+            "hold reply of the executor is invalid",
+            _LOGGER,
+            logging.ERROR,
+        )
 
     async def start(self, order: OrderStart) -> OrderAnswer:
         """Starts a run."""
@@ -135,47 +172,83 @@
                 msgspec.json.decode(response.body, type=_WireHoldReply)
             )
         except _INVALID_REPLY_ERRORS as error:
-            metrics.REJECTED_INPUTS.labels("executor").inc()
-            _LOGGER.error(
-                "hold reply of the executor is invalid",
-                extra={"executor": order.executor, "detail": str(error)},
+            detail = str(error)
+            self._rejections.record(
+                (order.executor, detail), detail, executor=order.executor
             )
             return OrderAnswer.UNANSWERED
 
     def close(self) -> None:
         """Closes the connections."""
-        self._client.close()
+        for client in self._clients.values():
+            client.close()
 
     async def _call(
         self, name: str, executor: str, body: msgspec.Struct, wait: float
     ) -> HttpResponse | OrderAnswer:
+        started_at = boot_time()
+        response = await self._exchange(name, executor, body, wait)
+        seconds = boot_time() - started_at
+        answer = OrderAnswer.DONE
+        if isinstance(response, OrderAnswer):
+            answer = response
+        else:
+            self._record_round_trip(name, seconds, wait)
+            if not response.is_success:
+                answer = self._record_failure(
+                    name,
+                    _decode_refusal(response),
+                    f"status {response.status}",
+                )
+        metrics.ORDER_SECONDS.labels(name, answer.name.lower()).observe(seconds)
+        return response if answer is OrderAnswer.DONE else answer
+
+    async def _exchange(
+        self, name: str, executor: str, body: msgspec.Struct, wait: float
+    ) -> HttpResponse | OrderAnswer:
+        """Returns the response, or why there is none."""
         headers: Mapping[str, str] = {
             "Content-Type": _JSON_CONTENT_TYPE,
             _EXPECTED_EXECUTOR_HEADER: executor,
         }
+        sent_at = boot_time()
+
+        def record_late(_: HttpResponse) -> None:
+            metrics.LATE_ORDER_ANSWERS.labels(name).inc()
+            self._record_round_trip(name, boot_time() - sent_at, wait)
+
+        limit = self._times[name].limit
         try:
-            response = await self._client.request(
+            return await self._clients[name].request(
                 "POST",
                 f"/v1/{name}",
-                timeout=self._timeout + wait,
+                timeout=limit + wait,
                 headers=headers,
                 body=msgspec.json.encode(body),
+                late=LateResponse(
+                    patience=self._limits.longest - limit,
+                    on_response=record_late,
+                ),
             )
         except HttpRefusedError as error:
-            return self._record_failure(
-                name, OrderAnswer.NO_LISTENER, str(error)
-            )
+            answer, detail = OrderAnswer.NO_LISTENER, str(error)
         except HttpUnsentError as error:
-            return self._record_failure(name, OrderAnswer.REFUSED, str(error))
+            answer, detail = OrderAnswer.UNSENT, str(error)
         except HttpUnansweredError as error:
-            return self._record_failure(
-                name, OrderAnswer.UNANSWERED, str(error)
-            )
-        if response.is_success:
-            return response
-        return self._record_failure(
-            name, _decode_refusal(response), f"status {response.status}"
-        )
+            self._times[name].record_unanswered()
+            answer, detail = OrderAnswer.UNANSWERED, str(error)
+        return self._record_failure(name, answer, detail)
+
+    def _record_round_trip(
+        self, name: str, seconds: float, wait: float
+    ) -> None:
+        """Records an answer's round trip.
+
+        The answer to a hold request that did not wait to its end says nothing,
+        since the end of a run may have come at any time.
+        """
+        if seconds >= wait:
+            self._times[name].record(seconds - wait)
 
     def _record_failure(
         self, name: str, answer: OrderAnswer, detail: str
@@ -191,6 +264,8 @@
 def _decode_refusal(response: HttpResponse) -> OrderAnswer:
     if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
         return OrderAnswer.OTHER_EXECUTOR
+    if response.status not in _REFUSAL_STATUSES:
+        return OrderAnswer.UNANSWERED
     if response.status != http.HTTPStatus.CONFLICT:
         return OrderAnswer.REFUSED
     try:
@@ -207,21 +282,28 @@
         started_at=int(wire.born),
         clock=int(wire.clock_ms),
         running=frozenset(
-            (str(row[0]), _require_integer(row[1])) for row in wire.running
+            (_require_name(row[0]), _require_number(row[1]))
+            for row in wire.running
         ),
         ended=tuple(
             EndedRun(
-                number=_require_integer(row[0]),
-                task=str(row[1]),
-                attempt=_require_integer(row[2]),
-                outcome=str(row[3]),
+                number=_require_number(row[0]),
+                task=_require_name(row[1]),
+                attempt=_require_number(row[2]),
+                outcome=_require_name(row[3]),
             )
             for row in wire.ended
         ),
     )
 
 
-def _require_integer(value: object) -> int:
-    if isinstance(value, int):
+def _require_number(value: object) -> int:
+    if type(value) is int and 0 <= value <= SEQUENCE_MAX:
+        return value
+    raise TypeError("a number is out of bounds or not an integer")
+
+
+def _require_name(value: object) -> str:
+    if isinstance(value, str) and len(value) <= NAME_CHARACTERS_MAX:
         return value
-    raise TypeError(f"{value!r} is not an integer")
+    raise TypeError("a name is too long or not a text")
--- a/properties/lease_load.py
+++ b/properties/lease_load.py
@@ -17,7 +17,7 @@
 from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
 from gypsumline.core.leases.resources import Resources
 from properties.lease_executor import CAPACITY, Executor
-from properties.lease_world import LeaseWorld
+from properties.lease_world import LEASE, LeaseWorld
 
 # (speed, relative capacity), assigned to the executors in rotation.
 EXECUTOR_SPEEDS_AND_SIZES = ((0.6, 1.0), (1.0, 1.0), (1.6, 1.5))
@@ -101,6 +101,7 @@
       late_refusal_value: Value of jobs that were refused late.
       possible: Value of all submitted jobs.
       earned: Value of the answers.
+      delays: Response times of the completed jobs, relative to the objective.
     """
 
     submitted: int = 0
@@ -110,13 +111,14 @@
     late_refusal_value: float = 0.0
     possible: float = 0.0
     earned: float = 0.0
+    delays: list[float] = dataclasses.field(default_factory=list)
 
 
 class LoadWorld(LeaseWorld):
     """Simulation of owners and agents under a load pattern."""
 
     delays = (0.001,)
-    hold_pause = 0.001
+    order_limits = (LEASE.order_timeout_min,)
 
     def __init__(self, seed, entries=3, agents=11, rate=60.0):
         super().__init__(seed, entries=entries, agents=agents)
@@ -136,6 +138,8 @@
         # Share of the jobs of the first class with a task that crashes its
         # executors, shortly after it has started.
         self.culprit_share = 0.0
+        # Number of queues that have culprits, from the first class.
+        self.poisoned_queues = 1
         self.poisoned_share = 0.1
         self.culprit_jobs = set()
         self.given_up = 0
@@ -174,7 +178,8 @@
         count = max(
             1, round(job_class.mean_tasks * rng.lognormvariate(-0.08, 0.4))
         )
-        if job_class is self.classes[0] and rng.random() < self.culprit_share:
+        is_poisoned = job_class in self.classes[: self.poisoned_queues]
+        if is_poisoned and rng.random() < self.culprit_share:
             self.culprits[f"{key}.0.0.0"] = CULPRIT_CRASH_SECONDS
             self.culprit_jobs.add(key)
         self.work[key] = work
@@ -232,6 +237,8 @@
             self.by_queue[job_class.queue.name],
             self.by_entry[name],
         ):
+            if ended.outcome is JobOutcome.COMPLETED:
+                results.delays.append(response_time / objective)
             if ended.outcome is not JobOutcome.COMPLETED:
                 results.refused += 1
                 if response_time > QUICK_REFUSAL_SHARE * objective:
@@ -310,6 +317,30 @@
     return 1.0
 
 
+def _half_of_the_executors(world):
+    executors = [world.executors[name] for name in sorted(world.executors)]
+    return executors[: len(executors) // 2]
+
+
+@load_pattern
+def half_of_the_executors_silent(world, now):
+    """Lets half of the executors answer nothing from second 5 to 8."""
+    if 5.0 <= now < 8.0:
+        for executor in _half_of_the_executors(world):
+            executor.silent_until = 8.0
+    return 1.0
+
+
+@load_pattern
+def half_of_the_executors_crash(world, now):
+    """Lets half of the executors crash at second 5; they are back at 8."""
+    if 5.0 <= now < 8.0:
+        for executor in _half_of_the_executors(world):
+            if executor.up:
+                executor.restart(8.0 - now)
+    return 1.0
+
+
 def run_pattern(
     name,
     seed,
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -14,7 +14,7 @@
 
 WALKS = 8
 # None of these walks fails on the unchanged code.
-MUTANT_SEEDS = range(1, 31)
+MUTANT_SEEDS = range(1, 61)
 # Culprits whose owners are killed one after the other.
 LOST_OWNER_ACTIONS = (
     lease_walk.submit_culprit,
@@ -111,7 +111,7 @@
             seconds_ago=0.0,
             runs=(silent,),
         )
-        effects = self._on_crash(crash, run.view.service, now)
+        effects = self._on_crash(crash, run.view.service, now, run.view)
         return effects + lose_run(self, run, report, now)
 
     monkeypatch.setattr(LeasedOwner, "_on_run_lost", lose_and_count)
