--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -92,6 +92,10 @@
         """Records the work of a submitted job, in processor-seconds."""
         self._rates.add(job.service, job.request.queue.name, work, now)
 
+    def has_executors(self, service: str, now: float) -> bool:
+        """Returns whether any executor of a service is known."""
+        return bool(self._fleet.present(service, now))
+
     def suspect(
         self, service: str, queue: str, history: CrashHistory, now: float
     ) -> bool:
--- a/gypsumline/core/leases/crash_history.py
+++ b/gypsumline/core/leases/crash_history.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
@@ -35,12 +35,15 @@
       queue: Name of its queue.
       count: Number of executors that crashed, or may have, under it.
       confirmed: Number of these where the task is known to have been there.
+      lost: Number of its runs that were lost with their agents since the first
+        crash; executors may have crashed under them, seen by nobody.
       blame: Sum of the blame of its job for these crashes.
     """
 
     queue: str = ""
     count: int = 0
     confirmed: int = 0
+    lost: int = 0
     blame: float = 0.0
 
 
@@ -49,6 +52,7 @@
     """A crash as counted, with the share of blame of each job."""
 
     at: float
+    expires_at: float
     runs: tuple[CrashedRun, ...]
     blame: dict[str, float]
 
@@ -68,7 +72,7 @@
 
     def __init__(self, settings: CrashSettings) -> None:
         self._settings = settings
-        # By executor incarnation, oldest first.
+        # By executor incarnation, the one that expires first in front.
         self._records: dict[tuple[str, int], _Record] = {}
         self._tasks: dict[str, TaskCrashes] = {}
 
@@ -105,16 +109,17 @@
 
     def _is_over_limit(self, task: TaskCrashes) -> bool:
         settings = self._settings
-        return (
-            task.confirmed >= settings.crash_limit
-            or task.count >= settings.possible_crash_limit
-        )
+        if task.confirmed >= settings.confirming_crashes:
+            return task.count >= settings.crash_limit
+        if task.blame >= settings.possible_blame:
+            return task.count >= settings.crash_limit
+        return task.count >= settings.possible_crash_limit
 
     def _is_cause(self, task: TaskCrashes) -> bool:
         settings = self._settings
         return (
             task.confirmed >= settings.confirming_crashes
-            and task.blame >= settings.confirming_blame
+            and task.blame + task.lost >= settings.confirming_blame
         )
 
     def add(self, crash: ExecutorCrash, now: float) -> dict[str, float]:
@@ -123,12 +128,12 @@
         Returns:
           Blame in this crash by job key, highest first; empty if not counted.
         """
-        self.expire(now)
         name = crash.executor, crash.started_at
         at = now - crash.seconds_ago
         if name in self._records or now - at > self._settings.memory:
             return {}
-        record = _Record(at, crash.runs, self._shares(crash.runs))
+        expires_at = now + self._settings.memory
+        record = _Record(at, expires_at, crash.runs, self._shares(crash.runs))
         self._records[name] = record
         for run in crash.runs:
             task = self._tasks.setdefault(run.task, TaskCrashes())
@@ -140,6 +145,12 @@
             self._remove_oldest()
         return record.blame
 
+    def add_lost_run(self, task: str) -> None:
+        """Counts a run whose fate is unknown; only if its task is suspect."""
+        found = self._tasks.get(task)
+        if found is not None:
+            found.lost += 1
+
     def causes(self, crash: ExecutorCrash) -> set[str]:
         """Returns the queues of the tasks there that are likely causes."""
         tasks = [self._tasks.get(run.task) for run in crash.runs]
@@ -154,21 +165,36 @@
     def queue_blame(self, queue: str, since: float) -> float:
         """Returns the sum of a queue's blame for crashes after a time."""
         total = 0.0
-        for record in self._records.values():
+        for record in reversed(self._records.values()):
+            # No earlier record is of a crash after that time: an owner learns
+            # of a crash only once it has happened.
+            if record.expires_at - self._settings.memory < since:
+                break
             if record.at < since:
                 continue
             keys = {job_key(r.task) for r in record.runs if r.queue == queue}
             total += sum(record.blame[key] for key in keys)
         return total
 
-    def expire(self, now: float) -> None:
-        """Forgets crashes that no longer count."""
-        limit = now - self._settings.memory
+    def expire(self, now: float, open_jobs: Container[str] = ()) -> None:
+        """Forgets crashes that no longer count.
+
+        Those under a job that is still open count on, since its tasks may run
+        for longer than a crash is remembered.
+
+        Args:
+          now: Current time.
+          open_jobs: Keys of the open jobs.
+        """
         while self._records:
-            oldest = next(iter(self._records.values()))
-            if oldest.at >= limit:
+            name, oldest = next(iter(self._records.items()))
+            if oldest.expires_at >= now:
                 return
-            self._remove_oldest()
+            if any(key in open_jobs for key in oldest.blame):
+                oldest.expires_at = now + self._settings.memory
+                self._records[name] = self._records.pop(name)
+            else:
+                self._remove_oldest()
 
     def _remove_oldest(self) -> None:
         record = self._records.pop(next(iter(self._records)))
--- a/gypsumline/core/leases/crash_response.py
+++ b/gypsumline/core/leases/crash_response.py
@@ -28,6 +28,8 @@
         self._settings = settings
         self._history = CrashHistory(settings)
         self._containment = Containment(settings, fleet)
+        # Time, service and crash of those told before any executor was known.
+        self._early_crashes: list[tuple[float, str, ExecutorCrash]] = []
         self._downtime = ExecutorDowntime(settings.return_limit)
         self._given_up = GivenUpJobs(
             settings.max_given_up, settings.given_up_memory
@@ -55,28 +57,30 @@
     def on_crash(
         self,
         crash: ExecutorCrash,
-        view: AgentView,
+        service: str,
         jobs: Mapping[str, LeasedJob],
         now: float,
+        view: AgentView | None = None,
     ) -> tuple[list[Effect], list[LeasedJob]]:
         """Counts a crash, unless it is known already.
 
         Args:
           crash: The crash.
-          view: The agent beside the executor.
+          service: Service of the executor.
           jobs: Open jobs by key.
           now: Current time.
+          view: The agent beside the executor, if it told the crash.
 
         Returns:
           Log lines and counts, and the open jobs to be given up.
         """
-        service = view.service
         blame = self._history.add(crash, now)
         if not blame:
             return [], []
-        if max(blame.values()) >= self._settings.strong_blame:
+        is_isolating = crash.seconds_ago <= self._settings.isolation_time
+        if is_isolating and max(blame.values()) >= self._settings.strong_blame:
             self._containment.isolate(service, now)
-        if not view.load.taking:
+        if view is not None and not view.load.taking:
             at = now - crash.seconds_ago
             self._downtime.on_crash(view.member.member_id, at)
         lines: list[Effect] = [crash_line(crash, blame, self._history)]
@@ -84,11 +88,33 @@
             lines.append(
                 QueueBlamed(service=service, queue=queue, is_given_up=False)
             )
-            if self._containment.suspect(service, queue, self._history, now):
-                lines.append(suspicion_line("queue_suspected", service, queue))
+        lines += self._confine(crash, service, now - crash.seconds_ago, now)
         found = [jobs[key] for key in blame if key in jobs]
         return lines, [job for job in found if self.is_given_up(job)]
 
+    def _confine(
+        self, crash: ExecutorCrash, service: str, crashed_at: float, now: float
+    ) -> list[Decision]:
+        """Confines the queues whose jobs caused a recent crash.
+
+        What share of the executors has crashed is not known to an owner that
+        has just started, so it confines them once it knows some.
+        """
+        if now - crashed_at > self._settings.suspicion_time:
+            return []
+        if not self._containment.has_executors(service, now):
+            self._early_crashes.append((crashed_at, service, crash))
+            return []
+        lines: list[Decision] = []
+        for queue in sorted(self._history.causes(crash)):
+            if self._containment.suspect(service, queue, self._history, now):
+                lines.append(suspicion_line("queue_suspected", service, queue))
+        return lines
+
+    def on_run_lost(self, task: str) -> None:
+        """Notes a run that was lost together with its agent."""
+        self._history.add_lost_run(task)
+
     def on_load(self, view: AgentView, now: float) -> None:
         """Learns from an agent whose executor is back after a crash."""
         if view.load.taking:
@@ -134,11 +160,22 @@
             )
         ]
 
-    def update(self, now: float) -> list[Decision]:
-        """Forgets old crashes; returns the lines of queues that are cleared."""
-        self._history.expire(now)
+    def update(
+        self, jobs: Mapping[str, LeasedJob], now: float
+    ) -> list[Decision]:
+        """Forgets old crashes; returns the lines of queues whose state changed.
+
+        Args:
+          jobs: Open jobs by key.
+          now: Current time.
+        """
+        self._history.expire(now, jobs)
         self._downtime.expire(now)
-        return [
+        lines: list[Decision] = []
+        early, self._early_crashes = self._early_crashes, []
+        for crashed_at, service, crash in early:
+            lines += self._confine(crash, service, crashed_at, now)
+        return lines + [
             suspicion_line("queue_cleared", service, queue)
             for service, queue in self._containment.update(now)
         ]
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -12,13 +12,18 @@
     """Blame for crashes; all times are in seconds.
 
     Attributes:
-      crash_limit: Number of crashes under one task, known to have been there,
-        at which its job is given up whoever is blamed.
-      possible_crash_limit: The same for all crashes where it may have been.
+      crash_limit: Number of crashes under one task at which its job is given up
+        whoever is blamed, if it is known to have been at `confirming_crashes`
+        of them.
+      possible_crash_limit: Number of crashes at which it is given up even if it
+        is not known to have been at any.
+      possible_blame: Sum of a task's blame from which `crash_limit` crashes are
+        enough for that: hardly any other run had just been ordered there.
       confirming_crashes: Minimum number of crashes under one task, known to
         have been there, at which its job is given up if it has enough blame.
       confirming_blame: Sum of a task's blame over all crashes from which it
-        counts as their cause. Its blame for a single crash is below 1.
+        counts as their cause. Its blame for a single crash is below 1; a run
+        that was lost with its agent adds 1.
       suspect_blame: Sum of a task's blame from which its job is kept apart from
         other suspects.
       strong_blame: Sum of a task's blame from which its job is a strong
@@ -45,8 +50,11 @@
         ascending order. The first that holds their share of the work is used;
         owners, whose estimates differ, thus mostly choose alike.
       rate_memory: Time over which the rate of a queue's work is known.
-      memory: Time for which a crash counts.
-      max_crashes: Maximum number of crashes that an owner keeps.
+      memory: Time for which a crash counts after an owner has learned of it,
+        and while a job that was there is open.
+      max_crashes: Maximum number of crashes that an owner keeps. Beyond it, the
+        counts of the oldest are lost, so it covers `memory` for 200 executors
+        that each crash again as soon as they are back.
       max_given_up: Maximum number of jobs given up that an owner lists.
       given_up_memory: Time for which it lists them.
       return_limit: Time after which a crashed executor is no longer expected
@@ -55,6 +63,7 @@
 
     crash_limit: int = 3
     possible_crash_limit: int = 4
+    possible_blame: float = 2.0
     confirming_crashes: int = 2
     confirming_blame: float = 1.2
     suspect_blame: float = 0.1
@@ -71,7 +80,7 @@
     confined_shares: tuple[float, ...] = (0.35, 0.5, 0.75, 1.0)
     rate_memory: float = 10.0
     memory: float = 60.0
-    max_crashes: int = 256
+    max_crashes: int = 4096
     max_given_up: int = 100
     given_up_memory: float = 3600.0
     return_limit: float = 60.0
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
@@ -293,7 +293,7 @@
         self._update_load(view, message, now)
         effects: list[Effect] = []
         for crash in message.crashes:
-            effects += self._on_crash(crash, view, now)
+            effects += self._on_crash(crash, view.service, now, view)
         for report in message.reports:
             run = self._runs.find(report.task)
             is_known = run is not None and run.attempt == report.attempt
@@ -307,9 +307,23 @@
             effects.append(self._pong(view, now))
         return effects
 
+    def restore_crashes(
+        self, crashes: Iterable[tuple[str, ExecutorCrash]], now: float
+    ) -> list[Effect]:
+        """Counts crashes that may have been seen before this owner started.
+
+        Args:
+          crashes: Service and crash; known ones are counted once.
+          now: Current time.
+        """
+        effects: list[Effect] = []
+        for service, crash in crashes:
+            effects += self._on_crash(crash, service, now)
+        return effects
+
     def tick(self, now: float) -> list[Effect]:
         """Ends overdue jobs, stops overdue runs and gives up lost ones."""
-        effects: list[Effect] = [*self._crashes.update(now)]
+        effects: list[Effect] = [*self._crashes.update(self._jobs, now)]
         for run in self._runs:
             effects += self._check_run(run, now)
         is_isolated = self._isolation.check(self.usable_agents(now), now)
@@ -568,6 +582,7 @@
         self, run: PlacedRun, report: RunReport, now: float
     ) -> list[Effect]:
         job = run.task.job
+        self._crashes.on_run_lost(run.task.name)
         if self._jobs.get(job.key) is job:
             job.set_phase(run.task, TaskPhase.WAITING)
             self._waiting.add_returned(job)
@@ -576,10 +591,16 @@
         return [run_ended_line(run, report, now)]
 
     def _on_crash(
-        self, crash: ExecutorCrash, view: AgentView, now: float
+        self,
+        crash: ExecutorCrash,
+        service: str,
+        now: float,
+        view: AgentView | None = None,
     ) -> list[Effect]:
         """Blames the jobs that were there and gives up those that caused it."""
-        lines, given_up = self._crashes.on_crash(crash, view, self._jobs, now)
+        lines, given_up = self._crashes.on_crash(
+            crash, service, self._jobs, now, view
+        )
         effects: list[Effect] = [*lines]
         for job in given_up:
             effects += self._give_up(job, now)
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -365,11 +365,12 @@
         if not executor.take_list(request, reply):
             return effects
         is_back = executor.is_down
-        executor.mark_responsive(now)
+        executor.mark_responsive(min(now, sent_at + request.wait), now)
         executor.set_clock(reply.clock, now)
         self._has_unacknowledged_ends = bool(reply.ended)
         effects += self._apply_ends(executor, reply.ended, now)
         effects += self._reconcile_running(executor, reply, sent_at, now)
+        self._crashes.on_responsive()
         if request.token == self._token.value and not self._unowned_runs:
             self._token.on_accepted()
             if not self._is_open:
@@ -469,6 +470,7 @@
             and self._runs
             and executor.has_lease_lapsed(now)
         ):
+            self._crashes.on_lapsed(self._runs.values())
             effects += self._lose_all_runs("lease lapsed")
             effects += self._reports.broadcast(now)
         effects += self.check_runs(now)
@@ -784,7 +786,8 @@
         self, earlier: ExecutorState, runs: Collection[Run], now: float
     ) -> list[Effect]:
         """Tells the owners of a crash that a new incarnation proves."""
-        if not runs or earlier.is_expected_gone(now):
+        is_known = not runs and not self._crashes.has_lapsed_runs
+        if is_known or earlier.is_expected_gone(now):
             return []
         detected = self._crashes.add(earlier, runs, "restarted", now)
         return [detected, *self._reports.broadcast(now, (detected.crash,))]
@@ -799,8 +802,9 @@
         has_same_name = (
             earlier is not None and earlier.name == announcement.executor
         )
-        if self._runs and not has_same_name and earlier is not None:
+        if earlier is not None and not has_same_name:
             effects += self._on_restarted(earlier, self._runs.values(), now)
+        if self._runs and not has_same_name:
             effects += self._lose_all_runs("another executor started")
         self._executor = ExecutorState(announcement, self._settings, now)
         self._holds.begin_incarnation()
--- a/gypsumline/tests/core/leases/test_crash_history.py
+++ b/gypsumline/tests/core/leases/test_crash_history.py
@@ -3,7 +3,11 @@
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
-from gypsumline.core.leases.crash_history import CrashHistory, Verdict
+from gypsumline.core.leases.crash_history import (
+    CrashHistory,
+    Verdict,
+    job_key,
+)
 from gypsumline.core.leases.crash_settings import CrashSettings
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
 
@@ -80,13 +84,78 @@
 def test_starts_without_an_answer_count_less_than_confirmed_ones():
     """Guards against blame for orders that never reached the executor."""
     crashes = history()
+    for number in range(4):
+        assert crashes.verdict([TASK]) is not Verdict.GIVEN_UP
+        others = [(f"{number}{name}.0.0.0", 0.0) for name in "abcdefgh"]
+        crashes.add(crash(number, (TASK, 0.0, "unanswered"), *others), 0.0)
+    assert crashes.find(TASK).blame < 2.0
+    assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
+
+
+def test_culprit_whose_starts_are_never_answered_is_given_up_after_three():
+    """Guards against a culprit that crashes executors before they answer."""
+    crashes = history()
     for number in range(3):
+        assert crashes.verdict([TASK]) is not Verdict.GIVEN_UP
         crashes.add(crash(number, (TASK, 0.0, "unanswered")), 0.0)
+    assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
+
+
+def test_crashes_of_a_large_fleet_hide_none_of_a_task():
+    """Guards against a count that is dropped while many executors crash."""
+    crashes = history()
+    crashes.add(crash(0, (TASK, 0.0)), 0.0)
+    for number in range(1, 3000):
+        others = (f"{number}.0.0.0", 0.0), (f"{number}.0.0.1", 0.0)
+        crashes.add(crash(number, *others), number / 100)
+    crashes.add(crash(9999, (TASK, 0.0)), 31.0)
+    assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
+
+
+def test_blame_of_a_queue_covers_late_and_kept_records():
+    """Guards against blame that depends on when a crash was learned of."""
+    crashes = history()
+    crashes.add(crash(1, (TASK, 0.0)), 0.0)
+    crashes.add(crash(2, (TASK, 0.0)), 58.0)
+    crashes.add(crash(3, (TASK, 0.0), seconds_ago=30.0), 58.5)
+    crashes.expire(61.0, {job_key(TASK)})
+    newest = crashes.add(crash(4, (TASK, 0.0)), 62.0)[job_key(TASK)]
+    assert crashes.queue_blame("cards", 61.0) == pytest.approx(newest)
+    blames = [crashes.queue_blame("cards", since) for since in (57, 28, -1)]
+    assert [round(blame) for blame in blames] == [2, 3, 4]
+
+
+def test_lost_run_counts_beside_two_known_crashes():
+    """Guards against a crash that nobody saw, as its agent was lost too."""
+    crashes = history()
+    for number in range(2):
+        neighbour = f"{number}.0.0.0", 0.01
+        crashes.add(crash(number, (TASK, 0.05), neighbour), 0.0)
     assert crashes.verdict([TASK]) is Verdict.SUSPECT
-    crashes.add(crash(3, (TASK, 0.0, "unanswered")), 0.0)
+    crashes.add_lost_run(TASK)
     assert crashes.verdict([TASK]) is Verdict.GIVEN_UP
 
 
+def test_lost_run_does_not_count_for_a_task_that_is_hardly_blamed():
+    """Guards against an innocent job whose run was near two crashes."""
+    crashes = history()
+    for number in range(2):
+        crashes.add(crash(number, (TASK, 2.0), (NEIGHBOUR, 0.01)), 0.0)
+    crashes.add_lost_run(TASK)
+    assert crashes.verdict([TASK]) is Verdict.CLEAR
+
+
+def test_lost_runs_alone_never_give_a_job_up():
+    """Guards against a job given up for agents that were only lost."""
+    crashes = history()
+    crashes.add(crash(1, (TASK, 2.0), (NEIGHBOUR, 0.01)), 0.0)
+    for _ in range(10):
+        crashes.add_lost_run(TASK)
+        crashes.add_lost_run("other.0.0.0")
+    assert crashes.verdict([TASK, "other.0.0.0"]) is Verdict.CLEAR
+    assert crashes.find("other.0.0.0") is None
+
+
 def test_crashes_are_forgotten_and_bounded():
     """Guards against state that grows with each crash."""
     crashes = history(max_crashes=2)
--- a/gypsumline/tests/core/leases/test_crashes_at_agents.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from gypsumline.core.leases.effects import CrashDetected, OrderAnswer
-from gypsumline.core.leases.messages import RunEnd, RunReports
+from gypsumline.core.leases.effects import (
+    CrashDetected,
+    OrderAnswer,
+    OrderStop,
+)
+from gypsumline.core.leases.messages import RunEnd, RunReports, StopRuns
 from gypsumline.core.leases.run_log_lines import crash_line
 from gypsumline.tests.core.leases.builders import (
     ENTRY,
@@ -107,6 +111,51 @@
     assert crashes(effects) == []
 
 
+def silent_table():
+    """Returns a table whose runs have lapsed at a silent executor."""
+    table = table_with_runs()
+    for now in (0.4, 0.6, 0.8, 1.0, 1.2):
+        hold(table, OrderAnswer.UNANSWERED, now)
+        table.tick(now)
+    assert table.runs == {}
+    return table
+
+
+@pytest.mark.parametrize("executor", ["x-1", "x-2"])
+def test_crash_of_a_silent_executor_counts_under_its_lapsed_runs(executor):
+    """Guards against crashes that are proved after the lease has lapsed."""
+    table = silent_table()
+    restarted = announcement(executor=executor, started_at=2000)
+    effects = table.on_announcement(restarted, 1.5)
+    request = table.next_hold_request(1.5)
+    reply = hold_reply(started_at=2000)
+    effects += table.on_hold_reply(request, reply, 1.5, 1.51)
+    (crash,) = crashes(effects)
+    assert [(r.task, r.is_started) for r in crash.runs] == [
+        (TASK, False),
+        (LATE_TASK, False),
+    ]
+
+
+def test_refusals_after_the_lease_count_under_its_lapsed_runs():
+    """Guards against crashes that are proved after the lease has lapsed."""
+    table = silent_table()
+    hold(table, OrderAnswer.NO_LISTENER, 1.3)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 1.4))
+    assert [r.task for r in crash.runs] == [TASK, LATE_TASK]
+    restarted = announcement(executor="x-2", started_at=2000)
+    assert crashes(table.on_announcement(restarted, 1.5)) == []
+
+
+def test_lapsed_runs_are_not_blamed_once_the_executor_responds():
+    """Guards against blame for a crash long after the runs had ended."""
+    table = silent_table()
+    request = table.next_hold_request(1.3)
+    table.on_hold_reply(request, hold_reply(), 1.3, 1.31)
+    restarted = announcement(executor="x-2", started_at=2000)
+    assert crashes(table.on_announcement(restarted, 1.5)) == []
+
+
 def test_planned_departure_is_no_crash():
     """Guards against tasks blamed for an executor that was drained."""
     table = table_with_runs()
@@ -124,6 +173,43 @@
     assert len(crashes(refuse_connections(table))) == 1
 
 
+def test_stopped_run_is_not_known_to_have_been_there():
+    """Guards against a job given up for a run that had been stopped."""
+    table = table_with_runs()
+    request = table.next_hold_request(0.31)
+    table.on_hold_reply(request, reply_with_run(), 0.31, 0.31)
+    (stop,) = [
+        e
+        for e in table.on_stop(
+            ENTRY, StopRuns(tasks=(TASK,), attempts=(1,)), 0.31
+        )
+        if isinstance(e, OrderStop)
+    ]
+    table.on_stop_answer(stop, OrderAnswer.DONE, 0.311)
+    hold(table, OrderAnswer.NO_LISTENER, 0.37)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 0.42))
+    assert not crash.runs[0].is_started
+
+
+def test_run_is_not_known_to_be_at_an_executor_that_was_silent():
+    """Guards against a job given up for a run whose end was not listed."""
+    table = table_with_runs()
+    hold(table, OrderAnswer.UNANSWERED, 0.46)
+    hold(table, OrderAnswer.NO_LISTENER, 0.5)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 0.55))
+    assert not crash.runs[0].is_started
+
+
+def test_list_that_was_read_late_is_no_proof_that_a_run_was_there():
+    """Guards against a job given up for a run that ended during a pause."""
+    table = table_with_runs()
+    request = table.next_hold_request(0.32)
+    table.on_hold_reply(request, reply_with_run(), 0.32, 0.85)
+    hold(table, OrderAnswer.NO_LISTENER, 0.86)
+    (crash,) = crashes(hold(table, OrderAnswer.NO_LISTENER, 0.91))
+    assert not crash.runs[0].is_started
+
+
 def test_one_refused_connection_is_no_crash():
     """Guards against a listener that is only being replaced."""
     table = table_with_runs()
--- a/gypsumline/tests/core/leases/test_crashes_at_owners.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_owners.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from gypsumline.core.effects import Decision
 from gypsumline.core.leases.effects import JobEnded, JobOutcome
 from gypsumline.core.leases.messages import (
@@ -121,3 +123,59 @@
     for record in (odd, crash(2, task=""), crash(3, task="no-such.9.9.9")):
         message = RunReports(reports=(), load=load(), crashes=(record,))
         assert outcomes(leased.on_reports(agent(1), message, 0.0)) == []
+
+
+def test_restored_crashes_count_once_and_confine_no_queue_when_old():
+    """Guards against stored crashes that count twice or confine a queue."""
+    leased = owner_with_agents(2)
+    old = [
+        ("ordering", dataclasses.replace(crash(number), seconds_ago=20.0))
+        for number in (1, 2)
+    ]
+    leased.restore_crashes(old[:1], 0.0)
+    leased.restore_crashes(old[:1], 1.0)
+    assert outcomes(leased.submit(request(), 1.0)) == []
+    effects = leased.restore_crashes(old, 2.0)
+    assert outcomes(effects) == [JobOutcome.FAILED]
+    assert leased.suspected_queues == {}
+
+
+def test_old_crash_does_not_prolong_a_suspicion():
+    """Guards against a queue that is confined for crashes of long ago."""
+    leased = owner_with_agents(2)
+    for number in (1, 2):
+        report_crash(leased, number, 0.1)
+    ((name, until),) = leased.suspected_queues.items()
+    old = dataclasses.replace(crash(3), seconds_ago=20.0)
+    leased.restore_crashes([("ordering", old)], 3.0)
+    assert leased.suspected_queues == {name: until}
+
+
+@pytest.mark.parametrize(("joined_at", "is_confined"), [(1.0, 1), (9.0, 0)])
+def test_restored_crash_confines_its_queue_once_executors_are_known(
+    joined_at, is_confined
+):
+    """Guards against a restarted owner that confines no queue, or for long."""
+    leased = owner()
+    recent = [("ordering", crash(number)) for number in (1, 2)]
+    leased.restore_crashes(recent, 0.0)
+    leased.tick(0.5)
+    assert leased.suspected_queues == {}
+    join(leased, agent(3), joined_at, executor="x-3")
+    leased.tick(joined_at)
+    assert len(leased.suspected_queues) == is_confined
+    leased.tick(joined_at + 6.0)
+    assert leased.suspected_queues == {}
+
+
+def test_crashes_under_an_open_job_count_however_long_ago():
+    """Guards against a task that runs for a minute before each crash."""
+    leased = owner_with_agents(3)
+    long_request = dataclasses.replace(request(), timeout=600.0)
+    ((to, _),) = sends(leased.submit(long_request, 0.0), StartRuns)
+    effects = report_crash(leased, int(to.removeprefix("agent-")), 70.0)
+    assert outcomes(effects) == []
+    for now in range(71, 140):
+        leased.tick(float(now))
+    effects = report_crash(leased, 3, 140.0)
+    assert outcomes(effects) == [JobOutcome.FAILED]
