--- a/soak/odd_inputs.py
+++ b/soak/odd_inputs.py
@@ -134,7 +134,12 @@
         host = self.host_address("entry-50")
         server = await asyncio.start_server(accept, host, 0)
         port = server.sockets[0].getsockname()[1]
-        row = {"address": f"{host}:{port}", "incarnation": 1, "renewed_at": 1}
+        # The entry removes rows that have expired.
+        row = {
+            "address": f"{host}:{port}",
+            "incarnation": 1,
+            "renewed_at": self.rows.now_ms / 1000.0,
+        }
         key = f"decoy-{self._decoys}"
         self.rows.write([(ENTRIES_TABLE, key, json.dumps(row).encode())])
         try:
--- a/soak/odd_sources.py
+++ b/soak/odd_sources.py
@@ -363,7 +363,11 @@
     host = world.host_address("entry-60")
     server = await asyncio.start_server(accept, host, 0)
     port = server.sockets[0].getsockname()[1]
-    row = {**_ENTRY_ROW, "address": f"{host}:{port}"}
+    row = {
+        **_ENTRY_ROW,
+        "address": f"{host}:{port}",
+        "renewed_at": world.rows.now_ms / 1000.0,
+    }
     world.rows.write([(ENTRIES_TABLE, "odd", json.dumps(row).encode())])
     await asyncio.sleep(SOCKET_SECONDS)
     yield frames
