Bound the rows of crashes, and log each odd one once

A row of another writer could hold a start or a time of any size, and an odd one was logged again at each read. Names, numbers and times have the bounds of the other readers, a row holds as many runs as one is written with, and RejectionLog counts each distinct row once. Failed before: test_malformed_row_is_logged_once and three new cases of test_malformed_rows_are_passed_over; the fourth new one, 300 runs, ends in a short row and was rejected for that before too.

--- a/gypsumline/platform/crash_rows.py
+++ b/gypsumline/platform/crash_rows.py
@@ -7,11 +7,15 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
+from collections.abc import Sequence as Items
+from typing import Annotated
 
 import msgspec
 
+from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.leases.crash_records import (
+    MAX_RECORDED_RUNS,
     CrashOutbox,
     CrashRecord,
     CrashWrite,
@@ -20,8 +24,9 @@
 )
 from gypsumline.core.leases.effects import CrashDetected
 from gypsumline.core.leases.messages import CrashedRun, ExecutorCrash
+from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
-from gypsumline.runtime import metrics
+from gypsumline.platform.wire_types import Name, Sequence
 
 CRASHES_TABLE = "gypsumline-crashes"
 # Pauses after a failed call, doubled after each further one. Calls that fail
@@ -35,14 +40,16 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CrashesCallback = Callable[[Sequence[tuple[str, ExecutorCrash]]], None]
+CrashesCallback = Callable[[Items[tuple[str, ExecutorCrash]]], None]
+# Times on the store's clock, in seconds; leaves out infinity and NaN.
+StoreSeconds = Annotated[float, msgspec.Meta(ge=-(2.0**43), le=2.0**43)]
 
 
 class _RunRow(msgspec.Struct, array_like=True):
-    task: str
-    attempt: int
-    queue: str
-    age: float
+    task: Name
+    attempt: Sequence
+    queue: Name
+    age: StoreSeconds
     is_started: bool
 
 
@@ -58,11 +65,11 @@
         whether it is known to have been there).
     """
 
-    service: str
-    executor: str
-    started_at: int
-    crashed_at: float
-    runs: list[_RunRow]
+    service: Name
+    executor: Name
+    started_at: Sequence
+    crashed_at: StoreSeconds
+    runs: Annotated[list[_RunRow], msgspec.Meta(max_length=MAX_RECORDED_RUNS)]
 
 
 def encode_crash(record: CrashRecord) -> bytes:
@@ -78,17 +85,16 @@
     return msgspec.json.encode(row)
 
 
-def decode_crash(row: StoredRow) -> CrashRecord | None:
-    """Returns the crash in a row; None, logged and counted, if invalid."""
+def decode_crash(row: StoredRow) -> CrashRecord:
+    """Returns the crash in a row.
+
+    Raises:
+      InvalidInputError: The value is not that of a crash.
+    """
     try:
         found = msgspec.json.decode(row.value or b"", type=CrashRow)
     except (msgspec.DecodeError, RecursionError) as error:
-        metrics.REJECTED_INPUTS.labels("crash_row").inc()
-        _LOGGER.warning(
-            "crash row is invalid",
-            extra={"key": row.key[:80], "detail": str(error)},
-        )
-        return None
+        raise InvalidInputError("row", row.value, str(error)) from error
     runs = tuple(
         CrashedRun(
             task=run.task,
@@ -216,6 +222,9 @@
         self._memory = memory
         self._on_crashes = on_crashes
         self._retries = _Retries(rng)
+        self._rejections = RejectionLog(
+            "crash_row", "crash row is invalid", _LOGGER
+        )
         self._requested = asyncio.Event()
         self._has_read = asyncio.Event()
 
@@ -252,8 +261,18 @@
             await self._apply(rows)
             return
 
+    def _decode(self, row: StoredRow) -> CrashRecord | None:
+        """Returns the crash in a row; None, logged once, if it is invalid."""
+        try:
+            return decode_crash(row)
+        except InvalidInputError as error:
+            self._rejections.record(
+                (row.key, row.value), str(error), key=row.key[:80]
+            )
+            return None
+
     async def _apply(self, rows: RowSet) -> None:
-        decoded = [(row, decode_crash(row)) for row in rows.rows]
+        decoded = [(row, self._decode(row)) for row in rows.rows]
         records = [(row, found) for row, found in decoded if found is not None]
         crashes = recent_crashes(
             [record for _, record in records], self._memory, rows.store_time
--- a/gypsumline/tests/platform/test_crash_rows.py
+++ b/gypsumline/tests/platform/test_crash_rows.py
@@ -194,6 +194,14 @@
         b'"runs":[]}',
         b'{"service":"s","executor":"x","started_at":1,"crashed_at":1,'
         b'"runs":[["k"]]}',
+        b'{"service":"s","executor":"x","started_at":1' + b"0" * 400 + b","
+        b'"crashed_at":1,"runs":[]}',
+        b'{"service":"s","executor":"x","started_at":1,"crashed_at":1,'
+        b'"runs":[["k.0.0.0",-1,"q",0.1,true]]}',
+        b'{"service":"s","executor":"x","started_at":1,"crashed_at":1,'
+        b'"runs":[["k.0.0.0",1,"q",1e300,true]]}',
+        b'{"service":"s","executor":"x","started_at":1,"crashed_at":1,'
+        b'"runs":[' + b'["k.0.0.0",1,"q",0.1,true],' * 300 + b"[]]}",
         b"[" * 100_000,
         b"\xff",
     ],
@@ -214,6 +222,24 @@
     scenario()
 
 
+def test_malformed_row_is_logged_once(caplog):
+    """Guards against a line at each read for as long as the row is there."""
+
+    @in_virtual_time
+    async def scenario(rows, endpoint):
+        rows.write([(CRASHES_TABLE, "agent-0/1", b"{")])
+        async with Process().reading() as entry:
+            for _ in range(3):
+                await asyncio.sleep(5.0)
+                entry.reader.request_read()
+            await asyncio.sleep(5.0)
+        assert endpoint.calls["/v1/rows-get"] > 2
+
+    scenario()
+    lines = [r for r in caplog.records if r.message == "crash row is invalid"]
+    assert len(lines) == 1
+
+
 @in_virtual_time
 async def test_old_rows_of_lost_agents_are_removed(rows, endpoint):
     """Guards against rows that no agent is left to remove."""
