Take no stamp of the future for contact

A pong or start with a false stamp after the current time would have kept its owner in contact, and its runs going, until that time. Such stamps are now ignored. test_stamp_of_no_ping_is_no_contact failed before.

--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -94,10 +94,13 @@
         contact = self._contacts.get(owner)
         return contact is not None and contact.is_connected
 
-    def record_answer(self, owner: Member, stamp: float) -> None:
-        """Records the stamp of a ping that the owner answered."""
+    def record_answer(self, owner: Member, stamp: float, now: float) -> None:
+        """Records the stamp of a ping that the owner answered.
+
+        One in the future is false, and would count as contact for too long.
+        """
         contact = self._contacts.get(owner)
-        if contact is not None:
+        if contact is not None and stamp <= now:
             contact.answered_stamp = max(contact.answered_stamp, stamp)
 
     def contact_age(self, owner: Member, now: float) -> float:
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -223,7 +223,7 @@
         """Starts runs, or defers them until their owner answers a ping."""
         self._contacts.set_capacity_request(owner, message.wish, now)
         if now - message.stamp <= self._settings.max_start_stamp_age:
-            self._contacts.record_answer(owner, message.stamp)
+            self._contacts.record_answer(owner, message.stamp, now)
             effects = self._start(owner, message, now)
             self._offers.close_offer(owner)
             return effects + self._flush_reports(now)
@@ -239,7 +239,7 @@
         self, owner: Member, message: ContactPong, now: float
     ) -> list[Effect]:
         """Handles the answer to a ping and starts the deferred runs."""
-        self._contacts.record_answer(owner, message.stamp)
+        self._contacts.record_answer(owner, message.stamp, now)
         self._contacts.set_capacity_request(owner, message.wish, now)
         self._offers.close_offer(owner)
         effects: list[Effect] = []
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -151,6 +151,15 @@
     assert len(starts(answer_ping(table, 1.0))) == 1
 
 
+def test_stamp_of_no_ping_is_no_contact():
+    """Guards against an owner that a false stamp keeps in contact."""
+    table = open_table()
+    run_one(table)
+    table.on_pong(ENTRY, ContactPong(stamp=100.0), 0.1)
+    later = LEASE.contact_limit + 0.01
+    assert [stop.task for stop in stops(table.tick(later))] == [TASK]
+
+
 def test_start_is_not_accepted_just_before_the_contact_limit():
     """Guards against a run that is stopped before its owner can be pinged."""
     table = open_table()
