Let a soak executor that crashes answer nothing

Traced: an executor that crashed under a start answered it with status 503 just before its connections were reset, since the stand-in maps "unanswered" to it. The agent took the start for refused, so two crashes were counted under nobody. A process that has crashed answers nothing.

--- a/soak/executor.py
+++ b/soak/executor.py
@@ -143,6 +143,10 @@
 
     def _make_answer_callback(self, exchange):
         def answer(result):
+            if not self.up:
+                # A process that has crashed answers nothing; its server closes
+                # the connection.
+                return
             status, content = 200, {"clock_ms": self.clock}
             if isinstance(result, HoldReply):
                 content |= {
