--- a/gypsumline/core/leases/crash_log.py
+++ b/gypsumline/core/leases/crash_log.py
@@ -62,7 +62,7 @@
         suspects = [
             run
             for run in [*self._lapsed_runs, *runs]
-            if run.may_have_run_since(executor.responded_at)
+            if run.may_have_run_since(executor.listed_at)
         ]
         for run in suspects:
             run.is_crash_reported = True
@@ -98,7 +98,7 @@
         settings = self._settings
         response_limit = settings.hold_wait + 0.5 * settings.order_timeout
         # An answer to the start may have been read late.
-        responded_at = max(run.ordered_at, executor.responded_at)
+        responded_at = max(run.ordered_at, executor.listed_at)
         return (
             not any(run is lapsed for lapsed in self._lapsed_runs)
             and run.started_at < math.inf
--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -38,6 +38,7 @@
         # End of the lease as ordered, in milliseconds on the executor's clock.
         self._ordered_lease_until = announcement.clock
         self._is_responsive = True
+        self._listed_at = now
         self._responded_at = now
         self._listed_clock = announcement.clock
         self._unresponsive_since = math.inf
@@ -123,9 +124,9 @@
         return self._lease_until
 
     @property
-    def responded_at(self) -> float:
-        """Time of the latest list of runs; earlier if it was read late."""
-        return self._responded_at
+    def listed_at(self) -> float:
+        """Time of the latest list of runs, which may have been read later."""
+        return self._listed_at
 
     def mark_responsive(self, listed_at: float, now: float) -> None:
         """Records an answered hold request, which allows lease renewals.
@@ -135,7 +136,8 @@
           now: Current time.
         """
         self._is_responsive = True
-        self._responded_at = listed_at
+        self._responded_at = now
+        self._listed_at = listed_at
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
         self.has_crashed = False
