--- a/gypsumline/core/leases/containment.py
+++ b/gypsumline/core/leases/containment.py
@@ -99,7 +99,11 @@
     def suspect(
         self, service: str, queue: str, history: CrashHistory, now: float
     ) -> bool:
-        """Confines a queue of which a job caused a crash, if it needs to be.
+        """Confines a queue of which a job is a likely cause, if needed.
+
+        After a crash that no job caused some job is still the likeliest cause.
+        So a queue needs more blame as long as no job of it is known to crash
+        executors.
 
         Returns:
           Whether it is confined now and was not before.
@@ -107,8 +111,12 @@
         name = service, queue
         is_new = name not in self._suspected
         blame = history.queue_blame(queue, now - self._settings.suspicion_time)
+        settings = self._settings
+        limit = settings.suspicion_share
+        if is_new and not history.has_cause(queue):
+            limit *= settings.unconfirmed_factor
         executors = len(self._fleet.present(service, now))
-        if is_new and blame < self._settings.suspicion_share * executors:
+        if is_new and blame < limit * executors:
             return False
         self._suspected[name] = now + self._settings.suspicion_time
         if is_new:
--- a/gypsumline/core/leases/crash_settings.py
+++ b/gypsumline/core/leases/crash_settings.py
@@ -46,6 +46,8 @@
         crashes are counted.
       suspicion_share: Crashes that a queue is blamed for in that time, as a
         share of the executors of its service, from which it is confined.
+      unconfirmed_factor: Factor on that share as long as no job of the queue is
+        known to crash executors.
       confined_shares: Shares of the executors that queues are confined to, in
         ascending order. The first that holds their share of the work is used;
         owners, whose estimates differ, thus mostly choose alike.
@@ -77,6 +79,7 @@
     earlier_blame_weight: float = 10.0
     suspicion_time: float = 5.0
     suspicion_share: float = 0.15
+    unconfirmed_factor: float = 2.0
     confined_shares: tuple[float, ...] = (0.35, 0.5, 0.75, 1.0)
     rate_memory: float = 10.0
     memory: float = 60.0
