--- a/gypsumline/platform/crash_rows.py
+++ b/gypsumline/platform/crash_rows.py
@@ -7,8 +7,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable
-from collections.abc import Sequence as Items
+from collections import abc
 from typing import Annotated
 
 import msgspec
@@ -40,7 +39,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CrashesCallback = Callable[[Items[tuple[str, ExecutorCrash]]], None]
+CrashesCallback = abc.Callable[[abc.Sequence[tuple[str, ExecutorCrash]]], None]
 # Times on the store's clock, in seconds; leaves out infinity and NaN.
 StoreSeconds = Annotated[float, msgspec.Meta(ge=-(2.0**43), le=2.0**43)]
 
