Type the error of a request on a connection that was closed

The same class, looked for in the product: streams and the HTTP server look or have dropped the transport by then; the HTTP client did not between the opening of a connection and its first request, so the untyped error would have ended the task of an order. It now raises HttpUnsentError. test_request_on_a_closed_connection_is_unsent failed before (RuntimeError).

--- a/gypsumline/runtime/http_client.py
+++ b/gypsumline/runtime/http_client.py
@@ -55,8 +55,12 @@
         Returns:
           The response, or HttpUnansweredError if the connection ends before it,
           or if it is malformed or too long.
+
+        Raises:
+          HttpUnsentError: The connection has been closed.
         """
-        assert self._transport is not None
+        if self._transport is None or self._transport.is_closing():
+            raise HttpUnsentError("the connection was closed before a request")
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return self._waiter
--- a/gypsumline/tests/runtime/test_light_http.py
+++ b/gypsumline/tests/runtime/test_light_http.py
@@ -129,6 +129,18 @@
         await client.request("GET", "/", timeout=1.0)
 
 
+async def test_request_on_a_closed_connection_is_unsent():
+    """Guards against an untyped error where a new connection ends at once."""
+    async with serve(echo) as (_, client):
+        connection = await client._open_connection(
+            asyncio.get_running_loop().time() + 1.0
+        )
+        connection.close()
+        await asyncio.sleep(0.01)
+        with pytest.raises(HttpUnsentError):
+            connection.send(b"GET / HTTP/1.1\r\n\r\n")
+
+
 async def test_handler_is_notified_when_its_client_disconnects():
     """Guards against work for a caller that has disconnected."""
     disconnected = asyncio.Event()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -69,6 +69,9 @@
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self._may_forward[direction].wait()
+                if writer.is_closing():
+                    # uvloop raises at a write to a closed transport.
+                    break
                 writer.write(data)
                 await writer.drain()
         writer.transport.abort()
