Remove a property of the run table that nothing reads any more

The pause after a crash moved to the schedule of hold requests, which is told of the crash, so has_executor_crashed was left without a reader.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -133,11 +133,6 @@
             or self._contacts.has_capacity_requests
         )
 
-    @property
-    def has_executor_crashed(self) -> bool:
-        """Whether the executor crashed and no other has announced itself."""
-        return self._executor is not None and self._executor.has_crashed
-
     @property
     def tick_interval(self) -> float:
         """Seconds between the calls of `tick` unless it is at rest."""
