Review: a worker that is cut off counts as crashed (TWICE)

Two refused connections 40 ms apart count as proof that an executor is gone. One that is cut off and runs on keeps its runs until their lease ends, while entries start the tasks elsewhere.

--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -48,9 +48,14 @@
         self.remaining_ms = None
         # Added to the host's time of day, as a jump of its clock.
         self.clock_offset_ms = 0
+        # So many start orders get no answer and are carried out after this
+        # time, in seconds.
+        self.late_orders = 0
+        self.late_after = 0.0
         # Time from the start to the first heartbeat.
         self.first_beat_s = 0.0
         self.is_up = False
+        self.is_cut = False
         self.acked_states = []
         self._noted_state = ""
         self._keeps_id = keeps_id
@@ -58,6 +63,7 @@
         self._is_dark = False
         self._server = None
         self._tasks = []
+        self._late = set()
 
     @property
     def id(self):
@@ -101,6 +107,19 @@
         if not dark:
             await self._server.close()
 
+    async def cut(self):
+        """Cuts it off: connections are reset and refused, its runs go on."""
+        self.is_cut = True
+        self.world.record("executor cut off", executor=self.id)
+        await self._server.close()
+
+    async def heal(self):
+        """Ends the cut."""
+        self._server = Server(self._handle)
+        await self._server.open(self.address)
+        self.is_cut = False
+        self.world.record("cut has healed", executor=self.id)
+
     async def restart(self):
         """Starts again after a crash."""
         await self._server.close()
@@ -157,7 +176,8 @@
     async def _beat(self):
         await asyncio.sleep(self.first_beat_s)
         while True:
-            await self.beat_once()
+            if not self.is_cut:
+                await self.beat_once()
             await asyncio.sleep(self.world.heartbeat_s)
 
     async def _work(self):
@@ -188,6 +208,33 @@
         if headers.get("x-gypsumline-expected-instance") != self.id:
             return 421, {"clock_ms": self.clock}
         fields = json.loads(body)
+        if target == "/v1/run-start" and self.late_orders:
+            self.late_orders -= 1
+            self._carry_out_later(fields)
+            return SILENT
+        return await self._carry_out(target, fields)
+
+    def _carry_out_later(self, fields):
+        """Carries an order out later, if this id then takes orders at all."""
+
+        async def carry_out():
+            if self.is_up and not self._is_dark:
+                status, answer = await self._carry_out("/v1/run-start", fields)
+                self.world.record(
+                    "late order",
+                    task=fields["task"],
+                    executor=self.id,
+                    status=status,
+                    reason=answer.get("reason", "-"),
+                )
+
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.late_after,
+            lambda: self._late.add(loop.create_task(carry_out())),
+        )
+
+    async def _carry_out(self, target, fields):
         if fields.get("fencing_token", 0) < self.token:
             return 409, {"clock_ms": self.clock, "reason": "fence"}
         self.token = fields.get("fencing_token", 0)
