--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -40,7 +40,9 @@
     "remote_factor": 1.5,
     "retransmit_ms": 1300,
 }
-EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# `run.sh` turns the second one into 1, and any other status, as that of an
+# unexpected error, into 2.
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2
 
 
 class NotRunError(Exception):
