Check all fields of a heartbeat

Cause: only the fields that the agent uses were decoded, so a heartbeat without `address` or `version`, or with a text as `slots`, named an executor to use.

Change: `address`, `version`, `slots` and `cold_left_ms` are required and checked, and `born` must be a whole number. The stand-ins send all fields.

--- a/gypsumline/platform/heartbeats.py
+++ b/gypsumline/platform/heartbeats.py
@@ -22,6 +22,7 @@
     Sequence,
     UnixMilliseconds,
 )
+from gypsumline.runtime.addresses import parse_address
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import Exchange
 
@@ -40,9 +41,22 @@
 
 
 class _WireHeartbeat(msgspec.Struct):
+    """Heartbeat of an executor.
+
+    All fields of the page are checked, also those that the agent does not use:
+    a heartbeat without them comes from another writer.
+    """
+
     service: Name
+    address: Name
     zone: Name
+    # Version of the executor's software.
+    version: Name
+    # Number of requests at a time; tasks are limited by the capacity instead.
+    slots: Amount
     state: Name
+    # Time for which the executor remains slow after its start.
+    cold_left_ms: Milliseconds
     seq_no: Sequence
     capacity: _WireCapacity
     labels: Annotated[list[Name], msgspec.Meta(max_length=_LABELS_MAX)] = []
@@ -101,6 +115,7 @@
             wire = msgspec.json.decode(body, type=_WireHeartbeat)
         except (msgspec.DecodeError, RecursionError) as error:
             raise InvalidInputError("heartbeat", body, str(error)) from error
+        parse_address(wire.address)
         if wire.state not in _STATES:
             raise InvalidInputError("state", wire.state, ", ".join(_STATES))
         if self._service and wire.service != self._service:
--- a/gypsumline/platform/wire_types.py
+++ b/gypsumline/platform/wire_types.py
@@ -14,9 +14,10 @@
 # Amounts that one task requests. A message can carry the sum over all tasks of
 # a job.
 TaskAmount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
-# Unix times in milliseconds, up to the year 2248. A later start of an executor
-# would make all its next incarnations look older.
-UnixMilliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**43)]
+# Unix times in whole milliseconds, up to the year 2248.
+UnixMilliseconds = Annotated[
+    float, msgspec.Meta(ge=0.0, le=2.0**43, multiple_of=1.0)
+]
 # Numbers that only rise: versions, ends, attempts. JSON carries whole numbers
 # up to the bound exactly, and a message between processes carries them, too.
 SEQUENCE_MAX = 2**53
--- a/gypsumline/tests/platform/test_executor_calls.py
+++ b/gypsumline/tests/platform/test_executor_calls.py
@@ -37,6 +37,17 @@
     executor="x-1", task="t", attempt=1, spec="s", token=1, lease_until=1
 )
 STOP = OrderStop(executor="x-1", task="t", attempt=1, token=1)
+HEARTBEAT = {
+    "service": "ordering",
+    "address": "127.0.0.1:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq_no": 1,
+    "capacity": {"cpu": 1, "mem_mb": 1},
+}
 LIMITS = CallLimits(shortest=0.02, longest=0.2)
 
 
@@ -148,15 +159,8 @@
     """Guards against a number that no later order to the executor can carry."""
     seen = []
     receiver = HeartbeatReceiver(RecordingNode(seen), "")
-    beat = {
-        "service": "ordering",
-        "zone": "north",
-        "state": "ready",
-        "seq_no": 1,
-        "capacity": {"cpu": 1, "mem_mb": 1},
-    }
     statuses = []
-    for fields in (beat, {**beat, field: 1e300}):
+    for fields in (HEARTBEAT, {**HEARTBEAT, field: 1e300}):
         request = HttpRequest(
             method="PUT",
             target="/v1/instances/x-1",
@@ -251,12 +255,7 @@
     """Guards against a capacity that no account can hold."""
     seen, statuses = [], []
     receiver = HeartbeatReceiver(RecordingNode(seen), "")
-    beat = {
-        "service": "ordering",
-        "zone": "north",
-        "state": "ready",
-        "seq_no": 1,
-    }
+    beat = {k: v for k, v in HEARTBEAT.items() if k != "capacity"}
     for value in ({"cpu": 0, "mem_mb": 0}, capacity):
         fields = beat if value is None else {**beat, "capacity": value}
         request = HttpRequest(
@@ -270,22 +269,17 @@
     assert [a.capacity.processor for a in seen] == [0]
 
 
-HEARTBEAT = {
-    "service": "ordering",
-    "zone": "north",
-    "state": "ready",
-    "seq_no": 1,
-    "capacity": {"cpu": 1, "mem_mb": 1},
-}
+def send_heartbeat(receiver, name="x-1", **changes):
+    return send_fields(receiver, {**HEARTBEAT, **changes}, name)
 
 
-def send_heartbeat(receiver, name="x-1", **changes):
+def send_fields(receiver, fields, name="x-1"):
     statuses = []
     request = HttpRequest(
         method="PUT",
         target=f"/v1/instances/{name}",
         headers={},
-        body=json.dumps({**HEARTBEAT, **changes}).encode(),
+        body=json.dumps(fields).encode(),
     )
     receiver(RecordingExchange(request, statuses))
     return statuses[0]
@@ -322,6 +316,7 @@
         {"labels": ["a"] * 1000},
         {"labels": ["a" * 1000]},
         {"service": "s" * 1000},
+        {"born": 1700000000000.5},
     ],
 )
 def test_heartbeat_out_of_bounds_is_rejected(changes):
@@ -333,6 +328,32 @@
     assert len(seen) == 1
 
 
+_TEXT_FIELDS = ("service", "address", "zone", "version", "state")
+_NUMBER_FIELDS = ("slots", "cold_left_ms", "seq_no")
+_ODD_FIELDS = [
+    *((name, odd) for name in _TEXT_FIELDS for odd in (None, 7, ["a"])),
+    *((name, odd) for name in _NUMBER_FIELDS for odd in (None, "8", -1)),
+    ("slots", 7.5),
+    ("seq_no", 7.5),
+    ("address", "10.0.0.1"),
+    ("address", "10.0.0.1:99999"),
+]
+
+
+@pytest.mark.parametrize(("field", "odd"), _ODD_FIELDS)
+def test_heartbeat_with_an_odd_field_is_rejected(field, odd):
+    """Guards against a heartbeat of another writer that replaces an executor.
+
+    Fields that the agent does not use were not checked.
+    """
+    seen = []
+    receiver = HeartbeatReceiver(RecordingNode(seen), "")
+    assert send_heartbeat(receiver, **{field: odd}) == 400
+    missing = {k: v for k, v in HEARTBEAT.items() if k != field}
+    assert send_fields(receiver, missing) == 400
+    assert seen == []
+
+
 @pytest.mark.parametrize("changes", [{"state": "other"}, {"capacity": None}])
 def test_heartbeats_with_the_same_fault_are_logged_once(caplog, changes):
     """Guards against a log line for each heartbeat of another writer."""
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -38,7 +38,8 @@
 class SoakExecutor(Executor):
     """An executor behind HTTP that records the completed tasks."""
 
-    def __init__(self, world, name, zone, heartbeat_address):
+    def __init__(self, world, name, zone, address, heartbeat_address):
+        self._address = address
         self._is_up = asyncio.Event()
         self._is_down = asyncio.Event()
         # Some keep their name when they restart.
@@ -47,15 +48,15 @@
         self._calls = set()
         super().__init__(world, name, zone)
 
-    async def serve(self, address):
-        """Listens at an address while it is up.
+    async def serve(self):
+        """Listens at its address while it is up.
 
         Connections end with its process, and further ones are refused.
         """
         limits = HttpLimits(idle_timeout=3600.0)
         while True:
             await self._is_up.wait()
-            async with running_light_server(address, self, limits):
+            async with running_light_server(self._address, self, limits):
                 await self._is_down.wait()
 
     def _reset(self):
@@ -77,7 +78,11 @@
         self.sequence += 1
         body = {
             "service": "ordering",
+            "address": self._address,
             "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "cold_left_ms": 0,
             "state": "draining" if self.leaving else "ready",
             "remaining_ms": 2000,
             "seq_no": self.sequence,
@@ -179,8 +184,8 @@
 @contextlib.asynccontextmanager
 async def running_executor(world, name, zone, address, heartbeat_address):
     """Yields an executor that handles requests at an address."""
-    executor = SoakExecutor(world, name, zone, heartbeat_address)
-    server = asyncio.create_task(executor.serve(address))
+    executor = SoakExecutor(world, name, zone, address, heartbeat_address)
+    server = asyncio.create_task(executor.serve())
     try:
         yield executor
     finally:
--- a/soak/odd_sources.py
+++ b/soak/odd_sources.py
@@ -34,8 +34,12 @@
 _ENTRY_ROW = {"address": "10.0.0.1:7720", "incarnation": 1, "renewed_at": 1}
 _HEARTBEAT = {
     "service": "ordering",
+    "address": "10.0.0.1:8080",
     "zone": "north",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold_left_ms": 0,
     "seq_no": 1,
     "capacity": {"cpu": 1000, "mem_mb": 100, "gpu": 0},
     "labels": ["a"],
