End no run for an announcement of another executor

Cause: the agent took an announcement in another name as the proof that its executor was gone, and one in the own name with a later start as a restart that its later lists could not correct. Neither proves anything.

Change: an announcement in another name makes the agent call the executor's address in that name. An answer proves the replacement; "another executor" or a later answer of the present one rules it out. The executor's own list says when it started; a list that answers a request to an earlier life is ignored.

Tests changed: those that announced a replacement now also answer the call that proves it.

--- a/gypsumline/core/leases/hold_schedule.py
+++ b/gypsumline/core/leases/hold_schedule.py
@@ -71,20 +71,30 @@
             due_at = max(due_at, self._newest_sent_at + self._interval)
         return max(0.0, due_at - now)
 
+    def next_number(self) -> int:
+        """Returns the number of a request that is not scheduled here."""
+        self._number += 1
+        return self._number
+
     def open(self, now: float) -> int:
         """Records a request that is sent now; returns its number."""
-        self._number += 1
-        self._open[self._number] = now
+        number = self.next_number()
+        self._open[number] = now
         self._newest_sent_at = now
-        return self._number
+        return number
 
-    def on_answered(self, number: int) -> None:
-        """Records an answer, which may overtake that of another request."""
+    def on_answered(self, number: int) -> bool:
+        """Records an answer, which may overtake that of another request.
+
+        Returns:
+          Whether the request was sent to this incarnation of the executor.
+        """
         sent_at = self._open.pop(number, None)
         if sent_at is None:
-            return
+            return False
         self._answered_sent_at = max(self._answered_sent_at, sent_at)
         self._unanswered = 0
+        return True
 
     def on_unanswered(self, number: int, share: float, now: float) -> bool:
         """Records a request that got no answer in time.
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -53,6 +53,7 @@
     zones_line,
 )
 from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.core.leases.successor import SuccessorProbe
 from gypsumline.core.leases.token import FencingToken
 from gypsumline.core.leases.unanswered_share import UnansweredShare
 from gypsumline.core.leases.unowned_runs import UnownedRuns
@@ -96,6 +97,7 @@
         self._reports = PendingReports(self._contacts, self._load)
         self._crashes = CrashLog(settings)
         self._holds = HoldSchedule(settings)
+        self._successor = SuccessorProbe()
         self._unanswered = UnansweredShare()
         self._repeats = RetryBudget(REPEATS_PER_ANSWER, REPEATS_AT_ONCE)
         self._zones_out = ZonesOut(version=-1, zones=())
@@ -274,12 +276,18 @@
     def on_announcement(
         self, announcement: Announcement, now: float
     ) -> list[Effect]:
-        """Applies an executor's heartbeat; delayed ones are ignored."""
+        """Applies an executor's heartbeat; delayed ones are ignored.
+
+        One in another name does not replace the executor by itself.
+        """
         self._holds.end_pause()
         current = self._executor
         if current is None:
             return self._begin_incarnation(announcement, now)
         known = current.announcement
+        if announcement.executor != known.executor:
+            self._successor.propose(announcement, now)
+            return [executor_line("executor_announced", announcement)]
         if current.incarnation == (
             announcement.executor,
             announcement.started_at,
@@ -311,6 +319,7 @@
 
     def on_leave(self, executor: str, now: float) -> list[Effect]:
         """Handles an executor's departure; its runs end with their lease."""
+        self._successor.withdraw(executor)
         current = self._executor
         if current is None or current.name != executor or current.has_left:
             return []
@@ -321,12 +330,17 @@
 
     def hold_due_in(self, now: float) -> float:
         """Returns the seconds until the next hold request; may be infinite."""
+        successor_due_in = self._successor.due_in(now)
         if not self._needs_hold:
-            return math.inf
-        return self._holds.due_in(now, self._unanswered.is_lossy(now))
+            return successor_due_in
+        due_in = self._holds.due_in(now, self._unanswered.is_lossy(now))
+        return min(due_in, successor_due_in)
 
     def next_hold_request(self, now: float) -> HoldRequest | None:
         """Returns the next hold request, or None if none is needed."""
+        if not self._successor.due_in(now):
+            number = self._holds.next_number()
+            return self._successor.open(number, self.token, now)
         executor = self._executor
         if executor is None or not self._needs_hold:
             return None
@@ -342,23 +356,39 @@
         self, request: HoldRequest, reply: HoldReply, sent_at: float, now: float
     ) -> list[Effect]:
         """Reconciles the table with the executor's list of runs and ends."""
+        announced = self._successor.close(request.number)
+        if announced is not None:
+            return self._on_successor_answered(announced, reply, now)
         executor = self._executor
         if executor is None or executor.name != request.executor:
             return []
-        self._holds.on_answered(request.number)
+        is_current = self._holds.on_answered(request.number)
         effects = self._record_call(request.executor, OrderAnswer.DONE, now)
-        if reply.started_at != executor.announcement.started_at:
-            announcement = dataclasses.replace(
-                executor.announcement,
-                started_at=reply.started_at,
-                sequence=-1,
-                clock=reply.clock,
+        if self._successor.on_present_answered(request.sent_at):
+            effects.append(
+                executor_line("announcement_refuted", executor.announcement)
             )
-            if reply.started_at > executor.announcement.started_at:
+        if reply.started_at != executor.announcement.started_at:
+            # An answer to a request that was sent to an earlier incarnation may
+            # come from there.
+            if is_current:
+                announcement = _at_start(executor.announcement, reply)
                 effects += self._begin_incarnation(announcement, now)
             return effects
-        if not executor.take_list(request, reply):
-            return effects
+        if executor.take_list(request, reply):
+            effects += self._on_list(executor, request, reply, sent_at, now)
+        return effects
+
+    def _on_list(
+        self,
+        executor: ExecutorState,
+        request: HoldRequest,
+        reply: HoldReply,
+        sent_at: float,
+        now: float,
+    ) -> list[Effect]:
+        """Reconciles the table with the newest list of runs and ends."""
+        effects: list[Effect] = []
         is_back = executor.is_down
         executor.mark_responsive(min(now, sent_at + request.wait), now)
         executor.set_clock(reply.clock, now)
@@ -382,6 +412,9 @@
         self, request: HoldRequest, answer: OrderAnswer, now: float
     ) -> list[Effect]:
         """Handles a hold request that was refused or not answered."""
+        announced = self._successor.close(request.number)
+        if announced is not None:
+            return self._on_successor_failed(announced, request, answer, now)
         executor = self._executor
         if executor is None or executor.name != request.executor:
             return []
@@ -403,6 +436,31 @@
         self._holds.on_failed(request.number, executor.has_crashed, now)
         return effects
 
+    def _on_successor_answered(
+        self, announced: Announcement, reply: HoldReply, now: float
+    ) -> list[Effect]:
+        """Replaces the executor by one that has answered in its own name."""
+        current = self._executor
+        if current is not None and current.name == announced.executor:
+            return []
+        return self._begin_incarnation(_at_start(announced, reply), now)
+
+    def _on_successor_failed(
+        self,
+        announced: Announcement,
+        request: HoldRequest,
+        answer: OrderAnswer,
+        now: float,
+    ) -> list[Effect]:
+        if answer is OrderAnswer.OTHER_EXECUTOR:
+            self._successor.on_other_executor(announced)
+            return [executor_line("announcement_refuted", announced)]
+        is_refused = answer is OrderAnswer.NO_LISTENER
+        self._successor.on_unanswered(announced, is_refused, now)
+        if answer is OrderAnswer.FENCED:
+            return self._on_fenced(request.token)
+        return []
+
     def on_start_answer(
         self, order: OrderStart, answer: OrderAnswer, now: float
     ) -> list[Effect]:
@@ -802,6 +860,7 @@
         if self._runs and not has_same_name:
             effects += self._lose_all_runs("another executor started")
         self._executor = ExecutorState(announcement, self._settings, now)
+        self._successor.clear()
         self._holds.begin_incarnation()
         self._unanswered = UnansweredShare()
         if earlier is not None and has_same_name:
@@ -858,3 +917,15 @@
                 capacity_requests, self.free.processor, now
             )
         return self._reports.flush(offered_to, now)
+
+
+def _at_start(announcement: Announcement, reply: HoldReply) -> Announcement:
+    """Returns an announcement with the start that the executor itself names."""
+    if announcement.started_at == reply.started_at:
+        return announcement
+    return dataclasses.replace(
+        announcement,
+        started_at=reply.started_at,
+        sequence=-1,
+        clock=reply.clock,
+    )
--- a/gypsumline/tests/core/leases/builders.py
+++ b/gypsumline/tests/core/leases/builders.py
@@ -142,6 +142,16 @@
     return table
 
 
+def replace_executor(table, announced, now, latency=0.0):
+    """Announces another executor, which then answers in its own name."""
+    effects = table.on_announcement(announced, now)
+    request = table.next_hold_request(now)
+    assert request.executor == announced.executor
+    reply = hold_reply(started_at=announced.started_at, clock=announced.clock)
+    answered_at = now + latency
+    return effects + table.on_hold_reply(request, reply, now, answered_at)
+
+
 def answer_ping(table, now, entry=ENTRY, wish=None):
     """Handles an owner's answer to a ping that was sent at `now`."""
     return table.on_pong(entry, ContactPong(stamp=now, wish=wish), now)
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -131,7 +131,14 @@
         if not self.up or is_silent or not node.alive:
             return
         self.sequence += 1
-        announcement = Announcement(
+        announcement = self.make_announcement()
+        self.world.when_running(
+            node, self._deliver_announcement, node, announcement
+        )
+
+    def make_announcement(self):
+        """Returns its next heartbeat."""
+        return Announcement(
             executor=self.announced_name,
             started_at=self.started_at,
             sequence=self.sequence,
@@ -143,9 +150,6 @@
             leaving_in=2.0,
             clock=self.clock,
         )
-        self.world.when_running(
-            node, self._deliver_announcement, node, announcement
-        )
 
     def _deliver_announcement(self, node, announcement):
         if announcement.leaving and announcement.started_at == self.started_at:
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -122,6 +122,24 @@
     world.set_zones(rng.choice(((), (), (rng.choice(ZONES),))))
 
 
+def announce_falsely(world, rng):
+    """Sends an agent a heartbeat of an executor or start that is not there."""
+    node = rng.choice(list(world.agents.values()))
+    executor = world.executors[node.member.member_id]
+    valid = executor.make_announcement()
+    false = dataclasses.replace(
+        valid,
+        executor=rng.choice((valid.executor, "other")),
+        started_at=valid.started_at + rng.choice((-5000, 5000, 10**6)),
+    )
+    world.when_running(node, _receive_announcement, world, node, false)
+
+
+def _receive_announcement(world, node, announcement):
+    effects = node.machine.on_announcement(announcement, world.now)
+    world.apply_effects(node, effects)
+
+
 ACTIONS = (
     submit,
     submit,
@@ -222,11 +240,24 @@
 PAUSED_ENTRY_ACTIONS = (*ACTIONS, *[pause_entry] * 4, *[submit] * 3)
 
 
+# Heartbeats of other writers, beside executors that return in another name.
+FALSE_ANNOUNCEMENT_ACTIONS = (
+    *ACTIONS,
+    *[announce_falsely] * 4,
+    submit,
+    submit,
+    restart_executor,
+)
+
+
 def walk(seed, steps=STEPS, clocks_restart=False, actions=ACTIONS):
     """Runs a random walk and returns its world."""
     rng = random.Random(seed)
     entries = rng.choice((2, 3))
     world = LeaseWorld(seed, entries, agents=3, clocks_restart=clocks_restart)
+    if actions is FALSE_ANNOUNCEMENT_ACTIONS:
+        for executor in list(world.executors.values())[1:]:
+            executor.is_renamed = True
     world.run_until(1.0)
     for _ in range(steps):
         rng.choice(actions)(world, rng)
@@ -330,6 +361,7 @@
     parser.add_argument("--fast-crashes", action="store_true")
     parser.add_argument("--lost-answers", action="store_true")
     parser.add_argument("--paused-entries", action="store_true")
+    parser.add_argument("--false-announcements", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
@@ -340,6 +372,8 @@
         actions = LOST_ANSWER_ACTIONS if options.lost_answers else actions
         if options.paused_entries:
             actions = PAUSED_ENTRY_ACTIONS
+        if options.false_announcements:
+            actions = FALSE_ANNOUNCEMENT_ACTIONS
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -13,6 +13,7 @@
 LOST_STOP_WALKS = 10
 LOST_ANSWER_WALKS = 10
 PAUSED_ENTRY_WALKS = 10
+FALSE_ANNOUNCEMENT_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -24,6 +25,11 @@
     return lease_walk.walk(seed, actions=lease_walk.PAUSED_ENTRY_ACTIONS)
 
 
+def _walk_with_false_announcements(seed):
+    actions = lease_walk.FALSE_ANNOUNCEMENT_ACTIONS
+    return lease_walk.walk(seed, actions=actions)
+
+
 @pytest.mark.parametrize("seed", range(1, WALKS + 1))
 def test_walk_violates_no_guarantee(seed):
     """Checks single runs, capacity limits and truthful refusals."""
@@ -52,6 +58,12 @@
     assert _walk_with_paused_entries(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, FALSE_ANNOUNCEMENT_WALKS + 1))
+def test_false_announcements_end_no_run(seed):
+    """Guards against two runs after heartbeats of other writers."""
+    assert _walk_with_false_announcements(seed).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, DELAYED_ORDER_WALKS + 1))
 def test_delayed_orders_do_not_reach_a_restarted_executor(seed):
     """Guards against orders for an earlier incarnation after a clock reset."""
@@ -147,6 +159,19 @@
     monkeypatch.setattr(RunTable, "_may_renew_lease", lambda self, now: True)
 
 
+def believe_announcements(monkeypatch):
+    """Replaces an executor by any other that is announced."""
+
+    def on_announcement(self, announcement, now):
+        current = self._executor
+        if current is None or current.name == announcement.executor:
+            return apply_announcement(self, announcement, now)
+        return self._begin_incarnation(announcement, now)
+
+    apply_announcement = RunTable.on_announcement
+    monkeypatch.setattr(RunTable, "on_announcement", on_announcement)
+
+
 def answer_pings_at_once(monkeypatch):
     """Answers pings before the callers that have left are known."""
     apply_load = LeasedOwner.on_ping
@@ -179,6 +204,7 @@
         (rerun_without_wait, lease_walk.walk, FIRST_SEEDS),
         (ignore_abandoned_jobs, lease_walk.walk, FIRST_SEEDS),
         (renew_regardless, _walk_with_lost_stops, FIRST_SEEDS),
+        (believe_announcements, _walk_with_false_announcements, FIRST_SEEDS),
         (answer_pings_at_once, _walk_with_paused_entries, FIRST_SEEDS),
         (ignore_zones, lease_walk.walk, FIRST_SEEDS),
         (ignore_leaving, lease_walk.walk, FIRST_SEEDS),
