Read excluded zones at agents whose entries have lost the store

Cause: agents learned of excluded zones from entries alone, and the list of an entry that has lost the store looks like a current one.

Change: each answer to a ping carries the age of the entry's list, reckoned from the request to the store. An agent whose newest list is 3.0 s old (0.6 of evacuate_ms) follows the operators' table itself until an entry does again. The rows of zones move to a module that agents and entries share.

Agents make no request while an entry is fresh.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -106,6 +106,10 @@
         """Handles the sign-off of the executor."""
         self._apply_effects(self._table.on_leave(executor, boot_time()))
 
+    def set_zones_out(self, message: ZonesOut) -> None:
+        """Sets the excluded zones that this agent has read itself."""
+        self._apply_effects(self._table.on_zones_out(message, boot_time()))
+
     def tick(self) -> None:
         """Runs the due timers of the run table."""
         now = boot_time()
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -17,6 +17,8 @@
 # The limits leave out infinity and NaN.
 Seconds = Annotated[float, msgspec.Meta(ge=-1e300, le=1e300)]
 Amount = Annotated[int, msgspec.Meta(ge=0)]
+# A negative age would make a list look newer than it is.
+Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e300)]
 
 
 class RunEnd(enum.StrEnum):
@@ -192,10 +194,12 @@
     Attributes:
       stamp: Stamp of the ping.
       wish: Capacity request of the owner's most urgent waiting job.
+      zones_age: Age of the owner's list of excluded zones; None if unknown.
     """
 
     stamp: Stamp
     wish: CapacityRequest | None = None
+    zones_age: Age | None = None
 
 
 @register_message("zones_out")
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable, Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
@@ -107,6 +108,8 @@
         self._backlog = Backlog(settings, self._fleet, self._placement)
         self._waiting = WaitingJobs(self._backlog)
         self._zones_out = ZonesOut(version=-1, zones=())
+        # Time at which that list was the newest one.
+        self._zones_current_at = -math.inf
 
     @property
     def jobs(self) -> dict[str, LeasedJob]:
@@ -236,6 +239,14 @@
         ]
         return sends + self.place_waiting(now)
 
+    def record_zones_read(self, current_at: float) -> None:
+        """Records that the newest list of excluded zones has been applied.
+
+        Args:
+          current_at: Time at which it was the newest one.
+        """
+        self._zones_current_at = max(self._zones_current_at, current_at)
+
     # Events and messages from agents.
 
     def on_connected(self, agent: Member, now: float) -> list[Effect]:
@@ -494,7 +505,12 @@
 
     def _pong(self, view: AgentView, now: float) -> Send:
         request = self._capacity_requests(now).find(view)
-        pong = ContactPong(stamp=view.stamp, wish=request)
+        zones_age = max(0.0, now - self._zones_current_at)
+        pong = ContactPong(
+            stamp=view.stamp,
+            wish=request,
+            zones_age=zones_age if zones_age < math.inf else None,
+        )
         return Send(to=view.member.member_id, message=pong)
 
     def _capacity_requests(self, now: float) -> CapacityRequests:
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -20,6 +20,7 @@
     OrderStart,
     OrderStop,
 )
+from gypsumline.core.leases.excluded_zones import ExcludedZones
 from gypsumline.core.leases.executor_state import ExecutorState
 from gypsumline.core.leases.hold_schedule import (
     RECONCILIATION_PAUSE_SECONDS,
@@ -80,7 +81,11 @@
     """
 
     def __init__(
-        self, agent: Member, settings: LeaseSettings, token: int
+        self,
+        agent: Member,
+        settings: LeaseSettings,
+        token: int,
+        started_at: float = 0.0,
     ) -> None:
         self._agent = agent
         self._settings = settings
@@ -100,7 +105,7 @@
         self._successor = SuccessorProbe()
         self._unanswered = UnansweredShare()
         self._repeats = RetryBudget(REPEATS_PER_ANSWER, REPEATS_AT_ONCE)
-        self._zones_out = ZonesOut(version=-1, zones=())
+        self._zones = ExcludedZones(settings.zones_age_limit, started_at)
         self._is_stopping = False
         self._has_unacknowledged_ends = False
 
@@ -152,7 +157,7 @@
             return False
         if not self._is_open:
             return False
-        return self._agent.availability_zone not in self._zones_out.zones
+        return self._agent.availability_zone not in self._zones.zones
 
     @property
     def free(self) -> Resources:
@@ -238,6 +243,7 @@
         """Handles the answer to a ping and starts the deferred runs."""
         self._contacts.record_answer(owner, message.stamp, now)
         self._contacts.set_capacity_request(owner, message.wish, now)
+        self._zones.record_age(min(message.stamp, now), message.zones_age)
         self._offers.close_offer(owner)
         effects: list[Effect] = []
         if self._contacts.is_in_contact(owner, now):
@@ -262,14 +268,13 @@
 
     def on_zones_out(self, message: ZonesOut, now: float) -> list[Effect]:
         """Applies the list of excluded availability zones, unless stale."""
-        if message.version <= self._zones_out.version:
-            return []
-        changed = message.zones != self._zones_out.zones
-        self._zones_out = message
-        if not changed:
+        if not self._zones.apply(message):
             return []
-        line = zones_line(message)
-        return [line, *self._reports.broadcast(now)]
+        return [zones_line(message), *self._reports.broadcast(now)]
+
+    def zones_doubtful_in(self, now: float) -> float:
+        """Returns the seconds until the zones must be read by the agent."""
+        return self._zones.doubtful_in(now)
 
     # Events and answers from the executor.
 
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -42,6 +42,8 @@
         unanswered.
       crash_confirmation: Time between two refused connections that prove that
         the executor's process is gone.
+      zones_age_limit: Age of the owners' lists of excluded zones at which an
+        agent reads them from the operators' table itself.
       crash_memory: Time for which the runs of a crash remain suspects.
       crash_records: Maximum number of crashes that an agent keeps.
     """
@@ -63,6 +65,7 @@
     start_repeat_limit: float = 0.5
     lossy_hold_interval: float = 0.03
     crash_confirmation: float = 0.04
+    zones_age_limit: float = 3.0
     crash_memory: float = 60.0
     crash_records: int = 32
 
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -113,6 +113,10 @@
         """Sets the availability zones that are out of service."""
         self._apply_effects(self._owner.set_zones_out(message, boot_time()))
 
+    def record_zones_read(self, age: float) -> None:
+        """Records that the list is the newest one, as of some seconds ago."""
+        self._owner.record_zones_read(boot_time() - age)
+
     def restore_crashes(
         self, crashes: Sequence[tuple[str, ExecutorCrash]]
     ) -> None:
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -17,6 +17,8 @@
 from gypsumline.platform.heartbeats import HeartbeatReceiver
 from gypsumline.platform.settings_file import ProcessSettings
 from gypsumline.platform.store import Store
+from gypsumline.platform.zone_reader import ZoneReader
+from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.light_http_server import (
     HttpLimits,
     running_light_server,
@@ -39,7 +41,9 @@
 
 async def _serve(daemon: Daemon) -> None:
     settings = daemon.settings
-    table = RunTable(daemon.member, settings.lease, make_fencing_token())
+    table = RunTable(
+        daemon.member, settings.lease, make_fencing_token(), boot_time()
+    )
     executor = ExecutorClient(
         settings.executor_address, settings.lease.order_limits
     )
@@ -62,12 +66,17 @@
             daemon.rng,
         )
         node.subscribe(daemon.timers)
+        zone_reader = ZoneReader(node, settings, daemon.rng)
+        zone_reader.subscribe(daemon.timers)
         async with (
             running_light_server(
                 settings.heartbeat_address, receiver, HttpLimits()
             ),
             running_tasks(
-                follower.run(), node.run_hold_loop(), crash_writer.run()
+                follower.run(),
+                node.run_hold_loop(),
+                crash_writer.run(),
+                zone_reader.run(),
             ),
         ):
             _LOGGER.info(
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -17,9 +17,10 @@
 from gypsumline.platform.entry_rows import EntryAnnouncer
 from gypsumline.platform.follower import TableFollower
 from gypsumline.platform.ingress import Ingress
-from gypsumline.platform.routes import OPERATOR_TABLE, OperatorConfiguration
+from gypsumline.platform.routes import OperatorConfiguration
 from gypsumline.platform.settings_file import ProcessSettings
 from gypsumline.platform.store import RowSet, Store
+from gypsumline.platform.zone_rows import OPERATOR_TABLE
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import (
     Exchange,
@@ -68,6 +69,7 @@
             self._apply_rows,
             settings.operator_feed,
             daemon.rng,
+            self._node.record_zones_read,
         )
         self._ingress = Ingress(
             self._node,
--- a/gypsumline/platform/follower.py
+++ b/gypsumline/platform/follower.py
@@ -12,6 +12,7 @@
 from gypsumline.platform.store import (
     FeedGapError,
     RowSet,
+    RowSource,
     Store,
     StoreError,
     StoreUnavailableError,
@@ -50,6 +51,8 @@
       on_changed: Receives the rows that have changed.
       settings: Timeouts and pauses.
       rng: Source of the random part of pauses.
+      on_current: Called after each response, once its rows are applied, with
+        the age of the moment at which they were the newest, in seconds.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         on_changed: RowsCallback,
         settings: FollowSettings,
         rng: random.Random,
+        on_current: Callable[[float], None] | None = None,
     ) -> None:
         self._store = store
         self._table = table
@@ -67,6 +71,7 @@
         self._on_changed = on_changed
         self._settings = settings
         self._rng = rng
+        self._on_current = on_current
         self._version: int | None = None
         self._backoff = settings.first_pause
         self._is_store_unavailable = False
@@ -124,6 +129,19 @@
             if rows.rows:
                 _apply(self._on_changed, rows)
         self._version = rows.version
+        if self._on_current is not None:
+            self._on_current(self._age(rows))
+
+    def _age(self, rows: RowSet) -> float:
+        """Returns the maximum age of the moment that a response reflects.
+
+        It is within the time of the request. A feed without changes was held
+        open for all of its wait.
+        """
+        wait = self._settings.feed_wait
+        if rows.source is RowSource.FEED and not rows.rows:
+            return rows.waited - wait if rows.waited >= wait else rows.waited
+        return rows.waited
 
     def _record_response(self, rows: RowSet, requested_at: float) -> RowSet:
         """Records the time of a response; returns its rows with their age."""
--- a/gypsumline/platform/routes.py
+++ b/gypsumline/platform/routes.py
@@ -13,13 +13,12 @@
 from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, StoredRow
 from gypsumline.platform.wire_types import Milliseconds, Name, Sequence
+from gypsumline.platform.zone_rows import ExcludedZoneRows
 from gypsumline.runtime import metrics
 from gypsumline.runtime.light_http_server import HttpLimits
 from gypsumline.runtime.logs import rounded_seconds
 
-OPERATOR_TABLE = "op"
 _CONFIGURATION_KEY = "config"
-_EXCLUDED_ZONE_PREFIX = "evacuate/"
 
 _Part = TypeVar("_Part")
 
@@ -87,8 +86,7 @@
         self._routes_by_name: dict[str, _WireRoute] = {}
         self._wire_limits = _WireLimits()
         self._routes_by_host: dict[str, list[Route]] = {}
-        self._zones_out: set[str] = set()
-        self._table_version = -1
+        self._zones = ExcludedZoneRows()
         self.limits = HttpLimits()
         self._rejections = RejectionLog(
             "configuration",
@@ -105,9 +103,7 @@
     @property
     def zones_out(self) -> ZonesOut:
         """Availability zones that are taken out of service."""
-        return ZonesOut(
-            version=self._table_version, zones=tuple(sorted(self._zones_out))
-        )
+        return self._zones.zones_out
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the matching route with the longest path prefix."""
@@ -123,42 +119,28 @@
         Zones without a row are in service again. A read that is older than the
         known version of the table is ignored.
         """
-        if rows.version < self._table_version:
+        if rows.version < self._zones.version:
             _LOGGER.warning(
                 "stale read of the table ignored",
                 extra={
                     "row_version": rows.version,
-                    "known_row_version": self._table_version,
+                    "known_row_version": self._zones.version,
                     "silence": rounded_seconds(rows.silence),
                 },
             )
             return
-        self._zones_out = set()
-        self.apply(rows)
+        self._zones.replace(rows)
+        self._apply_configurations(rows)
 
     def apply(self, rows: RowSet) -> None:
         """Applies changed rows of the operator's table."""
+        self._zones.apply(rows)
+        self._apply_configurations(rows)
+
+    def _apply_configurations(self, rows: RowSet) -> None:
         for row in rows.rows:
             if row.key == _CONFIGURATION_KEY:
                 self._apply_configuration(row, rows)
-            elif row.key.startswith(_EXCLUDED_ZONE_PREFIX):
-                self._apply_zone(row)
-        self._table_version = max(self._table_version, rows.version)
-
-    def _apply_zone(self, row: StoredRow) -> None:
-        zone = row.key.removeprefix(_EXCLUDED_ZONE_PREFIX)
-        if row.is_removed:
-            self._zones_out.discard(zone)
-        else:
-            self._zones_out.add(zone)
-        _LOGGER.info(
-            "availability zone changed",
-            extra={
-                "zone": zone,
-                "out": not row.is_removed,
-                "row_version": row.version,
-            },
-        )
 
     def _apply_configuration(self, row: StoredRow, rows: RowSet) -> None:
         try:
--- a/gypsumline/platform/settings_file.py
+++ b/gypsumline/platform/settings_file.py
@@ -28,6 +28,9 @@
 # rest is a margin for overdue timers.
 _CONTACT_LIMIT_FRACTION = 0.4
 _LEASE_FRACTION = 0.48
+# Fraction of the time from an evacuation to the last start there. The rest is
+# for an agent's own read of the zones.
+_ZONES_AGE_FRACTION = 0.6
 # Defaults for bounds that the file omits: the usual values of the platform.
 _DEFAULT_RESUBMIT_MS = 1300.0
 _DEFAULT_HOLD_MAX_MS = 1000.0
@@ -36,6 +39,7 @@
 _DEFAULT_REMOTE_FACTOR = 1.5
 _DEFAULT_CONTACT_MS = 3000.0
 _DEFAULT_CONFIG_APPLY_MS = 2000.0
+_DEFAULT_EVACUATE_MS = 5000.0
 # Upper limit of all bounds, whatever their unit; timers take no longer times.
 _NUMBER_MAX = 1e9
 # Time limit of the agents' feed of entries, in contact limits. It is long since
@@ -64,7 +68,7 @@
       stop_limit: Time from the stop signal to the kill.
       remote_factor: Factor of the run time outside the rack of the data.
       lease: Settings of leased runs.
-      operator_feed: Settings of an entry's feed of the operator's table.
+      operator_feed: Settings of the feed of the operator's table.
       entries_feed: Settings of an agent's feed of the table of entries.
     """
 
@@ -147,6 +151,9 @@
         fields.number("bounds.hold_max_ms", _DEFAULT_HOLD_MAX_MS) / 1000.0
     )
     stop = fields.number("bounds.stop_ms", _DEFAULT_STOP_MS) / 1000.0
+    evacuate = (
+        fields.number("bounds.evacuate_ms", _DEFAULT_EVACUATE_MS) / 1000.0
+    )
     available = resubmit - stop
     lease = min(_LEASE_FRACTION * available, hold_max)
     try:
@@ -162,6 +169,7 @@
             order_timeout_min=0.01 * lease,
             start_repeat_limit=0.8 * lease,
             lossy_hold_interval=0.05 * lease,
+            zones_age_limit=_ZONES_AGE_FRACTION * evacuate,
         )
     except InvalidInputError as error:
         fields.errors.append(error)
--- a/gypsumline/tests/platform/test_configuration_in_time.py
+++ b/gypsumline/tests/platform/test_configuration_in_time.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from gypsumline.platform.follower import TableFollower
-from gypsumline.platform.routes import OPERATOR_TABLE, OperatorConfiguration
+from gypsumline.platform.routes import OperatorConfiguration
 from gypsumline.platform.store import Store
+from gypsumline.platform.zone_rows import OPERATOR_TABLE
 from gypsumline.table.follow_settings import derive_follow_settings
 from gypsumline.testing.rows_store import Rows, running_store_endpoint
 from gypsumline.testing.virtual_time import (
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -140,6 +140,13 @@
     world.apply_effects(node, effects)
 
 
+def cut_entries_from_store(world, rng):
+    """Cuts all entries off from the store, just before zones change."""
+    until = world.now + rng.choice((1.0, 5.5, 9.0))
+    world.store_cuts = dict.fromkeys(world.entries, until)
+    world.at(0.1, change_zones, world, rng)
+
+
 ACTIONS = (
     submit,
     submit,
@@ -250,6 +257,16 @@
 )
 
 
+# Entries that lose the store while agents have it, under little else.
+STORE_CUT_ACTIONS = (
+    *[submit] * 12,
+    leave,
+    cut_entries_from_store,
+    cut_entries_from_store,
+    change_zones,
+)
+
+
 def walk(seed, steps=STEPS, clocks_restart=False, actions=ACTIONS):
     """Runs a random walk and returns its world."""
     rng = random.Random(seed)
@@ -264,6 +281,7 @@
         world.run_until(world.now + rng.uniform(0.0, 2.0 * STEP))
         if world.oracle.violations:
             return world
+    world.store_cuts = {}
     world.set_zones(())
     for executor in world.executors.values():
         executor.set_capacity(type(executor).capacity)
@@ -362,6 +380,7 @@
     parser.add_argument("--lost-answers", action="store_true")
     parser.add_argument("--paused-entries", action="store_true")
     parser.add_argument("--false-announcements", action="store_true")
+    parser.add_argument("--store-cuts", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
@@ -374,6 +393,7 @@
             actions = PAUSED_ENTRY_ACTIONS
         if options.false_announcements:
             actions = FALSE_ANNOUNCEMENT_ACTIONS
+        actions = STORE_CUT_ACTIONS if options.store_cuts else actions
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -49,6 +49,9 @@
 CLOSE_DELAY = 0.001
 # Duration of a call to the store.
 STORE_DELAY = 0.005
+# Interval of the reads of the excluded zones, by entries and, while no entry's
+# list is recent, by agents.
+ZONES_READ_INTERVAL = 0.8
 # Delay of a read of the stored crashes after the loss of an agent.
 CRASH_READ_DELAY = 1.0
 # Time without faults after which a process must know the current state, such as
@@ -180,6 +183,8 @@
         self._key = itertools.count(1)
         self.zones = ZonesOut(version=0, zones=())
         self.excluded_since = {}  # zone -> time of its exclusion
+        # Entries that cannot reach the store, and until when.
+        self.store_cuts = {}
         self.undisturbed_since = {}  # name -> last start or reset
         self.sizes = {}  # key -> processor need of each task
         # Task -> seconds after its start at which it crashes its executor.
@@ -235,7 +240,7 @@
         self.undisturbed_since[name] = self.now
         # Entries read the platform's table when they start.
         self.at(STORE_DELAY, self._read_crashes, node)
-        self.at(DIAL_DELAY, self._set_zones, node, self.zones)
+        self.at(DIAL_DELAY, self._read_zones, node)
         self.at(TICK, self._tick, node)
         for agent in self.agents:
             self.at(DIAL_DELAY, self._dial, agent, name)
@@ -251,10 +256,11 @@
         # The clock of some agents is ahead, so that the clock of the next one
         # appears to have gone back.
         token = int(1000 * self.now) + self.rng.choice((1, 1, 100_000))
-        node = Node(member, RunTable(member, LEASE, token))
+        node = Node(member, RunTable(member, LEASE, token, self.now))
         self.agents[name] = node
         self.undisturbed_since[name] = self.now
         self.at(TICK, self._tick, node)
+        self.at(ZONES_READ_INTERVAL, self._read_zones_if_doubtful, node)
         for entry in self.entries:
             self.at(DIAL_DELAY, self._dial, name, entry)
         return node
@@ -648,4 +654,36 @@
             )
 
     def _set_zones(self, node, message):
-        self.apply_effects(node, node.machine.set_zones_out(message, self.now))
+        if self.reaches_store(node):
+            effects = node.machine.set_zones_out(message, self.now)
+            self.apply_effects(node, effects)
+
+    def reaches_store(self, node):
+        """Returns whether a process is not cut off from the store."""
+        until = self.store_cuts.get(node.member.member_id, -math.inf)
+        return self.now >= until
+
+    def _read_zones(self, node):
+        """Has an entry read the zones from the store, again and again."""
+        if not node.alive:
+            return
+        self.at(ZONES_READ_INTERVAL, self._read_zones, node)
+        if self.reaches_store(node):
+            self.when_running(node, self._apply_zones, node, self.now)
+
+    def _apply_zones(self, node, read_at):
+        if self.reaches_store(node):
+            self._set_zones(node, self.zones)
+            node.machine.record_zones_read(read_at)
+
+    def _read_zones_if_doubtful(self, node):
+        """Has an agent read the zones while no entry's list is recent."""
+        if not node.alive:
+            return
+        self.at(ZONES_READ_INTERVAL, self._read_zones_if_doubtful, node)
+        if not node.machine.zones_doubtful_in(self.now):
+            self.when_running(node, self._read_zones_at_agent, node)
+
+    def _read_zones_at_agent(self, node):
+        effects = node.machine.on_zones_out(self.zones, self.now)
+        self.apply_effects(node, effects)
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -1,5 +1,7 @@
 """Walks of leased submissions and tests that they detect faults."""
 
+import math
+
 import pytest
 
 from gypsumline.core.leases.owner import LeasedOwner
@@ -14,6 +16,7 @@
 LOST_ANSWER_WALKS = 10
 PAUSED_ENTRY_WALKS = 10
 FALSE_ANNOUNCEMENT_WALKS = 10
+STORE_CUT_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -30,6 +33,10 @@
     return lease_walk.walk(seed, actions=actions)
 
 
+def _walk_with_store_cuts(seed):
+    return lease_walk.walk(seed, actions=lease_walk.STORE_CUT_ACTIONS)
+
+
 @pytest.mark.parametrize("seed", range(1, WALKS + 1))
 def test_walk_violates_no_guarantee(seed):
     """Checks single runs, capacity limits and truthful refusals."""
@@ -64,6 +71,12 @@
     assert _walk_with_false_announcements(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, STORE_CUT_WALKS + 1))
+def test_nothing_starts_in_an_excluded_zone_that_no_entry_knows(seed):
+    """Guards against starts there while all entries have lost the store."""
+    assert _walk_with_store_cuts(seed).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, DELAYED_ORDER_WALKS + 1))
 def test_delayed_orders_do_not_reach_a_restarted_executor(seed):
     """Guards against orders for an earlier incarnation after a clock reset."""
@@ -172,6 +185,21 @@
     monkeypatch.setattr(RunTable, "on_announcement", on_announcement)
 
 
+def never_read_zones(monkeypatch):
+    """Has agents rely on the entries for the excluded zones."""
+    monkeypatch.setattr(
+        RunTable, "zones_doubtful_in", lambda self, now: math.inf
+    )
+
+
+def trust_old_lists(monkeypatch):
+    """Takes each answer to a ping for one of an entry with the store."""
+    monkeypatch.setattr(
+        "gypsumline.core.leases.excluded_zones.ExcludedZones.record_age",
+        lambda self, sent_at, age: setattr(self, "_current_at", sent_at),
+    )
+
+
 def answer_pings_at_once(monkeypatch):
     """Answers pings before the callers that have left are known."""
     apply_load = LeasedOwner.on_ping
@@ -205,6 +233,8 @@
         (ignore_abandoned_jobs, lease_walk.walk, FIRST_SEEDS),
         (renew_regardless, _walk_with_lost_stops, FIRST_SEEDS),
         (believe_announcements, _walk_with_false_announcements, FIRST_SEEDS),
+        (never_read_zones, _walk_with_store_cuts, FIRST_SEEDS),
+        (trust_old_lists, _walk_with_store_cuts, FIRST_SEEDS),
         (answer_pings_at_once, _walk_with_paused_entries, FIRST_SEEDS),
         (ignore_zones, lease_walk.walk, FIRST_SEEDS),
         (ignore_leaving, lease_walk.walk, FIRST_SEEDS),
