Mislead processes in the soak

Change: `--misleading` sends heartbeats of executors and starts that are not there, and cuts all entries off from the store while a zone is taken out. The check of excluded zones asks only whether the executor's own agent and the store were calm, not all programs, so it applies far more often.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
     parser.add_argument("--agents", type=int, default=3)
     parser.add_argument("--crashes", action="store_true")
     parser.add_argument("--lost-answers", action="store_true")
+    parser.add_argument("--misleading", action="store_true")
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
@@ -30,6 +31,7 @@
                 options.agents,
                 options.crashes,
                 options.lost_answers,
+                options.misleading,
             )
         )
         sys.stdout.write(f"{result}\n")
--- a/soak/executor.py
+++ b/soak/executor.py
@@ -76,7 +76,20 @@
         if not self.up:
             return
         self.sequence += 1
-        body = {
+        self._send(self.announced_name, self._heartbeat())
+
+    def announce_falsely(self, name, start):
+        """Sends its agent a heartbeat of an executor that is not there.
+
+        Args:
+          name: Name of that executor.
+          start: Its start, in milliseconds after its own.
+        """
+        born = max(0, self.started_at + start)
+        self._send(name, self._heartbeat() | {"born": born})
+
+    def _heartbeat(self):
+        return {
             "service": "ordering",
             "address": self._address,
             "zone": self.zone,
@@ -94,8 +107,10 @@
             "clock_ms": self.clock,
             "born": self.started_at,
         }
+
+    def _send(self, name, body):
         task = asyncio.create_task(
-            self._send_heartbeat(self.announced_name, json.dumps(body).encode())
+            self._send_heartbeat(name, json.dumps(body).encode())
         )
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 FAULTS = []
 CRASH_FAULTS = []
 LOSS_FAULTS = []
+MISLEADING_FAULTS = []
 
 
 @dataclasses.dataclass
@@ -211,6 +212,35 @@
         executor.loses_answers_until = world.now + 3.0
 
 
+def misleading_fault(function):
+    """Registers a fault after which a process believes what is not so."""
+    MISLEADING_FAULTS.append(function)
+    return function
+
+
+@misleading_fault
+async def announce_falsely(world):
+    """Sends heartbeats of executors or starts that are not there."""
+    for executor in world.executors.values():
+        name = world.rng.choice(("other", executor.announced_name))
+        executor.announce_falsely(name, world.rng.choice((-5000, 5000)))
+
+
+@misleading_fault
+async def cut_entries_from_store(world):
+    """Cuts all entries off from the store while a zone is taken out."""
+    seconds = world.rng.uniform(6.0, 12.0)
+    for entry in world.entries.values():
+        entry.faulted_at = world.now + seconds
+    endpoints = [world.store_endpoints[name] for name in world.entries]
+    for endpoint in endpoints:
+        endpoint.fault = world.rng.choice(("silent", "busy"))
+    world.set_zone_out(world.rng.choice(ZONES))
+    await asyncio.sleep(seconds)
+    for endpoint in endpoints:
+        endpoint.fault = ""
+
+
 @fault
 async def change_zone_out(world):
     """Takes a zone out of service, or returns all to service."""
@@ -224,12 +254,14 @@
     agents=3,
     with_crashes=False,
     with_lost_answers=False,
+    with_misleading=False,
 ):
     """Runs a soak with faults for some seconds and returns its result."""
     registered = (
         FAULTS
         + 2 * CRASH_FAULTS * with_crashes
         + 6 * LOSS_FAULTS * with_lost_answers
+        + 4 * MISLEADING_FAULTS * with_misleading
     )
     world = SoakWorld(
         seed, entries, agents, ROOT / "build" / "soak" / str(seed)
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -26,6 +26,14 @@
     assert result.completed > 0
 
 
+@pytest.mark.parametrize("seed", [3])
+async def test_short_soak_with_misleading_faults_has_no_violations(seed):
+    """Guards against false announcements, and entries without the store."""
+    result = await run_soak(seed, 2.0 * SECONDS, with_misleading=True)
+    assert result.violations == []
+    assert result.completed > 0
+
+
 async def test_count_of_crashes_outlives_all_processes():
     """Guards against a task whose crashes are forgotten with the processes."""
     result, violations = await run_kills_between_crashes(1)
--- a/soak/world.py
+++ b/soak/world.py
@@ -230,17 +230,15 @@
     def check_zone(self, executor):
         """Checks that nothing starts in a zone that was excluded long ago.
 
-        This holds only if no program or store had a fault recently.
+        This holds only if neither its agent nor the store had a fault
+        recently.
         """
         since = self.zones_out.get(executor.zone)
         if since is None:
             return
-        faulted = max(
-            self.undisturbed_since(program.name) for program in self.programs
-        )
+        calm = self.now - self.undisturbed_since(executor.name)
         is_undisturbed = (
-            self.now - faulted
-            > PROPAGATION_LIMIT_SECONDS + EVACUATION_LIMIT_SECONDS
+            calm > PROPAGATION_LIMIT_SECONDS + EVACUATION_LIMIT_SECONDS
         )
         if is_undisturbed and self.now - since > EVACUATION_LIMIT_SECONDS:
             self.oracle.fail(f"start in excluded zone {executor.zone}")
