Name the announcement that is ruled out, and ignore false stamps

Cause: reading the change again. The log line of a refuted announcement named the executor that is there, and an answer with a stamp in the future counted as news of the excluded zones.

Change: both mended; the store of the zone reader is closed in a context.

Evidence: unit tests of the leases and of platform/ pass.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -243,7 +243,8 @@
         """Handles the answer to a ping and starts the deferred runs."""
         self._contacts.record_answer(owner, message.stamp, now)
         self._contacts.set_capacity_request(owner, message.wish, now)
-        self._zones.record_age(min(message.stamp, now), message.zones_age)
+        if message.stamp <= now:
+            self._zones.record_age(message.stamp, message.zones_age)
         self._offers.close_offer(owner)
         effects: list[Effect] = []
         if self._contacts.is_in_contact(owner, now):
@@ -369,10 +370,9 @@
             return []
         is_current = self._holds.on_answered(request.number)
         effects = self._record_call(request.executor, OrderAnswer.DONE, now)
-        if self._successor.on_present_answered(request.sent_at):
-            effects.append(
-                executor_line("announcement_refuted", executor.announcement)
-            )
+        refuted = self._successor.on_present_answered(request.sent_at)
+        if refuted is not None:
+            effects.append(executor_line("announcement_refuted", refuted))
         if reply.started_at != executor.announcement.started_at:
             # An answer to a request that was sent to an earlier incarnation may
             # come from there.
--- a/gypsumline/core/leases/successor.py
+++ b/gypsumline/core/leases/successor.py
@@ -44,19 +44,20 @@
         if self._is_announced(executor):
             self._drop()
 
-    def on_present_answered(self, sent_at: float) -> bool:
+    def on_present_answered(self, sent_at: float) -> Announcement | None:
         """Records that the present executor answered a request.
 
         Args:
           sent_at: Time of the request.
 
         Returns:
-          Whether that rules out an announced executor.
+          The announcement that is ruled out by that, if there is one.
         """
-        if self._announcement is None or sent_at <= self._announced_at:
-            return False
+        announced = self._announcement
+        if announced is None or sent_at <= self._announced_at:
+            return None
         self._drop()
-        return True
+        return announced
 
     def due_in(self, now: float) -> float:
         """Returns the seconds until the next request; may be infinite."""
--- a/gypsumline/platform/zone_reader.py
+++ b/gypsumline/platform/zone_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 
@@ -90,7 +91,7 @@
             settings.operator_feed,
             self._rng,
         )
-        async with running_tasks(follower.run()):
-            await self._is_recent.wait()
-        store.close()
+        with contextlib.closing(store):
+            async with running_tasks(follower.run()):
+                await self._is_recent.wait()
         _LOGGER.info("excluded zones followed by the entries")
