--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -257,6 +257,18 @@
 )
 
 
+# Executors that restart under their names at any moment of an order, beside
+# agents that are lost or paused.
+RESTART_ACTIONS = (
+    *[submit] * 5,
+    *[restart_executor] * 4,
+    *[kill_agent] * 2,
+    *[pause] * 2,
+    partition,
+    leave,
+)
+
+
 # Entries that lose the store while agents have it, under little else.
 STORE_CUT_ACTIONS = (
     *[submit] * 12,
@@ -381,6 +393,7 @@
     parser.add_argument("--paused-entries", action="store_true")
     parser.add_argument("--false-announcements", action="store_true")
     parser.add_argument("--store-cuts", action="store_true")
+    parser.add_argument("--restarts", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
@@ -394,6 +407,7 @@
         if options.false_announcements:
             actions = FALSE_ANNOUNCEMENT_ACTIONS
         actions = STORE_CUT_ACTIONS if options.store_cuts else actions
+        actions = RESTART_ACTIONS if options.restarts else actions
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gypsumline.core.leases.messages import RunEnd
 from gypsumline.core.leases.owner import LeasedOwner
 from gypsumline.core.leases.run_table import RunTable
 from gypsumline.core.leases.settings import LeaseSettings
@@ -17,6 +18,7 @@
 PAUSED_ENTRY_WALKS = 10
 FALSE_ANNOUNCEMENT_WALKS = 10
 STORE_CUT_WALKS = 10
+RESTART_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -33,6 +35,12 @@
     return lease_walk.walk(seed, actions=actions)
 
 
+def _walk_with_restarts(seed):
+    return lease_walk.walk(
+        seed, clocks_restart=True, actions=lease_walk.RESTART_ACTIONS
+    )
+
+
 def _walk_with_store_cuts(seed):
     return lease_walk.walk(seed, actions=lease_walk.STORE_CUT_ACTIONS)
 
@@ -77,6 +85,12 @@
     assert _walk_with_store_cuts(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, RESTART_WALKS + 1))
+def test_restarts_at_any_moment_of_an_order_violate_no_guarantee(seed):
+    """Guards against two runs where an executor keeps its name."""
+    assert _walk_with_restarts(seed).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, DELAYED_ORDER_WALKS + 1))
 def test_delayed_orders_do_not_reach_a_restarted_executor(seed):
     """Guards against orders for an earlier incarnation after a clock reset."""
@@ -185,6 +199,18 @@
     monkeypatch.setattr(RunTable, "on_announcement", on_announcement)
 
 
+def lose_runs_at_restart(monkeypatch):
+    """Ends the runs of an executor that restarts, without its list."""
+
+    def begin_incarnation(self, announcement, now):
+        for run in list(self._runs.values()):
+            self._end_run(run, RunEnd.LOST, 0.0)
+        return begin(self, announcement, now)
+
+    begin = RunTable._begin_incarnation
+    monkeypatch.setattr(RunTable, "_begin_incarnation", begin_incarnation)
+
+
 def never_read_zones(monkeypatch):
     """Has agents rely on the entries for the excluded zones."""
     monkeypatch.setattr(
@@ -233,6 +259,7 @@
         (ignore_abandoned_jobs, lease_walk.walk, FIRST_SEEDS),
         (renew_regardless, _walk_with_lost_stops, FIRST_SEEDS),
         (believe_announcements, _walk_with_false_announcements, FIRST_SEEDS),
+        (lose_runs_at_restart, _walk_with_restarts, FIRST_SEEDS),
         (never_read_zones, _walk_with_store_cuts, FIRST_SEEDS),
         (trust_old_lists, _walk_with_store_cuts, FIRST_SEEDS),
         (answer_pings_at_once, _walk_with_paused_entries, FIRST_SEEDS),
