Take an announced executor's answer for its first list of runs

Cause: an executor that returned in another name was asked twice, once whether it is there and once for its runs, and was closed to starts in between.

Change: the call that asks is sent under the next token, and its answer is the first list. A token that was raised meanwhile needs another list.

Three new tests.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -346,7 +346,8 @@
         """Returns the next hold request, or None if none is needed."""
         if not self._successor.due_in(now):
             number = self._holds.next_number()
-            return self._successor.open(number, self.token, now)
+            token = self._token.next_value
+            return self._successor.open(number, token, now)
         executor = self._executor
         if executor is None or not self._needs_hold:
             return None
@@ -364,7 +365,7 @@
         """Reconciles the table with the executor's list of runs and ends."""
         announced = self._successor.close(request.number)
         if announced is not None:
-            return self._on_successor_answered(announced, reply, now)
+            return self._on_successor_answered(announced, request, reply, now)
         executor = self._executor
         if executor is None or executor.name != request.executor:
             return []
@@ -442,13 +443,26 @@
         return effects
 
     def _on_successor_answered(
-        self, announced: Announcement, reply: HoldReply, now: float
+        self,
+        announced: Announcement,
+        request: HoldRequest,
+        reply: HoldReply,
+        now: float,
     ) -> list[Effect]:
-        """Replaces the executor by one that has answered in its own name."""
+        """Replaces the executor by one that has answered in its own name.
+
+        The answer is its first list of runs, under the token that fences the
+        orders before.
+        """
         current = self._executor
         if current is not None and current.name == announced.executor:
             return []
-        return self._begin_incarnation(_at_start(announced, reply), now)
+        effects = self._begin_incarnation(_at_start(announced, reply), now)
+        executor = self._executor
+        if executor is not None and executor.take_list(request, reply):
+            sent_at = request.sent_at
+            effects += self._on_list(executor, request, reply, sent_at, now)
+        return effects
 
     def _on_successor_failed(
         self,
@@ -530,6 +544,7 @@
         ):
             self._crashes.on_lapsed(self._runs.values())
             effects += self._lose_all_runs("lease lapsed")
+            self._token.advance()
             effects += self._reports.broadcast(now)
         effects += self.check_runs(now)
         effects += self._stop_unowned_runs(now)
@@ -799,7 +814,6 @@
         self._is_open = False
         self._unowned_runs.clear()
         self._has_unacknowledged_ends = False
-        self._token.advance()
         return [lost_line(lost, reason)]
 
     def _on_no_listener(
--- a/gypsumline/core/leases/token.py
+++ b/gypsumline/core/leases/token.py
@@ -19,9 +19,14 @@
         self.value = value
         self._step = _INITIAL_STEP
 
+    @property
+    def next_value(self) -> int:
+        """Token after the next `advance`."""
+        return self.value + 1
+
     def advance(self) -> None:
         """Raises the token, which fences all orders sent before."""
-        self.value += 1
+        self.value = self.next_value
 
     def on_accepted(self) -> None:
         """Resets the increment after the current token was accepted."""
--- a/gypsumline/tests/core/leases/test_proofs_of_ends.py
+++ b/gypsumline/tests/core/leases/test_proofs_of_ends.py
@@ -166,6 +166,8 @@
     effects = table.on_announcement(restarted, 0.1)
     for _ in range(2):
         request = table.next_hold_request(0.1)
+        if request is None:
+            break
         reply = hold_reply(started_at=500)
         effects += table.on_hold_reply(request, reply, 0.1, 0.1)
     assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
@@ -182,3 +184,41 @@
     reply = hold_reply(started_at=2000)
     effects = table.on_hold_reply(request, reply, 0.12, 0.13)
     assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
+
+
+def test_answer_of_an_announced_executor_is_its_first_list():
+    """Guards against a round trip for each executor that has restarted."""
+    table = table_with_run()
+    token = table.token
+    effects = replace_executor(table, OTHER, 0.1)
+    assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
+    assert table.token > token
+    assert table.accepts_starts
+
+
+def test_announced_executor_is_not_open_while_it_has_foreign_runs():
+    """Guards against starts beside the runs of an earlier agent."""
+    table = table_with_run()
+    table.on_announcement(OTHER, 0.1)
+    request = table.next_hold_request(0.1)
+    reply = hold_reply(running=[("c.0.0.0", 3)], started_at=2000)
+    effects = table.on_hold_reply(request, reply, 0.1, 0.1)
+    assert [(stop.task, stop.attempt) for stop in stops(effects)] == [
+        ("c.0.0.0", 3)
+    ]
+    assert not table.accepts_starts
+
+
+def test_token_raised_meanwhile_needs_another_list():
+    """Guards against an old order that arrives after the first list."""
+    table = table_with_run()
+    table.on_announcement(OTHER, 0.1)
+    request = table.next_hold_request(0.1)
+    table._token.advance()
+    reply = hold_reply(started_at=2000)
+    table.on_hold_reply(request, reply, 0.1, 0.1)
+    assert not table.accepts_starts
+    request = table.next_hold_request(0.11)
+    assert request.token == table.token
+    table.on_hold_reply(request, reply, 0.11, 0.11)
+    assert table.accepts_starts
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -267,7 +267,7 @@
     newer = announcement(executor="x-2", started_at=2000)
     effects = replace_executor(table, newer, 0.1)
     assert ends(effects) == [(TASK, 1, RunEnd.LOST)]
-    assert table.next_hold_request(0.1).token > started.token
+    assert table.token > started.token
 
 
 def test_restart_under_the_same_name_is_reconciled_with_the_list_of_runs():
--- a/properties/test_lease_crashes.py
+++ b/properties/test_lease_crashes.py
@@ -148,11 +148,11 @@
     return lease_walk.walk(seed, actions=LOST_OWNER_ACTIONS)
 
 
-def test_agents_tell_crashes_while_the_store_is_away(monkeypatch):
+@pytest.mark.parametrize("seed", MUTANT_SEEDS)
+def test_agents_tell_crashes_while_the_store_is_away(monkeypatch, seed):
     """Guards against a count that depends on the store alone."""
     lose_stored_crashes(monkeypatch)
-    for seed in MUTANT_SEEDS:
-        assert walk_with_lost_owners(seed).oracle.violations == []
+    assert walk_with_lost_owners(seed).oracle.violations == []
 
 
 @pytest.mark.parametrize(
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -139,6 +139,10 @@
         5091,
         60018,
         60077,
+        # The same, once agents read excluded zones themselves and the walks of
+        # 60014 and 5091 take another course.
+        60116,
+        5067,
     ],
 )
 def test_seeds_that_failed_where_clocks_of_executors_restart(seed):
