Keep the mark of a cut from the store over other faults of an entry

Cause: a fault of the soak's own marking. The entry was cut off from the store for 12.06 s, by its log, and a reset of a stream meanwhile set the mark of its last fault back to the present.

Change: cuts have marks of their own, of which the latest end counts.

--- a/soak/run.py
+++ b/soak/run.py
@@ -230,8 +230,9 @@
 async def cut_entries_from_store(world):
     """Cuts all entries off from the store while a zone is taken out."""
     seconds = world.rng.uniform(6.0, 12.0)
-    for entry in world.entries.values():
-        entry.faulted_at = world.now + seconds
+    for name in world.entries:
+        cut_until = world.store_cuts.get(name, 0.0)
+        world.store_cuts[name] = max(cut_until, world.now + seconds)
     endpoints = [world.store_endpoints[name] for name in world.entries]
     for endpoint in endpoints:
         endpoint.fault = world.rng.choice(("silent", "busy"))
--- a/soak/world.py
+++ b/soak/world.py
@@ -63,6 +63,7 @@
       sizes: Processor demand of each task, by key of the job.
       done: Names of the completed tasks.
       zones_out: Time at which each excluded zone was taken out of service.
+      store_cuts: End of the latest cut from the store, by program.
       store_faulted_at: End of the last fault of the store.
       active_store_faults: Number of faults of the store in progress.
     """
@@ -82,6 +83,7 @@
         self.proxies = {}
         self.rows = Rows(self._loop)
         self.zones_out = {}
+        self.store_cuts = {}
         self.store_faulted_at = 0.0
         self.active_store_faults = 0
         self.answers = {}
@@ -212,7 +214,8 @@
         if self.active_store_faults:
             return self.now
         program = {**self.entries, **self.agents}[name]
-        return max(program.faulted_at, self.store_faulted_at)
+        cut_until = self.store_cuts.get(name, 0.0)
+        return max(program.faulted_at, self.store_faulted_at, cut_until)
 
     # Zones.
 
