Drop a method that only renamed another

Cause: reading the change once more. SuccessorProbe.on_other_executor did nothing but call withdraw.

Change: its one caller calls withdraw. Behaviour is kept.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -472,7 +472,7 @@
         now: float,
     ) -> list[Effect]:
         if answer is OrderAnswer.OTHER_EXECUTOR:
-            self._successor.on_other_executor(announced)
+            self._successor.withdraw(announced.executor)
             return [executor_line("announcement_refuted", announced)]
         is_refused = answer is OrderAnswer.NO_LISTENER
         self._successor.on_unanswered(announced, is_refused, now)
--- a/gypsumline/core/leases/successor.py
+++ b/gypsumline/core/leases/successor.py
@@ -40,7 +40,7 @@
         self._open.clear()
 
     def withdraw(self, executor: str) -> None:
-        """Forgets an announced executor that has left."""
+        """Forgets an announced executor that has left or is not there."""
         if self._is_announced(executor):
             self._drop()
 
@@ -85,10 +85,6 @@
         """Returns the announcement that a request asked for, or None."""
         return self._open.pop(number, None)
 
-    def on_other_executor(self, announcement: Announcement) -> None:
-        """Records that the announced executor is not at the address."""
-        self.withdraw(announcement.executor)
-
     def on_unanswered(
         self, announcement: Announcement, is_refused: bool, now: float
     ) -> None:
