--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -42,6 +42,7 @@
     ZonesOut,
 )
 from gypsumline.core.leases.owner_effects import (
+    abandoned_line,
     claims_message,
     ended_line,
     has_start_for,
@@ -206,11 +207,7 @@
         job = self._jobs.get(key)
         if job is None:
             return []
-        line = Decision(
-            event="job_abandoned",
-            fields={"job": key, "age": round(now - job.received_at, 3)},
-        )
-        return [line, *self._remove_job(job, now)]
+        return [abandoned_line(job, now), *self._remove_job(job, now)]
 
     def cancel(self, key: str, now: float) -> list[Effect]:
         """Cancels a job and stops its runs."""
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -195,6 +195,20 @@
     )
 
 
+def abandoned_line(job: LeasedJob, now: float) -> Decision:
+    """Returns the log line of a job whose last caller has disconnected."""
+    return Decision(
+        event="job_abandoned",
+        fields={
+            "job": job.key,
+            "queue": job.request.queue.name,
+            "configuration": job.request.configuration,
+            "age": round(now - job.received_at, 3),
+            "started": job.has_started,
+        },
+    )
+
+
 def ended_line(ended: JobEnded, job: LeasedJob, now: float) -> Decision:
     """Returns the log line of the end of a job."""
     return Decision(
--- a/gypsumline/core/leases/run_log_lines.py
+++ b/gypsumline/core/leases/run_log_lines.py
@@ -31,9 +31,21 @@
 
 
 def refusal_line(
-    owner: Member, order: RunOrder, end: RunEnd, free: Resources
+    owner: Member,
+    order: RunOrder,
+    end: RunEnd,
+    free: Resources,
+    present: Run | None = None,
 ) -> Decision:
-    """Returns the log line of a run that is not started."""
+    """Returns the log line of a run that is not started.
+
+    Args:
+      owner: Owner that ordered it.
+      order: The order.
+      end: Why it is not started.
+      free: Free resources of the executor.
+      present: Run of the same task that is there.
+    """
     return Decision(
         event="run_refused",
         fields={
@@ -43,6 +55,7 @@
             "reason": end.value,
             "free_processor": free.processor,
             "needs_processor": order.resources.processor,
+            "owner_present": present.owner.member_id if present else "",
         },
     )
 
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -582,7 +582,9 @@
                 effects.append(self._order_start(run, now))
             else:
                 self._reports.add(owner, (order.task, order.attempt), refusal)
-                effects.append(refusal_line(owner, order, refusal, self.free))
+                present = self._runs.get(order.task)
+                line = refusal_line(owner, order, refusal, self.free, present)
+                effects.append(line)
         return effects
 
     def _refusal(
