--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -54,10 +54,12 @@
         same name, as the platform specifies. The lease of a delayed order for
         an earlier incarnation then does not appear expired.
       is_renamed: Whether each incarnation has a name of its own.
+      run_times: Possible run times of tasks in seconds, drawn for each run.
     """
 
     poll_interval = 0.01
     capacity = CAPACITY
+    run_times = (0.05, 0.2, 1.0)
     restarts_clock = False
     is_renamed = False
 
@@ -257,7 +259,7 @@
         self._check_start(order, is_delayed)
         self._check_placement_rules(is_delayed)
         world = self.world
-        time = world.rng.choice((0.05, 0.2, 1.0))
+        time = world.rng.choice(self.run_times)
         if world.now < self.hung_until:
             time = 1000.0
         outcome = "failed" if world.rng.random() < 0.05 else "done"
@@ -283,7 +285,10 @@
         for other in world.executors.values():
             if other.up and order.task in other.runs:
                 oracle.fail(f"{world.now:.3f} second run: {order.task}")
-        if order.task.partition(".")[0] in oracle.refused:
+        # A refusal speaks for a submission that its entry has not read yet only
+        # if all of the caller's submissions were refused.
+        key = order.task.partition(".")[0]
+        if key in oracle.refused and key not in world.unanswered:
             oracle.fail(f"{world.now:.3f} start after NOT_RUN: {order.task}")
         size = self._size(order.task)
         used = sum(self._size(task) for task in self.runs)
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -67,6 +67,24 @@
             world.leave(node, rng.choice(sorted(node.callers)))
 
 
+def submit_late(world, rng):
+    """Submits jobs whose first copy comes after the repeated one."""
+    for _ in range(rng.randint(1, 3)):
+        world.submit_late(rng.choice((1.31, 1.4, 1.6, 2.5)))
+
+
+def leave_unheard(world, rng):
+    """Lets callers leave; the end of the connection comes late or not at all.
+
+    The longest delay exceeds the timeout of any caller.
+    """
+    node = rng.choice(list(world.entries.values()))
+    for _ in range(3):
+        if node.alive and node.callers:
+            key = rng.choice(sorted(node.callers))
+            world.leave(node, key, rng.choice((1.4, 2.0, 60.0)))
+
+
 def partition(world, rng):
     agent = rng.choice(list(world.agents))
     entry = rng.choice(list(world.entries))
@@ -247,6 +265,16 @@
 PAUSED_ENTRY_ACTIONS = (*ACTIONS, *[pause_entry] * 4, *[submit] * 3)
 
 
+# Callers whose submissions, or whose ends, reach an entry late.
+LATE_CALLER_ACTIONS = (
+    *ACTIONS,
+    *[submit_late] * 4,
+    *[leave_unheard] * 3,
+    *[submit] * 3,
+    pause_entry,
+)
+
+
 # Heartbeats of other writers, beside executors that return in another name.
 FALSE_ANNOUNCEMENT_ACTIONS = (
     *ACTIONS,
@@ -391,6 +419,7 @@
     parser.add_argument("--fast-crashes", action="store_true")
     parser.add_argument("--lost-answers", action="store_true")
     parser.add_argument("--paused-entries", action="store_true")
+    parser.add_argument("--late-callers", action="store_true")
     parser.add_argument("--false-announcements", action="store_true")
     parser.add_argument("--store-cuts", action="store_true")
     parser.add_argument("--restarts", action="store_true")
@@ -404,6 +433,8 @@
         actions = LOST_ANSWER_ACTIONS if options.lost_answers else actions
         if options.paused_entries:
             actions = PAUSED_ENTRY_ACTIONS
+        if options.late_callers:
+            actions = LATE_CALLER_ACTIONS
         if options.false_announcements:
             actions = FALSE_ANNOUNCEMENT_ACTIONS
         actions = STORE_CUT_ACTIONS if options.store_cuts else actions
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -47,6 +47,12 @@
 DIAL_DELAY = 0.05
 # Time after which an entry that runs has handled all closed connections.
 CLOSE_DELAY = 0.001
+# Times that an entry needs after a pause until it has read a submission that
+# came during the pause, in seconds.
+READ_DELAYS = (0.0, 0.002, 0.005)
+# Times between a submission of a caller that has left, and the end of its
+# connection, in seconds.
+END_DELAYS = (0.0, 0.0005, 0.003, 0.02, 0.5)
 # Duration of a call to the store.
 STORE_DELAY = 0.005
 # Interval of the reads of the excluded zones, by entries and, while no entry's
@@ -82,6 +88,8 @@
       hold_due_at: Time for which the agent's next hold request is scheduled.
       deferred: Events received while paused, as (action, arguments).
       streams: Number of the stream to each peer that it considers open.
+      callers: Step and timeouts by key, of the callers that are connected.
+      unread: Keys of submissions that wait to be read.
     """
 
     member: Member
@@ -91,6 +99,8 @@
     hold_due_at: float = math.inf
     deferred: list = dataclasses.field(default_factory=list)
     streams: dict = dataclasses.field(default_factory=dict)
+    callers: dict = dataclasses.field(default_factory=dict)
+    unread: set = dataclasses.field(default_factory=set)
 
 
 class LeaseOracle:
@@ -187,6 +197,8 @@
         self.store_cuts = {}
         self.undisturbed_since = {}  # name -> last start or reset
         self.sizes = {}  # key -> processor need of each task
+        # Keys of jobs whose callers left an entry that does not know it yet.
+        self.unanswered = set()
         # Task -> seconds after its start at which it crashes its executor.
         self.culprits = {}
         self.crash_downtime = 1.0
@@ -235,7 +247,6 @@
         )
         owner = LeasedOwner(LEASE, self.owner_settings)
         node = Node(member, owner)
-        node.callers = {}
         self.entries[name] = node
         self.undisturbed_since[name] = self.now
         # Entries read the platform's table when they start.
@@ -274,7 +285,7 @@
         for pair in list(self._links):
             if name in pair:
                 self._disconnect(pair)
-        for key, caller in list(getattr(node, "callers", {}).items()):
+        for key, caller in list(node.callers.items()):
             self.at(LEASE.resubmit_delay, self.submit_to_any_entry, key, caller)
         self.at(self.rng.uniform(0.2, 1.5), self._restart, node)
 
@@ -577,6 +588,26 @@
     # Callers.
 
     def submit_new(self, timeouts=TIMEOUTS):
+        key, caller = self._new_caller(timeouts)
+        self.submit_to_any_entry(key, caller)
+        return key
+
+    def submit_late(self, delay):
+        """Submits a job again whose first copy reaches its entry later.
+
+        Args:
+          delay: Seconds from now until the first copy arrives, without its
+            caller.
+        """
+        key, caller = self._new_caller(TIMEOUTS)
+        node = self.rng.choice(list(self.entries.values()))
+        request = self._make_request(key, caller)
+        self.unanswered.add(key)
+        self.at(delay, self.when_running, node, self._submit, node, request)
+        self.at(LEASE.resubmit_delay, self.submit_to_any_entry, key, caller)
+
+    def _new_caller(self, timeouts):
+        """Returns the key and the caller of a new job."""
         key = f"{next(self._key):016x}"
         count = self.rng.choice((1, 1, 2, 4))
         run_time = self.rng.choice((0.05, 0.2, 1.0))
@@ -587,40 +618,72 @@
             resources=Resources(processor=size, memory=64),
             run_time=run_time,
         )
-        self.submit_to_any_entry(key, (step, self.now + 12.0, timeouts))
-        return key
+        return key, (step, self.now + 12.0, timeouts)
+
+    def _make_request(self, key, caller):
+        step, _, timeouts = caller
+        return JobRequest(
+            key=key,
+            spec="s",
+            queue=QUEUE,
+            steps=(step,),
+            timeout=self.rng.choice(timeouts),
+        )
 
     def submit_to_any_entry(self, key, caller):
         """Submits a job to a random entry; retries while that is down."""
-        step, give_up_at, timeouts = caller
-        if self.now > give_up_at:
+        if self.now > caller[1]:
             return
         node = self.rng.choice(list(self.entries.values()))
         if not node.alive:
             self.at(LEASE.resubmit_delay, self.submit_to_any_entry, key, caller)
             return
         node.callers[key] = caller
-        request = JobRequest(
-            key=key,
-            spec="s",
-            queue=QUEUE,
-            steps=(step,),
-            timeout=self.rng.choice(timeouts),
-        )
-        self.when_running(node, self._submit, node, request)
+        request = self._make_request(key, caller)
+        if self.now >= node.paused_until:
+            self.when_running(node, self._submit, node, request)
+            return
+        # Several turns of the event loop accept a connection and read it,
+        # beside the messages that wait on the streams.
+        node.unread.add(key)
+        delay = node.paused_until - self.now + self.rng.choice(READ_DELAYS)
+        self.at(delay, self.when_running, node, self._submit, node, request)
 
     def _submit(self, node, request):
-        if request.key in node.callers:
-            self.apply_effects(node, node.machine.submit(request, self.now))
-
-    def leave(self, node, key):
-        """Closes a caller's connection; it resubmits the job later."""
+        """Submits a job, also if its caller has left before it is read."""
+        key = request.key
+        node.unread.discard(key)
+        if not node.alive:
+            return
+        self.apply_effects(node, node.machine.submit(request, self.now))
+        if key not in node.callers:
+            delay = self.rng.choice(END_DELAYS)
+            self.at(delay, self.when_running, node, self._abandon, node, key)
+
+    def leave(self, node, key, end_delay=0.0):
+        """Closes a caller's connection; it resubmits the job later.
+
+        Args:
+          node: The entry.
+          key: Key of its job.
+          end_delay: Seconds until the end of the connection reaches the entry.
+        """
         caller = node.callers.pop(key)
-        self.when_running(node, self._abandon, node, key)
         self.at(LEASE.resubmit_delay, self.submit_to_any_entry, key, caller)
+        if key in node.unread:
+            self.unanswered.add(key)
+            return
+        if not end_delay:
+            self.when_running(node, self._abandon, node, key)
+        else:
+            self.unanswered.add(key)
+            action = self.when_running
+            self.at(end_delay, action, node, self._abandon, node, key)
 
     def _abandon(self, node, key):
-        self.apply_effects(node, node.machine.abandon(key, self.now))
+        # The caller may have come back on another connection.
+        if node.alive and key not in node.callers:
+            self.apply_effects(node, node.machine.abandon(key, self.now))
 
     def _answer(self, node, ended):
         caller = node.callers.pop(ended.key, None)
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -19,6 +19,7 @@
 FALSE_ANNOUNCEMENT_WALKS = 10
 STORE_CUT_WALKS = 10
 RESTART_WALKS = 10
+LATE_CALLER_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -30,6 +31,10 @@
     return lease_walk.walk(seed, actions=lease_walk.PAUSED_ENTRY_ACTIONS)
 
 
+def _walk_with_late_callers(seed):
+    return lease_walk.walk(seed, actions=lease_walk.LATE_CALLER_ACTIONS)
+
+
 def _walk_with_false_announcements(seed):
     actions = lease_walk.FALSE_ANNOUNCEMENT_ACTIONS
     return lease_walk.walk(seed, actions=actions)
@@ -73,6 +78,15 @@
     assert _walk_with_paused_entries(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, LATE_CALLER_WALKS + 1))
+def test_late_callers_cause_no_second_run(seed):
+    """Guards against two entries that run a job at the same time.
+
+    Its submission, or the end of its connection, reaches the first one late.
+    """
+    assert _walk_with_late_callers(seed).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, FALSE_ANNOUNCEMENT_WALKS + 1))
 def test_false_announcements_end_no_run(seed):
     """Guards against two runs after heartbeats of other writers."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,13 @@
 SUBMIT_INTERVAL_SECONDS = 0.15
 FAULT_INTERVAL_SECONDS = 1.0
 RECOVERY_LIMIT_SECONDS = 15.0
+# Pauses of an entry that end after its callers have come back elsewhere.
+LONG_PAUSES = (1.8, 2.0, 2.5)
+LEAVING_CALLERS = 5
+PATIENCE_SECONDS = 0.05
+# Run time of tasks that still run when their entry wakes.
+LONG_RUN_SECONDS = 1.8
+RECOVERY_PAUSE_SECONDS = 2.0
 FAULTS = []
 CRASH_FAULTS = []
 LOSS_FAULTS = []
@@ -74,6 +81,24 @@
     program.faulted_at = world.now
 
 
+@fault
+async def leave_during_pause(world):
+    """Suspends an entry, to which callers send jobs and leave meanwhile.
+
+    The jobs run at other entries by the time at which it reads them.
+    """
+    name = world.rng.choice(list(world.entries))
+    program = world.entries[name]
+    program.faulted_at = world.now
+    pause = asyncio.create_task(program.pause(world.rng.choice(LONG_PAUSES)))
+    # Lets the signal be sent first.
+    await asyncio.sleep(PATIENCE_SECONDS)
+    for _ in range(LEAVING_CALLERS):
+        world.submit(first_entry=name, patience=PATIENCE_SECONDS)
+    await pause
+    program.faulted_at = world.now
+
+
 @fault
 async def restart(world):
     """Performs a planned stop of a process and starts it again."""
@@ -317,6 +342,25 @@
         return caller.result(), world.oracle.violations
 
 
+async def run_pauses_while_callers_leave(seed, rounds):
+    """Pauses entries again and again while callers leave them for others.
+
+    Returns:
+      Number of completed jobs, and the violations.
+    """
+    directory = ROOT / "build" / "soak" / f"pauses-{seed}"
+    world = SoakWorld(seed, 2, 6, directory)
+    async with world.running(), running_programs(world.programs):
+        world.estimate_ms = int(1000 * LONG_RUN_SECONDS)
+        for executor in world.executors.values():
+            executor.run_times = (LONG_RUN_SECONDS,)
+        await asyncio.sleep(START_SECONDS)
+        for _ in range(rounds):
+            await leave_during_pause(world)
+            await asyncio.sleep(RECOVERY_PAUSE_SECONDS)
+        return world.oracle.completed, world.oracle.violations
+
+
 async def _submit_jobs(world):
     while True:
         world.submit()
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from soak.run import run_kills_between_crashes, run_soak
+from soak.run import (
+    run_kills_between_crashes,
+    run_pauses_while_callers_leave,
+    run_soak,
+)
 
 SECONDS = 10.0
 
@@ -39,3 +43,10 @@
     result, violations = await run_kills_between_crashes(1)
     assert violations == []
     assert result == "failed"
+
+
+async def test_entry_that_wakes_runs_no_job_that_another_entry_runs():
+    """Guards against two runs after submissions that were read too late."""
+    completed, violations = await run_pauses_while_callers_leave(1, rounds=4)
+    assert violations == []
+    assert completed > 0
--- a/soak/world.py
+++ b/soak/world.py
@@ -61,11 +61,13 @@
     Attributes:
       oracle: Collects violations.
       sizes: Processor demand of each task, by key of the job.
+      unanswered: Keys of jobs whose callers left an entry that was paused.
       done: Names of the completed tasks.
       zones_out: Time at which each excluded zone was taken out of service.
       store_cuts: End of the latest cut from the store, by program.
       store_faulted_at: End of the last fault of the store.
       active_store_faults: Number of faults of the store in progress.
+      estimate_ms: Run time that callers declare, in milliseconds.
     """
 
     def __init__(self, seed, entries, agents, directory):
@@ -76,6 +78,7 @@
         self.sizes = {}
         self.culprits = {}
         self.crash_downtime = 1.0
+        self.unanswered = set()
         self.done = set()
         self.agents = {}
         self.entries = {}
@@ -86,6 +89,7 @@
         self.store_cuts = {}
         self.store_faulted_at = 0.0
         self.active_store_faults = 0
+        self.estimate_ms = 200
         self.answers = {}
         self._directory = pathlib.Path(directory)
         self._directory.mkdir(parents=True, exist_ok=True)
@@ -248,35 +252,52 @@
 
     # Callers.
 
-    def submit(self, timeout=CALLER_TIMEOUT_SECONDS, crash_delay=None):
+    def submit(
+        self,
+        timeout=CALLER_TIMEOUT_SECONDS,
+        crash_delay=None,
+        first_entry=None,
+        patience=CALLER_TIMEOUT_SECONDS,
+    ):
         """Submits a job as a new caller and returns the task of the caller.
 
         Args:
           timeout: Time for which the caller waits, in seconds.
           crash_delay: Seconds after which its first task crashes an executor.
+          first_entry: Entry that it tries first, and never again; None for any.
+          patience: Time after which it leaves that entry, in seconds.
         """
         self._last_key += 1
         key = f"{self._last_key:016x}"
         if crash_delay is not None:
             self.culprits[f"{key}.0.0.0"] = crash_delay
-        task = asyncio.create_task(self._run_caller(key, timeout))
+        task = asyncio.create_task(
+            self._run_caller(key, timeout, first_entry, patience)
+        )
         self._caller_tasks.add(task)
         task.add_done_callback(self._caller_tasks.discard)
         return task
 
-    async def _run_caller(self, key, timeout):
+    async def _run_caller(self, key, timeout, first_entry, patience):
         count = self.rng.choice((1, 2, 4))
         self.sizes[key] = self.rng.choice((500, 2000, 3000))
         step = {
             "count": count,
             "cpu": self.sizes[key],
             "mem_mb": 64,
-            "estimate_ms": 200,
+            "estimate_ms": self.estimate_ms,
         }
         body = {"spec": "s", "steps": [step], "best_effort": True}
         end = self.now + 3 * timeout
+        entries = list(self.entries)
+        if first_entry is not None:
+            self.unanswered.add(key)
+            await self._send_job(first_entry, key, body, patience)
+            await asyncio.sleep(RESUBMIT_SECONDS)
+            entries.remove(first_entry)
         while self.now < end:
-            status, answer = await self._send_job(key, body, timeout)
+            name = self.rng.choice(entries)
+            status, answer = await self._send_job(name, key, body, timeout)
             if status == 503:
                 self.oracle.refused.add(key)
                 return "refused"
@@ -285,8 +306,7 @@
             await asyncio.sleep(RESUBMIT_SECONDS)
         return "given up"
 
-    async def _send_job(self, key, body, timeout):
-        name = self.rng.choice(list(self.entries))
+    async def _send_job(self, name, key, body, timeout):
         client = HttpClient(self.caller_address(name), 1)
         try:
             answer = await client.request(
