Run a job at one entry at a time, by locks on its key

What callers saw: a task that must run once ran twice, when its caller had left one entry and sent the job to another. Cause: an entry took it that it learns of a caller's end before the caller's next submission arrives elsewhere. Nothing bounds that: a submission may be read late after a pause, arrive late, or the end of its connection may be late or lost. The class of fault is a decision on the absence of a message. Change: before its first start an owner requests the lock on the key from the two agents that rank highest for it. Each grants it to one owner at a time and keeps it until the owner returns it, or until the runs of a lost owner must have ended. A job whose key another entry has waits, and is not answered as not run. Locks are kept in memory for as long as the job; they move with the agents that an owner reaches, and an agent that has just started grants only locks that their owners had before. Locks of completed jobs are returned with the answers to pings, so a job costs four small messages and one round trip. Why two agents: owners that miss one agent each still share one.

--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -19,6 +19,7 @@
     OrderStart,
     OrderStop,
 )
+from gypsumline.core.leases.lock_messages import LockKeys, UnlockKeys
 from gypsumline.core.leases.messages import (
     ClaimRuns,
     ContactPong,
@@ -123,7 +124,7 @@
 
     def on_disconnected(self, member: Member) -> None:
         """Handles the end of a stream to an entry."""
-        self._table.on_disconnected(member)
+        self._apply_effects(self._table.on_disconnected(member, boot_time()))
 
     def on_message(self, member: Member, message: Message) -> None:
         """Handles a message from an entry."""
@@ -140,6 +141,10 @@
                 self._apply_effects(table.on_claims(member, message, now))
             case ZonesOut():
                 self._apply_effects(table.on_zones_out(message, now))
+            case LockKeys():
+                self._apply_effects(table.on_lock_request(member, message, now))
+            case UnlockKeys():
+                self._apply_effects(table.on_unlock(member, message))
 
     async def run_hold_loop(self) -> None:
         """Renews the lease and collects ended runs until cancelled."""
--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -244,6 +244,5 @@
         contact = self._contacts.get(owner)
         if contact is not None:
             contact.pinged_at = now
-        return Send(
-            to=owner.member_id, message=ContactPing(stamp=now, load=load)
-        )
+        ping = ContactPing(stamp=now, load=load, keeps_locks=True)
+        return Send(to=owner.member_id, message=ping)
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -24,6 +24,7 @@
       stamp: Stamp of its newest ping.
       ping_answered_at: Time at which its newest ping was answered.
       is_connected: Whether a stream to it is open.
+      keeps_locks: Whether it has said so on that stream.
       paused_until: Time before which it gets no runs.
       orders_sent: Number of run orders sent on its current stream.
       in_flight_orders: Numbers, resources and times of orders that the load
@@ -37,6 +38,7 @@
     stamp: float = -math.inf
     ping_answered_at: float = -math.inf
     is_connected: bool = True
+    keeps_locks: bool = False
     paused_until: float = -math.inf
     orders_sent: int = 0
     in_flight_orders: collections.deque[tuple[int, Resources, float]] = (
@@ -87,6 +89,7 @@
     def reset_stream(self) -> None:
         """Resets the state that belongs to a stream."""
         self.is_connected = True
+        self.keeps_locks = False
         self.orders_sent = 0
         self.in_flight_orders.clear()
         self.free = self.load.free
@@ -161,6 +164,15 @@
             if view.service == service and self._is_reachable(view, now)
         ]
 
+    def heard_recently(self, now: float) -> Iterator[AgentView]:
+        """Yields the connected agents that have sent a load recently."""
+        limit = now - self._settings.silence_limit
+        return (
+            view
+            for view in self._agents.values()
+            if view.is_connected and view.last_message_at >= limit
+        )
+
     def is_usable(self, view: AgentView, now: float) -> bool:
         """Returns whether an agent can be given runs."""
         return view.paused_until <= now and self._is_reachable(view, now)
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -181,10 +181,12 @@
     Attributes:
       stamp: Time of the ping in seconds on the agent's clock.
       load: State of the executor.
+      keeps_locks: Whether the agent keeps locks on submission keys.
     """
 
     stamp: Stamp
     load: ExecutorLoad
+    keeps_locks: bool = False
 
 
 @register_message("contact_pong")
@@ -195,11 +197,13 @@
       stamp: Stamp of the ping.
       wish: Capacity request of the owner's most urgent waiting job.
       zones_age: Age of the owner's list of excluded zones; None if unknown.
+      unlocked: Submission keys whose locks the owner returns.
     """
 
     stamp: Stamp
     wish: CapacityRequest | None = None
     zones_age: Age | None = None
+    unlocked: tuple[str, ...] = ()
 
 
 @register_message("zones_out")
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -32,6 +32,8 @@
     TaskPhase,
     new_job,
 )
+from gypsumline.core.leases.key_locks import KeyLocks
+from gypsumline.core.leases.lock_messages import LockAnswers
 from gypsumline.core.leases.messages import (
     ContactPing,
     ContactPong,
@@ -103,6 +105,7 @@
         self._jobs: dict[str, LeasedJob] = {}
         self._isolation = IsolationDetector(settings.isolation_limit)
         self._runs = PlacedRuns()
+        self._locks = KeyLocks(lease, self._fleet)
         self._attempts = AttemptHistory(settings.forget_after)
         self._crashes = CrashResponse(settings.crashes, self._fleet)
         self._containment = self._crashes.containment
@@ -171,6 +174,7 @@
             return [*effects, refusal, line]
         self._jobs[job.key] = job
         self._waiting.add(job)
+        effects += self._locks.request(job.key, now)
         # Only the new job is placed: the jobs ahead of it did not fit in the
         # latest pass.
         return effects + self._place_jobs([job], now)
@@ -259,22 +263,37 @@
         stopping = [run for run in claimed if run.is_stopping]
         return [*effects, stop_message(stopping)] if stopping else effects
 
-    def on_disconnected(self, agent: Member) -> None:
+    def on_disconnected(self, agent: Member, now: float) -> list[Effect]:
         """Handles the end of a stream; runs at the agent may continue."""
         view = self._fleet.find(agent)
-        if view is not None:
-            view.is_connected = False
+        if view is None:
+            return []
+        view.is_connected = False
+        return self._locks.on_disconnected(view, now)
+
+    def on_lock_answers(
+        self, agent: Member, message: LockAnswers, now: float
+    ) -> list[Effect]:
+        """Places the jobs whose locks were granted."""
+        news = self._locks.on_answers(agent, message, now)
+        for key in news.held:
+            if key in self._jobs:
+                self._jobs[key].may_have_run = True
+        granted = [self._jobs[key] for key in news.granted if key in self._jobs]
+        return news.effects + self._place_jobs(granted, now)
 
     def on_ping(
         self, agent: Member, message: ContactPing, now: float
     ) -> list[Effect]:
         """Applies the load of a ping; `answer_ping` follows later."""
         view = self._fleet.find(agent)
+        if view is None:
+            return []
+        has_changed = self._update_load(view, message, now)
+        effects = self._locks.on_ping(view, message.keeps_locks, now)
         # A placement pass for each ping would be too costly: all agents ping,
         # and most pings carry no change.
-        if view is None or not self._update_load(view, message, now):
-            return []
-        return self._place_at(view, now)
+        return effects + self._place_at(view, now) if has_changed else effects
 
     def answer_ping(
         self, agent: Member, stamp: float, now: float
@@ -287,6 +306,7 @@
         view = self._fleet.find(agent)
         if view is None or not view.is_connected:
             return []
+        self._locks.before_ping_answer(view, now)
         view.stamp = stamp
         view.ping_answered_at = now
         return [self._pong(view, now)]
@@ -342,6 +362,7 @@
         self._sync_health()
         self._attempts.expire(now)
         self._backlog.update_fastest_speed()
+        effects += self._locks.check(now)
         return effects + self.place_waiting(now)
 
     def place_waiting(self, now: float) -> list[Effect]:
@@ -389,6 +410,8 @@
         now: float,
     ) -> list[Effect]:
         """Places the ready tasks of one job that fit."""
+        if not self._locks.may_start(job.key, now):
+            return []
         steps = [step for step, _ in job.ready_steps()]
         if not steps:
             self._waiting.discard(job)
@@ -507,6 +530,7 @@
             stamp=view.stamp,
             wish=request,
             zones_age=zones_age if zones_age < math.inf else None,
+            unlocked=self._locks.take_returned(view),
         )
         return Send(to=view.member.member_id, message=pong)
 
@@ -533,7 +557,7 @@
             )
         if self._jobs.get(job.key) is not job:
             self._requeue(task.name)
-            return []
+            return self._release_lock(job.key)
         if report.end is RunEnd.DONE:
             job.set_phase(task, TaskPhase.DONE)
             if job.is_done:
@@ -601,7 +625,8 @@
             self._waiting.add_returned(job)
         else:
             self._requeue(run.task.name)
-        return [run_ended_line(run, report, now)]
+        line = run_ended_line(run, report, now)
+        return [line, *self._release_lock(job.key)]
 
     def _on_crash(
         self,
@@ -683,13 +708,24 @@
             reason=reason,
             retry_after=retry_after,
         )
-        return [ended, ended_line(ended, job, now), *self._remove_job(job, now)]
+        line = ended_line(ended, job, now)
+        is_completed = outcome is JobOutcome.COMPLETED
+        return [ended, line, *self._remove_job(job, now, is_completed)]
 
-    def _remove_job(self, job: LeasedJob, now: float) -> list[Effect]:
+    def _remove_job(
+        self, job: LeasedJob, now: float, is_completed: bool = False
+    ) -> list[Effect]:
         self._attempts.record(job, now)
         self._jobs.pop(job.key, None)
         self._waiting.discard(job)
         latest_runs = [self._runs.find(task.name) for task in job.tasks]
-        return stop_runs(
+        stops = stop_runs(
             [r for r in latest_runs if r is not None and r.task.job is job]
         )
+        return stops + self._release_lock(job.key, at_once=not is_completed)
+
+    def _release_lock(self, key: str, at_once: bool = True) -> list[Effect]:
+        """Returns the lock on a key once nothing of its job is left."""
+        if key in self._jobs or self._runs.has_any_of(key):
+            return []
+        return self._locks.release(key, at_once)
--- a/gypsumline/core/leases/placed_runs.py
+++ b/gypsumline/core/leases/placed_runs.py
@@ -15,6 +15,8 @@
     def __init__(self) -> None:
         self._runs: dict[str, PlacedRun] = {}
         self._counts: collections.Counter[str] = collections.Counter()
+        # Number of runs by submission key.
+        self._job_counts: collections.Counter[str] = collections.Counter()
 
     def __iter__(self) -> Iterator[PlacedRun]:
         return iter(list(self._runs.values()))
@@ -33,10 +35,15 @@
         """Returns the number of runs at an executor."""
         return self._counts[executor]
 
+    def has_any_of(self, key: str) -> bool:
+        """Returns whether any run of a submission may be active."""
+        return key in self._job_counts
+
     def add(self, run: PlacedRun) -> None:
         """Adds a run; its task must not have another one."""
         self._runs[run.task.name] = run
         self._counts[run.executor] += 1
+        self._job_counts[run.task.job.key] += 1
 
     def remove(self, run: PlacedRun) -> None:
         """Removes a run that has ended."""
@@ -44,6 +51,10 @@
         self._counts[run.executor] -= 1
         if not self._counts[run.executor]:
             del self._counts[run.executor]
+        key = run.task.job.key
+        self._job_counts[key] -= 1
+        if not self._job_counts[key]:
+            del self._job_counts[key]
 
     def without_other_suspects(
         self, job: LeasedJob, agents: list[AgentView]
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -26,6 +26,8 @@
     RECONCILIATION_PAUSE_SECONDS,
     HoldSchedule,
 )
+from gypsumline.core.leases.lock_messages import LockKeys, UnlockKeys
+from gypsumline.core.leases.lock_table import LockTable
 from gypsumline.core.leases.messages import (
     ClaimRuns,
     ContactPong,
@@ -98,6 +100,7 @@
         self._usage = ResourceUsage()
         self._unowned_runs = UnownedRuns(STOP_RETRY_SECONDS)
         self._contacts = OwnerContacts(settings)
+        self._locks = LockTable(settings, self._contacts, started_at)
         self._offers = CapacityOffers()
         self._reports = PendingReports(self._contacts, self._load)
         self._crashes = CrashLog(settings)
@@ -189,15 +192,32 @@
     def on_connected(self, owner: Member, now: float) -> list[Effect]:
         """Handles a new stream to an owner, which sends its claims first."""
         self._contacts.connect(owner)
+        self._locks.on_connected(owner)
         effects: list[Effect] = [self._ping(owner, now)]
         crashes = self._crashes.recent(now)
         if crashes:
             effects.append(self._reports.crashes_message(owner, crashes, now))
         return effects
 
-    def on_disconnected(self, owner: Member) -> None:
+    def on_disconnected(self, owner: Member, now: float) -> list[Effect]:
         """Handles a closed stream; its runs continue to the contact limit."""
         self._contacts.disconnect(owner)
+        self._locks.on_disconnected(owner, now)
+        return []
+
+    def on_lock_request(
+        self, owner: Member, message: LockKeys, now: float
+    ) -> list[Effect]:
+        """Grants the locks that no other owner has."""
+        answers = self._locks.request(owner, message, now)
+        if not answers.keys:
+            return []
+        return [Send(to=owner.member_id, message=answers)]
+
+    def on_unlock(self, owner: Member, message: UnlockKeys) -> list[Effect]:
+        """Removes locks that an owner returns."""
+        self._locks.release(owner, message.keys)
+        return []
 
     def on_claims(
         self, owner: Member, message: ClaimRuns, now: float
@@ -243,6 +263,7 @@
         """Handles the answer to a ping and starts the deferred runs."""
         self._contacts.record_answer(owner, message.stamp, now)
         self._contacts.set_capacity_request(owner, message.wish, now)
+        self._locks.release(owner, message.unlocked)
         if message.stamp <= now:
             self._zones.record_age(message.stamp, message.zones_age)
         self._offers.close_offer(owner)
@@ -551,6 +572,7 @@
         effects += self._report_unanswered_share(now)
         busy = {run.owner for run in self._runs.values()}
         self._contacts.prune(busy, now)
+        self._locks.expire(now)
         for owner in self._contacts.owners_to_ping(busy, now):
             effects.append(self._ping(owner, now))
         return effects + self._flush_reports(now)
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -44,6 +44,17 @@
         the executor's process is gone.
       zones_age_limit: Age of the owners' lists of excluded zones at which an
         agent reads them from the operators' table itself.
+      lock_validity: Time without contact to the agent that keeps a lock after
+        which its owner requests the lock again. Covers a ping interval at rest.
+      lock_expiry: Age of an owner's contact at which its locks are granted to
+        others. Covers the delay of a ping beyond `lock_validity`.
+      lock_answer_limit: Time after which an agent that has not answered a
+        request for a lock is passed over.
+      lock_retry_interval: Time between requests for a lock that another owner
+        has.
+      lock_suspension: Time for which it is passed over.
+      lock_warmup: Time after the start of an agent in which it does not grant
+        locks, unless their owners had them before.
       crash_memory: Time for which the runs of a crash remain suspects.
       crash_records: Maximum number of crashes that an agent keeps.
     """
@@ -66,6 +77,12 @@
     lossy_hold_interval: float = 0.03
     crash_confirmation: float = 0.04
     zones_age_limit: float = 3.0
+    lock_validity: float = 2.0
+    lock_expiry: float = 2.2
+    lock_answer_limit: float = 0.1
+    lock_retry_interval: float = 0.1
+    lock_suspension: float = 1.0
+    lock_warmup: float = 0.5
     crash_memory: float = 60.0
     crash_records: int = 32
 
@@ -82,6 +99,18 @@
                 self.ping_answer_time,
                 f"less than contact_limit ({self.contact_limit} s)",
             )
+        if self.rest_ping_interval >= self.lock_validity:
+            raise InvalidInputError(
+                "rest_ping_interval",
+                self.rest_ping_interval,
+                f"less than lock_validity ({self.lock_validity} s)",
+            )
+        if self.lock_validity >= self.lock_expiry:
+            raise InvalidInputError(
+                "lock_validity",
+                self.lock_validity,
+                f"less than lock_expiry ({self.lock_expiry} s)",
+            )
         if self.hold_wait + self.order_timeout >= self.lease:
             raise InvalidInputError(
                 "hold_wait + order_timeout",
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -9,6 +9,7 @@
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import JobEnded, QueueBlamed
 from gypsumline.core.leases.job import JobRequest
+from gypsumline.core.leases.lock_messages import LockAnswers
 from gypsumline.core.leases.messages import (
     ContactPing,
     ExecutorCrash,
@@ -134,7 +135,7 @@
 
     def on_disconnected(self, member: Member) -> None:
         """Handles the end of a stream to an agent."""
-        self._owner.on_disconnected(member)
+        self._apply_effects(self._owner.on_disconnected(member, boot_time()))
         self._on_agent_lost()
 
     def on_message(self, member: Member, message: Message) -> None:
@@ -145,6 +146,10 @@
         elif isinstance(message, ContactPing):
             self._apply_effects(self._owner.on_ping(member, message, now))
             self._defer_answer((member, message.stamp))
+        elif isinstance(message, LockAnswers):
+            self._apply_effects(
+                self._owner.on_lock_answers(member, message, now)
+            )
 
     def _defer_answer(self, ping: _Ping) -> None:
         """Has a ping answered after the callers that have left by now.
--- a/gypsumline/tests/core/leases/test_containment.py
+++ b/gypsumline/tests/core/leases/test_containment.py
@@ -336,7 +336,7 @@
     for number in range(1, agents + 1):
         join(leased, agent(number), executor=f"x-{number}")
     for number in range(agents - gone + 1, agents + 1):
-        leased.on_disconnected(agent(number))
+        leased.on_disconnected(agent(number), 0.0)
     for number in range(1, agents - gone + 1):
         join(leased, agent(number), 3.0, executor=f"x-{number}")
     leased.tick(3.0)
--- a/gypsumline/tests/core/leases/test_crashes_at_agents.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -86,7 +86,7 @@
     ((_, message),) = sends(table.on_connected(ENTRY_2, 5.0), RunReports)
     (crash,) = message.crashes
     assert crash.seconds_ago == pytest.approx(4.69)
-    table.on_disconnected(ENTRY_2)
+    table.on_disconnected(ENTRY_2, 5.0)
     assert sends(table.on_connected(ENTRY_2, 100.0), RunReports) == []
 
 
--- a/gypsumline/tests/core/leases/test_owner.py
+++ b/gypsumline/tests/core/leases/test_owner.py
@@ -114,7 +114,7 @@
     join(leased, agent())
     join(leased, agent(2), free=0)
     leased.submit(request(), 0.0)
-    leased.on_disconnected(agent())
+    leased.on_disconnected(agent(), 0.1)
     soon = LEASE.rerun_wait - 0.01
     join(leased, agent(2), now=soon, executor="x-2")
     assert placed(leased.tick(soon)) == []
@@ -164,7 +164,7 @@
     leased = owner()
     join(leased, agent())
     leased.submit(request(), 0.0)
-    leased.on_disconnected(agent())
+    leased.on_disconnected(agent(), 0.1)
     effects = leased.on_connected(agent(), 0.1)
     ((_, claims),) = sends(effects, ClaimRuns)
     assert claims.tasks == (TASK,)
@@ -180,7 +180,7 @@
     join(leased, agent())
     leased.submit(request(), 0.0)
     assert sends(leased.abandon(KEY, 0.1), StopRuns)
-    leased.on_disconnected(agent())
+    leased.on_disconnected(agent(), 0.1)
     ((_, message),) = sends(leased.on_connected(agent(), 0.2), StopRuns)
     assert message.tasks == (TASK,)
 
--- a/gypsumline/tests/core/leases/test_run_table.py
+++ b/gypsumline/tests/core/leases/test_run_table.py
@@ -361,7 +361,7 @@
     """Guards against runs that only the owner or only the agent knows."""
     table = open_table()
     run_one(table)
-    table.on_disconnected(ENTRY)
+    table.on_disconnected(ENTRY, 0.1)
     table.on_connected(ENTRY, 0.1)
     claims = ClaimRuns(tasks=("b.0.0.0",), attempts=(1,))
     effects = table.on_claims(ENTRY, claims, 0.1)
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -22,6 +22,11 @@
     OrderStop,
 )
 from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.lock_messages import (
+    LockAnswers,
+    LockKeys,
+    UnlockKeys,
+)
 from gypsumline.core.leases.messages import (
     ClaimRuns,
     ContactPing,
@@ -75,6 +80,18 @@
     latency=0.06,
 )
 
+# Methods of the state machines that handle the messages.
+_HANDLERS = {
+    ContactPing: "on_ping",
+    RunReports: "on_reports",
+    ContactPong: "on_pong",
+    StartRuns: "on_start",
+    StopRuns: "on_stop",
+    ClaimRuns: "on_claims",
+    LockKeys: "on_lock_request",
+    LockAnswers: "on_lock_answers",
+}
+
 
 @dataclasses.dataclass
 class Node:
@@ -402,7 +419,7 @@
 
     def _disconnected(self, node, peer):
         node.streams.pop(peer.member_id, None)
-        node.machine.on_disconnected(peer)
+        self.apply_effects(node, node.machine.on_disconnected(peer, self.now))
         if node.member.role is Role.ENTRY:
             self.at(CRASH_READ_DELAY, self._read_crashes, node)
 
@@ -444,22 +461,15 @@
         if self._links.get(pair) != link:
             return
         machine, now = node.machine, self.now
-        match message:
-            case ContactPing():
-                effects = machine.on_ping(sender, message, now)
-                self._defer_answer(node, sender, message.stamp)
-            case RunReports():
-                effects = machine.on_reports(sender, message, now)
-            case ContactPong():
-                effects = machine.on_pong(sender, message, now)
-            case StartRuns():
-                effects = machine.on_start(sender, message, now)
-            case StopRuns():
-                effects = machine.on_stop(sender, message, now)
-            case ClaimRuns():
-                effects = machine.on_claims(sender, message, now)
-            case ZonesOut():
-                effects = machine.on_zones_out(message, now)
+        if isinstance(message, ZonesOut):
+            effects = machine.on_zones_out(message, now)
+        elif isinstance(message, UnlockKeys):
+            effects = machine.on_unlock(sender, message)
+        else:
+            handler = getattr(machine, _HANDLERS[type(message)])
+            effects = handler(sender, message, now)
+        if isinstance(message, ContactPing):
+            self._defer_answer(node, sender, message.stamp)
         self.apply_effects(node, effects)
 
     def _defer_answer(self, node, agent, stamp):
@@ -686,6 +696,9 @@
             self.apply_effects(node, node.machine.abandon(key, self.now))
 
     def _answer(self, node, ended):
+        if ended.key in node.unread:
+            # The answer belongs to an earlier connection of the caller.
+            return
         caller = node.callers.pop(ended.key, None)
         if caller is None:
             return
