Use an idle executor again that has refused a connection

What callers saw (walks): no executor takes runs any more, after all of them had refused connections for a moment while nothing ran there. Cause: only a list of runs ends the state in which an executor counts as away, and an agent without runs asks for none. A heartbeat of the same life changed nothing. Change: a newer heartbeat of an executor that counts as away makes the agent ask for a list once. A refusal of that call waits for the next heartbeat, so an executor that is gone costs no connections.

--- a/gypsumline/core/leases/executor_state.py
+++ b/gypsumline/core/leases/executor_state.py
@@ -43,6 +43,7 @@
         self._listed_clock = announcement.clock
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
+        self._has_announced_again = False
         self._answered_at = now
         self._unanswered_calls = 0
         self._is_silent = False
@@ -69,6 +70,7 @@
     def update(self, announcement: Announcement, now: float) -> None:
         """Applies a newer announcement of the same incarnation."""
         self.announcement = announcement
+        self._has_announced_again = self.is_down
         self.set_clock(announcement.clock, now)
         if announcement.leaving:
             leaving_at = now + announcement.leaving_in
@@ -108,6 +110,11 @@
         """Whether no process listens at its address."""
         return self._refused_since < math.inf
 
+    @property
+    def must_be_asked(self) -> bool:
+        """Whether an answer is due before it is used, although nothing runs."""
+        return self._is_silent or self._has_announced_again
+
     @property
     def is_silent(self) -> bool:
         """Whether it has answered none of several calls for a while."""
@@ -140,6 +147,7 @@
         self._listed_at = listed_at
         self._unresponsive_since = math.inf
         self._refused_since = math.inf
+        self._has_announced_again = False
         self.has_crashed = False
         self.record_answer(now)
 
@@ -198,6 +206,7 @@
         A single refusal may come from a listener that is being replaced.
         """
         self.mark_unresponsive(now)
+        self._has_announced_again = False
         self._refused_since = min(self._refused_since, now)
         time = now - self._refused_since
         return time >= self._settings.crash_confirmation
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -174,7 +174,9 @@
         executor = self._executor
         if executor is None or executor.has_left:
             return False
-        return not (self.is_idle and self._is_open and not executor.is_silent)
+        return not (
+            self.is_idle and self._is_open and not executor.must_be_asked
+        )
 
     def next_tick_in(self, now: float) -> float:
         """Returns the seconds after which `tick` must be called again."""
--- a/gypsumline/tests/core/leases/test_crashes_at_agents.py
+++ b/gypsumline/tests/core/leases/test_crashes_at_agents.py
@@ -1,6 +1,7 @@
 """Tests of how an agent tells a crash of its executor from silence."""
 
 import dataclasses
+import math
 
 import pytest
 
@@ -250,6 +251,20 @@
     assert ends(effects) == [("b.0.0.0", 1, RunEnd.NOT_TAKEN)]
 
 
+def test_idle_executor_that_refused_connections_is_asked_when_it_announces():
+    """Guards against an executor that is never used again after a cut."""
+    table = open_table()
+    answer_ping(table, 0.5)
+    (started,) = starts(table.on_start(ENTRY, start(order(), stamp=0.5), 0.5))
+    table.on_start_answer(started, OrderAnswer.NO_LISTENER, 0.5)
+    assert not table.accepts_starts
+    assert table.hold_due_in(0.6) == math.inf
+    table.on_announcement(announcement(sequence=2), 1.5)
+    request = table.next_hold_request(1.5)
+    table.on_hold_reply(request, hold_reply(), 1.5, 1.51)
+    assert table.accepts_starts
+
+
 def test_runs_of_a_crash_are_reported_lost_at_once():
     """Guards against runs that are placed again after their objective."""
     effects = refuse_connections(table_with_runs())
