Grant locks soon after all agents have restarted

Cause: an agent granted no new lock in the first 0.5 s after its start, and an owner that was told so passed it over for 1 s and asked the next agent at once. When all agents restart together no job started for that time, and owners and agents exchanged requests without a pause. Change: the time counts from the agent's first stream, since owners list their locks first on each stream, and is 0.1 s; an agent that cannot grant yet is passed over only that long, and one that is passed over already is not asked again before the next check. If too few agents answer, those that were passed over fill their places.

--- a/gypsumline/core/leases/key_locks.py
+++ b/gypsumline/core/leases/key_locks.py
@@ -129,7 +129,7 @@
         if key in self._locks:
             return []
         lock = self._locks[key] = _KeyLock(key)
-        return self._ask([lock], now)
+        return [*self._ask([lock], now)]
 
     def release(self, key: str, at_once: bool) -> list[Effect]:
         """Returns the locks on a key, of whose job no run is left.
@@ -228,8 +228,9 @@
             unlock = UnlockKeys(keys=tuple(unwanted))
             news.effects.append(Send(to=agent.member_id, message=unlock))
         if unsure:
-            self._pass_over(agent.member_id, now)
-            news.effects.extend(self._ask(unsure, now))
+            until = now + self._settings.lock_warmup
+            self._passed_over[agent.member_id] = until
+            news.effects.extend(self._ask_others(unsure, now))
         return news
 
     def check(self, now: float) -> list[Effect]:
@@ -254,7 +255,7 @@
             is_unanswered = not lock.holder and lock.asked_at > -math.inf
             for view in lock.missing if is_unanswered else ():
                 self._pass_over(view.member.member_id, now)
-        return self._ask(due, now)
+        return [*self._ask(due, now)]
 
     def _on_granted(
         self, lock: _KeyLock, view: AgentView, news: LockNews
@@ -311,7 +312,21 @@
         lock = self._locks.get(key)
         return lock is not None and view in lock.keepers
 
-    def _ask(self, locks: Iterable[_KeyLock], now: float) -> list[Effect]:
+    def _ask_others(self, locks: list[_KeyLock], now: float) -> list[Effect]:
+        """Requests locks that an agent cannot grant yet from the next ones.
+
+        Those that have no other agent wait for the next check.
+        """
+        return [
+            send
+            for send in self._ask(locks, now)
+            if not self._is_passed_over(send.to, now)
+        ]
+
+    def _is_passed_over(self, name: str, now: float) -> bool:
+        return self._passed_over.get(name, -math.inf) > now
+
+    def _ask(self, locks: Iterable[_KeyLock], now: float) -> list[Send]:
         """Requests the locks that are missing."""
         keys: dict[str, list[str]] = {}
         for lock in locks:
@@ -366,15 +381,16 @@
 
     def _choose(self, key: str, now: float) -> list[AgentView]:
         """Returns the agents that are to keep the locks on a key."""
-        views = [
-            view for view in self._fleet.heard_recently(now) if view.keeps_locks
-        ]
-        answering = [
-            view
-            for view in views
-            if self._passed_over.get(view.member.member_id, -math.inf) <= now
-        ]
-        return _highest(key, answering or views)
+        answering: list[AgentView] = []
+        passed_over: list[AgentView] = []
+        for view in self._fleet.heard_recently(now):
+            if view.keeps_locks:
+                is_away = self._is_passed_over(view.member.member_id, now)
+                (passed_over if is_away else answering).append(view)
+        chosen = _highest(key, answering)
+        if len(chosen) < LOCK_KEEPERS:
+            chosen += _highest(key, passed_over)
+        return _highest(key, chosen[:LOCK_KEEPERS])
 
 
 def _highest(key: str, views: list[AgentView]) -> list[AgentView]:
--- a/gypsumline/core/leases/lock_table.py
+++ b/gypsumline/core/leases/lock_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -31,18 +32,15 @@
     Args:
       settings: Times of the locks.
       contacts: Contacts with the owners.
-      started_at: Start of the agent. It knows no earlier locks.
     """
 
     def __init__(
-        self,
-        settings: LeaseSettings,
-        contacts: OwnerContacts,
-        started_at: float,
+        self, settings: LeaseSettings, contacts: OwnerContacts
     ) -> None:
         self._settings = settings
         self._contacts = contacts
-        self._certain_at = started_at + settings.lock_warmup
+        # An agent that starts dials all owners, which list their locks first.
+        self._certain_at = math.inf
         self._locks: dict[str, _Lock] = {}
         # Ends of the streams to owners that may have locks.
         self._lost_at: dict[Member, float] = {}
@@ -50,9 +48,12 @@
     def __len__(self) -> int:
         return len(self._locks)
 
-    def on_connected(self, owner: Member) -> None:
+    def on_connected(self, owner: Member, now: float) -> None:
         """Records a new stream to an owner."""
         self._lost_at.pop(owner, None)
+        self._certain_at = min(
+            self._certain_at, now + self._settings.lock_warmup
+        )
 
     def on_disconnected(self, owner: Member, now: float) -> None:
         """Records the end of the stream to an owner."""
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -100,7 +100,7 @@
         self._usage = ResourceUsage()
         self._unowned_runs = UnownedRuns(STOP_RETRY_SECONDS)
         self._contacts = OwnerContacts(settings)
-        self._locks = LockTable(settings, self._contacts, started_at)
+        self._locks = LockTable(settings, self._contacts)
         self._offers = CapacityOffers()
         self._reports = PendingReports(self._contacts, self._load)
         self._crashes = CrashLog(settings)
@@ -194,7 +194,7 @@
     def on_connected(self, owner: Member, now: float) -> list[Effect]:
         """Handles a new stream to an owner, which sends its claims first."""
         self._contacts.connect(owner)
-        self._locks.on_connected(owner)
+        self._locks.on_connected(owner, now)
         effects: list[Effect] = [self._ping(owner, now)]
         crashes = self._crashes.recent(now)
         if crashes:
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -53,8 +53,8 @@
       lock_retry_interval: Time between requests for a lock that another owner
         has.
       lock_suspension: Time for which it is passed over.
-      lock_warmup: Time after the start of an agent in which it does not grant
-        locks, unless their owners had them before.
+      lock_warmup: Time from the first stream of an agent in which it does not
+        grant locks, unless their owners had them before.
       crash_memory: Time for which the runs of a crash remain suspects.
       crash_records: Maximum number of crashes that an agent keeps.
     """
@@ -82,7 +82,7 @@
     lock_answer_limit: float = 0.1
     lock_retry_interval: float = 0.1
     lock_suspension: float = 1.0
-    lock_warmup: float = 0.5
+    lock_warmup: float = 0.1
     crash_memory: float = 60.0
     crash_records: int = 32
 
--- a/gypsumline/tests/core/leases/test_key_locks.py
+++ b/gypsumline/tests/core/leases/test_key_locks.py
@@ -123,6 +123,19 @@
     assert sends(answer(leased, requests, 0.13), StartRuns)
 
 
+def test_agents_that_have_just_started_are_asked_again_after_a_while(leased):
+    """Guards against requests without a pause while all agents restart."""
+    effects = leased.submit(request(), 0.0)
+    rounds = 0
+    while requests := asked(effects):
+        effects = answer(leased, requests, 0.01, LockState.UNSURE)
+        rounds += 1
+        assert rounds <= AGENTS
+    for now in (0.04, 0.07, 0.1, 0.13):
+        effects += leased.tick(now)
+    assert sends(answer(leased, asked(effects), 0.14), StartRuns)
+
+
 def test_owner_that_was_paused_requests_its_locks_again(leased):
     """Guards against runs under locks that others have been granted."""
     requests = asked(leased.submit(request(), 0.0))
