End no run for refused connections

Cause: two refusals 40 ms apart counted as the end of the process, and all confirmed runs there were reported lost at once. Change: refusals count as a crash for the blame of jobs, and no new order goes to the executor; its runs are lost with their lease, or at once with the first list of its next life.

--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -845,7 +845,11 @@
     def _on_no_listener(
         self, executor: ExecutorState, now: float
     ) -> list[Effect]:
-        """Handles a refused connection, which proves a crash if repeated."""
+        """Handles a refused connection, which counts as a crash if repeated.
+
+        The executor may have been cut off and run on, so that its runs end with
+        their lease, or with the first list of the next incarnation.
+        """
         if executor.has_left or executor.has_crashed:
             return []
         was_down = executor.is_down
@@ -854,21 +858,7 @@
             return [] if was_down else self._reports.broadcast(now)
         runs = list(self._runs.values())
         detected = self._crashes.add(executor, runs, "connection refused", now)
-        # What the executor had confirmed ended with its process. An order
-        # without an answer, of which a run may have several, may still reach
-        # the next incarnation.
-        confirmed = [
-            run
-            for run in runs
-            if run.started_at < math.inf and not run.open_tries
-        ]
-        for run in confirmed:
-            self._end_run(run, RunEnd.LOST, 0.0)
-        return [
-            detected,
-            lost_line(confirmed, "connection refused"),
-            *self._reports.broadcast(now, (detected.crash,)),
-        ]
+        return [detected, *self._reports.broadcast(now, (detected.crash,))]
 
     def _on_first_list(
         self, executor: ExecutorState, lost: list[Run], now: float
--- a/properties/lease_executor.py
+++ b/properties/lease_executor.py
@@ -77,6 +77,7 @@
         # Most stops are lost or refused until then; the other calls work.
         self.loses_stops_until = -1.0
         self.silent_until = -1.0  # calls get no answer until then
+        self.refuses_until = -1.0  # connections are refused until then
         # At most 2% slower than the clocks of the agents.
         self.clock_rate = world.rng.choice((1.0, 0.98))
         self.sequence = 0
@@ -183,7 +184,7 @@
     def handle_order(self, order, node, answer):
         """Carries out a start or stop order, possibly after a delay."""
         world = self.world
-        if not self.up:
+        if not self.up or world.now < self.refuses_until:
             answer(OrderAnswer.NO_LISTENER)
             return
         if world.now < self.silent_until:
@@ -322,7 +323,7 @@
     def handle_hold(self, request, node, answer):
         """Renews the lease and lists runs after the next end or the wait."""
         world = self.world
-        if not self.up:
+        if not self.up or world.now < self.refuses_until:
             answer(OrderAnswer.NO_LISTENER)
             return
         if world.now < self.silent_until:
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -124,6 +124,13 @@
         executor.loses_answers_until = world.now + 3.0
 
 
+def refuse_connections(world, rng):
+    """Has executors refuse connections for a moment, and run on."""
+    for executor in world.executors.values():
+        if rng.random() < 0.5:
+            executor.refuses_until = world.now + rng.choice((0.06, 0.3, 1.0))
+
+
 def hang(world, rng):
     executor = rng.choice(list(world.executors.values()))
     executor.hung_until = world.now + 2.0
@@ -297,6 +304,17 @@
 )
 
 
+# Executors that are cut off and run on, beside some that crash.
+REFUSAL_ACTIONS = (
+    *[submit] * 6,
+    *[refuse_connections] * 4,
+    restart_executor,
+    partition,
+    leave,
+    pause,
+)
+
+
 # Entries that lose the store while agents have it, under little else.
 STORE_CUT_ACTIONS = (
     *[submit] * 12,
@@ -423,6 +441,7 @@
     parser.add_argument("--false-announcements", action="store_true")
     parser.add_argument("--store-cuts", action="store_true")
     parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--refusals", action="store_true")
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
@@ -439,6 +458,7 @@
             actions = FALSE_ANNOUNCEMENT_ACTIONS
         actions = STORE_CUT_ACTIONS if options.store_cuts else actions
         actions = RESTART_ACTIONS if options.restarts else actions
+        actions = REFUSAL_ACTIONS if options.refusals else actions
         world = walk(
             seed, clocks_restart=options.clocks_restart, actions=actions
         )
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -20,6 +20,7 @@
 STORE_CUT_WALKS = 10
 RESTART_WALKS = 10
 LATE_CALLER_WALKS = 10
+REFUSAL_WALKS = 10
 FIRST_SEEDS = range(1, 121)
 
 
@@ -87,6 +88,13 @@
     assert _walk_with_late_callers(seed).oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", range(1, REFUSAL_WALKS + 1))
+def test_runs_of_executors_that_refuse_connections_are_not_lost(seed):
+    """Guards against two runs where an executor is cut off and runs on."""
+    actions = lease_walk.REFUSAL_ACTIONS
+    assert lease_walk.walk(seed, actions=actions).oracle.violations == []
+
+
 @pytest.mark.parametrize("seed", range(1, FALSE_ANNOUNCEMENT_WALKS + 1))
 def test_false_announcements_end_no_run(seed):
     """Guards against two runs after heartbeats of other writers."""
