List the walks that fail after the locks, and repair a mutant of them

Cause: the mutant that lets runs of abandoned jobs go on replaced a method whose arguments have changed, and the locks would hide it: they outlast such runs. Change: it returns the locks too, so that it stands for the loss of both; a mutant whose agents grant every lock joins it.

--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gypsumline.core.leases.lock_table import LockTable
 from gypsumline.core.leases.messages import RunEnd
 from gypsumline.core.leases.owner import LeasedOwner
 from gypsumline.core.leases.run_table import RunTable
@@ -185,14 +186,19 @@
 
 
 def ignore_abandoned_jobs(monkeypatch):
-    """Lets runs continue after their caller has left."""
+    """Lets runs continue after their caller has left, without the locks."""
     monkeypatch.setattr(LeasedOwner, "_remove_job", _remove_job_without_stop)
 
 
-def _remove_job_without_stop(self, job, now):
+def _remove_job_without_stop(self, job, now, is_completed=False):
     self._jobs.pop(job.key, None)
     self._waiting.discard(job)
-    return []
+    return self._locks.release(job.key, at_once=not is_completed)
+
+
+def grant_every_lock(monkeypatch):
+    """Has agents grant a lock that another owner has."""
+    monkeypatch.setattr(LockTable, "_is_held", lambda self, lock, now: False)
 
 
 def never_fence(monkeypatch):
@@ -283,6 +289,7 @@
         (ignore_contact, lease_walk.walk, FIRST_SEEDS),
         (rerun_without_wait, lease_walk.walk, FIRST_SEEDS),
         (ignore_abandoned_jobs, lease_walk.walk, FIRST_SEEDS),
+        (grant_every_lock, _walk_with_late_callers, FIRST_SEEDS),
         (renew_regardless, _walk_with_lost_stops, FIRST_SEEDS),
         (believe_announcements, _walk_with_false_announcements, FIRST_SEEDS),
         (lose_runs_at_restart, _walk_with_restarts, FIRST_SEEDS),
