--- a/properties/test_lease_load.py
+++ b/properties/test_lease_load.py
@@ -131,7 +131,7 @@
 
     Guards against refusals that come late, or go on after the return.
     """
-    world, _ = run_half_away(pattern, rate=60.0)
+    world, _ = run_half_away(pattern, rate=70.0)
     possible = sum(r.possible for r in world.by_queue.values())
     late = [value for at, value in world.late_refusals if at >= 5.5]
     assert sum(late) <= MAX_LATE_REFUSAL_SHARE * possible
