Write log lines in pieces of 8 KiB at most

Change: a flush writes whole lines in pieces of 8 KiB at most. The new test fails on the code before; the other two are unchanged but for the texts that their stream keeps.

--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -6,6 +6,7 @@
 import logging.handlers
 import math
 import sys
+from collections.abc import Iterator
 from typing import TextIO
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
@@ -15,6 +16,8 @@
 from gypsumline.runtime.clock import boot_time
 
 _BUFFERED_LINES = 1000
+# A reader of the output may see no more than this of one write.
+_WRITE_BYTES = 8192
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
@@ -31,19 +34,34 @@
         self._stream = stream
 
     def flush(self) -> None:
-        """Writes all buffered lines with one call."""
+        """Writes all buffered lines with few calls."""
         self.acquire()
         try:
             if not self.buffer:
                 return
             lines = [self.format(record) + "\n" for record in self.buffer]
             self.buffer.clear()
-            self._stream.write("".join(lines))
-            self._stream.flush()
+            for batch in _batches(lines):
+                self._stream.write(batch)
+                self._stream.flush()
         finally:
             self.release()
 
 
+def _batches(lines: list[str]) -> Iterator[str]:
+    """Yields joined lines; a batch above the limit is a single line."""
+    batch: list[str] = []
+    size = 0
+    for line in lines:
+        line_size = len(line.encode())
+        if batch and size + line_size > _WRITE_BYTES:
+            yield "".join(batch)
+            batch, size = [], 0
+        batch.append(line)
+        size += line_size
+    yield "".join(batch)
+
+
 def flush_logs() -> None:
     """Flushes all log handlers; daemons call this periodically."""
     for handler in logging.getLogger().handlers:
--- a/gypsumline/tests/runtime/test_logs.py
+++ b/gypsumline/tests/runtime/test_logs.py
@@ -10,12 +10,17 @@
 
 
 class CountingStream(io.StringIO):
-    """Counts the calls of `write`."""
+    """Counts the calls of `write` and keeps their texts."""
 
     writes = 0
 
+    def __init__(self):
+        super().__init__()
+        self.texts = []
+
     def write(self, text):
         self.writes += 1
+        self.texts.append(text)
         return super().write(text)
 
 
@@ -46,3 +51,20 @@
     logger.info("placed")
     logger.warning("planned stop cuts work")
     assert len(stream.getvalue().splitlines()) == 2
+
+
+def test_each_write_holds_whole_lines_within_the_limit():
+    """Guards against lines that a reader of the first 8 KiB does not see."""
+    logger, handler, stream = make_logger()
+    for number in range(100):
+        logger.info("placed", extra={"task": number, "detail": "é" * 200})
+    logger.info("placed", extra={"task": 100, "detail": "e" * 10_000})
+    handler.flush()
+    *batches, last = stream.texts
+    assert all(text.endswith("\n") for text in batches)
+    assert max(len(text.encode()) for text in batches) <= 8192
+    assert last.count("\n") == 1
+    batches.append(last)
+    lines = [json.loads(line) for line in "".join(batches).splitlines()]
+    assert [line["task"] for line in lines] == list(range(101))
+    assert len(batches) < len(lines) / 4
