Show two entries with locks at agents that differ (known red)

Cause as shown here: an owner takes the locks of a key from the agents that it hears at that moment. Two entries that hear other parts of the fleet get both locks from agents that have nothing in common, and each starts. Change: a test with the real programs. 16 of 24 agents are suspended for 0.4 s while one entry gets eight jobs, whose callers leave unheard and send them to the other entry 1.3 s later; twice, once for each entry. Callers of the soak may leave unheard (their connection lasts for the entry); a world can wait for its streams.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,11 +15,13 @@
     Attributes:
       delay: Seconds added to each chunk.
       target: Address that is forwarded to.
+      was_connected: Set from the first connection on.
     """
 
     def __init__(self, target):
         self.target = target
         self.delay = 0.0
+        self.was_connected = asyncio.Event()
         self._may_forward = {name: asyncio.Event() for name in DIRECTIONS}
         self.release()
         self._connections = set()
@@ -37,6 +39,7 @@
             return
         writers = (writer, up_writer)
         self._connections.add(writers)
+        self.was_connected.set()
         try:
             await asyncio.gather(
                 self._pump(reader, up_writer, "up"),
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,9 @@
 # Run time of tasks that still run when their entry wakes.
 LONG_RUN_SECONDS = 1.8
 RECOVERY_PAUSE_SECONDS = 2.0
+# Part of the agents that are suspended at once.
+DIVIDED_SHARE = 2 / 3
+UNHEARD_SECONDS = 6.0
 FAULTS = []
 CRASH_FAULTS = []
 LOSS_FAULTS = []
@@ -99,6 +102,33 @@
     program.faulted_at = world.now
 
 
+async def divide_fleet(world, entry, seconds, jobs, unheard):
+    """Suspends agents while an entry gets jobs whose callers then leave it.
+
+    The agents are back before the callers send the jobs to other entries.
+
+    Returns:
+      Tasks of the callers.
+    """
+    count = round(DIVIDED_SHARE * len(world.agents))
+    programs = world.rng.sample(list(world.agents.values()), count)
+    for program in programs:
+        program.faulted_at = world.now
+    pauses = [asyncio.create_task(p.pause(seconds)) for p in programs]
+    # Lets the signals be sent first.
+    await asyncio.sleep(PATIENCE_SECONDS)
+    callers = [
+        world.submit(
+            first_entry=entry, patience=PATIENCE_SECONDS, unheard=unheard
+        )
+        for _ in range(jobs)
+    ]
+    await asyncio.gather(*pauses)
+    for program in programs:
+        program.faulted_at = world.now
+    return callers
+
+
 @fault
 async def restart(world):
     """Performs a planned stop of a process and starts it again."""
@@ -351,9 +381,7 @@
     directory = ROOT / "build" / "soak" / f"pauses-{seed}"
     world = SoakWorld(seed, 2, 6, directory)
     async with world.running(), running_programs(world.programs):
-        world.estimate_ms = int(1000 * LONG_RUN_SECONDS)
-        for executor in world.executors.values():
-            executor.run_times = (LONG_RUN_SECONDS,)
+        _set_run_time(world, LONG_RUN_SECONDS)
         await asyncio.sleep(START_SECONDS)
         for _ in range(rounds):
             await leave_during_pause(world)
@@ -361,6 +389,42 @@
         return world.oracle.completed, world.oracle.violations
 
 
+async def run_divided_fleet(seed, agents, rounds, jobs, seconds):
+    """Pauses most agents again and again while callers leave an entry.
+
+    Args:
+      seed: Seed of the choices.
+      agents: Number of agents.
+      rounds: Number of pauses.
+      jobs: Number of jobs that the entry gets in each pause.
+      seconds: Time of each pause.
+
+    Returns:
+      Number of completed jobs, and the violations.
+    """
+    directory = ROOT / "build" / "soak" / f"divided-{seed}"
+    world = SoakWorld(seed, 2, agents, directory)
+    callers = []
+    async with world.running(), running_programs(world.programs):
+        _set_run_time(world, LONG_RUN_SECONDS)
+        await world.wait_until_connected()
+        await asyncio.sleep(RECOVERY_PAUSE_SECONDS)
+        for number in range(rounds):
+            entry = f"entry-{number % len(world.entries)}"
+            callers += await divide_fleet(
+                world, entry, seconds, jobs, UNHEARD_SECONDS
+            )
+            await asyncio.sleep(RECOVERY_PAUSE_SECONDS)
+        await asyncio.gather(*callers)
+        return world.oracle.completed, world.oracle.violations
+
+
+def _set_run_time(world, seconds):
+    world.estimate_ms = int(1000 * seconds)
+    for executor in world.executors.values():
+        executor.run_times = (seconds,)
+
+
 async def _submit_jobs(world):
     while True:
         world.submit()
--- a/soak/world.py
+++ b/soak/world.py
@@ -32,6 +32,7 @@
 FIRST_NETWORK, NETWORKS = 10, 200
 RESUBMIT_SECONDS = 1.3
 CALLER_TIMEOUT_SECONDS = 6.0
+START_LIMIT_SECONDS = 60.0
 ENTRIES_TABLE = "gypsumline-entries"
 
 
@@ -211,6 +212,12 @@
 
         return translate
 
+    async def wait_until_connected(self):
+        """Waits until each agent has had a stream to each entry."""
+        async with asyncio.timeout(START_LIMIT_SECONDS):
+            for proxy in self.proxies.values():
+                await proxy.was_connected.wait()
+
     # Faults.
 
     def undisturbed_since(self, name):
@@ -258,6 +265,7 @@
         crash_delay=None,
         first_entry=None,
         patience=CALLER_TIMEOUT_SECONDS,
+        unheard=0.0,
     ):
         """Submits a job as a new caller and returns the task of the caller.
 
@@ -266,19 +274,24 @@
           crash_delay: Seconds after which its first task crashes an executor.
           first_entry: Entry that it tries first, and never again; None for any.
           patience: Time after which it leaves that entry, in seconds.
+          unheard: Time for which that entry does not hear that it has left.
         """
         self._last_key += 1
         key = f"{self._last_key:016x}"
         if crash_delay is not None:
             self.culprits[f"{key}.0.0.0"] = crash_delay
-        task = asyncio.create_task(
-            self._run_caller(key, timeout, first_entry, patience)
+        return self._keep_task(
+            self._run_caller(key, timeout, first_entry, patience, unheard)
         )
+
+    def _keep_task(self, coroutine):
+        """Returns a task that ends with the world at the latest."""
+        task = asyncio.create_task(coroutine)
         self._caller_tasks.add(task)
         task.add_done_callback(self._caller_tasks.discard)
         return task
 
-    async def _run_caller(self, key, timeout, first_entry, patience):
+    async def _run_caller(self, key, timeout, first_entry, patience, unheard):
         count = self.rng.choice((1, 2, 4))
         self.sizes[key] = self.rng.choice((500, 2000, 3000))
         step = {
@@ -292,7 +305,11 @@
         entries = list(self.entries)
         if first_entry is not None:
             self.unanswered.add(key)
-            await self._send_job(first_entry, key, body, patience)
+            # For the entry the connection lasts, as after a cut.
+            first_request = self._keep_task(
+                self._send_job(first_entry, key, body, patience + unheard)
+            )
+            await asyncio.wait([first_request], timeout=patience)
             await asyncio.sleep(RESUBMIT_SECONDS)
             entries.remove(first_entry)
         while self.now < end:
