Walk with the agents of the sites, and list the walks with two runs of one job

The walks had three agents, of which any two pairs have one in common, so they could not show two entries with locks at agents that differ.

--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -12,6 +12,7 @@
 
 from gypsumline.core.leases.job import JobStep
 from gypsumline.core.leases.resources import Resources
+from properties.fleet_faults import FAULTS, FleetWorld
 from properties.lease_world import QUEUE, TIMEOUTS, ZONES, LeaseWorld
 
 STEP = 0.25  # seconds of virtual time between actions
@@ -23,6 +24,9 @@
 # More than a task that crashes its executors may cause.
 MAX_CRASHES = 8
 CRASH_INTERVAL_SECONDS = 6.0
+# Bounds of the numbers of agents and entries that walks draw.
+AGENTS = (3, 30)
+ENTRIES = (2, 4)
 
 
 def submit(world, rng):
@@ -325,11 +329,44 @@
 )
 
 
-def walk(seed, steps=STEPS, clocks_restart=False, actions=ACTIONS):
-    """Runs a random walk and returns its world."""
+# Callers that come to an entry late or leave it unheard, under nothing else.
+FLEET_ACTIONS = (
+    *[submit_late] * 4,
+    *[leave_unheard] * 3,
+    *[submit] * 3,
+    pause_entry,
+)
+
+
+def fleet_actions(*names):
+    """Returns late callers, paused entries and the named faults of a fleet."""
+    added = [FAULTS[name] for name in names]
+    return (*FLEET_ACTIONS, *added * 3)
+
+
+def walk(
+    seed,
+    steps=STEPS,
+    clocks_restart=False,
+    actions=ACTIONS,
+    agents=3,
+    sizes=False,
+):
+    """Runs a random walk and returns its world.
+
+    Args:
+      seed: Seed of all that is drawn.
+      steps: Number of actions.
+      clocks_restart: Whether executors restart their clocks.
+      actions: Actions to draw from.
+      agents: Number of agents.
+      sizes: Whether to draw the numbers of agents and entries instead.
+    """
     rng = random.Random(seed)
     entries = rng.choice((2, 3))
-    world = LeaseWorld(seed, entries, agents=3, clocks_restart=clocks_restart)
+    if sizes:
+        agents, entries = rng.randint(*AGENTS), rng.randint(*ENTRIES)
+    world = FleetWorld(seed, entries, agents, clocks_restart=clocks_restart)
     if actions is FALSE_ANNOUNCEMENT_ACTIONS:
         for executor in list(world.executors.values())[1:]:
             executor.is_renamed = True
@@ -442,6 +479,16 @@
     parser.add_argument("--store-cuts", action="store_true")
     parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--refusals", action="store_true")
+    parser.add_argument(
+        "--fleet",
+        nargs="*",
+        choices=sorted(FAULTS),
+        help="late callers, paused entries and these faults only",
+    )
+    parser.add_argument("--agents", type=int, default=3)
+    parser.add_argument(
+        "--sizes", action="store_true", help="draw the numbers of processes"
+    )
     options = parser.parse_args()
     starts = completed = 0
     for seed in range(options.seed, options.seed + options.walks):
@@ -459,8 +506,14 @@
         actions = STORE_CUT_ACTIONS if options.store_cuts else actions
         actions = RESTART_ACTIONS if options.restarts else actions
         actions = REFUSAL_ACTIONS if options.refusals else actions
+        if options.fleet is not None:
+            actions = fleet_actions(*options.fleet)
         world = walk(
-            seed, clocks_restart=options.clocks_restart, actions=actions
+            seed,
+            clocks_restart=options.clocks_restart,
+            actions=actions,
+            agents=options.agents,
+            sizes=options.sizes,
         )
         starts += world.oracle.starts
         completed += world.oracle.completed
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -436,7 +436,7 @@
             # broken first.
             delay = self.partitions[name, to] - self.now + 0.01
         else:
-            delay = self.rng.choice(self.delays)
+            delay = self.draw_delay(name, to)
         arrival = max(self.now + delay, self._last_arrival.get((link, to), 0.0))
         self._last_arrival[link, to] = arrival
         self.at(
@@ -449,6 +449,11 @@
             message,
         )
 
+    def draw_delay(self, sender, receiver):
+        """Returns the delay of a message in seconds."""
+        del sender, receiver
+        return self.rng.choice(self.delays)
+
     def _arrive(self, pair, link, to, sender, message):
         if self._links.get(pair) != link:
             return
--- /dev/null
+++ b/properties/test_fleet_locks.py
@@ -0,0 +1,28 @@
+"""Walks of leased submissions with the numbers of agents that sites have."""
+
+import pytest
+
+from properties import lease_walk
+
+
+@pytest.mark.parametrize(
+    ("faults", "agents", "seed"),
+    [
+        ("cuts", 9, 104),
+        ("cuts", 9, 105),
+        ("cuts", 21, 102),
+        ("partial-reads", 9, 103),
+        ("partial-reads", 9, 105),
+        ("partial-reads", 21, 107),
+        ("paused-agents", 21, 117),
+        ("slow-streams", 9, 103),
+        ("resets", 9, 122),
+    ],
+)
+def test_entries_that_hear_different_agents_never_run_one_job(
+    faults, agents, seed
+):
+    """Guards against two entries with locks of agents that differ."""
+    actions = lease_walk.fleet_actions(faults)
+    world = lease_walk.walk(seed, actions=actions, agents=agents)
+    assert world.oracle.violations == []
