Write the times of log lines in UTC

A line of an incident could not be set against the commits of a landing: its time was that of the host's zone, which the line does not name. The new test fails on the code before (5 h off with a zone of that offset).

--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -6,6 +6,7 @@
 import logging.handlers
 import math
 import sys
+import time
 from collections.abc import Iterator
 from typing import TextIO
 
@@ -71,7 +72,7 @@
 def configure_logs(
     member_id: str, level: str, stream: TextIO | None = None
 ) -> None:
-    """Configures logging to write JSON lines to a stream.
+    """Configures logging to write JSON lines to a stream, with times in UTC.
 
     Args:
       member_id: Member id of this process, added to each line.
@@ -83,6 +84,7 @@
         rename_fields={"asctime": "time", "levelname": "level"},
         static_fields={"member": member_id},
     )
+    formatter.converter = time.gmtime
     handler = BatchingHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     root = logging.getLogger()
--- a/gypsumline/tests/runtime/test_logs.py
+++ b/gypsumline/tests/runtime/test_logs.py
@@ -1,12 +1,14 @@
-"""Tests of the batching log handler."""
+"""Tests of the batching log handler and of the format of its lines."""
 
+import datetime
 import io
 import json
 import logging
+import time
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from gypsumline.runtime.logs import BatchingHandler
+from gypsumline.runtime.logs import BatchingHandler, configure_logs
 
 
 class CountingStream(io.StringIO):
@@ -68,3 +70,21 @@
     lines = [json.loads(line) for line in "".join(batches).splitlines()]
     assert [line["task"] for line in lines] == list(range(101))
     assert len(batches) < len(lines) / 4
+
+
+def test_times_are_in_utc(monkeypatch):
+    """Guards against lines whose time depends on the zone of the host."""
+    stream = io.StringIO()
+    monkeypatch.setattr(logging, "root", logging.RootLogger(logging.INFO))
+    monkeypatch.setenv("TZ", "Etc/GMT-5")
+    time.tzset()
+    try:
+        configure_logs("front-1", "info", stream)
+        before = datetime.datetime.now(datetime.UTC)
+        logging.getLogger().warning("started")
+    finally:
+        monkeypatch.undo()
+        time.tzset()
+    text = json.loads(stream.getvalue())["time"].replace(",", ".")
+    logged = datetime.datetime.fromisoformat(f"{text}+00:00")
+    assert abs(logged - before) < datetime.timedelta(minutes=1)
