Log the ends of jobs beside a full decision log

What operators saw: a job without a line at any entry. An entry of a large deployment writes more than 400 lines in some seconds, most of them run_placed, and drops the others by their order, job_ended among them. Change: decisions have a kind, and outcomes (job_ended, job_abandoned) a limit of their own, of the same 400 lines. The new test can't run on the code before, which has no kinds.

--- a/gypsumline/core/effects.py
+++ b/gypsumline/core/effects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -180,6 +181,13 @@
     detail: str = ""
 
 
+class DecisionKind(enum.Enum):
+    """What a decision is about; its log lines are limited by kind."""
+
+    STEP = enum.auto()
+    OUTCOME = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Decision(Effect):
     """Logs a routing or placement decision.
@@ -187,7 +195,9 @@
     Attributes:
       event: Event name of the log line.
       fields: Fields of the log line by name.
+      kind: What it is about.
     """
 
     event: str
     fields: dict[str, object]
+    kind: DecisionKind = DecisionKind.STEP
--- a/gypsumline/core/leases/owner_effects.py
+++ b/gypsumline/core/leases/owner_effects.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Iterable
 
-from gypsumline.core.effects import Decision, Effect, Send
+from gypsumline.core.effects import Decision, DecisionKind, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.crash_history import (
     CrashHistory,
@@ -199,6 +199,7 @@
     """Returns the log line of a job whose last caller has disconnected."""
     return Decision(
         event="job_abandoned",
+        kind=DecisionKind.OUTCOME,
         fields={
             "job": job.key,
             "queue": job.request.queue.name,
@@ -213,6 +214,7 @@
     """Returns the log line of the end of a job."""
     return Decision(
         event="job_ended",
+        kind=DecisionKind.OUTCOME,
         fields={
             "job": ended.key,
             "queue": job.request.queue.name,
--- a/gypsumline/runtime/logs.py
+++ b/gypsumline/runtime/logs.py
@@ -12,7 +12,7 @@
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from gypsumline.core.effects import Decision
+from gypsumline.core.effects import Decision, DecisionKind
 from gypsumline.runtime import metrics
 from gypsumline.runtime.clock import boot_time
 
@@ -103,34 +103,35 @@
     """Logs decisions, up to a limit of lines per second.
 
     Lines over the limit are dropped and counted. The count is logged before the
-    first line of a later second.
+    first line of a later second. Each kind has a limit of its own, so that
+    lines on steps do not displace those on outcomes.
 
     Args:
-      lines_per_second: Maximum number of lines per second.
+      lines_per_second: Maximum number of lines per second and kind.
     """
 
     def __init__(self, lines_per_second: int) -> None:
         self._limit = lines_per_second
         self._logger = logging.getLogger("gypsumline.decision")
         self._second = 0
-        self._written = 0
+        self._written = dict.fromkeys(DecisionKind, 0)
         self._dropped = 0
 
     def write(self, decision: Decision) -> None:
         """Logs a decision, or counts it as dropped."""
         self._start_second(int(boot_time()))
-        if self._written >= self._limit:
+        if self._written[decision.kind] >= self._limit:
             self._dropped += 1
             metrics.DECISION_LINES_DROPPED.inc()
             return
-        self._written += 1
+        self._written[decision.kind] += 1
         self._logger.info(decision.event, extra=decision.fields)
 
     def _start_second(self, second: int) -> None:
         if second == self._second:
             return
         self._second = second
-        self._written = 0
+        self._written = dict.fromkeys(DecisionKind, 0)
         if self._dropped:
             fields = {"dropped": self._dropped}
             self._logger.warning("decision lines dropped", extra=fields)
--- a/gypsumline/tests/runtime/test_logs.py
+++ b/gypsumline/tests/runtime/test_logs.py
@@ -8,7 +8,12 @@
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from gypsumline.runtime.logs import BatchingHandler, configure_logs
+from gypsumline.core.effects import Decision, DecisionKind
+from gypsumline.runtime.logs import (
+    BatchingHandler,
+    DecisionLog,
+    configure_logs,
+)
 
 
 class CountingStream(io.StringIO):
@@ -88,3 +93,16 @@
     text = json.loads(stream.getvalue())["time"].replace(",", ".")
     logged = datetime.datetime.fromisoformat(f"{text}+00:00")
     assert abs(logged - before) < datetime.timedelta(minutes=1)
+
+
+def test_end_of_a_job_is_logged_beside_dropped_lines(caplog, monkeypatch):
+    """Guards against ends of jobs that other lines of that second displace."""
+    monkeypatch.setattr("gypsumline.runtime.logs.boot_time", lambda: 5.0)
+    caplog.set_level(logging.INFO)
+    log = DecisionLog(3)
+    for _ in range(10):
+        log.write(Decision(event="run_placed", fields={}))
+    ended = Decision(event="job_ended", fields={}, kind=DecisionKind.OUTCOME)
+    for _ in range(5):
+        log.write(ended)
+    assert caplog.messages == 3 * ["run_placed"] + 3 * ["job_ended"]
