Divide the fleet in the soak while callers leave

Cause: no soak had entries that reach other agents at a time at which a job may come to two of them, and soaks have three agents, of which any two pairs share one.

Change: `--divided` suspends two thirds of the agents for 0.1 to 0.5 s, or cuts an entry off from as many for 0.3 to 3 s, while callers send jobs to an entry and leave it, which it hears at once, 1, 2 or 6 s later or not at all; with 24 agents unless said otherwise. Kinds of a soak are a list. Soaks wait for all streams before the first fault, since 24 agents take longer than 3 s to start; the choices of a seed are the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import uvloop
 
-from soak.run import run_soak
+from soak.run import AGENTS, DIVIDED_AGENTS, MORE_FAULTS, run_soak
 
 
 def main():
@@ -16,11 +16,17 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--entries", type=int, default=2)
-    parser.add_argument("--agents", type=int, default=3)
-    parser.add_argument("--crashes", action="store_true")
-    parser.add_argument("--lost-answers", action="store_true")
-    parser.add_argument("--misleading", action="store_true")
+    parser.add_argument("--agents", type=int, help="3; 24 if divided")
+    for kind in MORE_FAULTS:
+        parser.add_argument(
+            f"--{kind}", action="append_const", dest="kinds", const=kind
+        )
     options = parser.parse_args()
+    # In the order of the table, so that a seed has one course.
+    kinds = [kind for kind in MORE_FAULTS if kind in (options.kinds or ())]
+    agents = options.agents or (
+        DIVIDED_AGENTS if "divided" in kinds else AGENTS
+    )
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         result = uvloop.run(
@@ -28,10 +34,8 @@
                 seed,
                 options.seconds,
                 options.entries,
-                options.agents,
-                options.crashes,
-                options.lost_answers,
-                options.misleading,
+                agents,
+                kinds,
             )
         )
         sys.stdout.write(f"{result}\n")
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,13 +22,16 @@
 # Run time of tasks that still run when their entry wakes.
 LONG_RUN_SECONDS = 1.8
 RECOVERY_PAUSE_SECONDS = 2.0
-# Part of the agents that are suspended at once.
+# Part of the agents that are suspended at once, or cut off from an entry.
 DIVIDED_SHARE = 2 / 3
-UNHEARD_SECONDS = 6.0
+# Time after which an entry hears that a caller has left.
+UNHEARD = (0.0, 1.0, 2.0, 6.0)
+AGENTS, DIVIDED_AGENTS = 3, 24
 FAULTS = []
 CRASH_FAULTS = []
 LOSS_FAULTS = []
 MISLEADING_FAULTS = []
+DIVIDED_FAULTS = []
 
 
 @dataclasses.dataclass
@@ -94,14 +97,35 @@
     program = world.entries[name]
     program.faulted_at = world.now
     pause = asyncio.create_task(program.pause(world.rng.choice(LONG_PAUSES)))
-    # Lets the signal be sent first.
-    await asyncio.sleep(PATIENCE_SECONDS)
-    for _ in range(LEAVING_CALLERS):
-        world.submit(first_entry=name, patience=PATIENCE_SECONDS)
+    await _submit_and_leave(world, name, LEAVING_CALLERS)
     await pause
     program.faulted_at = world.now
 
 
+async def _submit_and_leave(world, entry, jobs, unheard=0.0):
+    """Submits jobs to an entry; returns the callers, which then leave it."""
+    # Lets the signals of a pause be sent first.
+    await asyncio.sleep(PATIENCE_SECONDS)
+    return [
+        world.submit(
+            first_entry=entry, patience=PATIENCE_SECONDS, unheard=unheard
+        )
+        for _ in range(jobs)
+    ]
+
+
+def _choose_agents(world):
+    """Returns the names of the agents that are away for a fault."""
+    count = round(DIVIDED_SHARE * len(world.agents))
+    return world.rng.sample(list(world.agents), count)
+
+
+def _mark_faulted(world, names):
+    for name in names:
+        program = world.agents.get(name) or world.entries[name]
+        program.faulted_at = world.now
+
+
 async def divide_fleet(world, entry, seconds, jobs, unheard):
     """Suspends agents while an entry gets jobs whose callers then leave it.
 
@@ -110,22 +134,14 @@
     Returns:
       Tasks of the callers.
     """
-    count = round(DIVIDED_SHARE * len(world.agents))
-    programs = world.rng.sample(list(world.agents.values()), count)
-    for program in programs:
-        program.faulted_at = world.now
-    pauses = [asyncio.create_task(p.pause(seconds)) for p in programs]
-    # Lets the signals be sent first.
-    await asyncio.sleep(PATIENCE_SECONDS)
-    callers = [
-        world.submit(
-            first_entry=entry, patience=PATIENCE_SECONDS, unheard=unheard
-        )
-        for _ in range(jobs)
+    names = _choose_agents(world)
+    _mark_faulted(world, names)
+    pauses = [
+        asyncio.create_task(world.agents[name].pause(seconds)) for name in names
     ]
+    callers = await _submit_and_leave(world, entry, jobs, unheard)
     await asyncio.gather(*pauses)
-    for program in programs:
-        program.faulted_at = world.now
+    _mark_faulted(world, names)
     return callers
 
 
@@ -297,34 +313,74 @@
         endpoint.fault = ""
 
 
+def divided_fault(function):
+    """Registers a fault after which entries reach other agents."""
+    DIVIDED_FAULTS.append(function)
+    return function
+
+
+def _choose_leaving(world):
+    """Returns an entry that callers leave, and when it hears of that."""
+    return world.rng.choice(list(world.entries)), world.rng.choice(UNHEARD)
+
+
+@divided_fault
+async def pause_agents(world):
+    """Suspends agents while callers leave an entry."""
+    entry, unheard = _choose_leaving(world)
+    seconds = world.rng.uniform(0.1, 0.5)
+    await divide_fleet(world, entry, seconds, LEAVING_CALLERS, unheard)
+
+
+@divided_fault
+async def cut_entry_off(world):
+    """Cuts an entry off from agents while callers leave it."""
+    entry, unheard = _choose_leaving(world)
+    names = _choose_agents(world)
+    _mark_faulted(world, [entry, *names])
+    proxies = [world.proxies[name, entry] for name in names]
+    for proxy in proxies:
+        proxy.hold_back(DIRECTIONS)
+    await _submit_and_leave(world, entry, LEAVING_CALLERS, unheard)
+    await asyncio.sleep(world.rng.choice((0.3, 1.0, 3.0)))
+    for proxy in proxies:
+        proxy.release()
+    _mark_faulted(world, [entry, *names])
+
+
 @fault
 async def change_zone_out(world):
     """Takes a zone out of service, or returns all to service."""
     world.set_zone_out(world.rng.choice(("", "", *ZONES)))
 
 
+# Further faults of each kind, as often as they are to be chosen.
+MORE_FAULTS = {
+    "crashes": 2 * CRASH_FAULTS,
+    "lost-answers": 6 * LOSS_FAULTS,
+    "misleading": 4 * MISLEADING_FAULTS,
+    "divided": 6 * DIVIDED_FAULTS,
+}
+
+
 async def run_soak(
     seed,
     seconds,
     entries=2,
-    agents=3,
-    with_crashes=False,
-    with_lost_answers=False,
-    with_misleading=False,
+    agents=AGENTS,
+    kinds=(),
 ):
     """Runs a soak with faults for some seconds and returns its result."""
-    registered = (
-        FAULTS
-        + 2 * CRASH_FAULTS * with_crashes
-        + 6 * LOSS_FAULTS * with_lost_answers
-        + 4 * MISLEADING_FAULTS * with_misleading
-    )
+    registered = FAULTS + [f for kind in kinds for f in MORE_FAULTS[kind]]
     world = SoakWorld(
         seed, entries, agents, ROOT / "build" / "soak" / str(seed)
     )
     faults = 0
     async with world.running(), running_programs(world.programs):
+        if "divided" in kinds:
+            _set_run_times(world, (0.2, LONG_RUN_SECONDS))
         await asyncio.sleep(START_SECONDS)
+        await world.wait_until_connected()
         submissions = asyncio.create_task(_submit_jobs(world))
         probes = asyncio.create_task(world.configuration_writer.probe_entries())
         async with asyncio.TaskGroup() as group:
@@ -381,7 +437,7 @@
     directory = ROOT / "build" / "soak" / f"pauses-{seed}"
     world = SoakWorld(seed, 2, 6, directory)
     async with world.running(), running_programs(world.programs):
-        _set_run_time(world, LONG_RUN_SECONDS)
+        _set_run_times(world, (LONG_RUN_SECONDS,))
         await asyncio.sleep(START_SECONDS)
         for _ in range(rounds):
             await leave_during_pause(world)
@@ -406,23 +462,23 @@
     world = SoakWorld(seed, 2, agents, directory)
     callers = []
     async with world.running(), running_programs(world.programs):
-        _set_run_time(world, LONG_RUN_SECONDS)
+        _set_run_times(world, (LONG_RUN_SECONDS,))
         await world.wait_until_connected()
         await asyncio.sleep(RECOVERY_PAUSE_SECONDS)
         for number in range(rounds):
             entry = f"entry-{number % len(world.entries)}"
             callers += await divide_fleet(
-                world, entry, seconds, jobs, UNHEARD_SECONDS
+                world, entry, seconds, jobs, max(UNHEARD)
             )
             await asyncio.sleep(RECOVERY_PAUSE_SECONDS)
         await asyncio.gather(*callers)
         return world.oracle.completed, world.oracle.violations
 
 
-def _set_run_time(world, seconds):
-    world.estimate_ms = int(1000 * seconds)
+def _set_run_times(world, run_times):
+    world.estimate_ms = int(1000 * max(run_times))
     for executor in world.executors.values():
-        executor.run_times = (seconds,)
+        executor.run_times = run_times
 
 
 async def _submit_jobs(world):
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -25,7 +25,7 @@
 @pytest.mark.parametrize("seed", [7])
 async def test_short_soak_with_crashes_has_no_violations(seed):
     """Guards against culprits, shrinking executors and logged errors."""
-    result = await run_soak(seed, SECONDS, with_crashes=True)
+    result = await run_soak(seed, SECONDS, kinds=["crashes"])
     assert result.violations == []
     assert result.completed > 0
 
@@ -33,7 +33,7 @@
 @pytest.mark.parametrize("seed", [3])
 async def test_short_soak_with_misleading_faults_has_no_violations(seed):
     """Guards against false announcements, and entries without the store."""
-    result = await run_soak(seed, 2.0 * SECONDS, with_misleading=True)
+    result = await run_soak(seed, 2.0 * SECONDS, kinds=["misleading"])
     assert result.violations == []
     assert result.completed > 0
 
