--- a/gypsumline/agent/leased_node.py
+++ b/gypsumline/agent/leased_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Protocol
 
 from gypsumline.core.effects import Decision, Effect, Send
@@ -19,6 +19,7 @@
     OrderStart,
     OrderStop,
 )
+from gypsumline.core.leases.keepers import KeeperList, RequestKeeperList
 from gypsumline.core.leases.lock_messages import LockKeys, UnlockKeys
 from gypsumline.core.leases.messages import (
     ClaimRuns,
@@ -111,6 +112,14 @@
         """Sets the excluded zones that this agent has read itself."""
         self._apply_effects(self._table.on_zones_out(message, boot_time()))
 
+    def set_entries(self, entries: Mapping[str, int]) -> None:
+        """Sets the incarnations of the entries by member id."""
+        self._apply_effects(self._table.on_entries(entries))
+
+    def set_keepers(self, keepers: KeeperList) -> None:
+        """Sets the list of the agents that keep locks."""
+        self._apply_effects(self._table.on_keepers(keepers, boot_time()))
+
     def tick(self) -> None:
         """Runs the due timers of the run table."""
         now = boot_time()
@@ -145,6 +154,10 @@
                 self._apply_effects(table.on_lock_request(member, message, now))
             case UnlockKeys():
                 self._apply_effects(table.on_unlock(member, message))
+            case RequestKeeperList():
+                self._apply_effects(
+                    table.on_keepers_request(member, message, now)
+                )
 
     async def run_hold_loop(self) -> None:
         """Renews the lease and collects ended runs until cancelled."""
--- a/gypsumline/core/leases/contacts.py
+++ b/gypsumline/core/leases/contacts.py
@@ -31,6 +31,7 @@
       is_connected: Whether a stream to it is open.
       capacity_request: Request for its most urgent waiting job.
       capacity_requested_at: Time at which the request was received.
+      is_confirmed: Whether it has answered a ping on the open stream.
       orders_seen: Number of run orders decided on since its stream opened.
       deferred_starts: Start messages that wait for an answered ping.
     """
@@ -38,6 +39,7 @@
     answered_stamp: float = -math.inf
     pinged_at: float = -math.inf
     is_connected: bool = False
+    is_confirmed: bool = False
     capacity_request: CapacityRequest | None = None
     capacity_requested_at: float = -math.inf
     orders_seen: int = 0
@@ -78,6 +80,7 @@
         """Records a new stream and restarts the count of its orders."""
         contact = self._contacts.setdefault(owner, _Contact())
         contact.is_connected = True
+        contact.is_confirmed = False
         contact.orders_seen = 0
         contact.deferred_starts.clear()
 
@@ -103,6 +106,14 @@
         if contact is not None and stamp <= now:
             contact.answered_stamp = max(contact.answered_stamp, stamp)
 
+    def confirm(self, owner: Member) -> bool:
+        """Records an answer; returns whether it is the first on its stream."""
+        contact = self._contacts.get(owner)
+        if contact is None or contact.is_confirmed:
+            return False
+        contact.is_confirmed = True
+        return True
+
     def contact_age(self, owner: Member, now: float) -> float:
         """Returns the age of the newest ping that the owner answered."""
         contact = self._contacts.get(owner)
@@ -239,10 +250,24 @@
             if contact.is_connected and contact.pinged_at <= limit
         ]
 
-    def ping(self, owner: Member, load: ExecutorLoad, now: float) -> Send:
+    def ping(
+        self,
+        owner: Member,
+        load: ExecutorLoad,
+        keepers_version: int,
+        now: float,
+    ) -> Send:
         """Returns a ping to an owner and records its time."""
         contact = self._contacts.get(owner)
+        answered = -math.inf
         if contact is not None:
             contact.pinged_at = now
-        ping = ContactPing(stamp=now, load=load, keeps_locks=True)
+            answered = contact.answered_stamp
+        ping = ContactPing(
+            stamp=now,
+            load=load,
+            keeps_locks=True,
+            keepers_version=keepers_version,
+            answered=answered,
+        )
         return Send(to=owner.member_id, message=ping)
--- a/gypsumline/core/leases/effects.py
+++ b/gypsumline/core/leases/effects.py
@@ -6,6 +6,7 @@
 import enum
 
 from gypsumline.core.effects import Effect
+from gypsumline.core.leases.keepers import KeeperList
 from gypsumline.core.leases.messages import ExecutorCrash
 from gypsumline.core.leases.resources import Resources
 
@@ -57,6 +58,13 @@
     is_given_up: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ProposeKeepers(Effect):
+    """Stores a list of keepers unless another one of its version is there."""
+
+    keepers: KeeperList
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OrderStart(Effect):
     """Orders the executor to start a run.
--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -24,7 +24,11 @@
       stamp: Stamp of its newest ping.
       ping_answered_at: Time at which its newest ping was answered.
       is_connected: Whether a stream to it is open.
-      keeps_locks: Whether it has said so on that stream.
+      changed_at: Time at which the newest stream was opened or has ended.
+      keeps_locks: Whether it has said on that stream that it keeps locks.
+      keepers_version: Version of the newest list of keepers that it has stated.
+      confirmed_at: Time of the newest answer to a ping that it is known to have
+        received before it stated that version.
       paused_until: Time before which it gets no runs.
       orders_sent: Number of run orders sent on its current stream.
       in_flight_orders: Numbers, resources and times of orders that the load
@@ -38,7 +42,10 @@
     stamp: float = -math.inf
     ping_answered_at: float = -math.inf
     is_connected: bool = True
+    changed_at: float = -math.inf
     keeps_locks: bool = False
+    keepers_version: int = 0
+    confirmed_at: float = -math.inf
     paused_until: float = -math.inf
     orders_sent: int = 0
     in_flight_orders: collections.deque[tuple[int, Resources, float]] = (
@@ -86,9 +93,21 @@
             return 0.0
         return now - self.in_flight_orders[0][2]
 
-    def reset_stream(self) -> None:
+    def record_version(self, version: int, answered: float) -> None:
+        """Applies what a ping states about the list of keepers.
+
+        Args:
+          version: Version of the newest list that the agent knows.
+          answered: Newest stamp whose answer the agent had received.
+        """
+        self.keepers_version = version
+        if answered == self.stamp:
+            self.confirmed_at = self.ping_answered_at
+
+    def reset_stream(self, now: float) -> None:
         """Resets the state that belongs to a stream."""
         self.is_connected = True
+        self.changed_at = now
         self.keeps_locks = False
         self.orders_sent = 0
         self.in_flight_orders.clear()
@@ -113,13 +132,17 @@
         view = self._agents.get(member.member_id)
         return view if view is not None and view.member == member else None
 
-    def connect(self, member: Member) -> AgentView:
+    def named(self, member_id: str) -> AgentView | None:
+        """Returns the view of an agent by its name, or None."""
+        return self._agents.get(member_id)
+
+    def connect(self, member: Member, now: float) -> AgentView:
         """Records a new stream; replaces an earlier incarnation."""
         view = self.find(member)
         if view is None:
             view = AgentView(member)
             self._agents[member.member_id] = view
-        view.reset_stream()
+        view.reset_stream(now)
         return view
 
     def prune_silent(self, now: float, limit: float) -> None:
@@ -164,15 +187,6 @@
             if view.service == service and self._is_reachable(view, now)
         ]
 
-    def heard_recently(self, now: float) -> Iterator[AgentView]:
-        """Yields the connected agents that have sent a load recently."""
-        limit = now - self._settings.silence_limit
-        return (
-            view
-            for view in self._agents.values()
-            if view.is_connected and view.last_message_at >= limit
-        )
-
     def is_usable(self, view: AgentView, now: float) -> bool:
         """Returns whether an agent can be given runs."""
         return view.paused_until <= now and self._is_reachable(view, now)
--- a/gypsumline/core/leases/key_locks.py
+++ b/gypsumline/core/leases/key_locks.py
@@ -2,24 +2,27 @@
 
 A caller that has left may be unknown as such to its entry for any time: its
 submission, or the end of its connection, is late, lost or not read yet. So an
-owner starts runs of a job only while it has the locks on its key. Two agents
-keep one each: those that rank highest for the key by rendezvous hashing, among
-the agents that the owner reaches. Two owners, each of which misses one agent,
-still have an agent in common.
+owner starts and keeps runs of a job only while a quorum of the key's keepers
+has granted it the lock. The keepers follow from a list that all owners share
+(`keepers.py`), whichever agents an owner reaches.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import math
-from collections.abc import Iterable
-
-import xxhash
+from collections.abc import Callable, Iterable
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.fleet import AgentView, Fleet
+from gypsumline.core.leases.keeper_views import KeeperView, KeeperViews
+from gypsumline.core.leases.keepers import (
+    KeeperList,
+    choose_keepers,
+    quorum,
+    sort_by_rank,
+)
 from gypsumline.core.leases.lock_messages import (
     LockAnswers,
     LockKeys,
@@ -28,51 +31,117 @@
 )
 from gypsumline.core.leases.settings import LeaseSettings
 
-# Agents that keep the locks on one key.
-LOCK_KEEPERS = 2
+# Requests to one agent whose answers may still be on their way.
+_UNANSWERED_MAX = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claim:
+    """The quorums that a lock needs under one version of the list.
+
+    Attributes:
+      view: The list.
+      keepers: The key's keepers.
+      previous: The key's keepers under the version before, if they differ.
+    """
+
+    view: KeeperView
+    keepers: tuple[str, ...]
+    previous: tuple[str, ...]
+
+    @classmethod
+    def make(cls, key: str, view: KeeperView, now: float) -> _Claim:
+        """Returns the claim on a key under a list."""
+        keepers = choose_keepers(key, view.keepers.members)
+        previous: tuple[str, ...] = ()
+        if not view.is_settled(now):
+            previous = choose_keepers(key, view.keepers.previous)
+        return cls(view, keepers, () if previous == keepers else previous)
+
+    def granted_at(self, granted: dict[str, float], now: float) -> float:
+        """Returns the time from which the lock counts; -infinity if not at all.
+
+        Args:
+          granted: Time of the newest request that each agent has granted.
+          now: Current time.
+        """
+        view = self.view
+        if not view.is_current(now):
+            return -math.inf
+        is_settled = view.is_settled(now)
+        if view.keepers.is_reset and not is_settled:
+            return -math.inf
+        newest = _quorum_time(self.keepers, granted)
+        if self.previous and not is_settled:
+            newest = min(newest, _quorum_time(self.previous, granted))
+        return newest
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _KeyLock:
-    """The locks on one key.
+    """The lock on one key.
 
     Attributes:
       key: Submission key.
-      keepers: Agents that keep a lock, the highest rank first; none if no
-        agent is known that keeps locks.
-      is_short: Whether the owner knows more agents, but reaches too few.
-      granted: Time of the request that each of them has granted.
-      numbers: Number of the latest request to each agent, by member id.
-      asked_at: Time of the latest request.
-      holder: Member id of another owner that has a lock; "" if none is known.
+      claims: Claims under the newest lists, the newest first. Any of them is
+        enough; an earlier one is dropped once a newer one is.
+      keepers: Agents that are asked, the highest rank first.
+      requests: Times of the requests without an answer by their numbers, for
+        each agent that may have granted the lock.
+      granted: Time of the newest request that each agent has granted.
+      asked_at: Time of the latest request that was repeated or is the first.
+      is_held: Whether the lock was held at the latest check.
+      holder: Member id of another owner that has the lock; "" if none is known.
     """
 
     key: str
-    keepers: list[AgentView] = dataclasses.field(default_factory=list)
-    is_short: bool = False
-    granted: dict[AgentView, float] = dataclasses.field(default_factory=dict)
-    numbers: dict[str, int] = dataclasses.field(default_factory=dict)
+    claims: list[_Claim] = dataclasses.field(default_factory=list)
+    keepers: tuple[str, ...] = ()
+    requests: dict[str, dict[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    granted: dict[str, float] = dataclasses.field(default_factory=dict)
     asked_at: float = -math.inf
+    is_held: bool = False
     holder: str = ""
 
-    @property
-    def members(self) -> list[Member]:
-        """Agents that keep a lock, as members."""
-        return [view.member for view in self.keepers]
+    def add_claim(self, view: KeeperView, now: float) -> None:
+        """Adds the claim under a newer list."""
+        self.claims.insert(0, _Claim.make(self.key, view, now))
+        self._choose()
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether all agents that are to keep a lock have granted it."""
-        return not self.is_short and len(self.granted) == len(self.keepers)
+    def add_request(self, agent: str, number: int, now: float) -> None:
+        """Records a request to an agent."""
+        unanswered = self.requests.setdefault(agent, {})
+        unanswered[number] = now
+        if len(unanswered) > _UNANSWERED_MAX:
+            del unanswered[min(unanswered)]
 
-    def retain(self, keepers: list[AgentView]) -> None:
-        """Forgets what agents other than these have granted."""
-        self.granted = {v: at for v, at in self.granted.items() if v in keepers}
+    def take_request(self, agent: str, number: int) -> float | None:
+        """Returns the time of an answered request, or None if it is unknown.
 
-    @property
-    def missing(self) -> list[AgentView]:
-        """Agents that have not granted their lock."""
-        return [view for view in self.keepers if view not in self.granted]
+        Forgets it and the earlier ones: messages keep their order.
+        """
+        unanswered = self.requests.get(agent, {})
+        asked_at = unanswered.get(number)
+        for earlier in [each for each in unanswered if each <= number]:
+            del unanswered[earlier]
+        return asked_at
+
+    def granted_at(self, now: float) -> float:
+        """Returns the time from which the lock counts; -infinity if not at all.
+
+        Drops the claims under earlier lists if those under the newest suffice.
+        """
+        times = [claim.granted_at(self.granted, now) for claim in self.claims]
+        if len(times) > 1 and times[0] >= max(times):
+            del self.claims[1:]
+            self._choose()
+        return max(times, default=-math.inf)
+
+    def _choose(self) -> None:
+        chosen = [m for c in self.claims for m in (*c.keepers, *c.previous)]
+        self.keepers = sort_by_rank(self.key, chosen)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,48 +160,87 @@
 
 
 class KeyLocks:
-    """Requests and returns the locks of one owner.
+    """Requests, renews and returns the locks of one owner.
 
-    An agent that does not answer in time is passed over for a while. An owner
-    that misses the lock of one agent returns those of lower ranks, so that two
-    owners never wait for each other.
+    Args:
+      settings: Times of the locks.
+      fleet: Agents that the owner reaches.
+      has_runs: Returns whether any run of a key's job may be active.
+      started_at: Start of the owner; infinity if it is not known.
     """
 
-    def __init__(self, settings: LeaseSettings, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        settings: LeaseSettings,
+        fleet: Fleet,
+        has_runs: Callable[[str], bool],
+        started_at: float,
+    ) -> None:
         self._settings = settings
         self._fleet = fleet
+        self._has_runs = has_runs
+        self._views = KeeperViews(settings, fleet)
         self._locks: dict[str, _KeyLock] = {}
-        # Those that are not complete.
-        self._pending: dict[str, _KeyLock] = {}
-        # Time until which an agent is passed over, by member id.
-        self._passed_over: dict[str, float] = {}
         # Keys to be returned with the next answer to a ping, by member id.
         self._returned: dict[str, list[str]] = {}
-        self._checked_at = -math.inf
         self._number = 0
+        self._started_at = started_at
+        # Whether locks could be had at any time.
+        self._is_started = False
 
-    def may_start(self, key: str, now: float) -> bool:
-        """Returns whether runs of a job may be started.
+    @property
+    def number(self) -> int:
+        """Number of the newest request."""
+        return self._number
+
+    @property
+    def views(self) -> KeeperViews:
+        """The lists of keepers."""
+        return self._views
+
+    def can_be_had(self, now: float) -> bool:
+        """Returns whether the owner is in touch with a majority of the keepers.
+
+        Agents of earlier releases keep no locks; if there are no others, none
+        are needed.
+        """
+        newest = self._views.newest
+        if newest is None:
+            return not any(view.keeps_locks for view in self._fleet)
+        self._is_started = self._is_started or newest.is_current(now)
+        return newest.is_current(now)
+
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether locks cannot be had soon.
 
-        A lock is doubtful after a time without contact to the agent that keeps
-        it, which may have granted it to another owner.
+        An owner that has just started is in touch with its agents before long.
         """
+        if self.can_be_had(now):
+            return False
+        age = now - self._started_at
+        return self._is_started or age > self._settings.keepers_validity
+
+    def may_start(self, key: str, now: float) -> bool:
+        """Returns whether runs of a job may be started."""
         lock = self._locks.get(key)
-        if lock is None or not lock.is_complete:
+        if lock is None:
             return False
-        return not any(
-            [self._drop_doubtful(lock, view, now) for view in lock.keepers]
-        )
+        if self._views.newest is None:
+            return self.can_be_had(now)
+        return self._is_held(lock, now)
 
     def request(self, key: str, now: float) -> list[Effect]:
-        """Requests the locks on a key, unless the owner has them."""
+        """Requests the lock on a key, unless that has been done."""
         if key in self._locks:
             return []
         lock = self._locks[key] = _KeyLock(key)
+        newest = self._views.newest
+        if newest is not None:
+            lock.add_claim(newest, now)
         return [*self._ask([lock], now)]
 
     def release(self, key: str, at_once: bool) -> list[Effect]:
-        """Returns the locks on a key, of whose job no run is left.
+        """Returns the lock on a key, of whose job no run is left.
 
         Args:
           key: Submission key.
@@ -140,285 +248,217 @@
             answers to pings.
         """
         lock = self._locks.pop(key, None)
-        self._pending.pop(key, None)
         if lock is None:
             return []
         if at_once:
-            message = UnlockKeys(keys=(key,))
-            names = [view.member.member_id for view in lock.keepers]
-            return [Send(to=name, message=message) for name in names]
-        for view in lock.keepers:
-            self._return_later(key, view)
+            message = self._unlock(key)
+            return [Send(to=name, message=message) for name in lock.requests]
+        for name in lock.requests:
+            self._returned.setdefault(name, []).append(key)
         return []
 
     def take_returned(self, view: AgentView) -> tuple[str, ...]:
         """Removes and returns the keys that an agent need not keep any more."""
-        returned = self._returned.pop(view.member.member_id, ())
-        return tuple(key for key in returned if not self._is_kept_by(key, view))
+        name = view.member.member_id
+        returned = self._returned.pop(name, ())
+        return tuple(
+            key
+            for key in returned
+            if key not in self._locks or name not in self._locks[key].requests
+        )
+
+    def apply_keepers(self, keepers: KeeperList, now: float) -> list[Effect]:
+        """Applies a newer list; requests the locks that it needs as well."""
+        view = self._views.apply(keepers, now)
+        if view is None:
+            return []
+        for lock in self._locks.values():
+            lock.add_claim(view, now)
+        return [*self._ask(self._locks.values(), now), _list_line(keepers)]
 
     def on_ping(
         self, view: AgentView, keeps_locks: bool, now: float
     ) -> list[Effect]:
-        """Moves locks to an agent that is new here and ranks high enough."""
+        """Lists all locks to an agent with the first ping of its stream."""
+        self._views.record_version(view, now)
+        self._started_at = min(self._started_at, now)
         if view.keeps_locks or not keeps_locks:
             return []
         view.keeps_locks = True
-        for lock in self._locks.values():
-            if view in lock.keepers:
-                continue
-            keepers = _highest(lock.key, [*lock.keepers, view])
-            if view not in keepers:
-                continue
-            for other in lock.keepers:
-                if other not in keepers:
-                    self._return_later(lock.key, other)
-            # The locks that the job has had so far still protect it.
-            was_complete = lock.is_complete
-            lock.retain(keepers)
-            if was_complete:
-                lock.granted[view] = now
-            lock.keepers, lock.asked_at = keepers, now
-            lock.is_short = len(keepers) < self._required_keepers()
-        return [self._complete_request(view)]
-
-    def before_ping_answer(self, view: AgentView, now: float) -> None:
-        """Drops the locks at an agent after a long time without contact."""
-        if now - view.ping_answered_at > self._settings.lock_validity:
-            for lock in self._locks.values():
-                self._drop_doubtful(lock, view, now)
-
-    def on_disconnected(self, view: AgentView, now: float) -> list[Effect]:
-        """Requests the locks that an agent kept from the next ones."""
+        name = view.member.member_id
+        locks = self._locks.values()
+        asked = [lock for lock in locks if name in lock.keepers]
+        return [self._send(name, asked, now, is_complete=True)]
+
+    def on_disconnected(self, view: AgentView) -> None:
+        """Forgets what was to be said to an agent; the next list says it."""
         view.keeps_locks = False
         self._returned.pop(view.member.member_id, None)
-        moved = [lock for lock in self._locks.values() if view in lock.keepers]
-        added: dict[str, AgentView] = {}
-        for lock in moved:
-            earlier = lock.keepers
-            self._set_keepers(lock, now)
-            for other in lock.keepers:
-                if other not in earlier:
-                    added[other.member.member_id] = other
-        return [self._complete_request(each) for each in added.values()]
 
     def on_answers(
         self, agent: Member, message: LockAnswers, now: float
     ) -> LockNews:
         """Applies the answers of an agent."""
         news = LockNews(effects=[], granted=[], held=[])
-        self._passed_over.pop(agent.member_id, None)
-        unwanted: list[str] = []
-        unsure: list[_KeyLock] = []
+        name = agent.member_id
         for key, state, holder in zip(
             message.keys, message.states, message.holders, strict=True
         ):
             lock = self._locks.get(key)
-            view = None if lock is None else _keeper(lock, agent, message)
-            if lock is None or view is None:
-                is_kept = lock is not None and agent in lock.members
-                if state is LockState.GRANTED and not is_kept:
-                    unwanted.append(key)
-            elif state is LockState.GRANTED:
-                self._on_granted(lock, view, news)
+            if lock is None:
+                continue
+            asked_at = lock.take_request(name, message.number)
+            if asked_at is None:
+                continue
+            if state is LockState.GRANTED:
+                lock.granted[name] = asked_at
+                self._on_granted(lock, name, news, now)
             elif state is LockState.HELD:
-                self._on_held(lock, view, holder, news)
-            else:
-                unsure.append(lock)
-        if unwanted:
-            unlock = UnlockKeys(keys=tuple(unwanted))
-            news.effects.append(Send(to=agent.member_id, message=unlock))
-        if unsure:
-            until = now + self._settings.lock_warmup
-            self._passed_over[agent.member_id] = until
-            news.effects.extend(self._ask_others(unsure, now))
+                self._on_refused(lock, name, holder, news, now)
         return news
 
+    def take_lapsed(self, now: float) -> list[str]:
+        """Returns the keys whose locks have been lost since the last call.
+
+        The runs of their jobs must be stopped before any ping is answered.
+        """
+        lapsed = []
+        for lock in self._locks.values():
+            if lock.is_held and not self._is_held(lock, now):
+                lock.is_held = False
+                lapsed.append(lock.key)
+        return lapsed
+
     def check(self, now: float) -> list[Effect]:
-        """Repeats the requests that are due."""
+        """Repeats and renews the requests that are due."""
         settings = self._settings
-        # After a pause of this process the answers may be unread.
-        was_paused = now - self._checked_at > settings.lock_answer_limit
-        self._checked_at = now
-        if was_paused:
-            for lock in self._pending.values():
-                if lock.asked_at > -math.inf:
-                    lock.asked_at = now
         due: list[_KeyLock] = []
-        for lock in self._pending.values():
-            if lock.holder:
-                interval = settings.lock_retry_interval
-            else:
-                interval = settings.lock_answer_limit
-            if now - lock.asked_at <= interval:
-                continue
-            due.append(lock)
-            is_unanswered = not lock.holder and lock.asked_at > -math.inf
-            for view in lock.missing if is_unanswered else ():
-                self._pass_over(view.member.member_id, now)
+        for lock in self._locks.values():
+            age = now - lock.granted_at(now)
+            is_old = age > settings.lock_validity / 2.0
+            waited = now - lock.asked_at
+            if is_old and waited >= settings.lock_retry_interval:
+                due.append(lock)
         return [*self._ask(due, now)]
 
+    def lapsed_line(self, key: str) -> Decision:
+        """Returns the log line about a lock that was lost."""
+        lock = self._locks[key]
+        return Decision(
+            event="job_lock_lapsed",
+            fields={
+                "job": key,
+                "holder": lock.holder,
+                "agents": lock.keepers,
+                "granted": tuple(lock.granted),
+            },
+        )
+
+    def _is_held(self, lock: _KeyLock, now: float) -> bool:
+        is_held = now - lock.granted_at(now) <= self._settings.lock_validity
+        # Cleared by `take_lapsed` alone, which has the runs stopped.
+        lock.is_held = lock.is_held or is_held
+        return is_held
+
     def _on_granted(
-        self, lock: _KeyLock, view: AgentView, news: LockNews
+        self, lock: _KeyLock, name: str, news: LockNews, now: float
     ) -> None:
-        lock.granted.setdefault(view, lock.asked_at)
-        if not lock.is_complete or lock.key not in self._pending:
+        if lock.is_held or not self._is_held(lock, now):
             return
-        del self._pending[lock.key]
         news.granted.append(lock.key)
         if lock.holder:
-            news.effects.append(_line("job_lock_granted", lock, view))
+            news.effects.append(_line("job_lock_granted", lock, name))
             lock.holder = ""
 
-    def _on_held(
-        self, lock: _KeyLock, view: AgentView, holder: str, news: LockNews
+    def _on_refused(
+        self,
+        lock: _KeyLock,
+        name: str,
+        holder: str,
+        news: LockNews,
+        now: float,
     ) -> None:
-        self._pending[lock.key] = lock
-        news.held.append(lock.key)
-        if lock.holder != holder:
-            lock.holder = holder
-            news.effects.append(_line("job_held_elsewhere", lock, view))
-        rank = lock.keepers.index(view)
-        unlock = UnlockKeys(keys=(lock.key,))
-        for lower in lock.keepers[rank:]:
-            lock.granted.pop(lower, None)
-            if lower is not view:
-                name = lower.member.member_id
-                news.effects.append(Send(to=name, message=unlock))
-
-    def _drop_doubtful(
-        self, lock: _KeyLock, view: AgentView, now: float
-    ) -> bool:
-        """Drops a granted lock if it is doubtful; returns whether it was.
-
-        It is requested again at the next check.
-        """
-        if view not in lock.granted:
-            return False
-        contact_at = max(lock.granted[view], view.ping_answered_at)
-        if now - contact_at <= self._settings.lock_validity:
-            return False
-        del lock.granted[view]
-        lock.asked_at = -math.inf
-        self._pending[lock.key] = lock
-        return True
+        """Returns the locks of lower ranks, unless the job may have runs.
 
-    def _return_later(self, key: str, view: AgentView) -> None:
-        self._returned.setdefault(view.member.member_id, []).append(key)
-
-    def _pass_over(self, name: str, now: float) -> None:
-        self._passed_over[name] = now + self._settings.lock_suspension
-
-    def _is_kept_by(self, key: str, view: AgentView) -> bool:
-        lock = self._locks.get(key)
-        return lock is not None and view in lock.keepers
-
-    def _ask_others(self, locks: list[_KeyLock], now: float) -> list[Effect]:
-        """Requests locks that an agent cannot grant yet from the next ones.
-
-        Those that have no other agent wait for the next check.
+        Of two owners that request one lock, the one with the highest rank gets
+        the others, too.
         """
-        return [
-            send
-            for send in self._ask(locks, now)
-            if not self._is_passed_over(send.to, now)
-        ]
-
-    def _is_passed_over(self, name: str, now: float) -> bool:
-        return self._passed_over.get(name, -math.inf) > now
+        lock.granted.pop(name, None)
+        if lock.holder != holder:
+            lock.holder = holder
+            news.effects.append(_line("job_held_elsewhere", lock, name))
+        if self._is_held(lock, now) or self._has_runs(lock.key):
+            return
+        news.held.append(lock.key)
+        unlock = self._unlock(lock.key)
+        below = False
+        for keeper in lock.keepers:
+            if below and keeper in lock.requests:
+                del lock.requests[keeper]
+                lock.granted.pop(keeper, None)
+                news.effects.append(Send(to=keeper, message=unlock))
+            below = below or keeper == name
+
+    def _unlock(self, key: str) -> UnlockKeys:
+        return UnlockKeys(keys=(key,), number=self._number)
 
     def _ask(self, locks: Iterable[_KeyLock], now: float) -> list[Send]:
-        """Requests the locks that are missing."""
-        keys: dict[str, list[str]] = {}
+        """Requests the locks from all agents that are to keep them."""
+        asked: dict[str, list[_KeyLock]] = {}
         for lock in locks:
-            # Others would not know of the owner that has the lock.
-            is_held = lock.holder and all(v.is_connected for v in lock.keepers)
-            if not is_held:
-                self._set_keepers(lock, now)
             lock.asked_at = now
-            for view in lock.missing:
-                keys.setdefault(view.member.member_id, []).append(lock.key)
-        return [self._send(name, asked) for name, asked in keys.items()]
+            for name in lock.keepers:
+                view = self._fleet.named(name)
+                if view is not None and view.is_connected and view.keeps_locks:
+                    asked.setdefault(name, []).append(lock)
+        return [self._send(name, each, now) for name, each in asked.items()]
 
     def _send(
-        self, name: str, keys: list[str], is_complete: bool = False
+        self,
+        name: str,
+        locks: list[_KeyLock],
+        now: float,
+        is_complete: bool = False,
     ) -> Send:
         """Returns a request to an agent, in place of the earlier ones."""
         self._number += 1
-        for key in keys:
-            self._locks[key].numbers[name] = self._number
+        oldest = now - self._settings.lock_validity
+        held = []
+        for lock in locks:
+            lock.add_request(name, self._number, now)
+            if lock.granted.get(name, -math.inf) >= oldest:
+                held.append(lock.key)
         message = LockKeys(
-            number=self._number, keys=tuple(keys), is_complete=is_complete
+            number=self._number,
+            keys=tuple(lock.key for lock in locks),
+            is_complete=is_complete,
+            held=tuple(held) if is_complete else (),
+            uptime=max(0.0, now - self._started_at) if is_complete else 0.0,
         )
         return Send(to=name, message=message)
 
-    def _set_keepers(self, lock: _KeyLock, now: float) -> None:
-        """Chooses the agents that are to keep the locks on a key."""
-        earlier, lock.keepers = lock.keepers, self._choose(lock.key, now)
-        lock.is_short = len(lock.keepers) < self._required_keepers()
-        lock.retain(lock.keepers)
-        lock.asked_at = now
-        for view in earlier:
-            if view not in lock.keepers:
-                self._return_later(lock.key, view)
-        if lock.is_complete:
-            self._pending.pop(lock.key, None)
-        else:
-            self._pending[lock.key] = lock
-
-    def _complete_request(self, view: AgentView) -> Send:
-        locks = self._locks.values()
-        keys = [lock.key for lock in locks if view in lock.keepers]
-        return self._send(view.member.member_id, keys, is_complete=True)
-
-    def _required_keepers(self) -> int:
-        """Returns the number of agents that must grant a lock.
-
-        An owner that is cut off from most agents might have none in common
-        with the others.
-        """
-        known = sum(view.keeps_locks for view in self._fleet)
-        return min(LOCK_KEEPERS, known)
-
-    def _choose(self, key: str, now: float) -> list[AgentView]:
-        """Returns the agents that are to keep the locks on a key."""
-        answering: list[AgentView] = []
-        passed_over: list[AgentView] = []
-        for view in self._fleet.heard_recently(now):
-            if view.keeps_locks:
-                is_away = self._is_passed_over(view.member.member_id, now)
-                (passed_over if is_away else answering).append(view)
-        chosen = _highest(key, answering)
-        if len(chosen) < LOCK_KEEPERS:
-            chosen += _highest(key, passed_over)
-        return _highest(key, chosen[:LOCK_KEEPERS])
-
-
-def _highest(key: str, views: list[AgentView]) -> list[AgentView]:
-    """Returns the agents with the highest ranks for a key, in order."""
-
-    def rank(view: AgentView) -> int:
-        return xxhash.xxh3_64_intdigest(
-            f"{key}/{view.member.member_id}".encode()
-        )
 
-    return heapq.nlargest(LOCK_KEEPERS, views, key=rank)
+def _quorum_time(keepers: tuple[str, ...], granted: dict[str, float]) -> float:
+    """Returns the newest time that a quorum has granted; else -infinity."""
+    times = sorted((granted[m] for m in keepers if m in granted), reverse=True)
+    needed = quorum(len(keepers))
+    return times[needed - 1] if len(times) >= needed else -math.inf
 
 
-def _keeper(
-    lock: _KeyLock, agent: Member, message: LockAnswers
-) -> AgentView | None:
-    """Returns the agent if it keeps a lock and answers the latest request."""
-    if message.number < lock.numbers.get(agent.member_id, 0):
-        return None
-    return next((v for v in lock.keepers if v.member == agent), None)
+def _line(event: str, lock: _KeyLock, agent: str) -> Decision:
+    return Decision(
+        event=event,
+        fields={"job": lock.key, "holder": lock.holder, "agent": agent},
+    )
 
 
-def _line(event: str, lock: _KeyLock, view: AgentView) -> Decision:
+def _list_line(keepers: KeeperList) -> Decision:
     return Decision(
-        event=event,
+        event="keepers_in_force",
         fields={
-            "job": lock.key,
-            "holder": lock.holder,
-            "agent": view.member.member_id,
+            "version": keepers.version,
+            "members": len(keepers.members),
+            "previous": len(keepers.previous),
+            "is_reset": keepers.is_reset,
         },
     )
--- a/gypsumline/core/leases/lock_messages.py
+++ b/gypsumline/core/leases/lock_messages.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from gypsumline.core.leases.messages import Age
 from gypsumline.core.message import Message, register_message
 
 
@@ -21,18 +22,23 @@
 
 @register_message("lock_keys")
 class LockKeys(Message):
-    """Requests the locks on submission keys.
+    """Requests or renews the locks on submission keys.
 
     Attributes:
       number: Number of the request, which its answer repeats.
       keys: Submission keys.
       is_complete: Whether these are all locks that the sender has or requests
-        there. Sent on each new stream and when locks move to the receiver.
+        there. Sent on each new stream.
+      held: Those of the keys whose locks the sender has there, possibly from an
+        earlier incarnation of the agent.
+      uptime: Seconds since the start of the sender, or less.
     """
 
     number: int
     keys: tuple[str, ...]
     is_complete: bool = False
+    held: tuple[str, ...] = ()
+    uptime: Age = 0.0
 
 
 @register_message("lock_answers")
@@ -61,6 +67,13 @@
 
 @register_message("unlock_keys")
 class UnlockKeys(Message):
-    """Returns locks, or withdraws requests for them."""
+    """Returns locks, or withdraws requests for them.
+
+    Attributes:
+      keys: Submission keys.
+      number: Number of the newest request before. A later one is not affected,
+        whichever stream is read first.
+    """
 
     keys: tuple[str, ...]
+    number: int = 0
--- a/gypsumline/core/leases/lock_table.py
+++ b/gypsumline/core/leases/lock_table.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
 
 from gypsumline.core.identity import Member
-from gypsumline.core.leases.contacts import OwnerContacts
 from gypsumline.core.leases.lock_messages import (
     LockAnswers,
     LockKeys,
@@ -16,71 +15,89 @@
 from gypsumline.core.leases.settings import LeaseSettings
 
 
-class _Lock(NamedTuple):
-    """The owner of a key, and when it was granted the lock."""
+@dataclasses.dataclass(slots=True)
+class _Lock:
+    """A granted lock.
+
+    Attributes:
+      owner: Its owner.
+      number: Number of the owner's newest request for it.
+      expires_at: Time from which another owner may be granted the lock.
+    """
 
     owner: Member
-    granted_at: float
+    number: int
+    expires_at: float
 
 
 class LockTable:
     """Grants the lock on each submission key to one owner at a time.
 
-    Locks are kept in memory only. An owner that is lost keeps its locks until
-    the runs that it has ordered have ended.
+    Locks are kept in memory only, so an agent that has started cannot know
+    those of its earlier incarnation. Until they have expired, or all entries
+    have listed theirs, it grants only what their owners still have.
 
     Args:
       settings: Times of the locks.
-      contacts: Contacts with the owners.
+      started_at: Start of the agent.
     """
 
-    def __init__(
-        self, settings: LeaseSettings, contacts: OwnerContacts
-    ) -> None:
+    def __init__(self, settings: LeaseSettings, started_at: float) -> None:
         self._settings = settings
-        self._contacts = contacts
-        # An agent that starts dials all owners, which list their locks first.
-        self._certain_at = math.inf
+        self._certain_at = started_at + settings.lock_expiry
+        # Incarnations of the entries that may have had locks before the start,
+        # by member id; None until they are known.
+        self._expected: dict[str, int] | None = None
+        # Incarnations of the entries that have listed their locks, and when no
+        # run of an earlier incarnation is left.
+        self._listed: dict[str, tuple[int, float]] = {}
         self._locks: dict[str, _Lock] = {}
-        # Ends of the streams to owners that may have locks.
-        self._lost_at: dict[Member, float] = {}
 
     def __len__(self) -> int:
         return len(self._locks)
 
+    def expect(self, entries: Mapping[str, int]) -> None:
+        """Sets which entries may have locks that this agent does not know.
+
+        Args:
+          entries: Incarnations of all entries by member id, as of a time after
+            the start of this agent. Later ones had no contact to an earlier
+            incarnation of it.
+        """
+        if self._expected is None:
+            self._expected = dict(entries)
+            self._update_certainty()
+
     def on_connected(self, owner: Member, now: float) -> None:
-        """Records a new stream to an owner."""
-        self._lost_at.pop(owner, None)
-        self._certain_at = min(
-            self._certain_at, now + self._settings.lock_warmup
-        )
+        """Shortens the locks of earlier incarnations of an owner.
 
-    def on_disconnected(self, owner: Member, now: float) -> None:
-        """Records the end of the stream to an owner."""
-        self._lost_at[owner] = now
+        These have ended, and their runs will have before long.
+        """
+        end = now + self._settings.rerun_wait
+        for lock in self._locks.values():
+            is_same_entry = lock.owner.member_id == owner.member_id
+            if is_same_entry and lock.owner.incarnation < owner.incarnation:
+                lock.expires_at = min(lock.expires_at, end)
 
     def request(
         self, owner: Member, message: LockKeys, now: float
     ) -> LockAnswers:
-        """Grants the locks that no other owner has."""
+        """Grants or renews the locks that no other owner has."""
         if message.is_complete:
+            safe_at = now + max(0.0, self._settings.rerun_wait - message.uptime)
+            self._listed[owner.member_id] = (owner.incarnation, safe_at)
             kept = set(message.keys)
-            self.release(
-                owner, [key for key in self._keys_of(owner) if key not in kept]
-            )
+            left = [key for key in self._keys_of(owner) if key not in kept]
+            self.release(owner, left, message.number)
+        held = set(message.held)
         states, holders = [], []
         for key in message.keys:
-            lock = self._locks.get(key)
-            if lock is not None and self._is_held(lock, now):
-                is_granted = lock.owner == owner
-                state = LockState.GRANTED if is_granted else LockState.HELD
-            elif now < self._certain_at and not message.is_complete:
-                state = LockState.UNSURE
-            else:
-                state = LockState.GRANTED
-                lock = self._locks[key] = _Lock(owner, now)
+            state = self._grant(owner, message.number, key, key in held, now)
             states.append(state)
+            lock = self._locks.get(key)
             holders.append("" if lock is None else lock.owner.member_id)
+        if message.is_complete:
+            self._update_certainty()
         return LockAnswers(
             number=message.number,
             keys=message.keys,
@@ -88,29 +105,46 @@
             holders=tuple(holders),
         )
 
-    def release(self, owner: Member, keys: Iterable[str]) -> None:
-        """Removes locks of an owner."""
+    def release(self, owner: Member, keys: Iterable[str], number: int) -> None:
+        """Removes locks of an owner, as of its request of some number."""
         for key in keys:
             lock = self._locks.get(key)
-            if lock is not None and lock.owner == owner:
+            if lock is None or lock.owner != owner:
+                continue
+            if lock.number <= number:
                 del self._locks[key]
 
     def expire(self, now: float) -> None:
-        """Removes the locks of owners that were lost long ago."""
-        limit = now - self._settings.lock_expiry
-        expired = [o for o, at in self._lost_at.items() if at < limit]
-        for owner in expired:
-            del self._lost_at[owner]
-            self.release(owner, self._keys_of(owner))
+        """Removes the locks that have expired."""
+        locks = self._locks.items()
+        for key in [key for key, lock in locks if lock.expires_at <= now]:
+            del self._locks[key]
+
+    def _grant(
+        self, owner: Member, number: int, key: str, is_held: bool, now: float
+    ) -> LockState:
+        lock = self._locks.get(key)
+        if lock is not None and lock.owner == owner:
+            is_held = True
+        elif lock is not None and now < lock.expires_at:
+            return LockState.HELD
+        if not is_held and now < self._certain_at:
+            return LockState.UNSURE
+        expires_at = now + self._settings.lock_expiry
+        self._locks[key] = _Lock(owner, number, expires_at)
+        return LockState.GRANTED
+
+    def _update_certainty(self) -> None:
+        """Ends the uncertainty once all entries have listed their locks."""
+        if self._expected is None:
+            return
+        certain_at = -math.inf
+        for member_id, incarnation in self._expected.items():
+            listed, safe_at = self._listed.get(member_id, (-1, math.inf))
+            if listed < incarnation:
+                return
+            certain_at = max(certain_at, safe_at)
+        self._certain_at = min(self._certain_at, certain_at)
 
     def _keys_of(self, owner: Member) -> list[str]:
         return [key for key, lock in self._locks.items() if lock.owner == owner]
-
-    def _is_held(self, lock: _Lock, now: float) -> bool:
-        """Returns whether the owner of a lock may still start or have runs."""
-        settings = self._settings
-        lost_at = self._lost_at.get(lock.owner)
-        if lost_at is not None:
-            return now < lost_at + settings.max_run_time_after_contact
-        contact_age = self._contacts.contact_age(lock.owner, now)
-        return min(contact_age, now - lock.granted_at) <= settings.lock_expiry
--- a/gypsumline/core/leases/messages.py
+++ b/gypsumline/core/leases/messages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 from typing import Annotated
 
 import msgspec
@@ -135,6 +136,11 @@
     offered: bool = False
     unanswered: float = 0.0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the executor leaves, and its agent with it."""
+        return self.leaving_in >= 0.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CrashedRun:
@@ -182,11 +188,16 @@
       stamp: Time of the ping in seconds on the agent's clock.
       load: State of the executor.
       keeps_locks: Whether the agent keeps locks on submission keys.
+      keepers_version: Version of the newest list of keepers that the agent
+        knows; 0 if it knows none.
+      answered: Newest stamp whose answer the agent has received.
     """
 
     stamp: Stamp
     load: ExecutorLoad
     keeps_locks: bool = False
+    keepers_version: Amount = 0
+    answered: Stamp = -math.inf
 
 
 @register_message("contact_pong")
@@ -198,12 +209,14 @@
       wish: Capacity request of the owner's most urgent waiting job.
       zones_age: Age of the owner's list of excluded zones; None if unknown.
       unlocked: Submission keys whose locks the owner returns.
+      unlocked_number: Number of the owner's newest request for locks before.
     """
 
     stamp: Stamp
     wish: CapacityRequest | None = None
     zones_age: Age | None = None
     unlocked: tuple[str, ...] = ()
+    unlocked_number: int = 0
 
 
 @register_message("zones_out")
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -32,6 +32,8 @@
     TaskPhase,
     new_job,
 )
+from gypsumline.core.leases.keeper_changes import KeeperChanges
+from gypsumline.core.leases.keepers import KeeperList, RequestKeeperList
 from gypsumline.core.leases.key_locks import KeyLocks
 from gypsumline.core.leases.lock_messages import LockAnswers
 from gypsumline.core.leases.messages import (
@@ -68,6 +70,10 @@
 # Added to the attempt number of a task when an executor rejects it as too low:
 # an earlier owner of the same submission may have used several numbers.
 ATTEMPT_STEP = 8
+# Reason of a job that is refused while no lock can be had.
+NO_KEEPERS = "too few agents in touch"
+# Time for an agent to answer the request for the list of keepers.
+KEEPERS_REQUEST_SECONDS = 0.3
 # Reason of a job that is given up for the crashes under its tasks.
 CRASHED_EXECUTORS = "executors crashed under a task"
 _AWAY_REASONS = {
@@ -95,6 +101,7 @@
         self,
         lease: LeaseSettings,
         settings: LeasedOwnerSettings,
+        started_at: float = math.inf,
     ) -> None:
         self._lease = lease
         self._settings = settings
@@ -105,7 +112,11 @@
         self._jobs: dict[str, LeasedJob] = {}
         self._isolation = IsolationDetector(settings.isolation_limit)
         self._runs = PlacedRuns()
-        self._locks = KeyLocks(lease, self._fleet)
+        self._locks = KeyLocks(
+            lease, self._fleet, self._runs.has_any_of, started_at
+        )
+        self._keeper_changes = KeeperChanges(self._fleet, self._locks.views)
+        self._keepers_asked_at = -math.inf
         self._attempts = AttemptHistory(settings.forget_after)
         self._crashes = CrashResponse(settings.crashes, self._fleet)
         self._containment = self._crashes.containment
@@ -141,10 +152,18 @@
             else settings.tick_interval
         )
 
+    def find_agent(self, agent: Member) -> AgentView | None:
+        """Returns the view of an agent, or None if it is unknown."""
+        return self._fleet.find(agent)
+
     def usable_agents(self, now: float) -> int:
         """Returns the number of agents that can be given runs."""
         return sum(self._fleet.is_usable(view, now) for view in self._fleet)
 
+    def has_keepers(self, now: float) -> bool:
+        """Returns whether the locks of new jobs can be had."""
+        return self._locks.can_be_had(now)
+
     def pending_jobs(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not started."""
         return sum(
@@ -187,6 +206,8 @@
             wait = self._crashes.return_in(pool, now)
             return self._backlog.refuse_without_agents(job, reason, wait)
         # Excluded zones and ejected executors may leave none just now.
+        if self._locks.is_cut_off(now):
+            return self._backlog.refuse_without_agents(job, NO_KEEPERS)
         agents = self._usable(pool, now, None) or self._containment.filter(
             pool, self._fleet.usable(pool.service, now)
         )
@@ -252,7 +273,7 @@
 
     def on_connected(self, agent: Member, now: float) -> list[Effect]:
         """Handles a new stream: sends claimed runs and excluded zones."""
-        view = self._fleet.connect(agent)
+        view = self._fleet.connect(agent, now)
         claimed = [run for run in self._runs if run.agent == agent]
         name = view.member.member_id
         effects: list[Effect] = [
@@ -269,7 +290,13 @@
         if view is None:
             return []
         view.is_connected = False
-        return self._locks.on_disconnected(view, now)
+        view.changed_at = now
+        self._locks.on_disconnected(view)
+        return []
+
+    def on_keepers(self, message: KeeperList, now: float) -> list[Effect]:
+        """Applies a list of the agents that keep locks, unless it is stale."""
+        return self._locks.apply_keepers(message, now)
 
     def on_lock_answers(
         self, agent: Member, message: LockAnswers, now: float
@@ -290,7 +317,9 @@
         if view is None:
             return []
         has_changed = self._update_load(view, message, now)
+        view.record_version(message.keepers_version, message.answered)
         effects = self._locks.on_ping(view, message.keeps_locks, now)
+        effects += self._request_keepers(view, now)
         # A placement pass for each ping would be too costly: all agents ping,
         # and most pings carry no change.
         return effects + self._place_at(view, now) if has_changed else effects
@@ -306,10 +335,10 @@
         view = self._fleet.find(agent)
         if view is None or not view.is_connected:
             return []
-        self._locks.before_ping_answer(view, now)
+        effects = self._stop_lapsed(now)
         view.stamp = stamp
         view.ping_answered_at = now
-        return [self._pong(view, now)]
+        return [*effects, self._pong(view, now)]
 
     def on_reports(
         self, agent: Member, message: RunReports, now: float
@@ -362,9 +391,31 @@
         self._sync_health()
         self._attempts.expire(now)
         self._backlog.update_fastest_speed()
+        effects += self._stop_lapsed(now)
         effects += self._locks.check(now)
+        effects += self._keeper_changes.propose(now)
         return effects + self.place_waiting(now)
 
+    def _stop_lapsed(self, now: float) -> list[Effect]:
+        """Stops the runs of jobs whose lock another owner may be granted."""
+        effects: list[Effect] = []
+        for key in self._locks.take_lapsed(now):
+            job = self._jobs.get(key)
+            if job is not None:
+                effects.append(self._locks.lapsed_line(key))
+                effects += self._stop_runs_of(job)
+        return effects
+
+    def _request_keepers(self, view: AgentView, now: float) -> list[Effect]:
+        """Requests the list of keepers from an agent that knows a newer one."""
+        if view.keepers_version <= self._locks.views.newest_version:
+            return []
+        if now - self._keepers_asked_at < KEEPERS_REQUEST_SECONDS:
+            return []
+        self._keepers_asked_at = now
+        name = view.member.member_id
+        return [Send(to=name, message=RequestKeeperList())]
+
     def place_waiting(self, now: float) -> list[Effect]:
         """Places the waiting tasks that fit on some agent."""
         self._waiting.take_returned()
@@ -531,6 +582,7 @@
             wish=request,
             zones_age=zones_age if zones_age < math.inf else None,
             unlocked=self._locks.take_returned(view),
+            unlocked_number=self._locks.number,
         )
         return Send(to=view.member.member_id, message=pong)
 
@@ -718,11 +770,14 @@
         self._attempts.record(job, now)
         self._jobs.pop(job.key, None)
         self._waiting.discard(job)
+        stops = self._stop_runs_of(job)
+        return stops + self._release_lock(job.key, at_once=not is_completed)
+
+    def _stop_runs_of(self, job: LeasedJob) -> list[Effect]:
         latest_runs = [self._runs.find(task.name) for task in job.tasks]
-        stops = stop_runs(
+        return stop_runs(
             [r for r in latest_runs if r is not None and r.task.job is job]
         )
-        return stops + self._release_lock(job.key, at_once=not is_completed)
 
     def _release_lock(self, key: str, at_once: bool = True) -> list[Effect]:
         """Returns the lock on a key once nothing of its job is left."""
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from gypsumline.core.effects import Effect, Send
 from gypsumline.core.identity import Member
@@ -26,6 +26,7 @@
     RECONCILIATION_PAUSE_SECONDS,
     HoldSchedule,
 )
+from gypsumline.core.leases.keepers import KeeperList, RequestKeeperList
 from gypsumline.core.leases.lock_messages import LockKeys, UnlockKeys
 from gypsumline.core.leases.lock_table import LockTable
 from gypsumline.core.leases.messages import (
@@ -100,7 +101,8 @@
         self._usage = ResourceUsage()
         self._unowned_runs = UnownedRuns(STOP_RETRY_SECONDS)
         self._contacts = OwnerContacts(settings)
-        self._locks = LockTable(settings, self._contacts)
+        self._locks = LockTable(settings, started_at)
+        self._keepers: KeeperList | None = None
         self._offers = CapacityOffers()
         self._reports = PendingReports(self._contacts, self._load)
         self._crashes = CrashLog(settings)
@@ -169,6 +171,10 @@
             return Resources()
         return self._executor.announcement.capacity - self._usage.used
 
+    @property
+    def _keepers_version(self) -> int:
+        return 0 if self._keepers is None else self._keepers.version
+
     @property
     def _needs_hold(self) -> bool:
         executor = self._executor
@@ -204,7 +210,6 @@
     def on_disconnected(self, owner: Member, now: float) -> list[Effect]:
         """Handles a closed stream; its runs continue to the contact limit."""
         self._contacts.disconnect(owner)
-        self._locks.on_disconnected(owner, now)
         return []
 
     def on_lock_request(
@@ -218,9 +223,29 @@
 
     def on_unlock(self, owner: Member, message: UnlockKeys) -> list[Effect]:
         """Removes locks that an owner returns."""
-        self._locks.release(owner, message.keys)
+        self._locks.release(owner, message.keys, message.number)
         return []
 
+    def on_entries(self, entries: Mapping[str, int]) -> list[Effect]:
+        """Applies the first list of entries, by member id and incarnation."""
+        self._locks.expect(entries)
+        return []
+
+    def on_keepers(self, keepers: KeeperList, now: float) -> list[Effect]:
+        """Applies a list of keepers that was read, unless it is stale."""
+        if keepers.version <= self._keepers_version:
+            return []
+        self._keepers = keepers
+        return [self._ping(owner, now) for owner in self._contacts.connected]
+
+    def on_keepers_request(
+        self, owner: Member, message: RequestKeeperList, now: float
+    ) -> list[Effect]:
+        """Sends the newest list of keepers to an owner."""
+        if self._keepers is None:
+            return []
+        return [Send(to=owner.member_id, message=self._keepers)]
+
     def on_claims(
         self, owner: Member, message: ClaimRuns, now: float
     ) -> list[Effect]:
@@ -265,11 +290,14 @@
         """Handles the answer to a ping and starts the deferred runs."""
         self._contacts.record_answer(owner, message.stamp, now)
         self._contacts.set_capacity_request(owner, message.wish, now)
-        self._locks.release(owner, message.unlocked)
+        self._locks.release(owner, message.unlocked, message.unlocked_number)
         if message.stamp <= now:
             self._zones.record_age(message.stamp, message.zones_age)
         self._offers.close_offer(owner)
         effects: list[Effect] = []
+        if self._contacts.confirm(owner):
+            # Tells the owner that its answer has been received.
+            effects.append(self._ping(owner, now))
         if self._contacts.is_in_contact(owner, now):
             for deferred in self._contacts.take_deferred_starts(owner):
                 effects += self._start(owner, deferred, now)
@@ -921,7 +949,8 @@
     # Messages.
 
     def _ping(self, owner: Member, now: float) -> Send:
-        return self._contacts.ping(owner, self._load(owner, now), now)
+        load = self._load(owner, now)
+        return self._contacts.ping(owner, load, self._keepers_version, now)
 
     def _load(self, owner: Member, now: float) -> ExecutorLoad:
         executor = self._executor
--- a/gypsumline/core/leases/settings.py
+++ b/gypsumline/core/leases/settings.py
@@ -44,17 +44,12 @@
         the executor's process is gone.
       zones_age_limit: Age of the owners' lists of excluded zones at which an
         agent reads them from the operators' table itself.
-      lock_validity: Time without contact to the agent that keeps a lock after
-        which its owner requests the lock again. Covers a ping interval at rest.
-      lock_expiry: Age of an owner's contact at which its locks are granted to
-        others. Covers the delay of a ping beyond `lock_validity`.
-      lock_answer_limit: Time after which an agent that has not answered a
-        request for a lock is passed over.
-      lock_retry_interval: Time between requests for a lock that another owner
-        has.
-      lock_suspension: Time for which it is passed over.
-      lock_warmup: Time from the first stream of an agent in which it does not
-        grant locks, unless their owners had them before.
+      lock_validity: Time from an owner's request for a lock in which it counts
+        as granted. Renewed after half of it.
+      lock_retry_interval: Time between requests for a lock that is missing.
+      keepers_validity: Time for which an owner uses a list of keepers after a
+        majority of them was known to have no newer one. Covers two ping
+        intervals at rest.
       crash_memory: Time for which the runs of a crash remain suspects.
       crash_records: Maximum number of crashes that an agent keeps.
     """
@@ -77,12 +72,9 @@
     lossy_hold_interval: float = 0.03
     crash_confirmation: float = 0.04
     zones_age_limit: float = 3.0
-    lock_validity: float = 2.0
-    lock_expiry: float = 2.2
-    lock_answer_limit: float = 0.1
+    lock_validity: float = 1.0
     lock_retry_interval: float = 0.1
-    lock_suspension: float = 1.0
-    lock_warmup: float = 0.1
+    keepers_validity: float = 5.0
     crash_memory: float = 60.0
     crash_records: int = 32
 
@@ -99,17 +91,12 @@
                 self.ping_answer_time,
                 f"less than contact_limit ({self.contact_limit} s)",
             )
-        if self.rest_ping_interval >= self.lock_validity:
+        if 2.0 * self.rest_ping_interval >= self.keepers_validity:
             raise InvalidInputError(
                 "rest_ping_interval",
                 self.rest_ping_interval,
-                f"less than lock_validity ({self.lock_validity} s)",
-            )
-        if self.lock_validity >= self.lock_expiry:
-            raise InvalidInputError(
-                "lock_validity",
-                self.lock_validity,
-                f"less than lock_expiry ({self.lock_expiry} s)",
+                f"less than half of keepers_validity "
+                f"({self.keepers_validity} s)",
             )
         if self.hold_wait + self.order_timeout >= self.lease:
             raise InvalidInputError(
@@ -143,3 +130,26 @@
     def rerun_wait(self) -> float:
         """Time after the last contact at which a task may be run elsewhere."""
         return self.max_run_time_after_contact * (1.0 + self.clock_drift)
+
+    @property
+    def lock_expiry(self) -> float:
+        """Time from the newest request for a lock until others may have it.
+
+        By then its owner has stopped the runs that it may not keep. An agent
+        that has started grants no locks for as long.
+        """
+        return self._end_of_runs(self.lock_validity)
+
+    @property
+    def keepers_settling(self) -> float:
+        """Time until no owner uses a list of keepers any more.
+
+        Counted from the moment at which a majority of them has moved on, or at
+        which others have replaced it without them; these may learn of it later
+        by up to `lock_validity`.
+        """
+        return self._end_of_runs(self.keepers_validity + self.lock_validity)
+
+    def _end_of_runs(self, validity: float) -> float:
+        """Returns the time until all runs under a permission have ended."""
+        return (validity + self.rerun_wait) * (1.0 + self.clock_drift)
--- a/gypsumline/entry/leased_node.py
+++ b/gypsumline/entry/leased_node.py
@@ -7,8 +7,9 @@
 
 from gypsumline.core.effects import Decision, Effect, Send
 from gypsumline.core.identity import Member
-from gypsumline.core.leases.effects import JobEnded, QueueBlamed
+from gypsumline.core.leases.effects import JobEnded, ProposeKeepers, QueueBlamed
 from gypsumline.core.leases.job import JobRequest
+from gypsumline.core.leases.keepers import KeeperList
 from gypsumline.core.leases.lock_messages import LockAnswers
 from gypsumline.core.leases.messages import (
     ContactPing,
@@ -43,6 +44,7 @@
       owner: State machine of the owner.
       decision_log: Log of decisions.
       on_agent_lost: Called at the end of each stream to an agent.
+      on_proposed: Called with each list of keepers that is to be stored.
     """
 
     def __init__(
@@ -50,10 +52,12 @@
         owner: LeasedOwner,
         decision_log: DecisionLog,
         on_agent_lost: Callable[[], None],
+        on_proposed: Callable[[KeeperList], None],
     ) -> None:
         self._owner = owner
         self._log = decision_log
         self._on_agent_lost = on_agent_lost
+        self._on_proposed = on_proposed
         self._hub: Hub | None = None
         self._timer: Subscription | None = None
         self._callers: dict[str, list[OnEnded]] = {}
@@ -70,6 +74,11 @@
         """Number of agents that can get runs."""
         return self._owner.usable_agents(boot_time())
 
+    @property
+    def has_keepers(self) -> bool:
+        """Whether locks can be had, without which nothing is started."""
+        return self._owner.has_keepers(boot_time())
+
     def attach(self, hub: Hub) -> None:
         """Sets the hub for messages."""
         self._hub = hub
@@ -118,6 +127,10 @@
         """Records that the list is the newest one, as of some seconds ago."""
         self._owner.record_zones_read(boot_time() - age)
 
+    def set_keepers(self, keepers: KeeperList) -> None:
+        """Sets the list of the agents that keep locks."""
+        self._apply_effects(self._owner.on_keepers(keepers, boot_time()))
+
     def restore_crashes(
         self, crashes: Sequence[tuple[str, ExecutorCrash]]
     ) -> None:
@@ -146,6 +159,8 @@
         elif isinstance(message, ContactPing):
             self._apply_effects(self._owner.on_ping(member, message, now))
             self._defer_answer((member, message.stamp))
+        elif isinstance(message, KeeperList):
+            self.set_keepers(message)
         elif isinstance(message, LockAnswers):
             self._apply_effects(
                 self._owner.on_lock_answers(member, message, now)
@@ -185,6 +200,8 @@
                     self._answer_callers(effect)
                 case QueueBlamed():
                     _count(effect)
+                case ProposeKeepers():
+                    self._on_proposed(effect.keepers)
                 case Decision():
                     self._log.write(effect)
         if self._timer is not None:
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -15,8 +15,9 @@
 from gypsumline.platform.executor_calls import ExecutorClient
 from gypsumline.platform.follower import TableFollower
 from gypsumline.platform.heartbeats import HeartbeatReceiver
+from gypsumline.platform.keeper_rows import KeeperReader
 from gypsumline.platform.settings_file import ProcessSettings
-from gypsumline.platform.store import Store
+from gypsumline.platform.store import RowSet, Store
 from gypsumline.platform.zone_reader import ZoneReader
 from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.light_http_server import (
@@ -57,11 +58,22 @@
     async with running_hub(daemon.member, node, daemon.rng) as hub:
         node.attach(hub)
         directory = EntryDirectory(hub.set_members)
+        keepers = KeeperReader(node.set_keepers)
+
+        def replace_rows(rows: RowSet) -> None:
+            directory.replace(rows)
+            node.set_entries(directory.incarnations)
+            keepers.apply(rows)
+
+        def apply_rows(rows: RowSet) -> None:
+            directory.apply(rows)
+            keepers.apply(rows)
+
         follower = TableFollower(
             store,
             ENTRIES_TABLE,
-            directory.replace,
-            directory.apply,
+            replace_rows,
+            apply_rows,
             settings.entries_feed,
             daemon.rng,
         )
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -17,10 +17,12 @@
 from gypsumline.platform.entry_rows import EntryAnnouncer
 from gypsumline.platform.follower import TableFollower
 from gypsumline.platform.ingress import Ingress
+from gypsumline.platform.keeper_rows import KeeperWriter
 from gypsumline.platform.routes import OperatorConfiguration
 from gypsumline.platform.settings_file import ProcessSettings
 from gypsumline.platform.store import RowSet, Store
 from gypsumline.platform.zone_rows import OPERATOR_TABLE
+from gypsumline.runtime.clock import boot_time
 from gypsumline.runtime.http_messages import HttpResponse
 from gypsumline.runtime.light_http_server import (
     Exchange,
@@ -50,6 +52,7 @@
         owner = LeasedOwner(
             settings.lease,
             LeasedOwnerSettings(remote_factor=settings.remote_factor),
+            boot_time(),
         )
         self._store = Store(settings.store_address, settings.operator_feed)
         self._crash_reader = CrashReader(
@@ -58,8 +61,16 @@
             lambda crashes: self._node.restore_crashes(crashes),
             daemon.rng,
         )
+        self._keeper_writer = KeeperWriter(
+            self._store,
+            daemon.rng,
+            lambda keepers: self._node.set_keepers(keepers),
+        )
         self._node = LeasedEntryNode(
-            owner, daemon.decision_log, self._crash_reader.request_read
+            owner,
+            daemon.decision_log,
+            self._crash_reader.request_read,
+            self._keeper_writer.propose,
         )
         self._configuration = OperatorConfiguration()
         self._follower = TableFollower(
@@ -90,6 +101,7 @@
             self._running_servers() as caller_server,
             running_tasks(
                 self._crash_reader.run(),
+                self._keeper_writer.run(),
                 self._follow_operator(),
                 announcer.run(),
             ),
@@ -165,6 +177,7 @@
             not self._is_stopping
             and self._configuration.version >= 0
             and self._node.usable_agents > 0
+            and self._node.has_keepers
         )
         exchange.respond(HttpResponse(status=200 if is_ready else 503))
 
--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -23,6 +23,8 @@
 from gypsumline.runtime.addresses import parse_address
 
 ENTRIES_TABLE = "gypsumline-entries"
+# Row of the table that is no entry's: the list of the keepers of locks.
+KEEPERS_KEY = "#keepers"
 RENEWAL_SECONDS = 20.0
 # Rows that have not been renewed for this long belong to entries that are gone.
 EXPIRY_SECONDS = 70.0
@@ -61,6 +63,10 @@
     return entry
 
 
+def _rows_of_entries(rows: RowSet) -> list[StoredRow]:
+    return [row for row in rows.rows if row.key != KEEPERS_KEY]
+
+
 class _EntryReader:
     """Decodes rows; logs and counts each distinct invalid one once."""
 
@@ -91,23 +97,30 @@
 
     def __init__(self, on_changed: Callable[[list[str]], None]) -> None:
         self._addresses: dict[str, str] = {}
+        self._incarnations: dict[str, int] = {}
         self._on_changed = on_changed
         self._reader = _EntryReader()
 
+    @property
+    def incarnations(self) -> dict[str, int]:
+        """Incarnation of each entry by its member id."""
+        return {key: self._incarnations[key] for key in self._addresses}
+
     def replace(self, rows: RowSet) -> None:
         """Replaces all addresses by those of a full read."""
-        listed = {row.key for row in rows.rows}
+        listed = {row.key for row in _rows_of_entries(rows)}
         for key in self._addresses.keys() - listed:
             del self._addresses[key]
         self.apply(rows)
 
     def apply(self, rows: RowSet) -> None:
         """Applies changed rows."""
-        for row in rows.rows:
+        for row in _rows_of_entries(rows):
             if row.is_removed:
                 self._addresses.pop(row.key, None)
             elif (entry := self._reader.read(row)) is not None:
                 self._addresses[row.key] = entry.address
+                self._incarnations[row.key] = entry.incarnation
         self._on_changed(sorted(self._addresses.values()))
 
 
@@ -200,7 +213,7 @@
         They are as many as one transaction may remove.
         """
         expired: dict[str, int] = {}
-        for row in rows.rows:
+        for row in _rows_of_entries(rows):
             if row.key == self._member.member_id:
                 continue
             entry = self._reader.read(row)
--- a/gypsumline/platform/store.py
+++ b/gypsumline/platform/store.py
@@ -222,6 +222,7 @@
         table: str,
         puts: dict[str, bytes],
         removals: Mapping[str, int | None] | None = None,
+        expected: Mapping[str, int] | None = None,
     ) -> None:
         """Writes rows and removes others, in one transaction.
 
@@ -230,16 +231,19 @@
           puts: Values to write, by key.
           removals: Versions that the rows to remove must have, by key; None to
             remove whatever is there.
+          expected: Versions that rows to write must have, by key; 0 if there
+            must be none.
 
         Raises:
-          StoreConflictError: A row to remove has another version.
+          StoreConflictError: A row has another version than it must have.
           StoreUnavailableError: The store did not confirm the write.
         """
         removals = removals or {}
+        versions = {**removals, **(expected or {})}
         body = {
             "expected_rev": [
                 {"table": table, "part": "", "key": key, "ver": version}
-                for key, version in removals.items()
+                for key, version in versions.items()
                 if version is not None
             ],
             "puts": [
--- a/gypsumline/tests/core/leases/builders.py
+++ b/gypsumline/tests/core/leases/builders.py
@@ -10,6 +10,7 @@
     OrderStop,
 )
 from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.keepers import Keeper, KeeperList
 from gypsumline.core.leases.messages import (
     CapacityRequest,
     ContactPing,
@@ -213,6 +214,45 @@
     return handle_ping(leased, member, ping, now)
 
 
+def keeper_list(numbers, version=1, previous=(), is_reset=False):
+    """Returns a list of agents, each in a zone of its own."""
+    return KeeperList(
+        version=version,
+        members=_keepers(numbers),
+        previous=_keepers(previous),
+        is_reset=is_reset,
+    )
+
+
+def _keepers(numbers):
+    return tuple(
+        sorted(
+            Keeper(f"agent-{number}", f"zone-{number}") for number in numbers
+        )
+    )
+
+
+def keeper_ping(leased, number, now, version=1, incarnation=1):
+    """Handles two pings of an agent that keeps locks; returns the effects.
+
+    The second one says that the answer to the first has been received.
+    """
+    member = agent(number, incarnation)
+    effects = []
+    for stamp in (now, now + 0.001):
+        known = leased.find_agent(member)
+        ping = ContactPing(
+            stamp=stamp,
+            load=load(executor=f"x-{number}"),
+            keeps_locks=True,
+            keepers_version=version,
+            answered=known.stamp,
+        )
+        effects += leased.on_ping(member, ping, stamp)
+        effects += leased.answer_ping(member, stamp, stamp)
+    return effects
+
+
 def handle_ping(leased, member, ping, now):
     """Answers a ping and applies its load."""
     answer = leased.answer_ping(member, ping.stamp, now)
--- /dev/null
+++ b/gypsumline/tests/core/leases/test_keepers.py
@@ -0,0 +1,241 @@
+"""Tests of the list of keepers and of the changes that owners propose."""
+
+import itertools
+
+import pytest
+
+from gypsumline.core.leases.effects import ProposeKeepers
+from gypsumline.core.leases.keeper_changes import (
+    ADDITION_SECONDS,
+    FIRST_LIST_QUIET_SECONDS,
+    REMOVAL_SECONDS,
+    RESET_SECONDS,
+    balance_zones,
+)
+from gypsumline.core.leases.keepers import (
+    KEEPERS_MAX,
+    Keeper,
+    KeeperList,
+    RequestKeeperList,
+    choose_keepers,
+    quorum,
+    sort_by_rank,
+)
+from gypsumline.core.leases.messages import ContactPing, ContactPong
+from gypsumline.core.leases.settings import LeaseSettings
+from gypsumline.tests.core.leases.builders import (
+    ENTRY,
+    KEY,
+    LEASE,
+    agent,
+    keeper_list,
+    load,
+    open_table,
+    owner,
+    sends,
+)
+
+ZONES = ("north", "south", "west")
+
+
+def fleet(count, zones=ZONES):
+    return tuple(
+        Keeper(f"agent-{number}", zones[number % len(zones)])
+        for number in range(count)
+    )
+
+
+@pytest.mark.parametrize("count", [3, 9, 21, 56, 160])
+def test_keepers_of_a_key_are_in_different_zones(count):
+    """Guards against keys that the loss of one zone makes unusable."""
+    members = fleet(count)
+    zones = dict(members)
+    for number in range(50):
+        chosen = choose_keepers(f"{number:016x}", members)
+        assert len({zones[member_id] for member_id in chosen}) == 3
+
+
+def test_keys_are_spread_over_the_agents():
+    """Guards against an agent that keeps the locks of all keys."""
+    members = fleet(56)
+    keys = [f"{number:016x}" for number in range(1000)]
+    chosen = [m for key in keys for m in choose_keepers(key, members)]
+    counts = [chosen.count(keeper.member_id) for keeper in members]
+    # 54 of 3,000 on the mean.
+    assert min(counts) > 20
+    assert max(counts) < 120
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 9])
+def test_any_two_quorums_of_a_key_have_an_agent_in_common(count):
+    """Guards against two owners that both have the lock on a key."""
+    chosen = choose_keepers(KEY, fleet(count, zones=("north",)))
+    assert len(chosen) == min(count, 3)
+    quorums = list(itertools.combinations(chosen, quorum(len(chosen))))
+    for first, second in itertools.product(quorums, quorums):
+        assert set(first) & set(second)
+
+
+def test_all_owners_acquire_locks_in_the_same_order():
+    """Guards against owners under two lists that wait for each other."""
+    both = sort_by_rank(KEY, [k.member_id for k in fleet(9)])
+    some = sort_by_rank(KEY, [k.member_id for k in fleet(5)])
+    assert [member_id for member_id in both if member_id in some] == list(some)
+
+
+@pytest.mark.parametrize("sizes", [(30, 3, 3), (9, 1, 1), (200, 200, 200)])
+def test_no_zone_has_half_of_a_list(sizes):
+    """Guards against a zone whose loss stops everything."""
+    candidates = [
+        Keeper(f"{zone}-{number:03d}", zone)
+        for zone, size in zip(ZONES, sizes, strict=True)
+        for number in range(size)
+    ]
+    members = balance_zones(candidates)
+    assert len(members) <= KEEPERS_MAX
+    zones = [keeper.availability_zone for keeper in members]
+    assert all(2 * zones.count(zone) < len(zones) for zone in ZONES)
+
+
+@pytest.mark.parametrize("resubmit_delay", [1.2, 1.3, 4.0])
+def test_locks_outlast_the_runs_that_they_protect(resubmit_delay):
+    """Guards against bounds under which a second owner starts too early."""
+    settings = LeaseSettings(
+        resubmit_delay=resubmit_delay, contact_limit=0.35 * resubmit_delay
+    )
+    runs_end = settings.lock_validity + settings.rerun_wait
+    assert settings.lock_expiry >= runs_end * (1.0 + settings.clock_drift)
+    runs_end = settings.keepers_validity + settings.rerun_wait
+    assert settings.keepers_settling >= runs_end
+
+
+def proposed(leased, now):
+    """Returns the list that an owner proposes, or None."""
+    effects = leased.tick(now)
+    lists = [e.keepers for e in effects if isinstance(e, ProposeKeepers)]
+    return lists[0] if lists else None
+
+
+def numbers(keepers):
+    ids = [keeper.member_id for keeper in keepers.members]
+    return sorted(int(member_id.rpartition("-")[2]) for member_id in ids)
+
+
+def connect(leased, reached, now, version):
+    for number in reached:
+        member = agent(number, zone=f"zone-{number}")
+        leased.on_connected(member, now)
+        for stamp in (now, now + 0.001):
+            answered = leased.find_agent(member).stamp
+            ping = ContactPing(
+                stamp=stamp,
+                load=load(),
+                keeps_locks=True,
+                keepers_version=version,
+                answered=answered,
+            )
+            leased.on_ping(member, ping, stamp)
+            leased.answer_ping(member, stamp, stamp)
+
+
+def test_first_list_has_all_agents_that_have_connected():
+    """Guards against a first list of the agent that was fastest."""
+    leased = owner()
+    connect(leased, (1, 2), 0.0, version=0)
+    connect(leased, (3,), 0.3, version=0)
+    assert proposed(leased, FIRST_LIST_QUIET_SECONDS + 0.1) is None
+    keepers = proposed(leased, FIRST_LIST_QUIET_SECONDS + 0.4)
+    assert (keepers.version, numbers(keepers)) == (1, [1, 2, 3])
+    assert keepers.previous == ()
+
+
+def test_entry_that_starts_proposes_no_first_list_beside_a_stored_one():
+    """Guards against a list that replaces the one in use."""
+    leased = owner()
+    connect(leased, (1, 2), 0.0, version=4)
+    assert proposed(leased, 3.0) is None
+
+
+def test_agents_are_added_and_removed_once_a_list_is_settled():
+    """Guards against lists that change before all owners use the last one."""
+    leased = owner()
+    connect(leased, (1, 2, 3), 0.0, version=2)
+    leased.on_keepers(keeper_list((1, 2, 3), 2, previous=(1, 2, 3)), 0.0)
+    connect(leased, (4,), 1.0, version=2)
+    assert proposed(leased, 1.0 + ADDITION_SECONDS) is None
+    now = LEASE.keepers_settling + 0.1
+    for number in (1, 2, 3, 4):
+        connect_again(leased, number, now, version=2)
+    keepers = proposed(leased, now)
+    assert (keepers.version, numbers(keepers)) == (3, [1, 2, 3, 4])
+    assert keepers.previous == keeper_list((1, 2, 3)).members
+
+
+def settled_owner(reached, listed, now):
+    """Returns an owner whose list is in force since the time 0."""
+    leased = owner()
+    connect(leased, reached, 0.0, version=1)
+    leased.on_keepers(keeper_list(listed), 0.0)
+    for number in reached:
+        connect_again(leased, number, now)
+    return leased
+
+
+def connect_again(leased, number, now, version=1):
+    member = agent(number, zone=f"zone-{number}")
+    for stamp in (now - 0.002, now - 0.001):
+        answered = leased.find_agent(member).stamp
+        ping = ContactPing(
+            stamp=stamp,
+            load=load(),
+            keeps_locks=True,
+            keepers_version=version,
+            answered=answered,
+        )
+        leased.on_ping(member, ping, stamp)
+        leased.answer_ping(member, stamp, stamp)
+
+
+@pytest.mark.parametrize(
+    ("now", "expected"),
+    [(REMOVAL_SECONDS - 0.1, None), (REMOVAL_SECONDS + 0.1, [1, 2, 3])],
+)
+def test_agent_that_stays_away_is_removed(now, expected):
+    """Guards against keys whose keepers never come back."""
+    leased = settled_owner((1, 2, 3), (1, 2, 3, 4), now)
+    keepers = proposed(leased, now)
+    assert (keepers and numbers(keepers)) == expected
+
+
+@pytest.mark.parametrize(
+    ("now", "expected"),
+    [(RESET_SECONDS - 0.1, None), (RESET_SECONDS + 0.1, [1, 2])],
+)
+def test_list_that_has_lost_a_majority_is_replaced(now, expected):
+    """Guards against an installation that starts nothing any more."""
+    leased = settled_owner((1, 2), (1, 2, 3, 4), now)
+    keepers = proposed(leased, now)
+    assert (keepers and numbers(keepers)) == expected
+    assert keepers is None or keepers.is_reset
+
+
+def test_agents_state_and_pass_on_the_newest_list():
+    """Guards against owners that never hear of a list."""
+    table = open_table()
+    newest = keeper_list((1, 2), version=5)
+    pings = sends(table.on_keepers(newest, 1.0), ContactPing)
+    assert {ping.keepers_version for _, ping in pings} == {5}
+    assert table.on_keepers(keeper_list((1,), version=4), 1.1) == []
+    effects = table.on_keepers_request(ENTRY, RequestKeeperList(), 1.2)
+    assert sends(effects, KeeperList) == [(ENTRY.member_id, newest)]
+
+
+def test_agent_confirms_the_first_answer_of_a_stream_at_once():
+    """Guards against an entry that waits for the next ping after its start."""
+    table = open_table()
+    ((_, ping),) = sends(
+        table.on_pong(ENTRY, ContactPong(stamp=0.0), 0.01), ContactPing
+    )
+    assert ping.answered == 0.0
+    effects = table.on_pong(ENTRY, ContactPong(stamp=0.01), 0.02)
+    assert not sends(effects, ContactPing)
--- a/gypsumline/tests/entry/test_leased_node.py
+++ b/gypsumline/tests/entry/test_leased_node.py
@@ -28,7 +28,9 @@
 def fixture_node():
     leased = owner()
     join(leased, agent(), boot_time())
-    return LeasedEntryNode(leased, DecisionLog(0), lambda: None)
+    return LeasedEntryNode(
+        leased, DecisionLog(0), lambda: None, lambda keepers: None
+    )
 
 
 def test_cancelled_job_answers_all_its_callers(node):
--- a/properties/lease_walk.py
+++ b/properties/lease_walk.py
@@ -12,7 +12,7 @@
 
 from gypsumline.core.leases.job import JobStep
 from gypsumline.core.leases.resources import Resources
-from properties.fleet_faults import FAULTS, FleetWorld
+from properties.fleet_faults import FAULTS, LATE_END_SECONDS, FleetWorld
 from properties.lease_world import QUEUE, TIMEOUTS, ZONES, LeaseWorld
 
 STEP = 0.25  # seconds of virtual time between actions
@@ -24,6 +24,9 @@
 # More than a task that crashes its executors may cause.
 MAX_CRASHES = 8
 CRASH_INTERVAL_SECONDS = 6.0
+DEFERRED_STARTS = 6
+# Time after which no job is left and agents ping at their longest interval.
+AT_REST_SECONDS = 8.0
 # Bounds of the numbers of agents and entries that walks draw.
 AGENTS = (3, 30)
 ENTRIES = (2, 4)
@@ -405,6 +408,32 @@
     return world
 
 
+def walk_deferred_starts(seed):
+    """Runs a walk whose entries are paused just after they send starts.
+
+    Agents at rest defer these until the entry answers their next ping. The
+    callers go to other entries meanwhile, which the paused one does not hear.
+
+    Returns:
+      The world after the walk.
+    """
+    rng = random.Random(seed)
+    world = FleetWorld(seed, entries=2, agents=3)
+    for executor in world.executors.values():
+        executor.run_times = (1.0,)
+    for _ in range(DEFERRED_STARTS):
+        world.run_until(world.now + AT_REST_SECONDS + rng.uniform(0.0, 2.0))
+        key = world.submit_new(timeouts=(max(TIMEOUTS),))
+        owner = next(n for n in world.entries.values() if key in n.callers)
+        while key in owner.callers and not owner.machine.jobs[key].has_started:
+            world.run_until(world.now + 0.001)
+        if key in owner.callers:
+            owner.paused_until = world.now + rng.uniform(2.4, 3.4)
+            world.leave(owner, key, max(LATE_END_SECONDS))
+    world.run_until(world.now + RECOVERY_SECONDS)
+    return world
+
+
 def walk_killed_between_crashes(seed):
     """Runs a walk in which all processes are killed after each crash.
 
@@ -417,7 +446,8 @@
     rng = random.Random(seed)
     world = LeaseWorld(seed, entries=2, agents=3)
     world.run_until(1.0)
-    step = JobStep(count=1, resources=Resources(processor=500), run_time=0.2)
+    # Such a job is still useful once agents that have restarted grant locks.
+    step = JobStep(count=1, resources=Resources(processor=500), run_time=2.0)
     key = "c" * 16
     world.sizes[key] = step.resources.processor
     world.culprits[f"{key}.0.0.0"] = rng.choice((0.005, 0.02))
--- a/properties/lease_world.py
+++ b/properties/lease_world.py
@@ -20,8 +20,14 @@
     OrderAnswer,
     OrderStart,
     OrderStop,
+    ProposeKeepers,
 )
 from gypsumline.core.leases.job import JobRequest, JobStep, QueueRules
+from gypsumline.core.leases.keepers import (
+    Keeper,
+    KeeperList,
+    RequestKeeperList,
+)
 from gypsumline.core.leases.lock_messages import (
     LockAnswers,
     LockKeys,
@@ -90,6 +96,7 @@
     ClaimRuns: "on_claims",
     LockKeys: "on_lock_request",
     LockAnswers: "on_lock_answers",
+    RequestKeeperList: "on_keepers_request",
 }
 
 
@@ -208,6 +215,16 @@
         self._links = {}  # (agent, entry) -> number of its open stream
         self._last_arrival = {}
         self._key = itertools.count(1)
+        # The list of keepers in the store.
+        self.keepers = KeeperList(
+            version=1,
+            members=tuple(
+                sorted(
+                    Keeper(f"agent-{number}", ZONES[number % len(ZONES)])
+                    for number in range(agents)
+                )
+            ),
+        )
         self.zones = ZonesOut(version=0, zones=())
         self.excluded_since = {}  # zone -> time of its exclusion
         # Entries that cannot reach the store, and until when.
@@ -262,7 +279,7 @@
             availability_zone=zone,
             address=name,
         )
-        owner = LeasedOwner(LEASE, self.owner_settings)
+        owner = LeasedOwner(LEASE, self.owner_settings, self.now)
         node = Node(member, owner)
         self.entries[name] = node
         self.undisturbed_since[name] = self.now
@@ -284,8 +301,11 @@
         # The clock of some agents is ahead, so that the clock of the next one
         # appears to have gone back.
         token = int(1000 * self.now) + self.rng.choice((1, 1, 100_000))
-        node = Node(member, RunTable(member, LEASE, token, self.now))
+        # The first agents have been running for a while.
+        started_at = self.now if incarnation > 1 else -LEASE.lock_expiry
+        node = Node(member, RunTable(member, LEASE, token, started_at))
         self.agents[name] = node
+        self.at(STORE_DELAY, self._read_keepers, node)
         self.undisturbed_since[name] = self.now
         self.at(TICK, self._tick, node)
         self.at(ZONES_READ_INTERVAL, self._read_zones_if_doubtful, node)
@@ -363,6 +383,36 @@
             and self.now - undisturbed_since > PROPAGATION_LIMIT_SECONDS
         )
 
+    # The list of keepers.
+
+    def _read_keepers(self, node):
+        """Has an agent read the list from the store."""
+        if not node.alive:
+            return
+        if not self.reaches_store(node):
+            self.at(ZONES_READ_INTERVAL, self._read_keepers, node)
+            return
+        entries = {
+            name: entry.member.incarnation
+            for name, entry in self.entries.items()
+        }
+        self.when_running(node, node.machine.on_entries, entries)
+        self.when_running(node, self._set_keepers, node, self.keepers)
+
+    def _set_keepers(self, node, keepers):
+        self.apply_effects(node, node.machine.on_keepers(keepers, self.now))
+
+    def _store_keepers(self, node, keepers):
+        """Stores a list unless another one of its version is there."""
+        if not self.reaches_store(node):
+            return
+        if keepers.version == self.keepers.version + 1:
+            self.keepers = keepers
+            for agent in self.agents.values():
+                delay = self.rng.choice((STORE_DELAY, 0.5))
+                self.at(delay, self._read_keepers, agent)
+        self.when_running(node, self._set_keepers, node, self.keepers)
+
     # Streams.
 
     def is_partitioned(self, sender, receiver):
@@ -468,6 +518,8 @@
         machine, now = node.machine, self.now
         if isinstance(message, ZonesOut):
             effects = machine.on_zones_out(message, now)
+        elif isinstance(message, KeeperList):
+            effects = machine.on_keepers(message, now)
         elif isinstance(message, UnlockKeys):
             effects = machine.on_unlock(sender, message)
         else:
@@ -505,6 +557,9 @@
                     self._answer(node, effect)
                 case OrderStart() | OrderStop():
                     self._send_order(node, effect)
+                case ProposeKeepers():
+                    keepers = effect.keepers
+                    self.at(STORE_DELAY, self._store_keepers, node, keepers)
                 case CrashDetected():
                     self.detected_crashes += 1
                     self.at(STORE_DELAY, self._store_crash, node, effect)
--- a/properties/test_fleet_locks.py
+++ b/properties/test_fleet_locks.py
@@ -26,3 +26,9 @@
     actions = lease_walk.fleet_actions(faults)
     world = lease_walk.walk(seed, actions=actions, agents=agents)
     assert world.oracle.violations == []
+
+
+@pytest.mark.parametrize("seed", [6, 12, 18, 57])
+def test_starts_deferred_by_an_agent_end_with_the_locks_of_their_owner(seed):
+    """Guards against runs of an owner that answers a ping without its locks."""
+    assert lease_walk.walk_deferred_starts(seed).oracle.violations == []
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gypsumline.core.leases.lock_messages import LockState
 from gypsumline.core.leases.lock_table import LockTable
 from gypsumline.core.leases.messages import RunEnd
 from gypsumline.core.leases.owner import LeasedOwner
@@ -198,7 +199,9 @@
 
 def grant_every_lock(monkeypatch):
     """Has agents grant a lock that another owner has."""
-    monkeypatch.setattr(LockTable, "_is_held", lambda self, lock, now: False)
+    monkeypatch.setattr(
+        LockTable, "_grant", lambda self, *arguments: LockState.GRANTED
+    )
 
 
 def never_fence(monkeypatch):
--- a/soak/world.py
+++ b/soak/world.py
@@ -205,6 +205,8 @@
         def translate(table, key, value):
             if table != ENTRIES_TABLE or reader not in self.agents:
                 return value
+            if key not in self.entries:
+                return value
             row = json.loads(value)
             port = PROXY_PORT + list(self.entries).index(key)
             row["address"] = f"{self.host_address(reader)}:{port}"
