Return availability zones to service in the soak

Soaks have gathered excluded zones since and never tested a return. Change: all zones but the one taken out are returned.

--- a/soak/world.py
+++ b/soak/world.py
@@ -235,12 +235,12 @@
     def set_zone_out(self, zone):
         """Takes one zone out of service and returns the others; "" for none."""
         rows = [("op", f"evacuate/{zone}", b"{}")] if zone else []
-        returned_zones = [
-            ("op", f"evacuate/{other}") for other in self.zones_out
+        returned = [
+            ("op", f"evacuate/{other}")
+            for other in self.zones_out
+            if other != zone
         ]
-        self.rows.write(
-            rows, [name for name in returned_zones if zone not in name[1]]
-        )
+        self.rows.write(rows, returned)
         self.zones_out = {zone: self.now} if zone else {}
 
     def check_zone(self, executor):
