Keep agents of leaving executors in the list until their streams end

What was seen: soaks with few agents had lists of one or two keepers, and with one of them away nothing started: an agent whose executor left was removed at once, though it went on with the next executor, and each way takes a transition of the list. Change: it is removed at the end of its stream, as on machines that are taken away; first lists and replaced ones have all agents again.

--- a/gypsumline/core/leases/keeper_changes.py
+++ b/gypsumline/core/leases/keeper_changes.py
@@ -20,7 +20,8 @@
 FIRST_LIST_QUIET_SECONDS = 0.5
 FIRST_LIST_MAX_SECONDS = 2.0
 # Age of a stream from which its agent is added, and time without one after
-# which its agent is removed. One that leaves is removed at once.
+# which its agent is removed. After its executor has said that it leaves, the
+# end of the stream is enough.
 ADDITION_SECONDS = 2.0
 REMOVAL_SECONDS = 10.0
 # Time without a majority of the keepers after which the list is replaced
@@ -76,6 +77,7 @@
             for agent in self._usable()
             if agent.member.member_id not in listed
             and now - agent.changed_at >= ADDITION_SECONDS
+            and not agent.load.is_leaving
         ]
         members = balance_zones([*kept, *sorted(added)])
         if members == keepers.members and not keepers.is_reset:
@@ -102,21 +104,15 @@
         agent = self._fleet.named(keeper.member_id)
         away_since = view.learned_at
         if agent is not None:
-            if agent.load.is_leaving:
-                return True
             if agent.is_connected:
                 return False
+            if agent.load.is_leaving:
+                return True
             away_since = max(away_since, agent.changed_at)
         return now - away_since >= REMOVAL_SECONDS
 
     def _usable(self) -> list[AgentView]:
-        return [
-            agent
-            for agent in self._fleet
-            if agent.is_connected
-            and agent.keeps_locks
-            and not agent.load.is_leaving
-        ]
+        return [a for a in self._fleet if a.is_connected and a.keeps_locks]
 
 
 def balance_zones(candidates: Sequence[Keeper]) -> tuple[Keeper, ...]:
