Log that an owner claims a lock which another owner has

Cause: two owners with locks on one key at one agent left no line, so a record could not tell them from a single owner that runs a task again too early. Change: job_lock_conflict at the agent, with both owners, in the kind of lines that a full log of steps does not displace.

--- a/gypsumline/core/leases/run_log_lines.py
+++ b/gypsumline/core/leases/run_log_lines.py
@@ -5,9 +5,14 @@
 import dataclasses
 from collections.abc import Iterable, Sequence
 
-from gypsumline.core.effects import Decision
+from gypsumline.core.effects import Decision, DecisionKind
 from gypsumline.core.identity import Member
 from gypsumline.core.leases.effects import Announcement, CrashDetected
+from gypsumline.core.leases.lock_messages import (
+    LockAnswers,
+    LockKeys,
+    LockState,
+)
 from gypsumline.core.leases.messages import (
     RunEnd,
     RunOrder,
@@ -30,6 +35,23 @@
     )
 
 
+def lock_conflict_lines(
+    owner: Member, message: LockKeys, answers: LockAnswers
+) -> list[Decision]:
+    """Returns the log lines of locks that an owner has, and another one too."""
+    return [
+        Decision(
+            event="job_lock_conflict",
+            kind=DecisionKind.OUTCOME,
+            fields={"job": key, "owner": owner.member_id, "holder": holder},
+        )
+        for key, state, holder in zip(
+            answers.keys, answers.states, answers.holders, strict=True
+        )
+        if state is LockState.HELD and key in message.held
+    ]
+
+
 def refusal_line(
     owner: Member,
     order: RunOrder,
--- a/gypsumline/core/leases/run_table.py
+++ b/gypsumline/core/leases/run_table.py
@@ -45,6 +45,7 @@
 from gypsumline.core.leases.run import RUN_ENDS, START_REFUSALS, Run, RunState
 from gypsumline.core.leases.run_log_lines import (
     executor_line,
+    lock_conflict_lines,
     lost_line,
     opened_line,
     refusal_line,
@@ -219,7 +220,8 @@
         answers = self._locks.request(owner, message, now)
         if not answers.keys:
             return []
-        return [Send(to=owner.member_id, message=answers)]
+        effects: list[Effect] = [Send(to=owner.member_id, message=answers)]
+        return effects + lock_conflict_lines(owner, message, answers)
 
     def on_unlock(self, owner: Member, message: UnlockKeys) -> list[Effect]:
         """Removes locks that an owner returns."""
--- a/gypsumline/tests/core/leases/test_keepers.py
+++ b/gypsumline/tests/core/leases/test_keepers.py
@@ -1,5 +1,6 @@
 """Tests of the list of keepers and of the changes that owners propose."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -21,10 +22,12 @@
     quorum,
     sort_by_rank,
 )
+from gypsumline.core.leases.lock_messages import LockKeys
 from gypsumline.core.leases.messages import ContactPing, ContactPong
 from gypsumline.core.leases.settings import LeaseSettings
 from gypsumline.tests.core.leases.builders import (
     ENTRY,
+    ENTRY_2,
     KEY,
     LEASE,
     agent,
@@ -219,6 +222,31 @@
     assert keepers is None or keepers.is_reset
 
 
+def test_agent_of_a_leaving_executor_is_removed_at_the_end_of_its_stream():
+    """Guards against keys whose keepers are emptied and taken away."""
+    now = 3.0
+    leased = settled_owner((1, 2, 3, 4), (1, 2, 3, 4), now)
+    leaving = dataclasses.replace(load(), leaving_in=2.0)
+    ping = ContactPing(
+        stamp=now, load=leaving, keeps_locks=True, keepers_version=1
+    )
+    leased.on_ping(agent(4, zone="zone-4"), ping, now)
+    assert proposed(leased, now) is None
+    leased.on_disconnected(agent(4, zone="zone-4"), now)
+    assert numbers(proposed(leased, now)) == [1, 2, 3]
+
+
+def test_owner_that_has_a_lock_of_another_one_is_reported():
+    """Guards against two owners of one job that leave no line."""
+    table = open_table(now=10.0)
+    asked = LockKeys(number=1, keys=(KEY,))
+    assert table.on_lock_request(ENTRY, asked, 20.0)[1:] == []
+    claimed = LockKeys(number=1, keys=(KEY,), is_complete=True, held=(KEY,))
+    (line,) = table.on_lock_request(ENTRY_2, claimed, 20.1)[1:]
+    assert line.event == "job_lock_conflict"
+    assert (line.fields["job"], line.fields["holder"]) == (KEY, "entry-1")
+
+
 def test_agents_state_and_pass_on_the_newest_list():
     """Guards against owners that never hear of a list."""
     table = open_table()
