Mend what the review of the locks found

A lock is claimed for lock_validity + rerun_wait now. (2) Before the first list, streams that were opened again looked like agents that keep no locks, and jobs started without one. (3) An empty table, or one with an invalid row, ended the doubt of an agent that had started; an entry that stopped with runs left removed its row. (4) An invalid row of the list was overwritten with a version that may be in use. (5) An entry that woke from a pause of 15 s, or reached few agents, replaced the list of all: now the time awake counts, and no other entry may be in touch, which the rows of the entries say. (6) Answers slower than a ping interval gave no evidence of the version. (7) The agents of the version before stayed in the row for good, so entries that start depended on agents that are gone: a list without them follows. (8) A row that was put back to a lower version made all proposals lose. (9) An entry was ready under a list that was not in use yet. (10) Lapsed locks were searched for at each ping; now each 25 ms, and locks count as lapsed by as much earlier.

--- a/gypsumline/core/leases/fleet.py
+++ b/gypsumline/core/leases/fleet.py
@@ -12,6 +12,9 @@
 from gypsumline.core.leases.owner_settings import LeasedOwnerSettings
 from gypsumline.core.leases.resources import NO_RESOURCES, Resources
 
+# Answers to one agent that it may not have received yet.
+_ANSWERS_MAX = 16
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class AgentView:
@@ -23,6 +26,7 @@
       last_message_at: Time of its newest message with a load.
       stamp: Stamp of its newest ping.
       ping_answered_at: Time at which its newest ping was answered.
+      answers: Times of the latest answers by the stamps of their pings.
       is_connected: Whether a stream to it is open.
       changed_at: Time at which the newest stream was opened or has ended.
       keeps_locks: Whether it has said on that stream that it keeps locks.
@@ -41,6 +45,7 @@
     last_message_at: float = -math.inf
     stamp: float = -math.inf
     ping_answered_at: float = -math.inf
+    answers: dict[float, float] = dataclasses.field(default_factory=dict)
     is_connected: bool = True
     changed_at: float = -math.inf
     keeps_locks: bool = False
@@ -100,9 +105,18 @@
           version: Version of the newest list that the agent knows.
           answered: Newest stamp whose answer the agent had received.
         """
-        self.keepers_version = version
-        if answered == self.stamp:
-            self.confirmed_at = self.ping_answered_at
+        # An agent never goes back to an earlier list.
+        self.keepers_version = max(self.keepers_version, version)
+        answered_at = self.answers.get(answered, -math.inf)
+        self.confirmed_at = max(self.confirmed_at, answered_at)
+
+    def record_answer(self, stamp: float, now: float) -> None:
+        """Records the answer to a ping."""
+        self.stamp = stamp
+        self.ping_answered_at = now
+        self.answers[stamp] = now
+        if len(self.answers) > _ANSWERS_MAX:
+            del self.answers[min(self.answers)]
 
     def reset_stream(self, now: float) -> None:
         """Resets the state that belongs to a stream."""
--- a/gypsumline/core/leases/keeper_changes.py
+++ b/gypsumline/core/leases/keeper_changes.py
@@ -23,10 +23,13 @@
 # which its agent is removed. After its executor has said that it leaves, the
 # end of the stream is enough.
 ADDITION_SECONDS = 2.0
-REMOVAL_SECONDS = 10.0
+REMOVAL_SECONDS = 30.0
 # Time without a majority of the keepers after which the list is replaced
 # without them.
 RESET_SECONDS = 15.0
+# Time between two checks after which the process was paused, so that it does
+# not know how long agents have been away.
+PAUSE_SECONDS = 1.0
 # Time for another entry's proposal to become known.
 PROPOSAL_INTERVAL_SECONDS = 3.0
 
@@ -39,9 +42,15 @@
         self._views = views
         self._proposed_at = -math.inf
         self._current_at = -math.inf
+        self._checked_at = -math.inf
+        # Start, or end of the latest pause of this process.
+        self._awake_since = -math.inf
 
     def propose(self, now: float) -> list[ProposeKeepers]:
         """Returns the change of the list that is due, if there is one."""
+        if now - self._checked_at > PAUSE_SECONDS:
+            self._awake_since = now
+        self._checked_at = now
         view = self._views.newest
         if view is not None and view.is_current(now):
             self._current_at = now
@@ -80,15 +89,18 @@
             and not agent.load.is_leaving
         ]
         members = balance_zones([*kept, *sorted(added)])
-        if members == keepers.members and not keepers.is_reset:
+        is_changed = members != keepers.members
+        if not is_changed and not keepers.previous and not keepers.is_reset:
             return None
+        # Entries that start need not wait for a change that is settled.
+        previous = keepers.members if is_changed else ()
         return KeeperList(
-            version=view.version + 1, members=members, previous=keepers.members
+            version=view.version + 1, members=members, previous=previous
         )
 
     def _reset_list(self, view: KeeperView, now: float) -> KeeperList | None:
-        # Unless it is current, it cannot be settled either.
-        stuck_since = view.learned_at
+        # A list that is current may still be one that is never settled.
+        stuck_since = max(view.learned_at, self._awake_since)
         if not view.is_current(now):
             stuck_since = max(stuck_since, self._current_at)
         agents = self._usable()
@@ -102,7 +114,7 @@
 
     def _is_gone(self, keeper: Keeper, view: KeeperView, now: float) -> bool:
         agent = self._fleet.named(keeper.member_id)
-        away_since = view.learned_at
+        away_since = max(view.learned_at, self._awake_since)
         if agent is not None:
             if agent.is_connected:
                 return False
--- a/gypsumline/core/leases/keeper_views.py
+++ b/gypsumline/core/leases/keeper_views.py
@@ -59,12 +59,17 @@
             self._moved_at.setdefault(member_id, now)
 
     def is_current(self, now: float) -> bool:
-        """Returns whether locks may be had under this list."""
+        """Returns whether a majority is known to have had no newer list."""
         if now > self._current_until:
             newest = _majority_time(self._evidence, len(self._members))
             self._current_until = newest + self._settings.keepers_validity
         return now <= self._current_until
 
+    def is_usable(self, now: float) -> bool:
+        """Returns whether locks may be had under this list now."""
+        is_waiting = self.keepers.is_reset and not self.is_settled(now)
+        return not is_waiting and self.is_current(now)
+
     def is_settled(self, now: float) -> bool:
         """Returns whether no owner uses the version before any more."""
         if self._is_settled:
@@ -98,6 +103,16 @@
         """Version of the newest list; 0 if none is known."""
         return self._views[0].version if self._views else 0
 
+    def in_use(self, now: float) -> list[KeeperView]:
+        """Returns the views under which locks may be had, the newest last.
+
+        The one before counts as well while the newest is not settled.
+        """
+        newest = self.newest
+        if newest is None or newest.is_settled(now):
+            return self._views[:1]
+        return self._views[::-1]
+
     def apply(self, keepers: KeeperList, now: float) -> KeeperView | None:
         """Adds a list; returns its view, or None if it is not newer."""
         if keepers.version <= self.newest_version or not keepers.members:
--- a/gypsumline/core/leases/keepers.py
+++ b/gypsumline/core/leases/keepers.py
@@ -37,7 +37,8 @@
       previous: Agents of the version before. Locks need a quorum under both
         until no owner uses that version any more.
       is_reset: Whether the version before lost a majority of its agents, so
-        that no quorum of it can be had. Owners use such a list after a while.
+        that no quorum of it can be had. Owners use such a list after
+        `keepers_settling`.
     """
 
     version: int
@@ -67,7 +68,9 @@
     They are in different availability zones as far as possible, so that the
     loss of one zone leaves a quorum.
     """
-    ranked = sorted(members, key=lambda each: rank(key, each[0]), reverse=True)
+    ranked = sorted(
+        members, key=lambda each: rank(key, each.member_id), reverse=True
+    )
     zones: set[str] = set()
     first: list[str] = []
     others: list[str] = []
--- a/gypsumline/core/leases/key_locks.py
+++ b/gypsumline/core/leases/key_locks.py
@@ -31,6 +31,9 @@
 )
 from gypsumline.core.leases.settings import LeaseSettings
 
+# Time between two searches for locks that have lapsed. All locks count as
+# lapsed by as much earlier.
+LAPSE_CHECK_SECONDS = 0.025
 # Requests to one agent whose answers may still be on their way.
 _UNANSWERED_MAX = 16
 
@@ -65,14 +68,10 @@
           granted: Time of the newest request that each agent has granted.
           now: Current time.
         """
-        view = self.view
-        if not view.is_current(now):
-            return -math.inf
-        is_settled = view.is_settled(now)
-        if view.keepers.is_reset and not is_settled:
+        if not self.view.is_usable(now):
             return -math.inf
         newest = _quorum_time(self.keepers, granted)
-        if self.previous and not is_settled:
+        if self.previous and not self.view.is_settled(now):
             newest = min(newest, _quorum_time(self.previous, granted))
         return newest
 
@@ -184,7 +183,10 @@
         # Keys to be returned with the next answer to a ping, by member id.
         self._returned: dict[str, list[str]] = {}
         self._number = 0
+        self._lapses_checked_at = -math.inf
         self._started_at = started_at
+        # Whether any agent has said that it keeps locks.
+        self._are_kept = False
         # Whether locks could be had at any time.
         self._is_started = False
 
@@ -204,11 +206,9 @@
         Agents of earlier releases keep no locks; if there are no others, none
         are needed.
         """
-        newest = self._views.newest
-        if newest is None:
-            return not any(view.keeps_locks for view in self._fleet)
-        self._is_started = self._is_started or newest.is_current(now)
-        return newest.is_current(now)
+        if self._views.newest is None:
+            return not self._are_kept
+        return any(v.is_usable(now) for v in self._views.in_use(now))
 
     def is_cut_off(self, now: float) -> bool:
         """Returns whether locks cannot be had soon.
@@ -234,9 +234,8 @@
         if key in self._locks:
             return []
         lock = self._locks[key] = _KeyLock(key)
-        newest = self._views.newest
-        if newest is not None:
-            lock.add_claim(newest, now)
+        for view in self._views.in_use(now):
+            lock.add_claim(view, now)
         return [*self._ask([lock], now)]
 
     def release(self, key: str, at_once: bool) -> list[Effect]:
@@ -284,7 +283,7 @@
         self._started_at = min(self._started_at, now)
         if view.keeps_locks or not keeps_locks:
             return []
-        view.keeps_locks = True
+        view.keeps_locks = self._are_kept = True
         name = view.member.member_id
         locks = self._locks.values()
         asked = [lock for lock in locks if name in lock.keepers]
@@ -322,6 +321,9 @@
 
         The runs of their jobs must be stopped before any ping is answered.
         """
+        if now - self._lapses_checked_at < LAPSE_CHECK_SECONDS:
+            return []
+        self._lapses_checked_at = now
         lapsed = []
         for lock in self._locks.values():
             if lock.is_held and not self._is_held(lock, now):
@@ -332,6 +334,7 @@
     def check(self, now: float) -> list[Effect]:
         """Repeats and renews the requests that are due."""
         settings = self._settings
+        self._is_started = self._is_started or self.can_be_had(now)
         due: list[_KeyLock] = []
         for lock in self._locks.values():
             age = now - lock.granted_at(now)
@@ -355,7 +358,8 @@
         )
 
     def _is_held(self, lock: _KeyLock, now: float) -> bool:
-        is_held = now - lock.granted_at(now) <= self._settings.lock_validity
+        limit = self._settings.lock_validity - LAPSE_CHECK_SECONDS
+        is_held = now - lock.granted_at(now) <= limit
         # Cleared by `take_lapsed` alone, which has the runs stopped.
         lock.is_held = lock.is_held or is_held
         return is_held
@@ -422,7 +426,9 @@
     ) -> Send:
         """Returns a request to an agent, in place of the earlier ones."""
         self._number += 1
-        oldest = now - self._settings.lock_validity
+        # Until then the runs of a lock that has lapsed may be left.
+        settings = self._settings
+        oldest = now - settings.lock_validity - settings.rerun_wait
         held = []
         for lock in locks:
             lock.add_request(name, self._number, now)
--- a/gypsumline/core/leases/lock_table.py
+++ b/gypsumline/core/leases/lock_table.py
@@ -62,9 +62,9 @@
         Args:
           entries: Incarnations of all entries by member id, as of a time after
             the start of this agent. Later ones had no contact to an earlier
-            incarnation of it.
+            incarnation of it. That there is none proves nothing.
         """
-        if self._expected is None:
+        if self._expected is None and entries:
             self._expected = dict(entries)
             self._update_certainty()
 
@@ -126,6 +126,7 @@
         lock = self._locks.get(key)
         if lock is not None and lock.owner == owner:
             is_held = True
+            number = max(number, lock.number)
         elif lock is not None and now < lock.expires_at:
             return LockState.HELD
         if not is_held and now < self._certain_at:
--- a/gypsumline/core/leases/owner.py
+++ b/gypsumline/core/leases/owner.py
@@ -152,6 +152,11 @@
             else settings.tick_interval
         )
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether any run may be active, also one of a job that has ended."""
+        return len(self._runs) > 0
+
     def find_agent(self, agent: Member) -> AgentView | None:
         """Returns the view of an agent, or None if it is unknown."""
         return self._fleet.find(agent)
@@ -336,8 +341,7 @@
         if view is None or not view.is_connected:
             return []
         effects = self._stop_lapsed(now)
-        view.stamp = stamp
-        view.ping_answered_at = now
+        view.record_answer(stamp, now)
         return [*effects, self._pong(view, now)]
 
     def on_reports(
--- a/gypsumline/platform/agent_daemon.py
+++ b/gypsumline/platform/agent_daemon.py
@@ -62,13 +62,18 @@
 
         def replace_rows(rows: RowSet) -> None:
             directory.replace(rows)
-            node.set_entries(directory.incarnations)
+            set_entries()
             keepers.apply(rows)
 
         def apply_rows(rows: RowSet) -> None:
             directory.apply(rows)
+            set_entries()
             keepers.apply(rows)
 
+        def set_entries() -> None:
+            if directory.incarnations is not None:
+                node.set_entries(directory.incarnations)
+
         follower = TableFollower(
             store,
             ENTRIES_TABLE,
--- a/gypsumline/platform/entry_daemon.py
+++ b/gypsumline/platform/entry_daemon.py
@@ -93,7 +93,12 @@
     async def run(self) -> None:
         """Serves until a planned stop has finished."""
         daemon = self._daemon
-        announcer = EntryAnnouncer(self._store, daemon.member, daemon.rng)
+        announcer = EntryAnnouncer(
+            self._store,
+            daemon.member,
+            daemon.rng,
+            lambda: self._node.has_keepers,
+        )
         self._node.subscribe(daemon.timers)
         async with (
             self._running_hub(),
@@ -107,9 +112,10 @@
         ):
             await daemon.signals.wait()
             await self._stop(caller_server)
-            await announcer.remove(
-                _REMOVAL_FRACTION * daemon.settings.stop_limit
-            )
+            # While a run may be left, agents that start must know this entry.
+            if not self._node.owner.has_runs:
+                limit = _REMOVAL_FRACTION * daemon.settings.stop_limit
+                await announcer.remove(limit)
         self._store.close()
 
     @contextlib.asynccontextmanager
--- a/gypsumline/platform/entry_rows.py
+++ b/gypsumline/platform/entry_rows.py
@@ -26,6 +26,8 @@
 # Row of the table that is no entry's: the list of the keepers of locks.
 KEEPERS_KEY = "#keepers"
 RENEWAL_SECONDS = 20.0
+# Age up to which what a row says counts; covers a renewal that is repeated.
+RENEWAL_LIMIT_SECONDS = 25.0
 # Rows that have not been renewed for this long belong to entries that are gone.
 EXPIRY_SECONDS = 70.0
 _RETRY_SECONDS = 0.3
@@ -42,11 +44,14 @@
       address: Host and port of the entry's stream server.
       incarnation: Incarnation of the entry.
       renewed_at: Time of the last renewal, in seconds on the store's clock.
+      has_keepers: Whether the entry was in touch with a majority of the agents
+        that keep locks.
     """
 
     address: Name
     incarnation: Incarnation
     renewed_at: float
+    has_keepers: bool = True
 
 
 def decode_entry(row: StoredRow) -> EntryRow:
@@ -86,6 +91,22 @@
             return None
 
 
+def entries_with_keepers(rows: RowSet) -> list[str]:
+    """Returns the entries that say they are in touch with a majority.
+
+    Only rows that have been renewed lately count.
+    """
+    reader = _EntryReader()
+    named: list[str] = []
+    for row in _rows_of_entries(rows):
+        entry = reader.read(row)
+        if entry is None or not entry.has_keepers:
+            continue
+        if rows.store_time - entry.renewed_at <= RENEWAL_LIMIT_SECONDS:
+            named.append(row.key)
+    return named
+
+
 class EntryDirectory:
     """Tracks the addresses of the entries listed in the table.
 
@@ -98,12 +119,16 @@
     def __init__(self, on_changed: Callable[[list[str]], None]) -> None:
         self._addresses: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
+        # Rows that are invalid now.
+        self._invalid: set[str] = set()
         self._on_changed = on_changed
         self._reader = _EntryReader()
 
     @property
-    def incarnations(self) -> dict[str, int]:
-        """Incarnation of each entry by its member id."""
+    def incarnations(self) -> dict[str, int] | None:
+        """Incarnations of all entries by member id, or None if unknown."""
+        if self._invalid or not self._addresses:
+            return None
         return {key: self._incarnations[key] for key in self._addresses}
 
     def replace(self, rows: RowSet) -> None:
@@ -111,28 +136,45 @@
         listed = {row.key for row in _rows_of_entries(rows)}
         for key in self._addresses.keys() - listed:
             del self._addresses[key]
+        self._invalid &= listed
         self.apply(rows)
 
     def apply(self, rows: RowSet) -> None:
         """Applies changed rows."""
         for row in _rows_of_entries(rows):
+            self._invalid.discard(row.key)
             if row.is_removed:
                 self._addresses.pop(row.key, None)
-            elif (entry := self._reader.read(row)) is not None:
+            elif (entry := self._reader.read(row)) is None:
+                self._invalid.add(row.key)
+            else:
                 self._addresses[row.key] = entry.address
                 self._incarnations[row.key] = entry.incarnation
         self._on_changed(sorted(self._addresses.values()))
 
 
 class EntryAnnouncer:
-    """Renews the row of this entry and removes expired rows of others."""
+    """Renews the row of this entry and removes expired rows of others.
+
+    Args:
+      store: Client of the store.
+      member: The entry.
+      rng: Source of the random part of pauses.
+      has_keepers: Returns whether the entry is in touch with a majority of the
+        agents that keep locks.
+    """
 
     def __init__(
-        self, store: Store, member: Member, rng: random.Random
+        self,
+        store: Store,
+        member: Member,
+        rng: random.Random,
+        has_keepers: Callable[[], bool],
     ) -> None:
         self._store = store
         self._member = member
         self._rng = rng
+        self._has_keepers = has_keepers
         self._reader = _EntryReader()
         self._is_removed = False
         # A renewal must not write the row again after its removal.
@@ -193,6 +235,7 @@
             address=self._member.address,
             incarnation=self._member.incarnation,
             renewed_at=rows.store_time,
+            has_keepers=self._has_keepers(),
         )
         puts = {self._member.member_id: msgspec.json.encode(row)}
         expired = self._find_expired(rows)
--- a/gypsumline/platform/keeper_rows.py
+++ b/gypsumline/platform/keeper_rows.py
@@ -16,7 +16,11 @@
 
 from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.leases.keepers import KEEPERS_MAX, Keeper, KeeperList
-from gypsumline.platform.entry_rows import ENTRIES_TABLE, KEEPERS_KEY
+from gypsumline.platform.entry_rows import (
+    ENTRIES_TABLE,
+    KEEPERS_KEY,
+    entries_with_keepers,
+)
 from gypsumline.platform.rejections import RejectionLog
 from gypsumline.platform.store import RowSet, Store, StoredRow, StoreError
 from gypsumline.platform.wire_types import Name, Sequence
@@ -179,10 +183,24 @@
         """
         rows = await self._store.read(ENTRIES_TABLE)
         stored = self._reader.find(rows)
-        if stored is not None and stored.version != keepers.version - 1:
+        if stored is not None and stored.version >= keepers.version:
             self._on_keepers(stored)
             return
+        in_touch = entries_with_keepers(rows) if keepers.is_reset else []
+        if in_touch:
+            _LOGGER.info(
+                "keepers not replaced",
+                extra={"version": keepers.version, "in_touch": in_touch},
+            )
+            return
         row = find_row(rows)
+        if row is not None and stored is None:
+            # Its version may be in use already.
+            _LOGGER.error(
+                "invalid row of the keepers is not replaced",
+                extra={"version": keepers.version},
+            )
+            return
         await self._store.write(
             ENTRIES_TABLE,
             {KEEPERS_KEY: encode_keepers(keepers)},
--- a/gypsumline/tests/core/leases/test_keepers.py
+++ b/gypsumline/tests/core/leases/test_keepers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 
 import pytest
 
@@ -23,7 +24,12 @@
     sort_by_rank,
 )
 from gypsumline.core.leases.lock_messages import LockKeys
-from gypsumline.core.leases.messages import ContactPing, ContactPong
+from gypsumline.core.leases.messages import (
+    ContactPing,
+    ContactPong,
+    RunEnd,
+    StartRuns,
+)
 from gypsumline.core.leases.settings import LeaseSettings
 from gypsumline.tests.core.leases.builders import (
     ENTRY,
@@ -31,10 +37,13 @@
     KEY,
     LEASE,
     agent,
+    join,
     keeper_list,
     load,
     open_table,
     owner,
+    reports,
+    request,
     sends,
 )
 
@@ -174,16 +183,48 @@
     assert keepers.previous == keeper_list((1, 2, 3)).members
 
 
+def test_settled_change_is_followed_by_a_list_without_the_one_before():
+    """Guards against entries that start and wait for agents that are gone."""
+    leased = owner()
+    connect(leased, (1, 2, 3), 0.0, version=2)
+    leased.on_keepers(keeper_list((1, 2, 3), 2, previous=range(1, 9)), 0.0)
+    connect(leased, (4, 5), 0.0, version=2)
+    run_until(leased, (1, 2, 3), 1.0, version=2)
+    now = LEASE.keepers_settling + 0.5
+    for number in (1, 2, 3):
+        connect_again(leased, number, now, version=2)
+    keepers = proposed(leased, now)
+    assert numbers(keepers) == [1, 2, 3, 4, 5]
+    leased.on_keepers(keepers, now)
+    for number in (1, 2, 3, 4, 5):
+        connect_again(leased, number, now, version=3)
+    now += LEASE.keepers_settling + 0.5
+    for number in (1, 2, 3, 4, 5):
+        connect_again(leased, number, now, version=3)
+    assert proposed(leased, now).previous == ()
+
+
 def settled_owner(reached, listed, now):
     """Returns an owner whose list is in force since the time 0."""
     leased = owner()
     connect(leased, reached, 0.0, version=1)
     leased.on_keepers(keeper_list(listed), 0.0)
-    for number in reached:
-        connect_again(leased, number, now)
+    run_until(leased, reached, now)
     return leased
 
 
+def run_until(leased, reached, end, version=1):
+    """Runs the timers of an owner that some agents ping."""
+    now = 0.0
+    while now < end - 0.1:
+        for number in reached:
+            connect_again(leased, number, now, version)
+        leased.tick(now)
+        now += 0.5
+    for number in reached:
+        connect_again(leased, number, end, version)
+
+
 def connect_again(leased, number, now, version=1):
     member = agent(number, zone=f"zone-{number}")
     for stamp in (now - 0.002, now - 0.001):
@@ -247,6 +288,72 @@
     assert (line.fields["job"], line.fields["holder"]) == (KEY, "entry-1")
 
 
+def test_entry_that_wakes_replaces_no_list():
+    """Guards against a paused entry that takes the locks from all others."""
+    now = 2.0
+    leased = settled_owner((1, 2, 3), (1, 2, 3), now)
+    now += 2.0 * RESET_SECONDS
+    assert proposed(leased, now) is None
+    assert proposed(leased, now + 0.25) is None
+
+
+@pytest.mark.parametrize("round_trip", [0.25, 0.45])
+def test_list_counts_also_with_answers_that_take_long(round_trip):
+    """Guards against an entry without locks beside slow or busy agents."""
+    leased = owner()
+    member = agent(1, zone="zone-1")
+    leased.on_connected(member, 0.0)
+    leased.on_keepers(keeper_list((1,)), 0.0)
+    for step in range(50):
+        now = step * LEASE.busy_ping_interval
+        answered = LEASE.busy_ping_interval * (
+            (now - round_trip) // LEASE.busy_ping_interval
+        )
+        ping = ContactPing(
+            stamp=now,
+            load=load(),
+            keeps_locks=True,
+            keepers_version=1,
+            answered=answered if answered >= 0.0 else -math.inf,
+        )
+        leased.on_ping(member, ping, now)
+        leased.answer_ping(member, now, now)
+    assert leased.has_keepers(now)
+
+
+def test_version_that_an_agent_states_never_falls():
+    """Guards against a ping that is read late and hides a newer list."""
+    leased = owner()
+    connect(leased, (1,), 0.0, version=1)
+    leased.on_keepers(keeper_list((1,)), 0.0)
+    now = LEASE.keepers_validity + 1.0
+    connect_again(leased, 1, now, version=2)
+    connect_again(leased, 1, now, version=1)
+    assert not leased.has_keepers(now)
+
+
+def test_nothing_starts_before_the_first_list_once_agents_keep_locks():
+    """Guards against starts without a lock while streams are opened again."""
+    leased = owner()
+    connect(leased, (1,), 0.0, version=0)
+    leased.on_disconnected(agent(1, zone="zone-1"), 0.1)
+    leased.on_connected(agent(1, zone="zone-1"), 0.2)
+    assert not leased.has_keepers(0.2)
+    assert not sends(leased.submit(request(), 0.2), StartRuns)
+
+
+def test_owner_has_runs_until_their_ends_are_reported():
+    """Guards against an entry that is forgotten while its runs are stopped."""
+    leased = owner()
+    join(leased, agent())
+    leased.submit(request(), 0.0)
+    leased.abandon(KEY, 0.1)
+    assert leased.has_runs
+    ended = reports((f"{KEY}.0.0.0", 1, RunEnd.STOPPED, 0.1))
+    leased.on_reports(agent(), ended, 0.2)
+    assert not leased.has_runs
+
+
 def test_agents_state_and_pass_on_the_newest_list():
     """Guards against owners that never hear of a list."""
     table = open_table()
--- a/gypsumline/tests/core/leases/test_key_locks.py
+++ b/gypsumline/tests/core/leases/test_key_locks.py
@@ -237,6 +237,18 @@
         assert listed.is_complete
 
 
+def test_lock_that_has_lapsed_is_claimed_while_runs_may_be_left(leased):
+    """Guards against an agent that restarts and grants it to another owner."""
+    requests = asked(leased.submit(request(), 0.0))
+    number = min(requests)
+    answer(leased, requests, 0.01)
+    leased.on_disconnected(agent(number), 0.1)
+    now = LEASE.lock_validity + LEASE.rerun_wait - 0.1
+    leased.on_connected(agent(number, incarnation=2), now)
+    effects = keeper_ping(leased, number, now, incarnation=2)
+    assert asked(effects)[number].held == (KEY,)
+
+
 def test_locks_are_returned_when_the_last_run_has_ended(leased):
     """Guards against a second run beside one that is still being stopped."""
     answer(leased, asked(leased.submit(request(), 0.0)), 0.01)
@@ -295,10 +307,25 @@
     assert sends(answer(leased, requests, settled + 0.2), StartRuns)
 
 
+def test_earlier_list_serves_until_the_lock_is_had_under_a_newer_one(leased):
+    """Guards against jobs that wait for agents which are not reached yet."""
+    answer(leased, asked(leased.submit(request(), 0.0)), 0.01)
+    newer = keeper_list(range(6, 9), version=2, previous=ALL)
+    leased.on_keepers(newer, 0.1)
+    # The lock lapses under both, and is then granted again.
+    now = LEASE.lock_validity + 0.1
+    failed = reports((TASK, 1, RunEnd.FAILED, 0.1))
+    for number in ALL:
+        leased.on_reports(agent(number), failed, now)
+    leased.tick(now)
+    requests = asked(leased.tick(now + 0.2))
+    assert sends(answer(leased, requests, now + 0.21), StartRuns)
+
+
 def test_list_counts_only_while_a_majority_knows_no_newer_one(leased):
     """Guards against an owner that has missed a change of the list."""
     now = LEASE.keepers_validity + 1.0
-    for number in (1, 2, 3):
+    for number in (1, 2):
         keeper_ping(leased, number, now, version=2)
     for number in (4, 5):
         keeper_ping(leased, number, now, version=1)
--- a/gypsumline/tests/core/leases/test_lock_table.py
+++ b/gypsumline/tests/core/leases/test_lock_table.py
@@ -86,6 +86,13 @@
     assert ask(table, ENTRY, 0.4) == (LockState.GRANTED,)
 
 
+def test_empty_table_of_entries_proves_nothing():
+    """Guards against grants while the row of an entry is missing."""
+    table = LockTable(LEASE, 0.0)
+    table.expect({})
+    assert ask(table, ENTRY, 0.1) == (LockState.UNSURE,)
+
+
 def test_runs_of_an_entry_that_restarted_end_before_an_agent_is_certain():
     """Guards against a second run where agents and an entry restart."""
     table = LockTable(LEASE, 0.0)
--- a/gypsumline/tests/platform/test_entries_that_left.py
+++ b/gypsumline/tests/platform/test_entries_that_left.py
@@ -43,7 +43,8 @@
         ADDRESS, rows, lambda _table, _key, value: value, rng
     ) as endpoint:
         announcers = [
-            EntryAnnouncer(store, make_member(number), rng) for number in (1, 2)
+            EntryAnnouncer(store, make_member(number), rng, lambda: True)
+            for number in (1, 2)
         ]
         for announcer in announcers:
             await announcer._renew()
--- a/gypsumline/tests/platform/test_entry_rows.py
+++ b/gypsumline/tests/platform/test_entry_rows.py
@@ -137,7 +137,7 @@
         availability_zone="a",
         address="10.0.0.9:7720",
     )
-    return EntryAnnouncer(store, member, random.Random(1))
+    return EntryAnnouncer(store, member, random.Random(1), lambda: True)
 
 
 EXPIRED = {**VALID, "renewed_at": -100.0}
--- a/gypsumline/tests/platform/test_keeper_rows.py
+++ b/gypsumline/tests/platform/test_keeper_rows.py
@@ -1,13 +1,19 @@
 """Tests of the row that holds the list of the keepers of locks."""
 
+import dataclasses
 import json
 import random
 
+import msgspec
 import pytest
 
 from gypsumline.core.errors import InvalidInputError
 from gypsumline.core.leases.keepers import Keeper, KeeperList
-from gypsumline.platform.entry_rows import KEEPERS_KEY, EntryDirectory
+from gypsumline.platform.entry_rows import (
+    KEEPERS_KEY,
+    EntryDirectory,
+    EntryRow,
+)
 from gypsumline.platform.keeper_rows import (
     KeeperReader,
     KeeperWriter,
@@ -97,14 +103,72 @@
 
 
 async def test_change_replaces_the_version_before_alone():
-    """Guards against a change that skips the one of another entry."""
+    """Guards against two changes of one version."""
     store = FakeStore(make_rows(FIRST))
-    third = KeeperList(version=3, members=MEMBERS)
-    assert await propose(store, third) == [FIRST]
     assert await propose(store, SECOND) == [SECOND]
+    other = KeeperList(version=2, members=MEMBERS)
+    assert await propose(store, other) == [SECOND]
     assert store.expected == [7]
 
 
+@pytest.mark.parametrize("keepers", [FIRST, SECOND])
+async def test_invalid_row_is_not_replaced(keepers):
+    """Guards against two lists of one version."""
+    store = FakeStore(make_rows(b"[]"))
+    assert await propose(store, keepers) == []
+    assert store.expected == []
+
+
+async def test_list_that_another_writer_has_put_back_is_replaced():
+    """Guards against proposals that lose for ever."""
+    store = FakeStore(make_rows(FIRST))
+    third = KeeperList(version=3, members=MEMBERS)
+    assert await propose(store, third) == [third]
+
+
+async def test_list_is_not_replaced_while_another_entry_has_a_majority():
+    """Guards against an entry that is cut off and takes its side for all."""
+    reset = KeeperList(version=2, members=MEMBERS[:1], is_reset=True)
+    for age, has_keepers, applied in (
+        (5.0, True, []),
+        (5.0, False, [reset]),
+        (60.0, True, [reset]),
+    ):
+        rows = make_rows(FIRST)
+        entry = EntryRow(
+            address="10.0.0.1:7720",
+            incarnation=1,
+            renewed_at=rows.store_time - age,
+            has_keepers=has_keepers,
+        )
+        row = StoredRow(
+            key="entry-2",
+            value=msgspec.json.encode(entry),
+            version=3,
+            is_removed=False,
+        )
+        rows = dataclasses.replace(rows, rows=(*rows.rows, row))
+        assert await propose(FakeStore(rows), reset) == applied
+
+
+def test_entries_are_unknown_while_a_row_is_invalid():
+    """Guards against an agent that forgets an entry which may have locks."""
+    directory = EntryDirectory(lambda addresses: None)
+    valid = {"address": "10.0.0.1:7720", "incarnation": 4, "renewed_at": 1.0}
+    rows = [
+        StoredRow(key=key, value=value, version=1, is_removed=False)
+        for key, value in (
+            ("entry-1", json.dumps(valid).encode()),
+            ("entry-2", b"[]"),
+        )
+    ]
+    assert directory.incarnations is None
+    directory.replace(RowSet(rows=tuple(rows), version=1, store_time=1.0))
+    assert directory.incarnations is None
+    directory.replace(RowSet(rows=tuple(rows[:1]), version=2, store_time=1.0))
+    assert directory.incarnations == {"entry-1": 4}
+
+
 def test_list_is_no_entry():
     """Guards against agents that dial the list."""
     addresses = []
