--- a/properties/test_fleet_locks.py
+++ b/properties/test_fleet_locks.py
@@ -28,7 +28,8 @@
     assert world.oracle.violations == []
 
 
-@pytest.mark.parametrize("seed", [6, 12, 18, 57])
+# 4 and 7 fail if pings are answered before runs of lapsed locks are stopped.
+@pytest.mark.parametrize("seed", [6, 12, 18, 57, 4, 7])
 def test_starts_deferred_by_an_agent_end_with_the_locks_of_their_owner(seed):
     """Guards against runs of an owner that answers a ping without its locks."""
     assert lease_walk.walk_deferred_starts(seed).oracle.violations == []
