Let jobs wait for an entry that wakes, rather than refuse them at once

What callers saw: an entry that wakes after its evidence of the list has run out reads submissions before pings, and refused them ("too few agents in touch") although it was in touch some milliseconds later. Change: jobs are refused once no lock could be had for half of keepers_validity (2.5 s) of checks, also after a start.

--- a/gypsumline/core/leases/key_locks.py
+++ b/gypsumline/core/leases/key_locks.py
@@ -187,8 +187,8 @@
         self._started_at = started_at
         # Whether any agent has said that it keeps locks.
         self._are_kept = False
-        # Whether locks could be had at any time.
-        self._is_started = False
+        # Time of the first check at which no locks could be had.
+        self._out_of_touch_since = math.inf
 
     @property
     def number(self) -> int:
@@ -213,12 +213,15 @@
     def is_cut_off(self, now: float) -> bool:
         """Returns whether locks cannot be had soon.
 
-        An owner that has just started is in touch with its agents before long.
+        An owner that has just started, or wakes from a pause, is in touch with
+        its agents within a few pings.
         """
         if self.can_be_had(now):
+            self._out_of_touch_since = math.inf
             return False
-        age = now - self._started_at
-        return self._is_started or age > self._settings.keepers_validity
+        self._out_of_touch_since = min(self._out_of_touch_since, now)
+        limit = self._settings.keepers_validity / 2.0
+        return now - self._out_of_touch_since > limit
 
     def may_start(self, key: str, now: float) -> bool:
         """Returns whether runs of a job may be started."""
@@ -334,7 +337,8 @@
     def check(self, now: float) -> list[Effect]:
         """Repeats and renews the requests that are due."""
         settings = self._settings
-        self._is_started = self._is_started or self.can_be_had(now)
+        # Notes since when no locks can be had.
+        self.is_cut_off(now)
         due: list[_KeyLock] = []
         for lock in self._locks.values():
             age = now - lock.granted_at(now)
--- a/gypsumline/tests/core/leases/test_key_locks.py
+++ b/gypsumline/tests/core/leases/test_key_locks.py
@@ -114,6 +114,7 @@
     now = LEASE.keepers_validity + 0.1
     for number in (1, 2):
         keeper_ping(leased, number, now)
+    leased.tick(now)
     (ended,) = [
         effect
         for effect in leased.submit(request(), now)
@@ -123,6 +124,23 @@
     assert ended.retry_after > 0.0
 
 
+def test_owner_that_wakes_refuses_no_job_before_it_is_in_touch_again(leased):
+    """Guards against jobs refused by an entry that reads them first."""
+    now = LEASE.keepers_validity + 1.0
+    for number in ALL:
+        ping = ContactPing(
+            stamp=now, load=load(executor=f"x-{number}"), keeps_locks=True
+        )
+        leased.on_ping(agent(number), ping, now)
+    assert not leased.has_keepers(now)
+    effects = leased.submit(request(), now)
+    assert not [each for each in effects if isinstance(each, JobEnded)]
+    for number in ALL:
+        keeper_ping(leased, number, now + 0.1)
+    effects = leased.tick(now + 0.2)
+    assert sends(answer(leased, asked(effects), now + 0.21), StartRuns)
+
+
 def test_owner_that_hears_nothing_stops_its_runs_before_it_answers(leased):
     """Guards against runs under a lock that others have been granted."""
     answer(leased, asked(leased.submit(request(), 0.0)), 0.01)
