--- a/gypsumline/core/leases/key_locks.py
+++ b/gypsumline/core/leases/key_locks.py
@@ -428,9 +428,12 @@
         now: float,
         is_complete: bool = False,
     ) -> Send:
-        """Returns a request to an agent, in place of the earlier ones."""
+        """Returns a request to an agent.
+
+        A complete one claims what an earlier incarnation of it has granted.
+        """
         self._number += 1
-        # Until then the runs of a lock that has lapsed may be left.
+        # Runs of a lock that has lapsed may be left for `rerun_wait`.
         settings = self._settings
         oldest = now - settings.lock_validity - settings.rerun_wait
         held = []
