--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -203,9 +203,7 @@
         deadline = time.monotonic() + READY_SECONDS
         address = f"{entry.host}:{READY}"
         while time.monotonic() < deadline:
-            status, _ = await call(
-                address, "GET", "/v1/readiness", timeout=1.0
-            )
+            status, _ = await call(address, "GET", "/v1/readiness", timeout=1.0)
             if status == 200:
                 return
             await asyncio.sleep(0.1)
