--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -65,6 +65,7 @@
         self._ended = []
         self._end_number = 0
         self._ending = asyncio.Event()
+        self._is_up = True
         host, _, port = self._address.rpartition(":")
         self._server = Server(host, int(port), self._handle)
         await self._server.start()
@@ -76,6 +77,7 @@
 
     def crash(self):
         """Ends like a killed process: all connections are reset."""
+        self._is_up = False
         self._record("crash", worker=self.name, runs=sorted(self._runs))
         for task in self._tasks:
             task.cancel()
@@ -134,6 +136,8 @@
         self._ending = asyncio.Event()
 
     async def _handle(self, method, target, headers, body):
+        if not self._is_up:
+            return None
         if headers.get("x-gypsumline-expected-instance") != self.name:
             return 421, {}
         order = json.loads(body)
