--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import time
 
 from plain_http import Server, call
@@ -13,6 +14,8 @@
 HOLD_MAX_MS = 1000
 STOP_SECONDS = 0.02
 POLL_SECONDS = 0.005
+# Time after which a late order is carried out.
+LATE_SECONDS = (2.0, 12.0)
 
 
 @dataclasses.dataclass
@@ -48,6 +51,11 @@
         self._run_seconds = run_seconds
         self._tasks = []
         self._server = None
+        self._rng = random.Random(name)
+        self._late = set()
+        self._late_share = 0.0
+        self._late_until = 0.0
+        self._up = asyncio.Event()
 
     async def start(self, first_heartbeat=0.0):
         """Begins a boot that knows nothing of the one before.
@@ -70,14 +78,21 @@
         self._server = Server(host, int(port), self._handle)
         await self._server.start()
         self._record("boot", worker=self.name, labels=self.labels)
+        self._up.set()
         self._tasks = [
             asyncio.create_task(self._beat(first_heartbeat)),
             asyncio.create_task(self._poll()),
         ]
 
+    def delay_orders(self, share, seconds):
+        """Leaves a share of the orders unanswered, and does them late."""
+        self._late_share = share
+        self._late_until = time.monotonic() + seconds
+
     def crash(self):
         """Ends like a killed process: all connections are reset."""
         self._is_up = False
+        self._up.clear()
         self._record("crash", worker=self.name, runs=sorted(self._runs))
         for task in self._tasks:
             task.cancel()
@@ -141,6 +156,24 @@
         if headers.get("x-gypsumline-expected-instance") != self.name:
             return 421, {}
         order = json.loads(body)
+        is_late = time.monotonic() < self._late_until
+        if is_late and self._rng.random() < self._late_share:
+            late = asyncio.create_task(self._carry_out_late(target, order))
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
+            # The caller gets no answer on this connection.
+            await asyncio.sleep(LATE_SECONDS[1])
+            return None
+        return await self._carry_out(target, order)
+
+    async def _carry_out_late(self, target, order):
+        """Carries an order out seconds later, or when it is up again."""
+        await asyncio.sleep(self._rng.uniform(*LATE_SECONDS))
+        await self._up.wait()
+        self._record("late order", worker=self.name, target=target, **order)
+        await self._carry_out(target, order)
+
+    async def _carry_out(self, target, order):
         if order["fencing_token"] < self._token:
             return self._conflict("fence")
         self._token = order["fencing_token"]
